--- /dev/null
+++ b/Source/daemon/control_fleet.cpp
@@ -0,0 +1,39 @@
+#include <daemon/control_state.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds call_limit{2};
+constexpr std::chrono::seconds poll_period{1};
+
+void on_vms(control_state& c, platform_result<std::vector<platform_vm>>& result)
+{
+    c.m_vm_poll.start_once(poll_period);
+    const auto* vms = std::get_if<std::vector<platform_vm>>(&result);
+    if (vms == nullptr)
+        return;
+    const std::size_t members = std::max<std::size_t>(vms->size(), 1);
+    if (members == c.m_members)
+        return;
+    c.m_members = members;
+    c.m_boxes.m_front.post(fleet_changed{members});
+}
+
+}
+
+void poll_vms(control_state& c)
+{
+    c.m_platform.vms(call_limit,
+                     [&c](platform_result<std::vector<platform_vm>>& result)
+                     {
+                         on_vms(c, result);
+                     });
+}
+
+}
--- /dev/null
+++ b/Source/daemon/control_task.cpp
@@ -0,0 +1,78 @@
+#include <daemon/control_task.hpp>
+
+#include <daemon/control_state.hpp>
+#include <daemon/overloaded.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+std::string describe_control(const control_state& c)
+{
+    return nlohmann::json{{"settings_version", c.m_version},
+                          {"platform_revision", c.m_revision},
+                          {"platform_answers", c.m_platform_answers},
+                          {"members", c.m_members}}
+        .dump();
+}
+
+void on_message(control_state& c, control_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](drain_begun&) {},
+            [&](stop_wanted&)
+            {
+                stop(c.m_loop);
+            },
+            [&](dump_wanted& m)
+            {
+                c.m_boxes.m_admin.post(
+                    state_dump{m.m_ticket, "control", describe_control(c)});
+            },
+        },
+        message);
+}
+
+}
+
+control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
+    : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
+      m_platform(m_loop, daemon.m_platform),
+      m_retry_settings(m_loop,
+                       [this]
+                       {
+                           load_settings(*this);
+                       }),
+      m_retry_secrets(m_loop,
+                      [this]
+                      {
+                          load_secrets(*this);
+                      }),
+      m_vm_poll(m_loop,
+                [this]
+                {
+                    poll_vms(*this);
+                })
+{
+}
+
+void run_control_task(const daemon_settings& settings, mailboxes& boxes)
+{
+    control_state c(settings, boxes);
+    boxes.m_control.attach(c.m_loop,
+                           [&c](control_message& message)
+                           {
+                               on_message(c, message);
+                           });
+    load_settings(c);
+    load_secrets(c);
+    poll_vms(c);
+    run(c.m_loop);
+}
+
+}
--- /dev/null
+++ b/Source/daemon/daemon_settings.cpp
@@ -0,0 +1,64 @@
+#include <daemon/daemon_settings.hpp>
+
+#include <array>
+#include <chrono>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::array options{
+    option_spec{"name", option_type::text, "", "name of this process's VM", "",
+                0, 0},
+    option_spec{"zone", option_type::text, "",
+                "availability zone of this process's VM", "", 0, 0},
+    option_spec{"listen", option_type::address, "", "address for callers", "",
+                0, 0},
+    option_spec{"peer-listen", option_type::address, "",
+                "address for the other daemons", "", 0, 0},
+    option_spec{"admin-listen", option_type::address, "",
+                "address for health, metrics and dumps", "", 0, 0},
+    option_spec{"platform", option_type::address, "",
+                "address of the platform's service", "", 0, 0},
+    option_spec{"charts", option_type::folder, BLUEBELLSPOKE_CHART_FOLDER,
+                "folder of the state charts", "", 0, 0},
+    option_spec{"drain-limit-ms", option_type::count, "30000",
+                "longest graceful shutdown", "ms", 100, 600'000},
+    option_spec{"mailbox", option_type::count, "4096",
+                "requests that wait for a task before more are refused",
+                "messages", 16, 1'000'000},
+    option_spec{"check", option_type::flag, "",
+                "check settings and charts, then end", "", 0, 0},
+};
+
+}
+
+std::span<const option_spec> daemon_options() noexcept
+{
+    return options;
+}
+
+daemon_settings read_daemon_settings(std::span<const char* const> arguments,
+                                     const environment& variables)
+{
+    const option_values values = parse_options(
+        {"bluebellspoked", "Database proxy with session consistency",
+         BLUEBELLSPOKE_VERSION, ""},
+        options, arguments, variables);
+    daemon_settings s;
+    s.m_name = values.text("name");
+    s.m_zone = values.text("zone");
+    s.m_listen = parse_address(values.text("listen"));
+    s.m_peer_listen = parse_address(values.text("peer-listen"));
+    s.m_admin_listen = parse_address(values.text("admin-listen"));
+    s.m_platform = parse_address(values.text("platform"));
+    s.m_charts = values.text("charts");
+    s.m_drain_limit = std::chrono::milliseconds(values.count("drain-limit-ms"));
+    s.m_mailbox = values.count("mailbox");
+    s.m_check_only = values.given("check");
+    return s;
+}
+
+}
--- /dev/null
+++ b/Source/daemon/daemon_settings.hpp
@@ -0,0 +1,38 @@
+#ifndef BLUEBELLSPOKE_DAEMON_DAEMON_SETTINGS_HPP
+#define BLUEBELLSPOKE_DAEMON_DAEMON_SETTINGS_HPP
+
+#include <filesystem>
+#include <span>
+#include <string>
+
+#include <model/address.hpp>
+#include <model/clock.hpp>
+#include <options/options.hpp>
+
+namespace bluebellspoke
+{
+
+/// Everything a daemon is told at its start.
+struct daemon_settings
+{
+    std::string m_name; ///< Unique among the fleet's VMs.
+    std::string m_zone;
+    address m_listen;       ///< Callers.
+    address m_peer_listen;  ///< Other daemons.
+    address m_admin_listen; ///< Health, metrics, dumps.
+    address m_platform;
+    std::filesystem::path m_charts;
+    duration m_drain_limit{};
+    std::size_t m_mailbox = 0; ///< Messages.
+    bool m_check_only = false;
+};
+
+std::span<const option_spec> daemon_options() noexcept;
+
+/// Throws options_error, options_exit.
+daemon_settings read_daemon_settings(std::span<const char* const> arguments,
+                                     const environment& variables);
+
+}
+
+#endif
--- /dev/null
+++ b/Source/daemon/front_state.cpp
@@ -0,0 +1,223 @@
+#include <daemon/front_state.hpp>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include <decide/access.hpp>
+#include <decide/session_token.hpp>
+#include <front/statement_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::string_view statement_path = "/v1/statement";
+constexpr std::string_view open_path = "/v1/open/";
+constexpr std::string_view transactions_path = "/v1/transactions";
+constexpr std::string_view transaction_prefix = "/v1/transactions/";
+
+struct requested
+{
+    request_operation m_operation = request_operation::statement;
+    statement m_statement;
+    std::string_view m_open_workspace; ///< Empty: a key is needed.
+};
+
+requested parse_transaction_end(std::string_view rest)
+{
+    requested r;
+    const std::size_t slash = rest.rfind('/');
+    if (slash == std::string_view::npos || slash == 0)
+        throw refused(refusal::not_found);
+    const std::string_view verb = rest.substr(slash + 1);
+    if (verb == "commit")
+        r.m_operation = request_operation::commit;
+    else if (verb == "rollback")
+        r.m_operation = request_operation::rollback;
+    else
+        throw refused(refusal::not_found);
+    r.m_statement.m_kind = statement_kind::write;
+    r.m_statement.m_transaction = rest.substr(0, slash);
+    return r;
+}
+
+requested parse_request(const http2_request& request)
+{
+    if (request.m_method != "POST")
+        throw refused(refusal::not_found);
+    const std::string_view path = path_only(request.m_path);
+    requested r;
+    if (path == statement_path)
+    {
+        r.m_statement = decode_statement(request.m_body);
+    }
+    else if (path.starts_with(open_path))
+    {
+        r.m_statement = decode_statement(request.m_body);
+        r.m_open_workspace = path.substr(open_path.size());
+    }
+    else if (path == transactions_path)
+    {
+        r.m_operation = request_operation::begin;
+        r.m_statement.m_kind = statement_kind::write;
+    }
+    else if (path.starts_with(transaction_prefix))
+    {
+        r = parse_transaction_end(path.substr(transaction_prefix.size()));
+    }
+    else
+    {
+        throw refused(refusal::not_found);
+    }
+    return r;
+}
+
+access_grant check_access(const front_state& f, const requested& r,
+                          const http2_request& request)
+{
+    if (!r.m_open_workspace.empty())
+        return check_open_access(*f.m_settings, r.m_open_workspace,
+                                 r.m_statement.m_kind);
+    return check_key_access(*f.m_settings, bearer_key(request.m_headers));
+}
+
+void check_rate(front_state& f, const workspace_view& workspace, time_point now)
+{
+    const auto bucket = f.m_buckets.find(workspace.m_name);
+    if (bucket == f.m_buckets.end() || !take_token(bucket->second, now))
+        throw refused(refusal::rate_exceeded);
+}
+
+std::optional<log_position> read_session(const front_state& f,
+                                         const workspace_view& workspace,
+                                         const http2_request& request)
+{
+    const std::string_view token =
+        find_header(request.m_headers, session_header);
+    if (token.empty())
+        return std::nullopt;
+    const auto position =
+        open_session(token, workspace.m_name, workspace.m_service, f.m_secrets);
+    if (!position)
+        throw refused(refusal::foreign_session);
+    return position;
+}
+
+time_point deadline_of(const statement& s, const workspace_view& workspace,
+                       time_point now)
+{
+    const bool asked = s.m_time_limit > duration::zero();
+    const duration limit =
+        asked ? std::min(s.m_time_limit, workspace.m_time_limit)
+              : workspace.m_time_limit;
+    return now + limit;
+}
+
+std::string seal_outcome(const front_state& f, const request_outcome& outcome,
+                         const answer& a)
+{
+    log_position position = a.m_position;
+    if (outcome.m_session)
+        position = std::max(position, *outcome.m_session);
+    const workspace_view& workspace = *outcome.m_context.m_workspace;
+    return seal_session({workspace.m_name, workspace.m_service, position},
+                        f.m_secrets.front());
+}
+
+http2_response encode_outcome(const front_state& f,
+                              const request_outcome& outcome)
+{
+    if (const auto* r = std::get_if<refused>(&outcome.m_result))
+        return encode_refusal(*r);
+    const answer& a = std::get<answer>(outcome.m_result);
+    http2_response response;
+    response.m_headers = {
+        {"content-type", "application/json"},
+        {std::string(session_header), seal_outcome(f, outcome, a)}};
+    if (outcome.m_operation == request_operation::begin)
+        response.m_body =
+            nlohmann::json{{"transaction", outcome.m_transaction}}.dump();
+    else
+        response.m_body = encode_answer(a);
+    return response;
+}
+
+}
+
+void admit(front_state& f, arrived_request& arrived)
+{
+    if (arrived.m_oversized)
+        throw refused(refusal::body_too_large);
+    if (!f.m_settings || f.m_secrets.empty())
+        throw refused(refusal::configuration_stale);
+    requested r = parse_request(arrived.m_request);
+    // What belongs to a transaction under way is let through to its end.
+    if (f.m_draining && r.m_statement.m_transaction.empty())
+        throw refused(refusal::draining);
+    const access_grant grant = check_access(f, r, arrived.m_request);
+    const time_point now = monotonic_clock::now();
+    pool_request request;
+    request.m_context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
+                         grant.m_key != nullptr ? grant.m_key->m_id
+                                                : std::string()};
+    request.m_operation = r.m_operation;
+    request.m_session = read_session(f, *grant.m_workspace, arrived.m_request);
+    request.m_deadline = deadline_of(r.m_statement, *grant.m_workspace, now);
+    request.m_statement = std::move(r.m_statement);
+    const bool ends_transaction = r.m_operation == request_operation::commit ||
+                                  r.m_operation == request_operation::rollback;
+    if (!ends_transaction)
+        check_rate(f, *grant.m_workspace, now);
+    if (!f.m_boxes.m_pool.try_post(std::move(request)))
+        throw refused(refusal::overloaded);
+}
+
+void answer_request(front_state& f, request_outcome& outcome)
+{
+    f.m_server->respond(outcome.m_context.m_exchange,
+                        encode_outcome(f, outcome));
+}
+
+void update_buckets(front_state& f)
+{
+    if (!f.m_settings)
+        return;
+    const time_point now = monotonic_clock::now();
+    const auto members = static_cast<double>(f.m_members);
+    std::erase_if(f.m_buckets,
+                  [&](const auto& entry)
+                  {
+                      return !f.m_settings->m_workspaces.contains(entry.first);
+                  });
+    for (const auto& [name, workspace] : f.m_settings->m_workspaces)
+    {
+        const double burst = workspace.m_burst / members;
+        const auto [bucket, added] = f.m_buckets.try_emplace(name);
+        if (added)
+            bucket->second = {0, burst, burst, now};
+        set_share(bucket->second, workspace.m_rate / members, burst, now);
+    }
+}
+
+std::string describe_front(const front_state& f)
+{
+    nlohmann::json buckets = nlohmann::json::object();
+    for (const auto& [name, bucket] : f.m_buckets)
+        buckets[name] = {{"rate", bucket.m_rate},
+                         {"burst", bucket.m_burst},
+                         {"tokens", bucket.m_tokens}};
+    return nlohmann::json{
+        {"settings_version", f.m_settings ? f.m_settings->m_version : 0},
+        {"connections", f.m_server->open_connections()},
+        {"open_requests", f.m_server->open_exchanges()},
+        {"draining", f.m_draining},
+        {"buckets", std::move(buckets)}}
+        .dump();
+}
+
+}
--- /dev/null
+++ b/Source/daemon/front_task.cpp
@@ -0,0 +1,111 @@
+#include <daemon/front_task.hpp>
+
+#include <utility>
+
+#include <daemon/front_state.hpp>
+#include <daemon/overloaded.hpp>
+#include <front/statement_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void on_request(front_state& f, arrived_request& arrived)
+{
+    try
+    {
+        admit(f, arrived);
+    }
+    catch (const refused& r)
+    {
+        f.m_server->respond(arrived.m_exchange, encode_refusal(r));
+    }
+}
+
+void report_if_drained(front_state& f)
+{
+    if (f.m_draining && f.m_server->open_exchanges() == 0)
+        f.m_boxes.m_admin.post(task_drained{"front"});
+}
+
+void begin_drain(front_state& f)
+{
+    f.m_draining = true;
+    f.m_server->begin_drain();
+    report_if_drained(f);
+}
+
+void on_message(front_state& f, front_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](request_outcome& m)
+            {
+                answer_request(f, m);
+                report_if_drained(f);
+            },
+            [&](settings_changed& m)
+            {
+                f.m_settings = std::move(m.m_settings);
+                update_buckets(f);
+            },
+            [&](session_secrets& m)
+            {
+                f.m_secrets = std::move(m.m_secrets);
+            },
+            [&](fleet_changed& m)
+            {
+                f.m_members = m.m_members;
+                update_buckets(f);
+            },
+            [&](drain_begun&)
+            {
+                begin_drain(f);
+            },
+            [&](stop_wanted&)
+            {
+                stop(f.m_loop);
+            },
+            [&](dump_wanted& m)
+            {
+                f.m_boxes.m_admin.post(
+                    state_dump{m.m_ticket, "front", describe_front(f)});
+            },
+        },
+        message);
+}
+
+http2_server_handlers make_handlers(front_state& f)
+{
+    http2_server_handlers handlers;
+    handlers.m_on_request = [&f](arrived_request& arrived)
+    {
+        on_request(f, arrived);
+    };
+    handlers.m_on_abandoned = [&f](exchange_id exchange)
+    {
+        f.m_boxes.m_pool.post(request_abandoned{exchange});
+        report_if_drained(f);
+    };
+    handlers.m_on_disconnect = [](connection_id) {};
+    return handlers;
+}
+
+}
+
+void run_front_task(const daemon_settings& settings, mailboxes& boxes)
+{
+    front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false};
+    f.m_server = std::make_unique<http2_server>(
+        f.m_loop, settings.m_listen, http2_server_limits(), make_handlers(f));
+    boxes.m_front.attach(f.m_loop,
+                         [&f](front_message& message)
+                         {
+                             on_message(f, message);
+                         });
+    run(f.m_loop);
+}
+
+}
--- /dev/null
+++ b/Source/daemon/messages.hpp
@@ -0,0 +1,140 @@
+#ifndef BLUEBELLSPOKE_DAEMON_MESSAGES_HPP
+#define BLUEBELLSPOKE_DAEMON_MESSAGES_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <decide/settings_view.hpp>
+#include <model/refusal.hpp>
+#include <model/statement.hpp>
+#include <task/mailbox.hpp>
+#include <wire/http2_server.hpp>
+
+namespace bluebellspoke
+{
+
+/// What the tasks of one daemon tell each other. Each task's mailbox takes one
+/// variant; docs/DESIGN.md draws who sends what to whom.
+
+enum class request_operation : std::uint8_t
+{
+    statement,
+    begin,
+    commit,
+    rollback,
+};
+
+/// Whom a request runs for; keeps the settings alive that it was admitted by.
+struct request_context
+{
+    exchange_id m_exchange;
+    settings_view_ptr m_settings;
+    const workspace_view* m_workspace = nullptr;
+    std::string m_key_id; ///< Empty on a route open to all.
+};
+
+/// front → pool: run this.
+struct pool_request
+{
+    request_context m_context;
+    request_operation m_operation = request_operation::statement;
+    statement m_statement;
+    std::optional<log_position> m_session;
+    time_point m_deadline{};
+};
+
+/// front → pool: the caller is gone.
+struct request_abandoned
+{
+    exchange_id m_exchange;
+};
+
+/// pool → front: the one outcome of a pool_request.
+struct request_outcome
+{
+    request_context m_context;
+    request_operation m_operation = request_operation::statement;
+    std::variant<answer, refused> m_result;
+    std::optional<log_position> m_session; ///< What the request came with.
+    std::string m_transaction;             ///< The id that begin gave out.
+};
+
+/// control → front, pool: this configuration is in force.
+struct settings_changed
+{
+    settings_view_ptr m_settings;
+};
+
+/// control → front: the fleet's secrets for session tokens, newest first.
+struct session_secrets
+{
+    std::vector<std::string> m_secrets;
+};
+
+/// control → front: how many daemons share the rates.
+struct fleet_changed
+{
+    std::size_t m_members = 1;
+};
+
+/// main → every task: finish what is under way and take no more.
+struct drain_begun
+{
+};
+
+/// main → every task: end now.
+struct stop_wanted
+{
+};
+
+/// admin → every task: describe your state.
+struct dump_wanted
+{
+    std::uint64_t m_ticket = 0;
+};
+
+/// every task → admin: its state as JSON text.
+struct state_dump
+{
+    std::uint64_t m_ticket = 0;
+    std::string m_task;
+    std::string m_json;
+};
+
+/// front, pool → admin: no request of mine is left.
+struct task_drained
+{
+    std::string m_task;
+};
+
+using front_message =
+    std::variant<request_outcome, settings_changed, session_secrets,
+                 fleet_changed, drain_begun, stop_wanted, dump_wanted>;
+using pool_message =
+    std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
+                 stop_wanted, dump_wanted>;
+using control_message = std::variant<drain_begun, stop_wanted, dump_wanted>;
+using admin_message = std::variant<state_dump, settings_changed, task_drained,
+                                   drain_begun, stop_wanted>;
+
+/// The mailboxes through which a daemon's tasks reach each other.
+struct mailboxes
+{
+    explicit mailboxes(std::size_t capacity)
+        : m_front(capacity), m_pool(capacity), m_control(capacity),
+          m_admin(capacity)
+    {
+    }
+
+    mailbox<front_message> m_front;
+    mailbox<pool_message> m_pool;
+    mailbox<control_message> m_control;
+    mailbox<admin_message> m_admin;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/daemon/overloaded.hpp
@@ -0,0 +1,19 @@
+#ifndef BLUEBELLSPOKE_DAEMON_OVERLOADED_HPP
+#define BLUEBELLSPOKE_DAEMON_OVERLOADED_HPP
+
+namespace bluebellspoke
+{
+
+/// Joins functions into one visitor of a message variant.
+template <class... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+template <class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+}
+
+#endif
--- /dev/null
+++ b/Source/daemon/pool_charts.cpp
@@ -0,0 +1,39 @@
+#include <daemon/pool_charts.hpp>
+
+#include <array>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> request_states{"queued", "running",
+                                                         "confirming", "ended"};
+constexpr std::array<std::string_view, 9> request_events{
+    "dispatched", "answered", "committed", "confirmed", "superseded",
+    "retried",    "failed",   "expired",   "abandoned"};
+constexpr std::array<std::string_view, 8> request_actions{
+    "deliver",        "await_majority", "requeue",         "refuse_not_run",
+    "refuse_as_told", "refuse_unknown", "drop_connection", "forget"};
+
+constexpr std::array<std::string_view, 4> transaction_states{"open", "busy",
+                                                             "ending", "ended"};
+constexpr std::array<std::string_view, 6> transaction_events{
+    "statement_sent", "statement_done", "end_sent",
+    "end_done",       "lost",           "expired"};
+constexpr std::array<std::string_view, 3> transaction_actions{
+    "release_connection", "drop_connection", "forget"};
+
+}
+
+pool_charts load_pool_charts(const std::filesystem::path& folder)
+{
+    return {load_connection_chart(folder),
+            {load_chart(folder, {"request", request_states, request_events,
+                                 request_actions})},
+            {load_chart(folder, {"transaction", transaction_states,
+                                 transaction_events, transaction_actions})}};
+}
+
+}
--- /dev/null
+++ b/Source/daemon/pool_charts.hpp
@@ -0,0 +1,87 @@
+#ifndef BLUEBELLSPOKE_DAEMON_POOL_CHARTS_HPP
+#define BLUEBELLSPOKE_DAEMON_POOL_CHARTS_HPP
+
+#include <filesystem>
+
+#include <chart/chart.hpp>
+#include <endpoint/pg_connection.hpp>
+
+namespace bluebellspoke
+{
+
+enum class request_state : std::uint8_t
+{
+    queued,
+    running,
+    confirming,
+    ended,
+};
+
+enum class request_event : std::uint8_t
+{
+    dispatched,
+    answered,
+    committed,
+    confirmed,
+    superseded,
+    retried,
+    failed,
+    expired,
+    abandoned,
+};
+
+enum class request_action : std::uint8_t
+{
+    deliver,
+    await_majority,
+    requeue,
+    refuse_not_run,
+    refuse_as_told,
+    refuse_unknown,
+    drop_connection,
+    forget,
+};
+
+enum class transaction_state : std::uint8_t
+{
+    open,
+    busy,
+    ending,
+    ended,
+};
+
+enum class transaction_event : std::uint8_t
+{
+    statement_sent,
+    statement_done,
+    end_sent,
+    end_done,
+    lost,
+    expired,
+};
+
+enum class transaction_action : std::uint8_t
+{
+    release_connection,
+    drop_connection,
+    forget,
+};
+
+using request_chart = typed_chart<request_state, request_event, request_action>;
+using transaction_chart =
+    typed_chart<transaction_state, transaction_event, transaction_action>;
+
+/// The charts that the pool task interprets.
+struct pool_charts
+{
+    connection_chart m_connection;
+    request_chart m_request;
+    transaction_chart m_transaction;
+};
+
+/// Throws chart_error.
+pool_charts load_pool_charts(const std::filesystem::path& folder);
+
+}
+
+#endif
--- /dev/null
+++ b/Source/daemon/pool_replies.cpp
@@ -0,0 +1,188 @@
+#include <daemon/pool_state.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <endpoint/endpoint_sql.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void release(pooled_connection& c)
+{
+    c.m_request = nullptr;
+    c.m_running = false;
+    --c.m_endpoint.m_view.m_running;
+}
+
+/// True when running the request once more can do no harm.
+bool may_retry(const request& r)
+{
+    constexpr unsigned most_attempts = 3;
+    const statement& s = r.m_arrived.m_statement;
+    const bool harmless = s.m_kind == statement_kind::read || s.m_repeatable ||
+                          !s.m_request_id.empty();
+    return harmless && r.m_transaction == nullptr &&
+           r.m_attempts < most_attempts;
+}
+
+// What was not committed is rolled back with its connection.
+void take_lost(request& r)
+{
+    const bool uncommitted =
+        r.m_transaction != nullptr &&
+        r.m_arrived.m_operation != request_operation::commit;
+    if (may_retry(r))
+        fire(r, request_event::retried);
+    else
+        fail(r, refusal::endpoint_lost,
+             uncommitted ? fate::not_run : fate::outcome_unknown);
+}
+
+// The endpoint's state is unknown until it is asked again.
+void distrust(pool_endpoint& e)
+{
+    e.m_view.m_state.reset();
+    hasten_poll(e);
+}
+
+// The endpoint rolled the statement back, so an error means that it did not
+// run; only a commit's error leaves that open.
+void take_error(request& r, pool_endpoint& e, const pg_error& error)
+{
+    const request_operation operation = r.m_arrived.m_operation;
+    const bool commits = operation == request_operation::commit;
+    const bool wrong_term = error.m_sqlstate == wrong_term_sqlstate;
+    if (wrong_term)
+        distrust(e);
+    const bool alone = r.m_arrived.m_statement.m_transaction.empty() &&
+                       operation == request_operation::statement;
+    if (wrong_term && alone)
+    {
+        // Nothing ran there, so another try is safe whatever the statement.
+        fire(r, request_event::retried);
+        return;
+    }
+    fail(r, wrong_term ? refusal::no_primary : refusal::endpoint_error,
+         commits ? fate::outcome_unknown : fate::not_run,
+         error.m_sqlstate + ": " + error.m_message);
+}
+
+bool is_lone_write(const request& r)
+{
+    return r.m_transaction == nullptr &&
+           r.m_arrived.m_statement.m_kind == statement_kind::write;
+}
+
+bool needs_majority(const request& r)
+{
+    return is_lone_write(r) ||
+           r.m_arrived.m_operation == request_operation::commit;
+}
+
+void read_answer(request& r, pg_reply& reply, const endpoint_state& state)
+{
+    constexpr std::size_t statement_table = 1; // After "begin".
+    if (is_lone_write(r))
+    {
+        write_outcome outcome = parse_write(reply.m_tables.at(statement_table));
+        r.m_answer.m_table = std::move(outcome.m_table);
+        r.m_answer.m_first_outcome = outcome.m_first_outcome;
+    }
+    else if (r.m_arrived.m_operation == request_operation::statement)
+    {
+        r.m_answer.m_table = std::move(reply.m_tables.at(statement_table));
+    }
+    if (needs_majority(r))
+        r.m_answer.m_position = state.m_received;
+    r.m_answer.m_from_replica = state.m_role == endpoint_role::replica;
+}
+
+// Inside a transaction the state is not asked for: only its commit moves the
+// session on.
+bool carries_state(const request& r)
+{
+    return r.m_transaction == nullptr ||
+           r.m_arrived.m_operation == request_operation::commit;
+}
+
+void take_answer(request& r, pool_endpoint& e, pg_reply& reply)
+{
+    if (!carries_state(r))
+    {
+        if (r.m_arrived.m_operation == request_operation::statement)
+            r.m_answer.m_table = std::move(reply.m_tables.at(0));
+        fire(r, request_event::answered);
+        return;
+    }
+    const endpoint_state state =
+        parse_state(reply.m_tables.back(), r.m_handed_over_at);
+    read_answer(r, reply, state);
+    if (!needs_majority(r))
+    {
+        fire(r, request_event::answered);
+        return;
+    }
+    fire(r, request_event::committed);
+    learn_state(e, state);
+    hasten_polls(e.m_group);
+}
+
+void tell_transaction(transaction& t, const request& r, bool sound)
+{
+    const bool ends = r.m_arrived.m_operation == request_operation::commit ||
+                      r.m_arrived.m_operation == request_operation::rollback;
+    if (!sound && r.m_arrived.m_operation == request_operation::begin)
+        fire(t, transaction_event::expired);
+    else
+        fire(t, ends ? transaction_event::end_done
+                     : transaction_event::statement_done);
+}
+
+void take_for_request(request& r, pool_endpoint& e, pg_reply& reply)
+{
+    try
+    {
+        if (reply.m_lost)
+            take_lost(r);
+        else if (reply.m_error)
+            take_error(r, e, *reply.m_error);
+        else
+            take_answer(r, e, reply);
+    }
+    catch (const std::exception&)
+    {
+        // An answer that can't be read may still have taken effect.
+        fail(r, refusal::endpoint_lost, fate::outcome_unknown);
+    }
+}
+
+}
+
+void take_reply(pooled_connection& c, pg_reply& reply)
+{
+    pool_endpoint& e = c.m_endpoint;
+    request* r = std::exchange(c.m_request, nullptr);
+    transaction* t = c.m_transaction;
+    release(c);
+    if (r != nullptr)
+        r->m_connection = nullptr;
+    if (t != nullptr && r != nullptr && !reply.m_lost)
+        tell_transaction(*t, *r, !reply.m_error);
+    // An error inside "begin; …" leaves the connection in a failed
+    // transaction, which only a rollback ends.
+    else if (t == nullptr && !reply.m_lost && c.m_pg->in_transaction())
+        c.m_pg->submit(rollback_query(),
+                       [&e](pg_reply&)
+                       {
+                           dispatch(e.m_group);
+                       });
+    if (r != nullptr)
+        take_for_request(*r, e, reply);
+    dispatch(e.m_group);
+}
+
+}
--- /dev/null
+++ b/Source/daemon/pool_state.hpp
@@ -0,0 +1,191 @@
+#ifndef BLUEBELLSPOKE_DAEMON_POOL_STATE_HPP
+#define BLUEBELLSPOKE_DAEMON_POOL_STATE_HPP
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/intrusive/list.hpp>
+
+#include <daemon/daemon_settings.hpp>
+#include <daemon/messages.hpp>
+#include <daemon/pool_charts.hpp>
+#include <decide/fair_queue.hpp>
+#include <decide/routing.hpp>
+#include <endpoint/pg_connection.hpp>
+
+namespace bluebellspoke
+{
+
+struct pool_state;
+struct pool_group;
+struct pool_endpoint;
+struct pooled_connection;
+struct transaction;
+
+using group_hook = boost::intrusive::list_base_hook<
+    boost::intrusive::tag<struct group_tag>,
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+/// One request in the pool, from its arrival to its outcome.
+struct request : fair_queue_hook, group_hook
+{
+    request(pool_state& p, pool_group& g, pool_request&& arrived);
+
+    pool_state& m_pool;
+    pool_group& m_group;
+    pool_request m_arrived;
+    request_state m_state;
+    std::string m_bound; ///< Statement with its parameters.
+    routing_need m_need;
+    pooled_connection* m_connection = nullptr; ///< While it runs.
+    transaction* m_transaction = nullptr;      ///< Of begin, or named.
+    term_number m_term = 0;                    ///< That it was handed over in.
+    unsigned m_attempts = 0;
+    time_point m_handed_over_at{};
+    answer m_answer;
+    std::optional<refused> m_refusal;
+    timer m_deadline;
+};
+
+using confirming_list =
+    boost::intrusive::list<request, boost::intrusive::base_hook<group_hook>,
+                           boost::intrusive::constant_time_size<false>>;
+
+/// One connection to an endpoint, for statements.
+struct pooled_connection
+{
+    pool_endpoint& m_endpoint;
+    std::unique_ptr<pg_connection> m_pg;
+    request* m_request = nullptr;         ///< Null: idle, or given up on.
+    transaction* m_transaction = nullptr; ///< It belongs to, if any.
+    bool m_running = false;               ///< Takes a slot.
+};
+
+/// A caller's transaction, held between its requests.
+struct transaction
+{
+    transaction(pool_state& p, pool_group& g, std::string id);
+
+    pool_state& m_pool;
+    pool_group& m_group;
+    std::string m_id;
+    std::string m_workspace;
+    std::string m_key_id;
+    transaction_state m_state;
+    pooled_connection* m_connection = nullptr;
+    term_number m_term = 0;
+    timer m_idle_limit;
+};
+
+/// One endpoint: its connections, what it last said, and who asks it.
+struct pool_endpoint
+{
+    pool_endpoint(pool_group& g, endpoint_setting setting);
+
+    pool_group& m_group;
+    endpoint_setting m_setting;
+    endpoint_view m_view;
+    std::uint32_t m_connection_share = 1;
+    std::vector<std::unique_ptr<pooled_connection>> m_connections;
+    std::unique_ptr<pg_connection> m_monitor;
+    bool m_reachable = false;
+    timer m_poll;      ///< Asks for the state again.
+    timer m_reconnect; ///< After the monitor's connection ended.
+};
+
+/// One database group, as one service's settings name it.
+struct pool_group
+{
+    pool_group(pool_state& p, std::string name);
+
+    pool_state& m_pool;
+    std::string m_name;
+    std::vector<std::unique_ptr<pool_endpoint>> m_endpoints;
+    /// Reads and writes queue apart, by statement_kind: a write that waits for
+    /// the primary holds up no read.
+    std::array<fair_queue, 2> m_queues;
+    confirming_list m_confirming;
+    bool m_dispatching = false;
+};
+
+/// What the pool task owns; nobody else touches it.
+struct pool_state
+{
+    pool_state(const daemon_settings& daemon, const pool_charts& charts,
+               mailboxes& boxes);
+
+    const daemon_settings& m_daemon;
+    const pool_charts& m_charts;
+    mailboxes& m_boxes;
+    loop m_loop;
+    settings_view_ptr m_settings;
+    std::map<std::string, std::unique_ptr<pool_group>, std::less<>> m_groups;
+    std::map<exchange_id, std::unique_ptr<request>> m_requests;
+    std::map<std::string, std::unique_ptr<transaction>, std::less<>>
+        m_transactions;
+    std::uint64_t m_next_transaction = 1;
+    bool m_draining = false;
+    /// Closed connections wait here until nothing on the stack uses them.
+    std::vector<std::unique_ptr<pooled_connection>> m_closed_connections;
+    std::vector<std::unique_ptr<pg_connection>> m_closed_monitors;
+    std::vector<std::unique_ptr<pool_endpoint>> m_closed_endpoints;
+    timer m_reaper;
+};
+
+// pool_task.cpp
+/// Tells the admin task, while draining, that nothing is left to finish.
+void report_if_drained(pool_state& p);
+
+// pool_settings.cpp
+/// Fits groups and endpoints to the configuration in force.
+void apply_settings(pool_state& p, settings_view_ptr settings);
+/// Decides anew whether an endpoint takes new work.
+void update_admission(pool_endpoint& e);
+std::string describe_pool(const pool_state& p);
+
+// pool_requests.cpp
+/// Takes a request in; its outcome follows as a message to the front.
+void accept_request(pool_state& p, pool_request&& arrived);
+void abandon_request(pool_state& p, exchange_id exchange);
+/// Moves a request's life on; may end and destroy it.
+void fire(request& r, request_event event);
+/// Refuses a request; the chart says what became of its work.
+void fail(request& r, refusal code, fate what_became, std::string detail = {});
+/// Acknowledges the writes that a majority holds by now.
+void confirm_requests(pool_group& g);
+
+// pool_dispatch.cpp
+/// Hands over every queued request that has its turn and its place.
+void dispatch(pool_group& g);
+/// A copy of what routing needs to know of each endpoint.
+std::vector<endpoint_view> endpoint_views(const pool_group& g);
+
+// pool_replies.cpp
+/// Takes what came back for the request on a connection.
+void take_reply(pooled_connection& c, pg_reply& reply);
+
+// pool_endpoints.cpp
+void start_monitor(pool_endpoint& e);
+/// Records a newer state and lets requests that waited for it go on.
+void learn_state(pool_endpoint& e, const endpoint_state& state);
+/// Opens one more connection if the share allows. Returns false otherwise.
+bool open_connection(pool_endpoint& e);
+/// Asks the endpoint for its state soon because a write waits for it.
+void hasten_poll(pool_endpoint& e);
+/// The same for every endpoint of a group.
+void hasten_polls(pool_group& g);
+void close_endpoint(pool_endpoint& e);
+
+// pool_transactions.cpp
+transaction& begin_transaction(pool_state& p, request& r);
+/// Finds the transaction that a request names. Throws refused.
+transaction& find_transaction(pool_state& p, const pool_request& r);
+void fire(transaction& t, transaction_event event);
+
+}
+
+#endif
--- /dev/null
+++ b/Source/daemon/pool_task.cpp
@@ -0,0 +1,68 @@
+#include <daemon/pool_task.hpp>
+
+#include <utility>
+
+#include <daemon/overloaded.hpp>
+#include <daemon/pool_state.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void on_message(pool_state& p, pool_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](pool_request& m)
+            {
+                accept_request(p, std::move(m));
+            },
+            [&](request_abandoned& m)
+            {
+                abandon_request(p, m.m_exchange);
+            },
+            [&](settings_changed& m)
+            {
+                apply_settings(p, std::move(m.m_settings));
+            },
+            [&](drain_begun&)
+            {
+                p.m_draining = true;
+                report_if_drained(p);
+            },
+            [&](stop_wanted&)
+            {
+                stop(p.m_loop);
+            },
+            [&](dump_wanted& m)
+            {
+                p.m_boxes.m_admin.post(
+                    state_dump{m.m_ticket, "pool", describe_pool(p)});
+            },
+        },
+        message);
+}
+
+}
+
+void report_if_drained(pool_state& p)
+{
+    if (p.m_draining && p.m_requests.empty() && p.m_transactions.empty())
+        p.m_boxes.m_admin.post(task_drained{"pool"});
+}
+
+void run_pool_task(const daemon_settings& settings, const pool_charts& charts,
+                   mailboxes& boxes)
+{
+    pool_state p(settings, charts, boxes);
+    boxes.m_pool.attach(p.m_loop,
+                        [&p](pool_message& message)
+                        {
+                            on_message(p, message);
+                        });
+    run(p.m_loop);
+}
+
+}
--- /dev/null
+++ b/Source/decide/access.cpp
@@ -0,0 +1,35 @@
+#include <decide/access.hpp>
+
+#include <model/refusal.hpp>
+
+namespace bluebellspoke
+{
+
+access_grant check_key_access(const settings_view& view, std::string_view key)
+{
+    if (key.empty())
+        throw refused(refusal::unknown_key);
+    const auto found = view.m_keys.find(sha256(key));
+    if (found == view.m_keys.end())
+        throw refused(refusal::unknown_key);
+    if (found->second.m_withdrawn)
+        throw refused(refusal::key_withdrawn);
+    const auto workspace = view.m_workspaces.find(found->second.m_workspace);
+    if (workspace == view.m_workspaces.end())
+        throw refused(refusal::unknown_key);
+    return {&workspace->second, &found->second};
+}
+
+access_grant check_open_access(const settings_view& view,
+                               std::string_view workspace, statement_kind kind)
+{
+    const auto found = view.m_workspaces.find(workspace);
+    // A closed workspace and a missing one look the same from outside.
+    if (found == view.m_workspaces.end() || !found->second.m_open)
+        throw refused(refusal::not_found);
+    if (kind != statement_kind::read)
+        throw refused(refusal::statement_not_allowed);
+    return {&found->second, nullptr};
+}
+
+}
--- /dev/null
+++ b/Source/decide/routing.cpp
@@ -0,0 +1,110 @@
+#include <decide/routing.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// A replica may serve a read that names no age only by a session mark: with
+// neither, nothing says how old an answer the caller can bear.
+bool replica_fits(const endpoint_state& state, const routing_need& need,
+                  time_point now)
+{
+    if (!need.m_session && !need.m_max_age)
+        return false;
+    if (need.m_session && !sees(state, *need.m_session))
+        return false;
+    if (!need.m_max_age)
+        return true;
+    const std::optional<duration> age = age_bound(state, now);
+    return age && *age <= *need.m_max_age;
+}
+
+bool less_loaded(const endpoint_view& a, const endpoint_view& b)
+{
+    if (a.m_local != b.m_local)
+        return a.m_local;
+    return std::uint64_t{a.m_running} * b.m_slots <
+           std::uint64_t{b.m_running} * a.m_slots;
+}
+
+bool has_slot(const endpoint_view& e)
+{
+    return e.m_running < e.m_slots;
+}
+
+route run_or_wait(std::span<const endpoint_view> endpoints, std::size_t index)
+{
+    const bool free = has_slot(endpoints[index]);
+    return {free ? route_outcome::run : route_outcome::wait_slot, index};
+}
+
+}
+
+bool sees(const endpoint_state& state, const log_position& mark) noexcept
+{
+    return state.m_replayed >= mark;
+}
+
+std::optional<duration> age_bound(const endpoint_state& state,
+                                  time_point now) noexcept
+{
+    if (!state.m_age)
+        return std::nullopt;
+    return *state.m_age + (now - state.m_asked_at);
+}
+
+std::optional<std::size_t>
+find_primary(std::span<const endpoint_view> endpoints) noexcept
+{
+    std::optional<std::size_t> found;
+    term_number highest = 0;
+    for (const endpoint_view& e : endpoints)
+        if (e.m_state && e.m_state->m_fence > highest)
+            highest = e.m_state->m_fence;
+    for (std::size_t i = 0; i < endpoints.size(); ++i)
+    {
+        const auto& state = endpoints[i].m_state;
+        if (state && state->m_role == endpoint_role::primary &&
+            state->m_fence == highest)
+            found = i;
+    }
+    return found;
+}
+
+route choose_endpoint(std::span<const endpoint_view> endpoints,
+                      const routing_need& need, time_point now) noexcept
+{
+    const std::optional<std::size_t> primary = find_primary(endpoints);
+    const bool replicas_allowed =
+        need.m_kind == statement_kind::read && !need.m_primary_only;
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; replicas_allowed && i < endpoints.size(); ++i)
+    {
+        const endpoint_view& e = endpoints[i];
+        const bool is_replica = e.m_admits && e.m_state && i != primary;
+        if (!is_replica || !replica_fits(*e.m_state, need, now))
+            continue;
+        const bool better = !best ||
+                            (has_slot(e) && !has_slot(endpoints[*best])) ||
+                            (has_slot(e) == has_slot(endpoints[*best]) &&
+                             less_loaded(e, endpoints[*best]));
+        if (better)
+            best = i;
+    }
+    if (best && has_slot(endpoints[*best]))
+        return {route_outcome::run, *best};
+    if (primary && endpoints[*primary].m_admits)
+    {
+        // A read that only a replica's queue holds up goes to the primary when
+        // that one is idle.
+        const bool prefer_replica = best && !has_slot(endpoints[*primary]);
+        return run_or_wait(endpoints, prefer_replica ? *best : *primary);
+    }
+    if (best)
+        return {route_outcome::wait_slot, *best};
+    return {route_outcome::none, 0};
+}
+
+}
--- /dev/null
+++ b/Source/decide/settings_view.cpp
@@ -0,0 +1,149 @@
+#include <decide/settings_view.hpp>
+
+#include <chrono>
+
+#include <openssl/sha.h>
+
+#include <decide/settings_limits.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+std::uint8_t hex_value(char c)
+{
+    constexpr int letters_start = 10;
+    return static_cast<std::uint8_t>(c >= 'a' ? c - 'a' + letters_start
+                                              : c - '0');
+}
+
+sha256_digest from_hex(std::string_view text)
+{
+    sha256_digest digest{};
+    for (std::size_t i = 0; i < digest.size(); ++i)
+        digest[i] = static_cast<std::uint8_t>(hex_value(text[2 * i]) << 4U |
+                                              hex_value(text[2 * i + 1]));
+    return digest;
+}
+
+duration inherit_ms(const settings_tree& tree, std::string_view path,
+                    std::optional<std::uint32_t> node_settings::*field,
+                    value_range<std::uint32_t> range)
+{
+    return milliseconds(inherit(tree, path, field, range.m_default).m_value);
+}
+
+workspace_view resolve_workspace(const settings_tree& tree,
+                                 const std::string& path)
+{
+    workspace_view w;
+    w.m_name = path;
+    w.m_service =
+        inherit(tree, path, &node_settings::m_service, std::string()).m_value;
+    w.m_rate = inherit(tree, path, &node_settings::m_rate, rate_range.m_default)
+                   .m_value;
+    w.m_burst =
+        inherit(tree, path, &node_settings::m_burst, burst_range.m_default)
+            .m_value;
+    w.m_weight =
+        inherit(tree, path, &node_settings::m_weight, weight_range.m_default)
+            .m_value;
+    w.m_time_limit = inherit_ms(tree, path, &node_settings::m_time_limit_ms,
+                                time_limit_range);
+    w.m_confirm =
+        inherit_ms(tree, path, &node_settings::m_confirm_ms, confirm_range);
+    w.m_lag_wait =
+        inherit_ms(tree, path, &node_settings::m_lag_wait_ms, lag_wait_range);
+    w.m_open = tree.find(path)->second.m_own.m_open.value_or(false);
+    return w;
+}
+
+group_view resolve_group(const settings_tree& tree, const std::string& path)
+{
+    group_view g;
+    g.m_name = path;
+    g.m_endpoints = tree.find(path)->second.m_own.m_endpoints;
+    g.m_slots =
+        inherit(tree, path, &node_settings::m_slots, slots_range.m_default)
+            .m_value;
+    g.m_connections = inherit(tree, path, &node_settings::m_connections,
+                              connections_range.m_default)
+                          .m_value;
+    return g;
+}
+
+void add_keys(settings_view& view, const std::string& path,
+              const node_settings& own)
+{
+    for (const key_setting& key : own.m_keys)
+    {
+        const bool added =
+            view.m_keys
+                .emplace(from_hex(key.m_sha256),
+                         key_view{path, key.m_id, key.m_withdrawn})
+                .second;
+        if (!added)
+            throw settings_error(settings_fault::duplicate_key, path, "keys");
+    }
+}
+
+void check_parent(const settings_tree& tree, const std::string& path)
+{
+    const auto parent = parent_path(path);
+    if (parent && !parent->empty() && !tree.contains(*parent))
+        throw settings_error(settings_fault::missing_parent, path, "path");
+}
+
+void check_services(const settings_view& view)
+{
+    for (const auto& [path, workspace] : view.m_workspaces)
+        if (!view.m_groups.contains(workspace.m_service))
+            throw settings_error(settings_fault::unknown_service, path,
+                                 "service");
+}
+
+}
+
+settings_view_ptr resolve(const settings_tree& tree, std::uint64_t version)
+{
+    auto* view = new settings_view();
+    settings_view_ptr result(view);
+    view->m_version = version;
+    for (const auto& [path, node] : tree)
+    {
+        check_node(path, node.m_own);
+        check_parent(tree, path);
+        switch (node.m_own.m_kind.value_or(node_kind::branch))
+        {
+        case node_kind::branch:
+            break;
+        case node_kind::workspace:
+            view->m_workspaces.emplace(path, resolve_workspace(tree, path));
+            add_keys(*view, path, node.m_own);
+            break;
+        case node_kind::service:
+            view->m_groups.emplace(path, resolve_group(tree, path));
+            break;
+        case node_kind::zone:
+            if (node.m_own.m_out.value_or(false))
+                view->m_zones_out.emplace(path.substr(path.rfind('/') + 1));
+            break;
+        }
+    }
+    check_services(*view);
+    return result;
+}
+
+sha256_digest sha256(std::string_view text)
+{
+    sha256_digest digest{};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+           digest.data());
+    return digest;
+}
+
+}
--- /dev/null
+++ b/Source/model/clock.hpp
@@ -0,0 +1,16 @@
+#ifndef BLUEBELLSPOKE_MODEL_CLOCK_HPP
+#define BLUEBELLSPOKE_MODEL_CLOCK_HPP
+
+#include <chrono>
+
+namespace bluebellspoke
+{
+
+/// The monotonic clock; decisions take its time as an argument.
+using monotonic_clock = std::chrono::steady_clock;
+using time_point = monotonic_clock::time_point;
+using duration = monotonic_clock::duration;
+
+}
+
+#endif
--- /dev/null
+++ b/Source/platform/platform_client.hpp
@@ -0,0 +1,87 @@
+#ifndef BLUEBELLSPOKE_PLATFORM_PLATFORM_CLIENT_HPP
+#define BLUEBELLSPOKE_PLATFORM_PLATFORM_CLIENT_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include <wire/http2_client.hpp>
+
+namespace bluebellspoke
+{
+
+/// One object of the platform's service; its value is JSON text.
+struct platform_object
+{
+    std::string m_name;
+    std::uint64_t m_version = 0; ///< 0: it doesn't exist.
+    std::string m_value;         ///< Empty when it doesn't exist.
+};
+
+/// Objects under a prefix as of one revision of the whole store.
+struct platform_listing
+{
+    std::uint64_t m_revision = 0;
+    std::vector<platform_object> m_objects;
+};
+
+enum class vm_state : std::uint8_t
+{
+    live,
+    leaving,
+};
+
+struct platform_vm
+{
+    std::string m_name;
+    std::string m_peer_address; ///< IP:port.
+    std::string m_zone;
+    vm_state m_state = vm_state::live;
+};
+
+enum class platform_failure : std::uint8_t
+{
+    unavailable,     ///< It did not take effect.
+    outcome_unknown, ///< It may have taken effect: read back.
+    conflict,        ///< The version was another one.
+    malformed,       ///< The platform answered what its API doesn't say.
+};
+
+std::string_view to_string(platform_failure failure) noexcept;
+
+template <class Value>
+using platform_result = std::variant<Value, platform_failure>;
+
+template <class Value>
+using platform_done = sigc::slot<void(platform_result<Value>&)>;
+
+/// Calls of the platform's object API over one connection. Each call ends
+/// exactly once, unless the client is destroyed first.
+class platform_client
+{
+public:
+    platform_client(loop& l, const address& platform);
+
+    void get(std::string_view name, duration time_limit,
+             platform_done<platform_object> done);
+    /// Writes if the object's version is `if_version`; 0 creates it. The
+    /// result holds the new version.
+    void put(std::string_view name, std::string value, std::uint64_t if_version,
+             duration time_limit, platform_done<platform_object> done);
+    void list(std::string_view prefix, duration time_limit,
+              platform_done<platform_listing> done);
+    /// Waits up to `wait` for changes after a revision; answers with those
+    /// there are. A removed object comes with version 0.
+    void watch(std::string_view prefix, std::uint64_t after, duration wait,
+               platform_done<platform_listing> done);
+    void vms(duration time_limit, platform_done<std::vector<platform_vm>> done);
+
+private:
+    http2_client m_client;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/report/event.cpp
@@ -0,0 +1,117 @@
+#include <report/event.hpp>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::array catalogue{
+    event_entry{event_id::daemon_started, event_level::info, "daemon_started",
+                "the daemon listens and serves"},
+    event_entry{event_id::daemon_draining, event_level::info, "daemon_draining",
+                "a graceful shutdown began"},
+    event_entry{event_id::daemon_stopped, event_level::info, "daemon_stopped",
+                "the daemon ended after its shutdown"},
+    event_entry{event_id::daemon_failed, event_level::error, "daemon_failed",
+                "a task ended by a failure and the daemon with it"},
+    event_entry{event_id::settings_in_force, event_level::info,
+                "settings_in_force", "a settings version came into force"},
+    event_entry{event_id::settings_refused, event_level::error,
+                "settings_refused",
+                "a settings version doesn't hold together; the last good one "
+                "stays in force"},
+    event_entry{event_id::platform_lost, event_level::warning, "platform_lost",
+                "the platform's service doesn't answer"},
+    event_entry{event_id::platform_back, event_level::info, "platform_back",
+                "the platform's service answers again"},
+    event_entry{event_id::endpoint_reached, event_level::info,
+                "endpoint_reached", "an endpoint answers"},
+    event_entry{event_id::endpoint_unreachable, event_level::warning,
+                "endpoint_unreachable", "an endpoint's connection ended"},
+};
+
+const event_entry& entry_of(event_id id)
+{
+    return *std::find_if(catalogue.begin(), catalogue.end(),
+                         [id](const event_entry& entry)
+                         {
+                             return entry.m_id == id;
+                         });
+}
+
+log4cplus::LogLevel level_of(event_level level)
+{
+    switch (level)
+    {
+    case event_level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case event_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    case event_level::info:
+        break;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance("bluebellspoke");
+}
+
+std::string& process()
+{
+    static std::string name;
+    return name;
+}
+
+}
+
+std::span<const event_entry> event_catalogue() noexcept
+{
+    return catalogue;
+}
+
+void start_log(std::string_view process_name)
+{
+    static const log4cplus::Initializer initializer;
+    process() = process_name;
+    constexpr bool to_standard_error = true;
+    constexpr bool flush_each_line = true;
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(to_standard_error, flush_each_line));
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} "
+                                                   "%p %m%n"));
+    logger().removeAllAppenders();
+    logger().addAppender(appender);
+    logger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void log_event(event_id id, std::initializer_list<event_field> fields)
+{
+    const event_entry& entry = entry_of(id);
+    nlohmann::ordered_json line{
+        {"event", static_cast<std::uint16_t>(id)},
+        {"name", entry.m_name},
+        {"process", process()},
+    };
+    for (const event_field& field : fields)
+        line[std::string(field.m_name)] = field.m_value;
+    logger().log(
+        level_of(entry.m_level),
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}
--- /dev/null
+++ b/Source/report/event.hpp
@@ -0,0 +1,58 @@
+#ifndef BLUEBELLSPOKE_REPORT_EVENT_HPP
+#define BLUEBELLSPOKE_REPORT_EVENT_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace bluebellspoke
+{
+
+/// Numbered events; docs/EVENTS.md is their catalogue.
+enum class event_id : std::uint16_t
+{
+    daemon_started = 1001,
+    daemon_draining = 1002,
+    daemon_stopped = 1003,
+    daemon_failed = 1004,
+    settings_in_force = 2001,
+    settings_refused = 2002,
+    platform_lost = 2003,
+    platform_back = 2004,
+    endpoint_reached = 3001,
+    endpoint_unreachable = 3002,
+};
+
+enum class event_level : std::uint8_t
+{
+    info,
+    warning,
+    error,
+};
+
+struct event_entry
+{
+    event_id m_id;
+    event_level m_level;
+    std::string_view m_name;
+    std::string_view m_meaning;
+};
+
+/// Every event, by number.
+std::span<const event_entry> event_catalogue() noexcept;
+
+struct event_field
+{
+    std::string_view m_name;
+    std::string m_value; ///< Never a key, a parameter or a statement's text.
+};
+
+/// Sends log lines to standard error, one JSON object a line.
+void start_log(std::string_view process_name);
+void log_event(event_id id, std::initializer_list<event_field> fields = {});
+
+}
+
+#endif
--- /dev/null
+++ b/Source/task/loop.cpp
@@ -0,0 +1,86 @@
+#include <task/loop.hpp>
+
+#include <utility>
+
+namespace bluebellspoke
+{
+
+const char* loop_error::what() const noexcept
+{
+    return "event loop unavailable";
+}
+
+void event_base_deleter::operator()(event_base* base) const noexcept
+{
+    event_base_free(base);
+}
+
+void event_deleter::operator()(event* e) const noexcept
+{
+    event_free(e);
+}
+
+loop make_loop()
+{
+    event_base_ptr base(event_base_new());
+    if (!base)
+        throw loop_error();
+    return {std::move(base)};
+}
+
+void run(loop& l)
+{
+    event_base_loop(l.m_base.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void stop(loop& l) noexcept
+{
+    event_base_loopbreak(l.m_base.get());
+}
+
+timer::timer(loop& l, sigc::slot<void()> elapsed)
+    : m_elapsed(std::move(elapsed)),
+      m_event(event_new(l.m_base.get(), -1, 0, &timer::on_event, this))
+{
+    if (!m_event)
+        throw loop_error();
+}
+
+void timer::start_once(std::chrono::microseconds delay)
+{
+    m_period = std::chrono::microseconds::zero();
+    arm(delay);
+}
+
+void timer::start_periodic(std::chrono::microseconds period)
+{
+    m_period = period;
+    arm(period);
+}
+
+void timer::cancel() noexcept
+{
+    m_period = std::chrono::microseconds::zero();
+    event_del(m_event.get());
+}
+
+void timer::arm(std::chrono::microseconds delay)
+{
+    constexpr std::int64_t us_per_second = 1'000'000;
+    timeval t{};
+    t.tv_sec = delay.count() / us_per_second;
+    t.tv_usec = delay.count() % us_per_second;
+    event_add(m_event.get(), &t);
+}
+
+void timer::on_event(evutil_socket_t, short, void* self)
+{
+    auto& t = *static_cast<timer*>(self);
+    if (t.m_period.count() > 0)
+        t.arm(t.m_period);
+    // The slot may destroy the timer, so it runs from a copy and comes last.
+    const sigc::slot<void()> elapsed = t.m_elapsed;
+    elapsed();
+}
+
+}
--- /dev/null
+++ b/Source/wire/http2_client.hpp
@@ -0,0 +1,56 @@
+#ifndef BLUEBELLSPOKE_WIRE_HTTP2_CLIENT_HPP
+#define BLUEBELLSPOKE_WIRE_HTTP2_CLIENT_HPP
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+
+#include <model/address.hpp>
+#include <model/clock.hpp>
+#include <sigc++/sigc++.h>
+#include <task/loop.hpp>
+#include <wire/http2_message.hpp>
+
+namespace bluebellspoke
+{
+
+/// Why a request got no response.
+enum class http2_failure : std::uint8_t
+{
+    not_sent,        ///< No connection stood, so nothing left this process.
+    connection_lost, ///< Sent perhaps; the response will not come.
+    timed_out,       ///< Sent perhaps; the time limit passed.
+};
+
+std::string_view to_string(http2_failure failure) noexcept;
+
+using http2_result = std::variant<http2_response, http2_failure>;
+using http2_done = sigc::slot<void(http2_result&)>;
+
+/// A client of one server: one connection, many requests at once. It connects
+/// when there is something to send, and again after a loss.
+class http2_client
+{
+public:
+    http2_client(loop& l, address server);
+    ~http2_client();
+    http2_client(const http2_client&) = delete;
+    http2_client& operator=(const http2_client&) = delete;
+
+    /// Calls `done` exactly once, from the loop, unless the client is
+    /// destroyed first.
+    void send(http2_request request, duration time_limit, http2_done done);
+    const address& server() const noexcept;
+    bool connected() const noexcept;
+    /// Drops the connection; requests under way end as connection_lost.
+    void reset();
+
+    struct state;
+
+private:
+    std::unique_ptr<state> m_state;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/wire/http2_server.cpp
@@ -0,0 +1,399 @@
+#include <wire/http2_server.hpp>
+
+#include <array>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/intrusive/list.hpp>
+#include <event2/buffer.h>
+#include <event2/listener.h>
+
+#include <wire/http2_transport.hpp>
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+namespace intrusive = boost::intrusive;
+
+struct connection;
+
+struct listener_deleter
+{
+    void operator()(evconnlistener* listener) const noexcept
+    {
+        evconnlistener_free(listener);
+    }
+};
+
+struct server_stream : intrusive::list_base_hook<>
+{
+    std::int32_t m_id = 0;
+    bool m_asked = false;
+    bool m_answered = false;
+    arrived_request m_arrived;
+    http2_body m_body;
+};
+
+struct connection
+{
+    http2_server::state* m_server = nullptr;
+    connection_id m_id = 0;
+    std::size_t m_slot = 0;
+    http2_transport m_transport;
+    intrusive::list<server_stream, intrusive::constant_time_size<false>>
+        m_streams;
+    bool m_doomed = false;
+
+    ~connection()
+    {
+        m_streams.clear_and_dispose(std::default_delete<server_stream>());
+    }
+};
+
+// An id holds its slot in the low half and the slot's generation in the high
+// one, so that a late answer never reaches the slot's next connection.
+constexpr unsigned generation_shift = 32;
+constexpr std::uint64_t slot_mask = 0xffffffff;
+
+struct connection_slot
+{
+    std::uint64_t m_generation = 0;
+    std::unique_ptr<connection> m_connection;
+};
+
+}
+
+struct http2_server::state
+{
+    loop& m_loop;
+    http2_server_limits m_limits;
+    http2_server_handlers m_handlers;
+    std::unique_ptr<evconnlistener, listener_deleter> m_listener;
+    address m_local;
+    http2_callbacks_ptr m_callbacks;
+    std::vector<connection_slot> m_slots;
+    std::vector<std::size_t> m_free;
+    std::size_t m_open_connections = 0;
+    std::size_t m_open_exchanges = 0;
+    bool m_draining = false;
+};
+
+namespace
+{
+
+using server_state = http2_server::state;
+
+server_stream* find_stream(connection& c, std::int32_t id)
+{
+    return static_cast<server_stream*>(nghttp2_session_get_stream_user_data(
+        c.m_transport.m_session.get(), id));
+}
+
+connection* find_connection(server_state& s, connection_id id)
+{
+    const std::size_t slot = id & slot_mask;
+    if (slot >= s.m_slots.size() ||
+        s.m_slots[slot].m_generation != id >> generation_shift)
+        return nullptr;
+    return s.m_slots[slot].m_connection.get();
+}
+
+void drop_connection(connection& c)
+{
+    server_state& s = *c.m_server;
+    const connection_id id = c.m_id;
+    connection_slot& slot = s.m_slots[c.m_slot];
+    std::vector<exchange_id> abandoned;
+    for (const server_stream& stream : c.m_streams)
+        if (stream.m_asked && !stream.m_answered)
+            abandoned.push_back({id, stream.m_id});
+    s.m_open_exchanges -= abandoned.size();
+    --s.m_open_connections;
+    s.m_free.push_back(c.m_slot);
+    ++slot.m_generation;
+    slot.m_connection.reset();
+    for (const exchange_id& exchange : abandoned)
+        s.m_handlers.m_on_abandoned(exchange);
+    s.m_handlers.m_on_disconnect(id);
+}
+
+void pump_or_drop(connection& c)
+{
+    if (!pump(c.m_transport))
+        c.m_doomed = true;
+    evbuffer* output = bufferevent_get_output(c.m_transport.m_stream.get());
+    const bool flushed = evbuffer_get_length(output) == 0;
+    if (c.m_doomed && flushed && !c.m_transport.m_feeding)
+        drop_connection(c);
+}
+
+int on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame,
+                     void* user)
+{
+    if (frame->hd.type != NGHTTP2_HEADERS)
+        return 0;
+    auto& c = *static_cast<connection*>(user);
+    auto stream = std::make_unique<server_stream>();
+    stream->m_id = frame->hd.stream_id;
+    stream->m_arrived.m_exchange = {c.m_id, frame->hd.stream_id};
+    nghttp2_session_set_stream_user_data(session, frame->hd.stream_id,
+                                         stream.get());
+    c.m_streams.push_back(*stream.release());
+    return 0;
+}
+
+int on_header(nghttp2_session*, const nghttp2_frame* frame,
+              const std::uint8_t* name, std::size_t name_length,
+              const std::uint8_t* value, std::size_t value_length, std::uint8_t,
+              void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    server_stream* stream = find_stream(c, frame->hd.stream_id);
+    if (stream == nullptr)
+        return 0;
+    const std::string_view key(reinterpret_cast<const char*>(name),
+                               name_length);
+    const std::string_view text(reinterpret_cast<const char*>(value),
+                                value_length);
+    http2_request& request = stream->m_arrived.m_request;
+    if (key == ":method")
+        request.m_method = text;
+    else if (key == ":path")
+        request.m_path = text;
+    else if (!key.starts_with(':'))
+        request.m_headers.emplace_back(key, text);
+    return 0;
+}
+
+int on_data(nghttp2_session*, std::uint8_t, std::int32_t id,
+            const std::uint8_t* bytes, std::size_t length, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    server_stream* stream = find_stream(c, id);
+    if (stream == nullptr || stream->m_arrived.m_oversized)
+        return 0;
+    std::string& body = stream->m_arrived.m_request.m_body;
+    if (body.size() + length > c.m_server->m_limits.m_body_bytes)
+    {
+        stream->m_arrived.m_oversized = true;
+        body.clear();
+        return 0;
+    }
+    body.append(reinterpret_cast<const char*>(bytes), length);
+    return 0;
+}
+
+int on_frame(nghttp2_session*, const nghttp2_frame* frame, void* user)
+{
+    const bool ended = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    const bool carries =
+        frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+    if (!ended || !carries)
+        return 0;
+    auto& c = *static_cast<connection*>(user);
+    server_stream* stream = find_stream(c, frame->hd.stream_id);
+    if (stream == nullptr)
+        return 0;
+    stream->m_asked = true;
+    ++c.m_server->m_open_exchanges;
+    c.m_server->m_handlers.m_on_request(stream->m_arrived);
+    return 0;
+}
+
+int on_stream_close(nghttp2_session*, std::int32_t id, std::uint32_t,
+                    void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    server_stream* stream = find_stream(c, id);
+    if (stream == nullptr)
+        return 0;
+    const bool abandoned = stream->m_asked && !stream->m_answered;
+    c.m_streams.erase_and_dispose(c.m_streams.iterator_to(*stream),
+                                  std::default_delete<server_stream>());
+    if (!abandoned)
+        return 0;
+    --c.m_server->m_open_exchanges;
+    c.m_server->m_handlers.m_on_abandoned({c.m_id, id});
+    return 0;
+}
+
+http2_callbacks_ptr make_server_callbacks()
+{
+    http2_callbacks_ptr result = make_http2_callbacks();
+    nghttp2_session_callbacks* callbacks = result.get();
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
+                                                            on_begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
+                                                              on_data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                           on_stream_close);
+    return result;
+}
+
+void on_readable(bufferevent*, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    if (!feed(c.m_transport))
+        c.m_doomed = true;
+    pump_or_drop(c);
+}
+
+void on_flushed(bufferevent*, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    pump_or_drop(c);
+}
+
+void on_socket_event(bufferevent*, short what, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+        drop_connection(c);
+}
+
+std::size_t take_slot(server_state& s)
+{
+    if (s.m_free.empty())
+    {
+        s.m_slots.emplace_back();
+        // Generation 0 stays unused: no connection has the id 0.
+        s.m_slots.back().m_generation = 1;
+        return s.m_slots.size() - 1;
+    }
+    const std::size_t slot = s.m_free.back();
+    s.m_free.pop_back();
+    return slot;
+}
+
+void on_accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+               void* user)
+{
+    auto& s = *static_cast<server_state*>(user);
+    if (s.m_open_connections >= s.m_limits.m_connections)
+    {
+        evutil_closesocket(descriptor);
+        return;
+    }
+    set_no_delay(descriptor);
+    const std::size_t slot = take_slot(s);
+    auto made = std::make_unique<connection>();
+    connection& c = *made;
+    c.m_server = &s;
+    c.m_slot = slot;
+    c.m_id = s.m_slots[slot].m_generation << generation_shift | slot;
+    c.m_transport.m_stream.reset(bufferevent_socket_new(
+        s.m_loop.m_base.get(), descriptor, BEV_OPT_CLOSE_ON_FREE));
+    c.m_transport.m_session =
+        make_http2_session(http2_side::server, s.m_callbacks.get(), &c,
+                           s.m_limits.m_streams_per_connection);
+    bufferevent* stream = c.m_transport.m_stream.get();
+    bufferevent_setcb(stream, on_readable, on_flushed, on_socket_event, &c);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    s.m_slots[slot].m_connection = std::move(made);
+    ++s.m_open_connections;
+    pump_or_drop(c);
+}
+
+header_list status_pseudo(int status)
+{
+    return {{":status", std::to_string(status)}};
+}
+
+}
+
+http2_server::http2_server(loop& l, const address& listen,
+                           http2_server_limits limits,
+                           http2_server_handlers handlers)
+    : m_state(std::make_unique<state>(state{
+          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, false}))
+{
+    m_state->m_callbacks = make_server_callbacks();
+    const socket_address bound = to_socket_address(listen);
+    constexpr int system_backlog = -1;
+    m_state->m_listener.reset(evconnlistener_new_bind(
+        l.m_base.get(), on_accept, m_state.get(),
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        system_backlog, reinterpret_cast<const sockaddr*>(&bound.m_storage),
+        static_cast<int>(bound.m_length)));
+    if (!m_state->m_listener)
+        throw loop_error();
+    m_state->m_local =
+        local_address(evconnlistener_get_fd(m_state->m_listener.get()));
+}
+
+http2_server::~http2_server() = default;
+
+address http2_server::local() const
+{
+    return m_state->m_local;
+}
+
+bool http2_server::respond(exchange_id exchange, http2_response response)
+{
+    connection* c = find_connection(*m_state, exchange.m_connection);
+    if (c == nullptr)
+        return false;
+    server_stream* stream = find_stream(*c, exchange.m_stream);
+    if (stream == nullptr || stream->m_answered)
+        return false;
+    stream->m_answered = true;
+    --m_state->m_open_exchanges;
+    stream->m_body.m_bytes = std::move(response.m_body);
+    const header_list pseudo = status_pseudo(response.m_status);
+    const std::vector<nghttp2_nv> fields =
+        to_fields(pseudo, response.m_headers);
+    const nghttp2_data_provider provider = to_provider(stream->m_body);
+    const bool has_body = !stream->m_body.m_bytes.empty();
+    nghttp2_submit_response(c->m_transport.m_session.get(), exchange.m_stream,
+                            fields.data(), fields.size(),
+                            has_body ? &provider : nullptr);
+    pump_or_drop(*c);
+    return true;
+}
+
+void http2_server::begin_drain()
+{
+    m_state->m_draining = true;
+    m_state->m_listener.reset();
+    for (std::size_t slot = 0; slot < m_state->m_slots.size(); ++slot)
+    {
+        connection* c = m_state->m_slots[slot].m_connection.get();
+        if (c == nullptr)
+            continue;
+        nghttp2_session* session = c->m_transport.m_session.get();
+        nghttp2_submit_goaway(session, NGHTTP2_FLAG_NONE,
+                              nghttp2_session_get_last_proc_stream_id(session),
+                              NGHTTP2_NO_ERROR, nullptr, 0);
+        pump_or_drop(*c);
+    }
+}
+
+void http2_server::disconnect(connection_id id)
+{
+    connection* c = find_connection(*m_state, id);
+    if (c == nullptr)
+        return;
+    if (c->m_transport.m_feeding)
+        c->m_doomed = true;
+    else
+        drop_connection(*c);
+}
+
+std::size_t http2_server::open_exchanges() const noexcept
+{
+    return m_state->m_open_exchanges;
+}
+
+std::size_t http2_server::open_connections() const noexcept
+{
+    return m_state->m_open_connections;
+}
+
+}
--- /dev/null
+++ b/Source/wire/http2_transport.cpp
@@ -0,0 +1,170 @@
+#include <wire/http2_transport.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::uint32_t connection_window_bytes = 4U << 20U;
+constexpr std::uint32_t stream_window_bytes = 1U << 20U;
+
+nghttp2_nv to_field(const std::pair<std::string, std::string>& header)
+{
+    nghttp2_nv field{};
+    // nghttp2 takes the bytes as mutable but only copies them.
+    field.name =
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(header.first.data()));
+    field.namelen = header.first.size();
+    field.value = reinterpret_cast<std::uint8_t*>(
+        const_cast<char*>(header.second.data()));
+    field.valuelen = header.second.size();
+    field.flags = NGHTTP2_NV_FLAG_NONE;
+    return field;
+}
+
+ssize_t read_body(nghttp2_session*, std::int32_t, std::uint8_t* out,
+                  std::size_t room, std::uint32_t* flags,
+                  nghttp2_data_source* source, void*)
+{
+    auto& body = *static_cast<http2_body*>(source->ptr);
+    const std::size_t left = body.m_bytes.size() - body.m_sent;
+    const std::size_t count = std::min(left, room);
+    std::memcpy(out, body.m_bytes.data() + body.m_sent, count);
+    body.m_sent += count;
+    if (body.m_sent == body.m_bytes.size())
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(count);
+}
+
+}
+
+const char* http2_error::what() const noexcept
+{
+    return "HTTP/2 session unavailable";
+}
+
+void bufferevent_deleter::operator()(bufferevent* stream) const noexcept
+{
+    bufferevent_free(stream);
+}
+
+void http2_session_deleter::operator()(nghttp2_session* session) const noexcept
+{
+    nghttp2_session_del(session);
+}
+
+void http2_callbacks_deleter::operator()(
+    nghttp2_session_callbacks* callbacks) const noexcept
+{
+    nghttp2_session_callbacks_del(callbacks);
+}
+
+http2_callbacks_ptr make_http2_callbacks()
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    if (nghttp2_session_callbacks_new(&callbacks) != 0)
+        throw http2_error();
+    return http2_callbacks_ptr(callbacks);
+}
+
+http2_session_ptr make_http2_session(http2_side side,
+                                     nghttp2_session_callbacks* callbacks,
+                                     void* user, std::size_t max_streams)
+{
+    nghttp2_session* session = nullptr;
+    const int made =
+        side == http2_side::server
+            ? nghttp2_session_server_new(&session, callbacks, user)
+            : nghttp2_session_client_new(&session, callbacks, user);
+    if (made != 0)
+        throw http2_error();
+    http2_session_ptr result(session);
+    const std::array settings{
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                               static_cast<std::uint32_t>(max_streams)},
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+                               stream_window_bytes},
+    };
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(),
+                            settings.size());
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0,
+                                          connection_window_bytes);
+    return result;
+}
+
+bool feed(http2_transport& t)
+{
+    evbuffer* input = bufferevent_get_input(t.m_stream.get());
+    t.m_feeding = true;
+    bool sound = true;
+    while (sound && evbuffer_get_length(input) > 0)
+    {
+        const std::size_t length = evbuffer_get_contiguous_space(input);
+        const std::uint8_t* bytes =
+            evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+        const ssize_t taken =
+            nghttp2_session_mem_recv(t.m_session.get(), bytes, length);
+        sound = taken >= 0;
+        if (sound)
+            evbuffer_drain(input, static_cast<std::size_t>(taken));
+    }
+    t.m_feeding = false;
+    return pump(t) && sound;
+}
+
+bool pump(http2_transport& t)
+{
+    if (t.m_feeding)
+        return true;
+    evbuffer* output = bufferevent_get_output(t.m_stream.get());
+    for (;;)
+    {
+        const std::uint8_t* bytes = nullptr;
+        const ssize_t length =
+            nghttp2_session_mem_send(t.m_session.get(), &bytes);
+        if (length < 0)
+            return false;
+        if (length == 0)
+            break;
+        evbuffer_add(output, bytes, static_cast<std::size_t>(length));
+    }
+    return nghttp2_session_want_read(t.m_session.get()) != 0 ||
+           nghttp2_session_want_write(t.m_session.get()) != 0;
+}
+
+void set_no_delay(int descriptor) noexcept
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+std::vector<nghttp2_nv> to_fields(const header_list& pseudo,
+                                  const header_list& headers)
+{
+    std::vector<nghttp2_nv> fields;
+    fields.reserve(pseudo.size() + headers.size());
+    for (const auto& header : pseudo)
+        fields.push_back(to_field(header));
+    for (const auto& header : headers)
+        fields.push_back(to_field(header));
+    return fields;
+}
+
+nghttp2_data_provider to_provider(http2_body& body) noexcept
+{
+    nghttp2_data_provider provider{};
+    provider.source.ptr = &body;
+    provider.read_callback = read_body;
+    return provider;
+}
+
+}
--- /dev/null
+++ b/Tests/support/fleet.cpp
@@ -0,0 +1,268 @@
+#include <support/fleet.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke::support
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string zone_name(const fleet_options& options, std::size_t index)
+{
+    return "zone-" + std::to_string(index % options.m_zones + 1);
+}
+
+std::string log_file(const std::string& name)
+{
+    const char* folder = std::getenv("BLUEBELLSPOKE_TEST_LOGS");
+    return folder == nullptr ? std::string() : std::string(folder) + "/" + name;
+}
+
+void add_endpoint(fleet& f, std::size_t index)
+{
+    const fleet_options& o = f.m_options;
+    endpoint_node e;
+    e.m_name = "e" + std::to_string(index + 1);
+    e.m_zone = zone_name(o, index);
+    e.m_address = {"127.0.0.1", free_port()};
+    e.m_command = {TEST_ENDPOINT,
+                   "--listen",
+                   to_string(e.m_address),
+                   "--slots",
+                   std::to_string(o.m_slots),
+                   "--connections",
+                   std::to_string(o.m_connections),
+                   "--service-us",
+                   std::to_string(o.m_service_us),
+                   "--lag-ms",
+                   std::to_string(o.m_lag_ms)};
+    if (index > 0)
+    {
+        e.m_command.emplace_back("--follow");
+        e.m_command.push_back(to_string(f.m_endpoints.front().m_address));
+    }
+    start_endpoint(e);
+    if (o.m_relays)
+        e.m_relay = std::make_unique<relay>(e.m_address);
+    f.m_endpoints.push_back(std::move(e));
+}
+
+void add_daemon(fleet& f, std::size_t index)
+{
+    daemon_node d;
+    d.m_name = "vm-" + std::to_string(index + 1);
+    d.m_zone = zone_name(f.m_options, index);
+    d.m_callers = {"127.0.0.1", free_port()};
+    d.m_peers = {"127.0.0.1", free_port()};
+    d.m_admin = {"127.0.0.1", free_port()};
+    address platform = f.m_platform_address;
+    if (f.m_options.m_relays)
+    {
+        d.m_platform = std::make_unique<relay>(platform);
+        platform = d.m_platform->local();
+    }
+    d.m_command = {TEST_DAEMON,
+                   "--name",
+                   d.m_name,
+                   "--zone",
+                   d.m_zone,
+                   "--platform",
+                   to_string(platform),
+                   "--charts",
+                   TEST_CHARTS,
+                   "--listen",
+                   to_string(d.m_callers),
+                   "--peer-listen",
+                   to_string(d.m_peers),
+                   "--admin-listen",
+                   to_string(d.m_admin)};
+    start_daemon(d);
+    f.m_daemons.push_back(std::move(d));
+}
+
+json group_node(const fleet& f)
+{
+    json endpoints = json::array();
+    for (const endpoint_node& e : f.m_endpoints)
+    {
+        const address& a = e.m_relay ? e.m_relay->local() : e.m_address;
+        endpoints.push_back({{"name", e.m_name},
+                             {"address", to_string(a)},
+                             {"zone", e.m_zone}});
+    }
+    return {{"kind", "service"},
+            {"slots", f.m_options.m_slots},
+            {"connections", f.m_options.m_connections},
+            {"endpoints", std::move(endpoints)}};
+}
+
+json vm_list(const fleet& f)
+{
+    json vms = json::array();
+    for (const daemon_node& d : f.m_daemons)
+        vms.push_back({{"name", d.m_name},
+                       {"address", to_string(d.m_peers)},
+                       {"zone", d.m_zone},
+                       {"state", "live"}});
+    return vms;
+}
+
+void post_to_platform(const fleet& f, const std::string& path, const json& body)
+{
+    caller c(f.m_platform_address);
+    if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
+        throw spawn_error();
+}
+
+}
+
+std::uint16_t free_port()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const socket_address any = to_socket_address({"127.0.0.1", 0});
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&any.m_storage),
+             any.m_length) != 0)
+        throw spawn_error();
+    const std::uint16_t port = local_address(descriptor).m_port;
+    close(descriptor);
+    return port;
+}
+
+fleet::fleet(const fleet_options& options) : m_options(options)
+{
+    m_platform_address = {"127.0.0.1", free_port()};
+    const std::array<std::string, 3> command{TEST_PLATFORM, "--listen",
+                                             to_string(m_platform_address)};
+    m_platform = std::make_unique<child_process>(command, log_file("platform"));
+    m_platform->read_line();
+    for (std::size_t i = 0; i < options.m_endpoints; ++i)
+        add_endpoint(*this, i);
+    put_node(*this, "group", group_node(*this));
+    for (std::size_t i = 0; i < options.m_daemons; ++i)
+        add_daemon(*this, i);
+    set_vms(*this, vm_list(*this));
+    for (const daemon_node& d : m_daemons)
+        if (!eventually(
+                [&d]
+                {
+                    return admin_get(d, "/ready").m_status == 200;
+                }))
+            throw spawn_error();
+}
+
+void start_daemon(daemon_node& d)
+{
+    d.m_process =
+        std::make_unique<child_process>(d.m_command, log_file(d.m_name));
+}
+
+void start_endpoint(endpoint_node& e)
+{
+    e.m_process =
+        std::make_unique<child_process>(e.m_command, log_file(e.m_name));
+    e.m_process->read_line();
+}
+
+finished_program ctl(const fleet& f, std::vector<std::string> words)
+{
+    std::vector<std::string> command{TEST_CTL, "--platform",
+                                     to_string(f.m_platform_address)};
+    for (std::string& word : words)
+        command.push_back(std::move(word));
+    return run_program(command);
+}
+
+void put_node(const fleet& f, const std::string& path, const json& node)
+{
+    if (ctl(f, {"put", path, node.dump()}).m_code != 0)
+        throw spawn_error();
+}
+
+std::string grant_key(const fleet& f, const std::string& workspace,
+                      const std::string& id)
+{
+    const finished_program granted = ctl(f, {"grant", workspace, id});
+    if (granted.m_code != 0)
+        throw spawn_error();
+    return granted.m_output.substr(0, granted.m_output.find('\n'));
+}
+
+void set_platform_fault(const fleet& f, const json& fault)
+{
+    post_to_platform(f, "/standin/fault", fault);
+}
+
+void set_vms(const fleet& f, const json& vms)
+{
+    post_to_platform(f, "/standin/vms", {{"vms", vms}});
+}
+
+namespace
+{
+
+struct admin_answer
+{
+    reply m_reply;
+    event_base* m_base;
+};
+
+void on_admin_answer(evhttp_request* request, void* user)
+{
+    auto& answer = *static_cast<admin_answer*>(user);
+    if (request != nullptr)
+    {
+        answer.m_reply.m_status = evhttp_request_get_response_code(request);
+        evbuffer* in = evhttp_request_get_input_buffer(request);
+        answer.m_reply.m_body.resize(evbuffer_get_length(in));
+        evbuffer_remove(in, answer.m_reply.m_body.data(),
+                        answer.m_reply.m_body.size());
+    }
+    event_base_loopbreak(answer.m_base);
+}
+
+}
+
+reply admin_get(const daemon_node& d, const std::string& path)
+{
+    const loop l = make_loop();
+    evhttp_connection* connection = evhttp_connection_base_new(
+        l.m_base.get(), nullptr, d.m_admin.m_host.c_str(), d.m_admin.m_port);
+    constexpr int limit_seconds = 5;
+    evhttp_connection_set_timeout(connection, limit_seconds);
+    admin_answer answer{{}, l.m_base.get()};
+    evhttp_request* request = evhttp_request_new(on_admin_answer, &answer);
+    evhttp_make_request(connection, request, EVHTTP_REQ_GET, path.c_str());
+    event_base_dispatch(l.m_base.get());
+    evhttp_connection_free(connection);
+    return answer.m_reply;
+}
+
+bool eventually(const std::function<bool()>& done,
+                std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds pause{20};
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done())
+    {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(pause);
+    }
+    return true;
+}
+
+}
--- /dev/null
+++ b/Tests/support/relay.hpp
@@ -0,0 +1,41 @@
+#ifndef BLUEBELLSPOKE_SUPPORT_RELAY_HPP
+#define BLUEBELLSPOKE_SUPPORT_RELAY_HPP
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+
+#include <model/address.hpp>
+
+namespace bluebellspoke::support
+{
+
+/// A loopback relay to one address, with a one-way latency and cuts, on a
+/// thread of its own. A cut way holds its bytes back, as a network partition
+/// does, and loses none: they go on when it is healed.
+class relay
+{
+public:
+    explicit relay(const address& target,
+                   std::chrono::microseconds latency = {});
+    ~relay();
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+
+    /// Where callers connect to.
+    address local() const;
+    /// Holds back what goes to the target, and what comes from it.
+    void cut(bool to_target, bool from_target);
+    void heal();
+    /// Closes every connection that runs through it.
+    void drop_connections();
+
+    struct state;
+
+private:
+    std::unique_ptr<state> m_state;
+};
+
+}
+
+#endif
