standing: Decide who may serve while the platform is away

Cause: a withdrawn key and a platform outage pull in opposite directions, and every later promise on configuration, keys and shares rests on the answer.

Peers exchange heartbeats on nghttp2 streams, messages in CBOR.

--- /dev/null
+++ b/Source/daemon/control_peers.cpp
@@ -0,0 +1,184 @@
+#include <daemon/control_state.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <daemon/overloaded.hpp>
+#include <peer/peer_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::string_view peer_path = "/peer";
+constexpr std::chrono::seconds send_limit{1};
+constexpr std::chrono::milliseconds heartbeat_period{500};
+constexpr int status_ok = 200;
+constexpr int status_malformed = 400;
+
+peer_heartbeat heartbeat_of(const control_state& c)
+{
+    const duration age =
+        monotonic_clock::now() - confirmed_at(standing_of(c).m_view);
+    return {c.m_daemon.m_name,
+            c.m_incarnation,
+            c.m_version,
+            c.m_platform_answers,
+            static_cast<std::uint64_t>(
+                std::chrono::ceil<std::chrono::milliseconds>(age).count()),
+            c.m_draining};
+}
+
+// `asked_at` is when the message can have been sent at the earliest, as far as
+// this process's clock can tell.
+void learn_heartbeat(control_state& c, const peer_heartbeat& m,
+                     time_point asked_at)
+{
+    const auto found = c.m_peers.find(m.m_name);
+    if (found == c.m_peers.end())
+        return;
+    found->second.m_last = m;
+    found->second.m_asked_at = asked_at;
+}
+
+/// Takes one message of a peer and gives the answer to it.
+peer_message take_peer_message(control_state& c, const peer_message& message)
+{
+    return std::visit(
+        overloaded{
+            [&](const peer_heartbeat&) -> peer_message
+            {
+                return heartbeat_of(c);
+            },
+            [&](const peer_declined&) -> peer_message
+            {
+                return peer_declined{c.m_daemon.m_name};
+            },
+        },
+        message);
+}
+
+void on_request(control_state& c, arrived_request& arrived)
+{
+    http2_response response;
+    try
+    {
+        const peer_message message =
+            decode_peer_message(arrived.m_request.m_body);
+        response.m_status = status_ok;
+        response.m_body = encode_peer_message(take_peer_message(c, message));
+    }
+    catch (const peer_protocol_error&)
+    {
+        response.m_status = status_malformed;
+    }
+    c.m_peer_server->respond(arrived.m_exchange, std::move(response));
+}
+
+void beat(control_state& c)
+{
+    c.m_heartbeat.start_once(heartbeat_period);
+    const time_point asked_at = monotonic_clock::now();
+    for (const auto& [name, p] : c.m_peers)
+        send_to_peer(c, name, heartbeat_of(c),
+                     [&c, asked_at](std::optional<peer_message>& answer)
+                     {
+                         if (!answer)
+                             return;
+                         if (const auto* m =
+                                 std::get_if<peer_heartbeat>(&*answer))
+                             learn_heartbeat(c, *m, asked_at);
+                     });
+}
+
+}
+
+void start_peers(control_state& c)
+{
+    http2_server_handlers handlers;
+    handlers.m_on_request = [&c](arrived_request& arrived)
+    {
+        on_request(c, arrived);
+    };
+    handlers.m_on_abandoned = [](exchange_id) {};
+    handlers.m_on_disconnect = [](connection_id) {};
+    c.m_peer_server = std::make_unique<http2_server>(
+        c.m_loop, c.m_daemon.m_peer_listen, http2_server_limits(),
+        std::move(handlers));
+    beat_peers(c);
+}
+
+void beat_peers(control_state& c)
+{
+    beat(c);
+}
+
+witnessed_standing standing_of(const control_state& c)
+{
+    witnessed_standing s;
+    for (const auto& [name, p] : c.m_peers)
+        if (p.m_last)
+            s.m_witnesses.push_back(
+                {p.m_asked_at, p.m_last->m_settings_version,
+                 std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
+                 p.m_last->m_platform_answers});
+    s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
+                c.m_members, s.m_witnesses};
+    return s;
+}
+
+void set_peers(control_state& c, std::span<const platform_vm> vms)
+{
+    std::map<std::string, peer, std::less<>> kept;
+    for (const platform_vm& vm : vms)
+    {
+        if (vm.m_name == c.m_daemon.m_name)
+            continue;
+        const auto found = c.m_peers.find(vm.m_name);
+        const bool same =
+            found != c.m_peers.end() &&
+            found->second.m_vm.m_peer_address == vm.m_peer_address;
+        peer& p = kept[vm.m_name];
+        if (same)
+            p = std::move(found->second);
+        else
+            p.m_client = std::make_unique<http2_client>(
+                c.m_loop, parse_address(vm.m_peer_address));
+        p.m_vm = vm;
+    }
+    c.m_peers = std::move(kept);
+}
+
+void send_to_peer(control_state& c, std::string_view name,
+                  const peer_message& message, peer_done done)
+{
+    const auto found = c.m_peers.find(name);
+    if (found == c.m_peers.end())
+    {
+        std::optional<peer_message> none;
+        done(none);
+        return;
+    }
+    found->second.m_client->send(
+        {"POST", std::string(peer_path), {}, encode_peer_message(message)},
+        send_limit,
+        [done = std::move(done)](http2_result& result)
+        {
+            std::optional<peer_message> answer;
+            const auto* response = std::get_if<http2_response>(&result);
+            try
+            {
+                if (response != nullptr && response->m_status == status_ok)
+                    answer = decode_peer_message(response->m_body);
+            }
+            catch (const peer_protocol_error&)
+            {
+                answer.reset();
+            }
+            done(answer);
+        });
+}
+
+}
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -1,16 +1,36 @@
 #ifndef BLUEBELLSPOKE_DAEMON_CONTROL_STATE_HPP
 #define BLUEBELLSPOKE_DAEMON_CONTROL_STATE_HPP
 
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
 #include <decide/settings_tree.hpp>
+#include <decide/standing.hpp>
+#include <peer/peer_message.hpp>
 #include <platform/platform_client.hpp>
+#include <wire/http2_server.hpp>
 
 namespace bluebellspoke
 {
 
+/// Another daemon, as the platform lists it and as it was last heard.
+struct peer
+{
+    platform_vm m_vm;
+    std::unique_ptr<http2_client> m_client;
+    std::optional<peer_heartbeat> m_last;
+    time_point m_asked_at{}; ///< When the question it answered was sent.
+};
+
+/// A peer's answer, or nothing when none came in time.
+using peer_done = sigc::slot<void(std::optional<peer_message>&)>;
+
 /// What the control task owns; nobody else touches it.
 struct control_state
 {
@@ -24,7 +44,14 @@
     std::uint64_t m_revision = 0; ///< Of the platform's store, as last heard.
     std::uint64_t m_version = 0;  ///< Of the settings in force.
     bool m_platform_answers = true;
+    /// When the last question was sent that the platform answered.
+    time_point m_platform_confirmed_at{};
     std::size_t m_members = 1;
+    bool m_draining = false;
+    std::uint64_t m_incarnation = 0; ///< Of this process.
+    std::map<std::string, peer, std::less<>> m_peers;
+    std::unique_ptr<http2_server> m_peer_server;
+    timer m_heartbeat;
     timer m_retry_settings;
     timer m_retry_secrets;
     timer m_vm_poll;
@@ -41,6 +68,23 @@
 /// Reads the fleet's session secrets, or makes them when there are none.
 void load_secrets(control_state& c);
 
+// control_peers.cpp
+/// Listens for peers and begins to send heartbeats.
+void start_peers(control_state& c);
+/// Sends a heartbeat to the peers, and again after a period.
+void beat_peers(control_state& c);
+/// What standing is judged by; the view looks into the witnesses beside it.
+struct witnessed_standing
+{
+    std::vector<peer_witness> m_witnesses;
+    standing_view m_view;
+};
+witnessed_standing standing_of(const control_state& c);
+/// Keeps connections to just these VMs' daemons.
+void set_peers(control_state& c, std::span<const platform_vm> vms);
+void send_to_peer(control_state& c, std::string_view name,
+                  const peer_message& message, peer_done done);
+
 // control_fleet.cpp
 void poll_vms(control_state& c);
 
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -1,5 +1,8 @@
 #include <daemon/control_task.hpp>
 
+#include <chrono>
+#include <random>
+
 #include <daemon/control_state.hpp>
 #include <daemon/overloaded.hpp>
 
@@ -11,12 +14,39 @@
 namespace
 {
 
+std::uint64_t random_incarnation()
+{
+    std::random_device source;
+    return std::uniform_int_distribution<std::uint64_t>()(source);
+}
+
+nlohmann::json describe_peers(const control_state& c)
+{
+    const time_point now = monotonic_clock::now();
+    nlohmann::json peers = nlohmann::json::object();
+    for (const auto& [name, p] : c.m_peers)
+    {
+        nlohmann::json& out = peers[name];
+        out["zone"] = p.m_vm.m_zone;
+        if (!p.m_last)
+            continue;
+        out["settings_version"] = p.m_last->m_settings_version;
+        out["platform_answers"] = p.m_last->m_platform_answers;
+        out["heard_ms_ago"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                  p.m_asked_at)
+                .count();
+    }
+    return peers;
+}
+
 std::string describe_control(const control_state& c)
 {
     return nlohmann::json{{"settings_version", c.m_version},
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
-                          {"members", c.m_members}}
+                          {"members", c.m_members},
+                          {"peers", describe_peers(c)}}
         .dump();
 }
 
@@ -43,6 +73,11 @@
 control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
       m_platform(m_loop, daemon.m_platform),
+      m_incarnation(random_incarnation()), m_heartbeat(m_loop,
+                                                       [this]
+                                                       {
+                                                           beat_peers(*this);
+                                                       }),
       m_retry_settings(m_loop,
                        [this]
                        {
@@ -69,6 +104,7 @@
                            {
                                on_message(c, message);
                            });
+    start_peers(c);
     load_settings(c);
     load_secrets(c);
     poll_vms(c);
--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -73,7 +73,7 @@
     case request_operation::statement:
         break;
     }
-    if (r.m_transaction != nullptr)
+    if (!stands_alone(r.m_arrived))
         return r.m_bound;
     if (s.m_kind == statement_kind::read)
         return read_query(r.m_bound);
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -25,7 +25,7 @@
     const statement& s = r.m_arrived.m_statement;
     const bool harmless = s.m_kind == statement_kind::read || s.m_repeatable ||
                           !s.m_request_id.empty();
-    return harmless && r.m_transaction == nullptr &&
+    return harmless && stands_alone(r.m_arrived) &&
            r.m_attempts < most_attempts;
 }
 
@@ -33,7 +33,7 @@
 void take_lost(request& r)
 {
     const bool uncommitted =
-        r.m_transaction != nullptr &&
+        !stands_alone(r.m_arrived) &&
         r.m_arrived.m_operation != request_operation::commit;
     if (may_retry(r))
         fire(r, request_event::retried);
@@ -53,14 +53,11 @@
 // run; only a commit's error leaves that open.
 void take_error(request& r, pool_endpoint& e, const pg_error& error)
 {
-    const request_operation operation = r.m_arrived.m_operation;
-    const bool commits = operation == request_operation::commit;
+    const bool commits = r.m_arrived.m_operation == request_operation::commit;
     const bool wrong_term = error.m_sqlstate == wrong_term_sqlstate;
     if (wrong_term)
         distrust(e);
-    const bool alone = r.m_arrived.m_statement.m_transaction.empty() &&
-                       operation == request_operation::statement;
-    if (wrong_term && alone)
+    if (wrong_term && stands_alone(r.m_arrived))
     {
         // Nothing ran there, so another try is safe whatever the statement.
         fire(r, request_event::retried);
@@ -73,7 +70,7 @@
 
 bool is_lone_write(const request& r)
 {
-    return r.m_transaction == nullptr &&
+    return stands_alone(r.m_arrived) &&
            r.m_arrived.m_statement.m_kind == statement_kind::write;
 }
 
@@ -105,7 +102,7 @@
 // session on.
 bool carries_state(const request& r)
 {
-    return r.m_transaction == nullptr ||
+    return stands_alone(r.m_arrived) ||
            r.m_arrived.m_operation == request_operation::commit;
 }
 
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -133,8 +133,7 @@
     need.m_kind = arrived.m_statement.m_kind;
     need.m_session = arrived.m_session;
     need.m_max_age = arrived.m_statement.m_max_age;
-    need.m_primary_only = !arrived.m_statement.m_transaction.empty() ||
-                          arrived.m_operation != request_operation::statement;
+    need.m_primary_only = !stands_alone(arrived);
     return need;
 }
 
@@ -197,6 +196,12 @@
         fire(*found->second, request_event::abandoned);
 }
 
+bool stands_alone(const pool_request& r) noexcept
+{
+    return r.m_operation == request_operation::statement &&
+           r.m_statement.m_transaction.empty();
+}
+
 void fire(request& r, request_event event)
 {
     pool_group& group = r.m_group;
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -151,6 +151,8 @@
 /// Takes a request in; its outcome follows as a message to the front.
 void accept_request(pool_state& p, pool_request&& arrived);
 void abandon_request(pool_state& p, exchange_id exchange);
+/// True for a statement outside of any transaction of the caller's.
+bool stands_alone(const pool_request& r) noexcept;
 /// Moves a request's life on; may end and destroy it.
 void fire(request& r, request_event event);
 /// Refuses a request; the chart says what became of its work.
--- /dev/null
+++ b/Source/decide/standing.cpp
@@ -0,0 +1,48 @@
+#include <decide/standing.hpp>
+
+#include <algorithm>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// A change is accepted only when a majority knows it. A majority of daemons
+// that know nothing newer and can't reach the platform thus shows that
+// nothing newer has been accepted.
+std::size_t count_witnesses(const standing_view& view, time_point now)
+{
+    const auto peers =
+        std::count_if(view.m_peers.begin(), view.m_peers.end(),
+                      [&](const peer_witness& w)
+                      {
+                          return now - w.m_asked_at <= standing_bound &&
+                                 !w.m_platform_answers &&
+                                 w.m_version <= view.m_version;
+                      });
+    return static_cast<std::size_t>(peers) + 1;
+}
+
+}
+
+time_point confirmed_at(const standing_view& view) noexcept
+{
+    time_point latest = view.m_platform_confirmed_at;
+    for (const peer_witness& w : view.m_peers)
+        if (w.m_version <= view.m_version)
+            latest = std::max(latest, w.m_asked_at - w.m_confirmed_age);
+    return latest;
+}
+
+standing judge_standing(const standing_view& view, time_point now) noexcept
+{
+    if (now - confirmed_at(view) <= standing_bound)
+        return standing::confirmed;
+    const bool majority = count_witnesses(view, now) > view.m_members / 2;
+    if (!view.m_platform_answers && majority)
+        return standing::witnessed;
+    return standing::lapsed;
+}
+
+}
--- /dev/null
+++ b/Source/peer/peer_codec.cpp
@@ -0,0 +1,111 @@
+#include <peer/peer_codec.hpp>
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Each message type: its tag on the wire, and how it is written and read.
+template <class Message>
+struct format;
+
+template <>
+struct format<peer_heartbeat>
+{
+    static constexpr const char* tag = "heartbeat";
+
+    static json write(const peer_heartbeat& m)
+    {
+        return {{"name", m.m_name},
+                {"incarnation", m.m_incarnation},
+                {"settings_version", m.m_settings_version},
+                {"platform_answers", m.m_platform_answers},
+                {"confirmed_age_ms", m.m_confirmed_age_ms},
+                {"draining", m.m_draining}};
+    }
+    static peer_heartbeat read(const json& j)
+    {
+        return {j.at("name").get<std::string>(),
+                j.at("incarnation").get<std::uint64_t>(),
+                j.at("settings_version").get<std::uint64_t>(),
+                j.at("platform_answers").get<bool>(),
+                j.at("confirmed_age_ms").get<std::uint64_t>(),
+                j.at("draining").get<bool>()};
+    }
+};
+
+template <>
+struct format<peer_declined>
+{
+    static constexpr const char* tag = "declined";
+
+    static json write(const peer_declined& m)
+    {
+        return {{"name", m.m_name}};
+    }
+    static peer_declined read(const json& j)
+    {
+        return {j.at("name").get<std::string>()};
+    }
+};
+
+template <std::size_t Index = 0>
+peer_message read_tagged(const std::string& tag, const json& body)
+{
+    if constexpr (Index == std::variant_size_v<peer_message>)
+    {
+        throw peer_protocol_error();
+    }
+    else
+    {
+        using message = std::variant_alternative_t<Index, peer_message>;
+        if (tag == format<message>::tag)
+            return format<message>::read(body);
+        return read_tagged<Index + 1>(tag, body);
+    }
+}
+
+}
+
+const char* peer_protocol_error::what() const noexcept
+{
+    return "bytes from a peer hold no message";
+}
+
+std::string encode_peer_message(const peer_message& message)
+{
+    const json tagged = std::visit(
+        [](const auto& m)
+        {
+            using message_format = format<std::decay_t<decltype(m)>>;
+            return json::array({message_format::tag, message_format::write(m)});
+        },
+        message);
+    std::string bytes;
+    json::to_cbor(tagged, bytes);
+    return bytes;
+}
+
+peer_message decode_peer_message(std::string_view bytes)
+{
+    const json tagged = json::from_cbor(bytes, true, false);
+    if (!tagged.is_array() || tagged.size() != 2 || !tagged[0].is_string())
+        throw peer_protocol_error();
+    try
+    {
+        return read_tagged(tagged[0].get<std::string>(), tagged[1]);
+    }
+    catch (const json::exception&)
+    {
+        throw peer_protocol_error();
+    }
+}
+
+}
--- a/Tests/standin/platform_server.cpp
+++ b/Tests/standin/platform_server.cpp
@@ -26,7 +26,7 @@
 }
 
 void run_later(platform_server& p, std::chrono::milliseconds delay,
-               sigc::slot<void()> work)
+               const sigc::slot<void()>& work)
 {
     p.m_timers.push_back(nullptr);
     const auto place = std::prev(p.m_timers.end());
--- a/Tests/standin/sql_store.cpp
+++ b/Tests/standin/sql_store.cpp
@@ -22,14 +22,14 @@
 {
     for (++at; at < text.size(); ++at)
     {
-        if (text[at] == '\\' && escapes && at + 1 < text.size())
-            out.push_back(text[++at]);
-        else if (text[at] != '\'')
-            out.push_back(text[at]);
-        else if (at + 1 < text.size() && text[at + 1] == '\'')
-            out.push_back(text[++at]);
-        else
+        const bool more = at + 1 < text.size();
+        const bool escaped = text[at] == '\\' && escapes && more;
+        const bool doubled = text[at] == '\'' && more && text[at + 1] == '\'';
+        if (text[at] == '\'' && !doubled)
             return at + 1;
+        if (escaped || doubled)
+            ++at;
+        out.push_back(text[at]);
     }
     throw sql_error("42601", "unterminated literal");
 }
