tls: Speak TLS to callers, peers and the platform

Cause: keys and settings travelled in the clear.

Ruled out: a terminator in front of each daemon, which is a second process and leaves the keys in the clear behind it.

Certificates are read again on SIGHUP, checked whole first; open connections keep theirs. A client checks the server's IP number; peers show certificates.

--- a/Source/ctl/main/bluebellspokectl.cpp
+++ b/Source/ctl/main/bluebellspokectl.cpp
@@ -20,15 +20,29 @@
 constexpr std::array options{
     option_spec{"platform", option_type::address, "",
                 "address of the platform's service", "", 0, 0},
+    option_spec{"platform-authorities", option_type::file, "",
+                "authorities that signed the platform's certificate, PEM; "
+                "turns TLS on towards the platform",
+                "", 0, 0},
 };
 
+tls_context_ptr platform_tls(const option_values& values)
+{
+    if (!values.given("platform-authorities"))
+        return {};
+    tls_files files;
+    files.m_authorities = values.text("platform-authorities");
+    return load_client_tls(files);
+}
+
 int run(std::span<const char* const> arguments)
 {
     const option_values values =
         parse_options({"bluebellspokectl", "Operators' client of bluebellspoke",
                        "0.1.0", "command"},
                       options, arguments, process_environment());
-    operator_session session(parse_address(values.text("platform")));
+    operator_session session(parse_address(values.text("platform")),
+                             platform_tls(values));
     std::fputs(run_command(session, values.words()).c_str(), stdout);
     return exit_ok;
 }
--- a/Source/ctl/operator_session.cpp
+++ b/Source/ctl/operator_session.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace bluebellspoke
 {
@@ -43,8 +44,8 @@
     return to_string(m_failure).data();
 }
 
-operator_session::operator_session(const address& platform)
-    : m_loop(make_loop()), m_platform(m_loop, platform)
+operator_session::operator_session(const address& platform, tls_context_ptr tls)
+    : m_loop(make_loop()), m_platform(m_loop, platform, std::move(tls))
 {
 }
 
--- a/Source/ctl/operator_session.hpp
+++ b/Source/ctl/operator_session.hpp
@@ -25,7 +25,8 @@
 /// One run of the operators' client: calls the platform and waits for it.
 struct operator_session
 {
-    explicit operator_session(const address& platform);
+    explicit operator_session(const address& platform,
+                              tls_context_ptr tls = {});
 
     loop m_loop;
     platform_client m_platform;
--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -49,6 +49,7 @@
     std::unique_ptr<evhttp, evhttp_deleter> m_http;
     event_ptr m_terminate;
     event_ptr m_interrupt;
+    event_ptr m_hang_up;
     timer m_drain_limit;
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, open_dump> m_dumps;
@@ -183,9 +184,28 @@
         message);
 }
 
-event_ptr watch_signal(admin_state& a, int number)
+// Certificates that can't be used leave the old ones in force.
+void on_hang_up(evutil_socket_t, short, void* user)
 {
-    event_ptr watch(evsignal_new(a.m_loop.m_base.get(), number, on_signal, &a));
+    auto& a = *static_cast<admin_state*>(user);
+    try
+    {
+        const daemon_tls tls = load_daemon_tls(a.m_daemon);
+        a.m_boxes.m_front.post(tls_changed{tls});
+        a.m_boxes.m_control.post(tls_changed{tls});
+        log_event(event_id::certificates_reloaded);
+    }
+    catch (const tls_error& e)
+    {
+        log_event(event_id::certificates_refused, {{"fault", e.what()}});
+    }
+}
+
+event_ptr watch_signal(admin_state& a, int number,
+                       event_callback_fn on_signalled)
+{
+    event_ptr watch(
+        evsignal_new(a.m_loop.m_base.get(), number, on_signalled, &a));
     if (!watch)
         throw loop_error();
     event_add(watch.get(), nullptr);
@@ -215,8 +235,9 @@
                         fire(*this, daemon_event::drain_expired);
                     })
 {
-    m_terminate = watch_signal(*this, SIGTERM);
-    m_interrupt = watch_signal(*this, SIGINT);
+    m_terminate = watch_signal(*this, SIGTERM, on_signal);
+    m_interrupt = watch_signal(*this, SIGINT, on_signal);
+    m_hang_up = watch_signal(*this, SIGHUP, on_hang_up);
     open_http(*this);
 }
 
--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -145,7 +145,8 @@
             p = std::move(found->second);
         else
             p.m_client = std::make_unique<http2_client>(
-                c.m_loop, parse_address(vm.m_peer_address));
+                c.m_loop, parse_address(vm.m_peer_address),
+                c.m_tls.m_peer_client);
         p.m_vm = vm;
     }
     c.m_peers = std::move(kept);
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -49,6 +49,7 @@
     std::size_t m_members = 1;
     bool m_draining = false;
     std::uint64_t m_incarnation = 0; ///< Of this process.
+    daemon_tls m_tls;
     std::map<std::string, peer, std::less<>> m_peers;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -50,10 +50,23 @@
         .dump();
 }
 
+void use_tls(control_state& c, const daemon_tls& tls)
+{
+    c.m_tls = tls;
+    c.m_platform.set_tls(tls.m_platform);
+    c.m_peer_server->set_tls(tls.m_peer_server);
+    for (const auto& [name, p] : c.m_peers)
+        p.m_client->set_tls(tls.m_peer_client);
+}
+
 void on_message(control_state& c, control_message& message)
 {
     std::visit(
         overloaded{
+            [&](tls_changed& m)
+            {
+                use_tls(c, m.m_tls);
+            },
             [&](drain_begun&) {},
             [&](stop_wanted&)
             {
@@ -96,7 +109,8 @@
 {
 }
 
-void run_control_task(const daemon_settings& settings, mailboxes& boxes)
+void run_control_task(const daemon_settings& settings, const daemon_tls& tls,
+                      mailboxes& boxes)
 {
     control_state c(settings, boxes);
     boxes.m_control.attach(c.m_loop,
@@ -105,6 +119,7 @@
                                on_message(c, message);
                            });
     start_peers(c);
+    use_tls(c, tls);
     load_settings(c);
     load_secrets(c);
     poll_vms(c);
--- a/Source/daemon/control_task.hpp
+++ b/Source/daemon/control_task.hpp
@@ -9,7 +9,8 @@
 
 /// Keeps the configuration: talks to the platform and tells the other tasks
 /// what is in force. Runs until stop_wanted.
-void run_control_task(const daemon_settings& settings, mailboxes& boxes);
+void run_control_task(const daemon_settings& settings, const daemon_tls& tls,
+                      mailboxes& boxes);
 
 }
 
--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include <daemon/admin_task.hpp>
 #include <daemon/control_task.hpp>
 #include <daemon/daemon_chart.hpp>
+#include <daemon/daemon_tls.hpp>
 #include <daemon/front_task.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/pool_task.hpp>
@@ -24,6 +25,7 @@
     sigemptyset(&blocked);
     sigaddset(&blocked, SIGTERM);
     sigaddset(&blocked, SIGINT);
+    sigaddset(&blocked, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &blocked, &before);
 }
 
@@ -52,6 +54,7 @@
 {
     const pool_charts charts = load_pool_charts(settings.m_charts);
     load_daemon_chart(settings.m_charts);
+    const daemon_tls tls = load_daemon_tls(settings);
     if (settings.m_check_only)
         return;
     std::signal(SIGPIPE, SIG_IGN);
@@ -61,7 +64,7 @@
     task_thread front("front", guarded(boxes,
                                        [&]
                                        {
-                                           run_front_task(settings, boxes);
+                                           run_front_task(settings, tls, boxes);
                                        }));
     task_thread pool("pool", guarded(boxes,
                                      [&]
@@ -71,7 +74,7 @@
     task_thread control("control", guarded(boxes,
                                            [&]
                                            {
-                                               run_control_task(settings,
+                                               run_control_task(settings, tls,
                                                                 boxes);
                                            }));
     pthread_sigmask(SIG_SETMASK, &before, nullptr);
--- a/Source/daemon/daemon.hpp
+++ b/Source/daemon/daemon.hpp
@@ -7,7 +7,7 @@
 {
 
 /// Starts the daemon's tasks and runs until a signal ends it or a task fails.
-/// Throws chart_error, loop_error, and what a task failed with.
+/// Throws chart_error, tls_error, loop_error, and what a task failed with.
 void run_daemon(const daemon_settings& settings);
 
 }
--- a/Source/daemon/daemon_settings.cpp
+++ b/Source/daemon/daemon_settings.cpp
@@ -1,7 +1,10 @@
 #include <daemon/daemon_settings.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <utility>
+#include <vector>
 
 namespace bluebellspoke
 {
@@ -29,10 +32,42 @@
     option_spec{"mailbox", option_type::count, "4096",
                 "requests that wait for a task before more are refused",
                 "messages", 16, 1'000'000},
+    option_spec{"tls-certificate", option_type::file, "",
+                "this VM's certificate, PEM; turns TLS on for callers and "
+                "peers",
+                "", 0, 0},
+    option_spec{"tls-key", option_type::file, "",
+                "private key of the certificate, PEM", "", 0, 0},
+    option_spec{"tls-authorities", option_type::file, "",
+                "authorities that signed the peers' certificates, PEM", "", 0,
+                0},
+    option_spec{"platform-authorities", option_type::file, "",
+                "authorities that signed the platform's certificate, PEM; "
+                "turns TLS on towards the platform",
+                "", 0, 0},
     option_spec{"check", option_type::flag, "",
                 "check settings and charts, then end", "", 0, 0},
 };
 
+// Half a set of certificates would leave one side in the clear unnoticed.
+void check_tls_options(const option_values& values)
+{
+    constexpr std::array<std::string_view, 3> together{
+        "tls-certificate", "tls-key", "tls-authorities"};
+    const bool any = std::any_of(together.begin(), together.end(),
+                                 [&](std::string_view name)
+                                 {
+                                     return values.given(name);
+                                 });
+    std::vector<option_fault> faults;
+    for (const std::string_view name : together)
+        if (any && !values.given(name))
+            faults.push_back({option_fault_kind::missing, std::string(name), "",
+                              "an existing file"});
+    if (!faults.empty())
+        throw options_error(std::move(faults));
+}
+
 }
 
 std::span<const option_spec> daemon_options() noexcept
@@ -47,6 +82,7 @@
         {"bluebellspoked", "Database proxy with session consistency",
          BLUEBELLSPOKE_VERSION, ""},
         options, arguments, variables);
+    check_tls_options(values);
     daemon_settings s;
     s.m_name = values.text("name");
     s.m_zone = values.text("zone");
@@ -57,6 +93,9 @@
     s.m_charts = values.text("charts");
     s.m_drain_limit = std::chrono::milliseconds(values.count("drain-limit-ms"));
     s.m_mailbox = values.count("mailbox");
+    s.m_tls = {values.text("tls-certificate"), values.text("tls-key"),
+               values.text("tls-authorities")};
+    s.m_platform_tls.m_authorities = values.text("platform-authorities");
     s.m_check_only = values.given("check");
     return s;
 }
--- a/Source/daemon/daemon_settings.hpp
+++ b/Source/daemon/daemon_settings.hpp
@@ -8,6 +8,7 @@
 #include <model/address.hpp>
 #include <model/clock.hpp>
 #include <options/options.hpp>
+#include <wire/tls_context.hpp>
 
 namespace bluebellspoke
 {
@@ -24,6 +25,8 @@
     std::filesystem::path m_charts;
     duration m_drain_limit{};
     std::size_t m_mailbox = 0; ///< Messages.
+    tls_files m_tls;           ///< Callers and peers; no certificate: off.
+    tls_files m_platform_tls;  ///< The platform; no authorities: off.
     bool m_check_only = false;
 };
 
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -60,6 +60,10 @@
                 f.m_members = m.m_members;
                 update_buckets(f);
             },
+            [&](tls_changed& m)
+            {
+                f.m_server->set_tls(std::move(m.m_tls.m_callers));
+            },
             [&](drain_begun&)
             {
                 begin_drain(f);
@@ -95,11 +99,13 @@
 
 }
 
-void run_front_task(const daemon_settings& settings, mailboxes& boxes)
+void run_front_task(const daemon_settings& settings, const daemon_tls& tls,
+                    mailboxes& boxes)
 {
     front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false};
     f.m_server = std::make_unique<http2_server>(
         f.m_loop, settings.m_listen, http2_server_limits(), make_handlers(f));
+    f.m_server->set_tls(tls.m_callers);
     boxes.m_front.attach(f.m_loop,
                          [&f](front_message& message)
                          {
--- a/Source/daemon/front_task.hpp
+++ b/Source/daemon/front_task.hpp
@@ -9,7 +9,8 @@
 
 /// Serves callers: owns their connections, checks keys, sessions and rates,
 /// and hands requests to the pool. Runs until stop_wanted.
-void run_front_task(const daemon_settings& settings, mailboxes& boxes);
+void run_front_task(const daemon_settings& settings, const daemon_tls& tls,
+                    mailboxes& boxes);
 
 }
 
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include <daemon/daemon_tls.hpp>
 #include <decide/settings_view.hpp>
 #include <model/refusal.hpp>
 #include <model/statement.hpp>
@@ -80,6 +81,12 @@
     std::size_t m_members = 1;
 };
 
+/// admin → front, control: certificates were read anew.
+struct tls_changed
+{
+    daemon_tls m_tls;
+};
+
 /// main → every task: finish what is under way and take no more.
 struct drain_begun
 {
@@ -110,13 +117,14 @@
     std::string m_task;
 };
 
-using front_message =
-    std::variant<request_outcome, settings_changed, session_secrets,
-                 fleet_changed, drain_begun, stop_wanted, dump_wanted>;
+using front_message = std::variant<request_outcome, settings_changed,
+                                   session_secrets, fleet_changed, tls_changed,
+                                   drain_begun, stop_wanted, dump_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
                  stop_wanted, dump_wanted>;
-using control_message = std::variant<drain_begun, stop_wanted, dump_wanted>;
+using control_message =
+    std::variant<tls_changed, drain_begun, stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
                                    drain_begun, stop_wanted>;
 
--- a/Source/options/options.cpp
+++ b/Source/options/options.cpp
@@ -29,6 +29,8 @@
                std::to_string(spec.m_most) + " " + std::string(spec.m_unit);
     case option_type::folder:
         return "an existing folder";
+    case option_type::file:
+        return "an existing file";
     case option_type::text:
     case option_type::flag:
         break;
@@ -49,8 +51,13 @@
 std::optional<option_fault_kind> check_value(const option_spec& spec,
                                              const std::string& value)
 {
+    if (value.empty() && spec.m_type == option_type::file)
+        return std::nullopt;
     if (value.empty())
         return option_fault_kind::missing;
+    if (spec.m_type == option_type::file &&
+        !std::filesystem::is_regular_file(value))
+        return option_fault_kind::no_such_file;
     if (spec.m_type == option_type::folder &&
         !std::filesystem::is_directory(value))
         return option_fault_kind::no_such_folder;
@@ -159,6 +166,8 @@
         return "out_of_range";
     case option_fault_kind::no_such_folder:
         return "no_such_folder";
+    case option_fault_kind::no_such_file:
+        return "no_such_file";
     case option_fault_kind::bad_command_line:
         return "bad_command_line";
     }
--- a/Source/options/options.hpp
+++ b/Source/options/options.hpp
@@ -20,6 +20,7 @@
     address, ///< IP:port.
     count,   ///< A whole number in a range.
     folder,  ///< An existing folder.
+    file,    ///< An existing file; may be left out.
     flag,    ///< Given or not; takes no value.
 };
 
@@ -43,6 +44,7 @@
     not_a_number,
     out_of_range,
     no_such_folder,
+    no_such_file,
     bad_command_line,
 };
 
--- a/Source/platform/platform_client.cpp
+++ b/Source/platform/platform_client.cpp
@@ -127,11 +127,17 @@
     return "malformed";
 }
 
-platform_client::platform_client(loop& l, const address& platform)
-    : m_client(l, platform)
+platform_client::platform_client(loop& l, const address& platform,
+                                 tls_context_ptr tls)
+    : m_client(l, platform, std::move(tls))
 {
 }
 
+void platform_client::set_tls(tls_context_ptr tls)
+{
+    m_client.set_tls(std::move(tls));
+}
+
 void platform_client::get(std::string_view name, duration time_limit,
                           platform_done<platform_object> done)
 {
--- a/Source/platform/platform_client.hpp
+++ b/Source/platform/platform_client.hpp
@@ -62,7 +62,10 @@
 class platform_client
 {
 public:
-    platform_client(loop& l, const address& platform);
+    platform_client(loop& l, const address& platform, tls_context_ptr tls = {});
+
+    /// The next connection uses these certificates.
+    void set_tls(tls_context_ptr tls);
 
     void get(std::string_view name, duration time_limit,
              platform_done<platform_object> done);
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -17,6 +17,8 @@
     daemon_draining = 1002,
     daemon_stopped = 1003,
     daemon_failed = 1004,
+    certificates_reloaded = 1005,
+    certificates_refused = 1006,
     settings_in_force = 2001,
     settings_refused = 2002,
     platform_lost = 2003,
--- a/Source/wire/http2_client.cpp
+++ b/Source/wire/http2_client.cpp
@@ -51,7 +51,9 @@
     stream_list m_failed;
     bool m_reset_wanted = false;
 
-    state(loop& l, address server);
+    tls_context_ptr m_tls;
+
+    state(loop& l, address server, tls_context_ptr tls);
     ~state();
 };
 
@@ -203,8 +205,8 @@
 
 void open_connection(client_state& s)
 {
-    s.m_transport.m_stream.reset(bufferevent_socket_new(
-        s.m_loop.m_base.get(), -1, BEV_OPT_CLOSE_ON_FREE));
+    s.m_transport.m_stream =
+        make_client_stream(s.m_loop, s.m_server.m_host, s.m_tls);
     s.m_transport.m_session = make_http2_session(
         http2_side::client, s.m_callbacks.get(), &s, max_streams);
     bufferevent* stream = s.m_transport.m_stream.get();
@@ -226,7 +228,7 @@
 header_list request_pseudo(const client_state& s, const http2_request& request)
 {
     return {{":method", request.m_method},
-            {":scheme", "http"},
+            {":scheme", s.m_tls ? "https" : "http"},
             {":authority", to_string(s.m_server)},
             {":path", request.m_path}};
 }
@@ -263,7 +265,7 @@
 
 }
 
-http2_client::state::state(loop& l, address server)
+http2_client::state::state(loop& l, address server, tls_context_ptr tls)
     : m_loop(l), m_server(std::move(server)),
       m_callbacks(make_client_callbacks()), m_connect_limit(l,
                                                             [this]
@@ -274,7 +276,8 @@
                [this]
                {
                    report_failed(*this);
-               })
+               }),
+      m_tls(std::move(tls))
 {
 }
 
@@ -299,8 +302,8 @@
     return "not_sent";
 }
 
-http2_client::http2_client(loop& l, address server)
-    : m_state(std::make_unique<state>(l, std::move(server)))
+http2_client::http2_client(loop& l, address server, tls_context_ptr tls)
+    : m_state(std::make_unique<state>(l, std::move(server), std::move(tls)))
 {
 }
 
@@ -341,6 +344,11 @@
     pump_or_fail(s);
 }
 
+void http2_client::set_tls(tls_context_ptr tls)
+{
+    m_state->m_tls = std::move(tls);
+}
+
 const address& http2_client::server() const noexcept
 {
     return m_state->m_server;
--- a/Source/wire/http2_client.hpp
+++ b/Source/wire/http2_client.hpp
@@ -10,6 +10,7 @@
 #include <sigc++/sigc++.h>
 #include <task/loop.hpp>
 #include <wire/http2_message.hpp>
+#include <wire/tls_context.hpp>
 
 namespace bluebellspoke
 {
@@ -32,7 +33,8 @@
 class http2_client
 {
 public:
-    http2_client(loop& l, address server);
+    /// Speaks TLS when there is a context. Throws http2_error.
+    http2_client(loop& l, address server, tls_context_ptr tls = {});
     ~http2_client();
     http2_client(const http2_client&) = delete;
     http2_client& operator=(const http2_client&) = delete;
@@ -40,6 +42,8 @@
     /// Calls `done` exactly once, from the loop, unless the client is
     /// destroyed first.
     void send(http2_request request, duration time_limit, http2_done done);
+    /// The next connection uses these certificates; an open one keeps its own.
+    void set_tls(tls_context_ptr tls);
     const address& server() const noexcept;
     bool connected() const noexcept;
     /// Drops the connection; requests under way end as connection_lost.
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -81,6 +81,7 @@
     std::size_t m_open_connections = 0;
     std::size_t m_open_exchanges = 0;
     bool m_draining = false;
+    tls_context_ptr m_tls;
 };
 
 namespace
@@ -288,8 +289,7 @@
     c.m_server = &s;
     c.m_slot = slot;
     c.m_id = s.m_slots[slot].m_generation << generation_shift | slot;
-    c.m_transport.m_stream.reset(bufferevent_socket_new(
-        s.m_loop.m_base.get(), descriptor, BEV_OPT_CLOSE_ON_FREE));
+    c.m_transport.m_stream = make_server_stream(s.m_loop, descriptor, s.m_tls);
     c.m_transport.m_session =
         make_http2_session(http2_side::server, s.m_callbacks.get(), &c,
                            s.m_limits.m_streams_per_connection);
@@ -312,7 +312,7 @@
                            http2_server_limits limits,
                            http2_server_handlers handlers)
     : m_state(std::make_unique<state>(state{
-          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, false}))
+          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, false, {}}))
 {
     m_state->m_callbacks = make_server_callbacks();
     const socket_address bound = to_socket_address(listen);
@@ -335,6 +335,11 @@
     return m_state->m_local;
 }
 
+void http2_server::set_tls(tls_context_ptr tls)
+{
+    m_state->m_tls = std::move(tls);
+}
+
 bool http2_server::respond(exchange_id exchange, http2_response response)
 {
     connection* c = find_connection(*m_state, exchange.m_connection);
--- a/Source/wire/http2_server.hpp
+++ b/Source/wire/http2_server.hpp
@@ -8,6 +8,7 @@
 #include <sigc++/sigc++.h>
 #include <task/loop.hpp>
 #include <wire/http2_message.hpp>
+#include <wire/tls_context.hpp>
 
 namespace bluebellspoke
 {
@@ -61,6 +62,9 @@
 
     /// The bound address, also when port 0 was asked for.
     address local() const;
+    /// New connections speak TLS with these certificates, or none when null;
+    /// open ones keep theirs.
+    void set_tls(tls_context_ptr tls);
     /// Answers an exchange. Returns false when nobody waits for it any more.
     bool respond(exchange_id exchange, http2_response response);
     /// Accepts no more, and tells callers that each connection takes no new
--- a/Source/wire/http2_transport.cpp
+++ b/Source/wire/http2_transport.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstring>
 #include <event2/buffer.h>
+#include <event2/bufferevent_ssl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -14,6 +15,9 @@
 namespace
 {
 
+// A TLS stream may report from inside a write; deferred, its callbacks come
+// from the loop as those of a plain stream do.
+constexpr int stream_options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
 constexpr std::uint32_t connection_window_bytes = 4U << 20U;
 constexpr std::uint32_t stream_window_bytes = 1U << 20U;
 
@@ -68,6 +72,34 @@
     nghttp2_session_callbacks_del(callbacks);
 }
 
+bufferevent_ptr make_server_stream(loop& l, int descriptor,
+                                   const tls_context_ptr& tls)
+{
+    event_base* base = l.m_base.get();
+    bufferevent_ptr stream(
+        tls ? bufferevent_openssl_socket_new(
+                  base, descriptor, make_server_tls(*tls),
+                  BUFFEREVENT_SSL_ACCEPTING, stream_options)
+            : bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE));
+    if (!stream)
+        throw http2_error();
+    return stream;
+}
+
+bufferevent_ptr make_client_stream(loop& l, const std::string& host,
+                                   const tls_context_ptr& tls)
+{
+    event_base* base = l.m_base.get();
+    bufferevent_ptr stream(
+        tls ? bufferevent_openssl_socket_new(
+                  base, -1, make_client_tls(*tls, host),
+                  BUFFEREVENT_SSL_CONNECTING, stream_options)
+            : bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE));
+    if (!stream)
+        throw http2_error();
+    return stream;
+}
+
 http2_callbacks_ptr make_http2_callbacks()
 {
     nghttp2_session_callbacks* callbacks = nullptr;
--- a/Source/wire/http2_transport.hpp
+++ b/Source/wire/http2_transport.hpp
@@ -11,6 +11,7 @@
 
 #include <task/loop.hpp>
 #include <wire/http2_message.hpp>
+#include <wire/tls_context.hpp>
 
 namespace bluebellspoke
 {
@@ -61,6 +62,14 @@
     server,
 };
 
+/// A socket's stream: in TLS when there is a context, else in the clear. A
+/// client's `host` is the IP number that the server's certificate must name.
+/// Throws tls_error, http2_error.
+bufferevent_ptr make_server_stream(loop& l, int descriptor,
+                                   const tls_context_ptr& tls);
+bufferevent_ptr make_client_stream(loop& l, const std::string& host,
+                                   const tls_context_ptr& tls);
+
 /// Throws http2_error.
 http2_session_ptr make_http2_session(http2_side side,
                                      nghttp2_session_callbacks* callbacks,
--- a/Tests/support/caller.cpp
+++ b/Tests/support/caller.cpp
@@ -58,8 +58,8 @@
     return text_field(json(), "outcome");
 }
 
-caller::caller(const address& server)
-    : m_loop(make_loop()), m_client(m_loop, server)
+caller::caller(const address& server, tls_context_ptr tls)
+    : m_loop(make_loop()), m_client(m_loop, server, std::move(tls))
 {
 }
 
--- a/Tests/support/caller.hpp
+++ b/Tests/support/caller.hpp
@@ -33,7 +33,7 @@
 class caller
 {
 public:
-    explicit caller(const address& server);
+    explicit caller(const address& server, tls_context_ptr tls = {});
 
     reply send(http2_request request,
                std::chrono::milliseconds limit = std::chrono::seconds(20));
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -61,6 +61,19 @@
     f.m_endpoints.push_back(std::move(e));
 }
 
+void add_tls_flags(daemon_node& d, const test_authority* authority)
+{
+    if (authority == nullptr)
+        return;
+    const tls_files files = authority->issue(d.m_name);
+    for (const std::string& word :
+         {std::string("--tls-certificate"), files.m_certificate.native(),
+          std::string("--tls-key"), files.m_key.native(),
+          std::string("--tls-authorities"), files.m_authorities.native(),
+          std::string("--platform-authorities"), files.m_authorities.native()})
+        d.m_command.push_back(word);
+}
+
 void add_daemon(fleet& f, std::size_t index)
 {
     daemon_node d;
@@ -90,6 +103,7 @@
                    to_string(d.m_peers),
                    "--admin-listen",
                    to_string(d.m_admin)};
+    add_tls_flags(d, f.m_options.m_authority);
     start_daemon(d);
     f.m_daemons.push_back(std::move(d));
 }
@@ -123,7 +137,10 @@
 
 void post_to_platform(const fleet& f, const std::string& path, const json& body)
 {
-    caller c(f.m_platform_address);
+    tls_context_ptr tls;
+    if (f.m_options.m_authority != nullptr)
+        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
+    caller c(f.m_platform_address, tls);
     if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
         throw spawn_error();
 }
@@ -145,8 +162,15 @@
 fleet::fleet(const fleet_options& options) : m_options(options)
 {
     m_platform_address = {"127.0.0.1", free_port()};
-    const std::array<std::string, 3> command{TEST_PLATFORM, "--listen",
-                                             to_string(m_platform_address)};
+    std::vector<std::string> command{TEST_PLATFORM, "--listen",
+                                     to_string(m_platform_address)};
+    if (options.m_authority != nullptr)
+    {
+        const tls_files files = options.m_authority->issue("platform");
+        command.insert(command.end(),
+                       {"--tls-certificate", files.m_certificate.native(),
+                        "--tls-key", files.m_key.native()});
+    }
     m_platform = std::make_unique<child_process>(command, log_file("platform"));
     m_platform->read_line();
     for (std::size_t i = 0; i < options.m_endpoints; ++i)
@@ -181,6 +205,10 @@
 {
     std::vector<std::string> command{TEST_CTL, "--platform",
                                      to_string(f.m_platform_address)};
+    if (f.m_options.m_authority != nullptr)
+        command.insert(command.end(),
+                       {"--platform-authorities",
+                        f.m_options.m_authority->authorities().native()});
     for (std::string& word : words)
         command.push_back(std::move(word));
     return run_program(command);
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <support/caller.hpp>
+#include <support/certificates.hpp>
 #include <support/child_process.hpp>
 #include <support/relay.hpp>
 
@@ -48,6 +49,7 @@
     unsigned m_service_us = 0; ///< Of each statement.
     unsigned m_slots = 5;
     unsigned m_connections = 30;
+    const test_authority* m_authority = nullptr; ///< Absent: no TLS.
     bool m_relays = false; ///< Put relays before the stand-ins.
 };
 
