--- a/Tests/support/certificates.cpp
+++ b/Tests/support/certificates.cpp
@@ -118,8 +118,8 @@
                          X509_get_subject_name(s.m_certificate.get()));
     add_extension(made.get(), NID_subject_alt_name, "IP:127.0.0.1");
     X509_sign(made.get(), s.m_key.get(), EVP_sha256());
-    const tls_files files{s.m_folder / (name + ".pem"),
-                          s.m_folder / (name + ".key"), authorities()};
+    tls_files files{s.m_folder / (name + ".pem"), s.m_folder / (name + ".key"),
+                    authorities()};
     write_certificate(files.m_certificate, made.get());
     write_key(files.m_key, key.get());
     return files;
