shares: Decide on members, shares and loans of fleet-wide limits

Cause: rates were split by the number of listed VMs, so two daemons with different views could admit more than a workspace's rate together.

Ruled out: an allocator with short leases; its authority must be exclusive and ends with the platform.

--- /dev/null
+++ b/Source/decide/loan.cpp
@@ -0,0 +1,332 @@
+#include <decide/loan.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void erase_ended(std::vector<loan>& loans, time_point now)
+{
+    std::erase_if(loans,
+                  [&](const loan& l)
+                  {
+                      return l.m_units == 0 || l.m_expires <= now;
+                  });
+}
+
+loan* find_loan(std::vector<loan>& loans, std::string_view peer,
+                std::uint64_t id)
+{
+    const auto found = std::find_if(loans.begin(), loans.end(),
+                                    [&](const loan& l)
+                                    {
+                                        return l.m_id == id &&
+                                               l.m_peer == peer &&
+                                               l.m_passed_by.empty();
+                                    });
+    return found == loans.end() ? nullptr : &*found;
+}
+
+// A daemon that is poorer for its demand than the borrower wants its own back.
+bool may_renew(const share_book& b, const loan_ask& ask, double own_demand)
+{
+    if (own_demand <= 0)
+        return true;
+    const double own_after = held_units(b) + 1.0;
+    return own_after * ask.m_demand >= ask.m_held * own_demand;
+}
+
+loan lent_to(const loan_ask& ask, std::uint64_t id, std::uint32_t units,
+             time_point now)
+{
+    return {id, ask.m_peer, units, now + loan_term + loan_margin, {}};
+}
+
+// Units that the borrower no longer has may be on their way to others, who use
+// them no longer than the loan's present time: they stay lent up to then.
+void renew_one(share_book& b, loan& l, std::uint32_t units, time_point now)
+{
+    loan passed = l;
+    passed.m_units = l.m_units - units;
+    l.m_units = units;
+    l.m_expires = now + loan_term + loan_margin;
+    if (passed.m_units > 0)
+        b.m_lent.push_back(std::move(passed)); // `l` may dangle from here.
+}
+
+void renew(share_book& b, const loan_ask& ask, loan_answer& answer,
+           time_point now)
+{
+    for (const loan_part& kept : ask.m_renews)
+    {
+        loan* l = find_loan(b.m_lent, ask.m_peer, kept.m_id);
+        if (l == nullptr)
+            continue;
+        const std::uint32_t units = std::min(l->m_units, kept.m_units);
+        renew_one(b, *l, units, now);
+        answer.m_renewed.push_back({kept.m_id, units});
+    }
+}
+
+// What was passed on ends first among the records of one number.
+loan* find_passed(std::vector<loan>& loans, const loan_claim& claim)
+{
+    loan* found = nullptr;
+    for (loan& l : loans)
+    {
+        const bool fits = l.m_id == claim.m_id &&
+                          l.m_peer == claim.m_passed_by &&
+                          l.m_units >= claim.m_units;
+        if (fits && (found == nullptr || l.m_expires < found->m_expires))
+            found = &l;
+    }
+    return found;
+}
+
+// The former borrower gave these units up before it passed them on. The sum of
+// what is lent stays the same.
+void grant_claims(share_book& b, const loan_ask& ask, loan_answer& answer,
+                  time_point now)
+{
+    for (const loan_claim& claim : ask.m_claims)
+    {
+        loan* l = find_passed(b.m_lent, claim);
+        if (l == nullptr)
+            continue;
+        l->m_units -= claim.m_units;
+        const std::uint64_t id = b.m_next_id++;
+        b.m_lent.push_back(lent_to(ask, id, claim.m_units, now));
+        answer.m_claimed.push_back({claim, id});
+    }
+}
+
+std::uint32_t give_back(share_book& b, const loan_ask& ask, loan_answer& answer,
+                        std::uint32_t units)
+{
+    std::uint32_t left = units;
+    for (loan& l : b.m_borrowed)
+    {
+        if (l.m_peer != ask.m_peer || !l.m_passed_by.empty() || left == 0)
+            continue;
+        const std::uint32_t part = std::min(l.m_units, left);
+        l.m_units -= part;
+        left -= part;
+        answer.m_returned.push_back({l.m_id, part});
+    }
+    return units - left;
+}
+
+// What was passed on once waits for its lender to know before it moves again.
+std::uint32_t pass_on(share_book& b, const loan_ask& ask, loan_answer& answer,
+                      std::uint32_t units, time_point now)
+{
+    std::uint32_t left = units;
+    for (loan& l : b.m_borrowed)
+    {
+        if (l.m_peer == ask.m_peer || !l.m_passed_by.empty() || left == 0)
+            continue;
+        const std::uint32_t part = std::min(l.m_units, left);
+        l.m_units -= part;
+        left -= part;
+        answer.m_passed.push_back({l.m_peer, l.m_id, part, l.m_expires - now});
+    }
+    return units - left;
+}
+
+std::uint32_t lendable(const share_book& b) noexcept
+{
+    const std::uint32_t lent = count_units(b.m_lent);
+    return b.m_base > lent ? b.m_base - lent : 0;
+}
+
+void lend(share_book& b, const loan_ask& ask, loan_answer& answer,
+          std::uint32_t units, time_point now)
+{
+    if (units == 0)
+        return;
+    answer.m_id = b.m_next_id++;
+    answer.m_units = units;
+    b.m_lent.push_back(lent_to(ask, answer.m_id, units, now));
+}
+
+}
+
+std::uint32_t count_units(std::span<const loan> loans) noexcept
+{
+    std::uint32_t units = 0;
+    for (const loan& l : loans)
+        units += l.m_units;
+    return units;
+}
+
+std::uint32_t held_units(const share_book& b) noexcept
+{
+    const std::uint32_t all = b.m_base + count_units(b.m_borrowed);
+    const std::uint32_t lent = count_units(b.m_lent);
+    return all > lent ? all - lent : 0;
+}
+
+bool covers_loans(const share_book& b) noexcept
+{
+    return count_units(b.m_lent) <= b.m_base;
+}
+
+void expire_loans(share_book& b, time_point now)
+{
+    erase_ended(b.m_lent, now);
+    erase_ended(b.m_borrowed, now);
+}
+
+time_point next_expiry(const share_book& b) noexcept
+{
+    time_point first = time_point::max();
+    for (const loan& l : b.m_lent)
+        first = std::min(first, l.m_expires);
+    for (const loan& l : b.m_borrowed)
+        first = std::min(first, l.m_expires);
+    return first;
+}
+
+// Solves (own - x) / own_demand = (held + x) / demand for x.
+std::uint32_t units_to_give(std::uint32_t own, double own_demand,
+                            const loan_ask& ask) noexcept
+{
+    if (ask.m_demand <= 0 || own == 0)
+        return 0;
+    const double even = (own * ask.m_demand - ask.m_held * own_demand) /
+                        (own_demand + ask.m_demand);
+    if (even <= 0)
+        return 0;
+    // Half a unit goes over: a daemon with none could otherwise never run.
+    const auto units = static_cast<std::uint32_t>(std::floor(even + 0.5));
+    return std::min({units, own, ask.m_wanted});
+}
+
+std::uint32_t offered_units(const loan_answer& a) noexcept
+{
+    std::uint32_t units = a.m_units;
+    for (const loan_part& r : a.m_returned)
+        units += r.m_units;
+    for (const passed_loan& p : a.m_passed)
+        units += p.m_units;
+    return units;
+}
+
+loan_answer answer_ask(share_book& b, const loan_ask& ask, double own_demand,
+                       std::uint32_t free, time_point now)
+{
+    expire_loans(b, now);
+    loan_answer answer;
+    grant_claims(b, ask, answer, now);
+    if (may_renew(b, ask, own_demand))
+        renew(b, ask, answer, now);
+    std::uint32_t left =
+        std::min(units_to_give(held_units(b), own_demand, ask), free);
+    left -= give_back(b, ask, answer, left);
+    const std::uint32_t own = std::min(left, lendable(b));
+    lend(b, ask, answer, own, now);
+    pass_on(b, ask, answer, left - own, now);
+    return answer;
+}
+
+namespace
+{
+
+void take_kept(share_book& b, std::string_view lender,
+               const loan_answer& answer, time_point asked_at)
+{
+    for (const loan_part& kept : answer.m_renewed)
+    {
+        loan* l = find_loan(b.m_borrowed, lender, kept.m_id);
+        if (l == nullptr)
+            continue;
+        l->m_units = std::min(l->m_units, kept.m_units);
+        l->m_expires = std::max(l->m_expires, asked_at + loan_term);
+    }
+}
+
+// A claim that was asked for twice may be granted twice. Only one of the grants
+// is used: the other took units that somebody else still has.
+loan* find_unclaimed(std::vector<loan>& loans, std::string_view lender,
+                     const loan_claim& claim)
+{
+    const auto found =
+        std::find_if(loans.begin(), loans.end(),
+                     [&](const loan& l)
+                     {
+                         return l.m_id == claim.m_id && l.m_peer == lender &&
+                                l.m_passed_by == claim.m_passed_by &&
+                                l.m_units == claim.m_units;
+                     });
+    return found == loans.end() ? nullptr : &*found;
+}
+
+void take_claimed(share_book& b, std::string_view lender,
+                  const loan_answer& answer, time_point asked_at)
+{
+    for (const claimed_loan& c : answer.m_claimed)
+    {
+        loan* l = find_unclaimed(b.m_borrowed, lender, c.m_claim);
+        if (l != nullptr)
+            *l = {c.m_id,
+                  std::string(lender),
+                  c.m_claim.m_units,
+                  asked_at + loan_term,
+                  {}};
+    }
+}
+
+}
+
+std::uint32_t take_loan(share_book& b, std::string_view lender,
+                        const loan_answer& answer, time_point asked_at,
+                        time_point now)
+{
+    const std::uint32_t before = held_units(b);
+    take_kept(b, lender, answer, asked_at);
+    take_claimed(b, lender, answer, asked_at);
+    for (const loan_part& r : answer.m_returned)
+        if (loan* l = find_loan(b.m_lent, lender, r.m_id))
+            l->m_units -= std::min(l->m_units, r.m_units);
+    if (answer.m_units > 0)
+        b.m_borrowed.push_back({answer.m_id,
+                                std::string(lender),
+                                answer.m_units,
+                                asked_at + loan_term,
+                                {}});
+    for (const passed_loan& p : answer.m_passed)
+        b.m_borrowed.push_back({p.m_id, p.m_lender, p.m_units,
+                                asked_at + p.m_left, std::string(lender)});
+    expire_loans(b, now);
+    const std::uint32_t after = held_units(b);
+    return after > before ? after - before : 0;
+}
+
+void ask_to_keep(loan_ask& ask, const share_book& b, std::string_view lender)
+{
+    for (const loan& l : b.m_borrowed)
+    {
+        if (l.m_peer != lender)
+            continue;
+        if (l.m_passed_by.empty())
+            ask.m_renews.push_back({l.m_id, l.m_units});
+        else
+            ask.m_claims.push_back({l.m_id, l.m_passed_by, l.m_units});
+    }
+}
+
+bool has_loans_to_keep(const share_book& b, time_point now) noexcept
+{
+    return std::any_of(b.m_borrowed.begin(), b.m_borrowed.end(),
+                       [&](const loan& l)
+                       {
+                           return !l.m_passed_by.empty() ||
+                                  l.m_expires - now < loan_term / 2;
+                       });
+}
+
+}
--- /dev/null
+++ b/Source/decide/rate_share.cpp
@@ -0,0 +1,183 @@
+#include <decide/rate_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr double full_use = 0.8;  ///< Of the rate held: time to ask for more.
+constexpr double low_water = 0.5; ///< Of the tokens that fit.
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+std::uint32_t base_at(const rate_share& s, time_point when)
+{
+    return share_now(s.m_right, s.m_burst, s.m_workspace, when);
+}
+
+void fit_bucket(rate_share& s, time_point when)
+{
+    s.m_book.m_base = base_at(s, when);
+    const std::uint32_t held = held_units(s.m_book);
+    const double part = s.m_burst == 0 ? 0 : double(held) / s.m_burst;
+    set_share(s.m_bucket, s.m_rate * part, held, when);
+}
+
+time_point next_change(const rate_share& s, time_point after)
+{
+    time_point next = next_expiry(s.m_book);
+    if (s.m_right.m_from > after)
+        next = std::min(next, s.m_right.m_from);
+    if (s.m_right.m_until > after)
+        next = std::min(next, s.m_right.m_until);
+    return next;
+}
+
+}
+
+rate_share make_rate_share(std::string_view workspace, std::uint64_t first_id,
+                           time_point now)
+{
+    rate_share s;
+    s.m_workspace = workspace;
+    s.m_book.m_next_id = first_id;
+    // Starts empty: a process before this one may have spent the tokens.
+    s.m_bucket = {0, 0, 0, now};
+    s.m_recent_at = now;
+    s.m_settled_at = now;
+    return s;
+}
+
+void set_rate(rate_share& s, double rate, double burst, time_point now)
+{
+    settle(s, now);
+    s.m_rate = rate;
+    s.m_burst = static_cast<std::uint32_t>(std::max(std::floor(burst), 1.0));
+    fit_bucket(s, now);
+}
+
+void set_right(rate_share& s, const share_right& right, time_point now)
+{
+    settle(s, now);
+    s.m_right = right;
+    fit_bucket(s, now);
+}
+
+// A process that was paused finds that loans and rights have ended meanwhile.
+// The tokens due are counted stretch by stretch, as if it had run on.
+void settle(rate_share& s, time_point now)
+{
+    for (time_point next = next_change(s, s.m_settled_at); next <= now;
+         next = next_change(s, s.m_settled_at))
+    {
+        s.m_settled_at = std::max(s.m_settled_at, next);
+        refill(s.m_bucket, s.m_settled_at);
+        expire_loans(s.m_book, s.m_settled_at);
+        fit_bucket(s, s.m_settled_at);
+    }
+    s.m_settled_at = std::max(s.m_settled_at, now);
+    refill(s.m_bucket, now);
+}
+
+void note_arrival(rate_share& s, time_point now)
+{
+    s.m_recent = demand_of(s, now) * seconds(demand_memory) + 1;
+    s.m_recent_at = now;
+}
+
+double demand_of(const rate_share& s, time_point now)
+{
+    const double passed = seconds(now - s.m_recent_at);
+    const double demand = s.m_recent *
+                          std::exp(-passed / seconds(demand_memory)) /
+                          seconds(demand_memory);
+    constexpr double none = 0.5;
+    return demand < none ? 0 : demand;
+}
+
+bool admit_one(rate_share& s, time_point now)
+{
+    settle(s, now);
+    return take_token(s.m_bucket, now);
+}
+
+std::uint32_t wanted_units(const rate_share& s, time_point now)
+{
+    const double demand = demand_of(s, now);
+    const std::uint32_t held = held_units(s.m_book);
+    if (demand <= 0 || held >= s.m_burst)
+        return 0;
+    const bool low = s.m_bucket.m_tokens < low_water * held || held == 0;
+    const bool busy = demand > full_use * s.m_bucket.m_rate;
+    return low || busy ? s.m_burst - held : 0;
+}
+
+bool keeps_loans(const rate_share& s, time_point now)
+{
+    return s.m_recent > 0 && now - s.m_recent_at < keep_bound;
+}
+
+loan_ask make_ask(const rate_share& s, std::string_view self,
+                  std::string_view lender, time_point now)
+{
+    loan_ask ask;
+    ask.m_peer = self;
+    ask.m_wanted = wanted_units(s, now);
+    ask.m_held = held_units(s.m_book);
+    ask.m_demand = demand_of(s, now);
+    if (keeps_loans(s, now))
+        ask_to_keep(ask, s.m_book, lender);
+    return ask;
+}
+
+rate_loan lend_rate(rate_share& s, const loan_ask& ask, time_point now)
+{
+    settle(s, now);
+    const std::uint32_t held = held_units(s.m_book);
+    const double tokens = s.m_bucket.m_tokens;
+    rate_loan given;
+    given.m_units = answer_ask(s.m_book, ask, demand_of(s, now), held, now);
+    const std::uint32_t units = offered_units(given.m_units);
+    if (units > 0)
+    {
+        given.m_tokens = tokens * units / held;
+        s.m_bucket.m_tokens = tokens - given.m_tokens;
+    }
+    fit_bucket(s, now);
+    return given;
+}
+
+// Tokens come only with units that are still good: those of a late answer were
+// given up by the one side and refilled by the other.
+std::uint32_t take_rate_loan(rate_share& s, std::string_view lender,
+                             const rate_loan& answer, time_point asked_at,
+                             time_point now)
+{
+    settle(s, now);
+    const std::uint32_t gained =
+        take_loan(s.m_book, lender, answer.m_units, asked_at, now);
+    fit_bucket(s, now);
+    const std::uint32_t offered = offered_units(answer.m_units);
+    if (gained == 0 || offered == 0)
+        return 0;
+    const double part = std::min(1.0, double(gained) / offered);
+    s.m_bucket.m_tokens = std::min(
+        s.m_bucket.m_burst, s.m_bucket.m_tokens + answer.m_tokens * part);
+    return gained;
+}
+
+bool keeps_to_right(const rate_share& s)
+{
+    const std::uint32_t by_right =
+        share_by_right(s.m_right, s.m_burst, s.m_workspace);
+    return count_units(s.m_book.m_lent) <= by_right;
+}
+
+}
--- /dev/null
+++ b/Source/decide/share.cpp
@@ -0,0 +1,82 @@
+#include <decide/share.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+std::uint64_t rank_of(std::string_view resource, std::string_view name,
+                      std::uint64_t seed = 0)
+{
+    const std::uint64_t of_resource =
+        XXH3_64bits_withSeed(resource.data(), resource.size(), seed);
+    return XXH3_64bits_withSeed(name.data(), name.size(), of_resource);
+}
+
+}
+
+std::uint32_t divide_limit(std::uint32_t limit,
+                           std::span<const fleet_member> members,
+                           const fleet_member& self, std::string_view resource)
+{
+    const fleet_member* mine = find_member(members, self.m_name);
+    if (mine == nullptr || mine->m_incarnation != self.m_incarnation)
+        return 0;
+    const auto count = static_cast<std::uint32_t>(members.size());
+    const std::uint64_t own = rank_of(resource, self.m_name);
+    const auto ahead =
+        std::count_if(members.begin(), members.end(),
+                      [&](const fleet_member& m)
+                      {
+                          return std::pair(rank_of(resource, m.m_name),
+                                           std::string_view(m.m_name)) <
+                                 std::pair(own, std::string_view(self.m_name));
+                      });
+    const bool rest = static_cast<std::uint32_t>(ahead) < limit % count;
+    return limit / count + (rest ? 1 : 0);
+}
+
+std::uint32_t share_by_right(const share_right& right, std::uint32_t limit,
+                             std::string_view resource)
+{
+    const fleet_epoch& e = right.m_epoch;
+    const std::uint32_t share =
+        divide_limit(limit, e.m_members, right.m_self, resource);
+    if (right.m_settled)
+        return share;
+    return std::min(share,
+                    divide_limit(limit, e.m_former, right.m_self, resource));
+}
+
+std::uint32_t share_now(const share_right& right, std::uint32_t limit,
+                        std::string_view resource, time_point now)
+{
+    if (now < right.m_from || now >= right.m_until)
+        return 0;
+    return share_by_right(right, limit, resource);
+}
+
+std::vector<std::string> lenders_in_order(const share_right& right,
+                                          std::string_view resource)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const fleet_member& m : right.m_epoch.m_members)
+        if (m.m_name != right.m_self.m_name)
+            ranked.emplace_back(
+                rank_of(resource, m.m_name, right.m_self.m_incarnation),
+                m.m_name);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> names;
+    names.reserve(ranked.size());
+    for (auto& [rank, name] : ranked)
+        names.push_back(std::move(name));
+    return names;
+}
+
+}
--- a/Source/decide/standing.cpp
+++ b/Source/decide/standing.cpp
@@ -1,6 +1,8 @@
 #include <decide/standing.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 namespace bluebellspoke
 {
@@ -35,6 +37,25 @@
     return latest;
 }
 
+time_point standing_until(const standing_view& view)
+{
+    const time_point confirmed = confirmed_at(view) + standing_bound;
+    if (view.m_platform_answers)
+        return confirmed;
+    const std::size_t needed = view.m_members / 2;
+    if (needed == 0)
+        return time_point::max();
+    // The majority lasts as long as the oldest of the newest few witnesses.
+    std::vector<time_point> asked;
+    for (const peer_witness& w : view.m_peers)
+        if (!w.m_platform_answers && w.m_version <= view.m_version)
+            asked.push_back(w.m_asked_at);
+    if (asked.size() < needed)
+        return confirmed;
+    std::sort(asked.begin(), asked.end(), std::greater<>());
+    return std::max(confirmed, asked[needed - 1] + standing_bound);
+}
+
 standing judge_standing(const standing_view& view, time_point now) noexcept
 {
     if (now - confirmed_at(view) <= standing_bound)
--- a/Source/decide/standing.hpp
+++ b/Source/decide/standing.hpp
@@ -45,6 +45,9 @@
 /// The time up to which this daemon is known to have been current.
 time_point confirmed_at(const standing_view& view) noexcept;
 
+/// The time up to which what the daemon knows now gives it standing.
+time_point standing_until(const standing_view& view);
+
 /// Whether a daemon still has the right to serve. docs/design/standing.md
 /// shows why no accepted change can pass it by.
 standing judge_standing(const standing_view& view, time_point now) noexcept;
--- /dev/null
+++ b/Tests/shares/fake_fleet.cpp
@@ -0,0 +1,302 @@
+#include <shares/fake_fleet.hpp>
+
+#include <algorithm>
+
+namespace bluebellspoke::shares
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds beat_period{500};
+
+bool runs(const fake_fleet& f, const fake_daemon& d)
+{
+    return d.m_alive && f.m_now >= d.m_paused_until;
+}
+
+bool lost(fake_fleet& f)
+{
+    return std::bernoulli_distribution(f.m_faults.m_loss)(f.m_random);
+}
+
+duration delay(fake_fleet& f)
+{
+    return milliseconds(std::uniform_int_distribution<int>(
+        0, static_cast<int>(f.m_faults.m_delay.count()))(f.m_random));
+}
+
+// A paused daemon finds its messages when it goes on; a dead one never does.
+void deliver(fake_fleet& f, std::size_t to, std::function<void()> take)
+{
+    if (lost(f))
+        return;
+    const std::uint64_t incarnation = f.m_daemons[to].m_self.m_incarnation;
+    f.m_events.emplace(f.m_now + delay(f),
+                       [&f, to, incarnation, take = std::move(take)]
+                       {
+                           fake_daemon& d = f.m_daemons[to];
+                           if (!d.m_alive ||
+                               d.m_self.m_incarnation != incarnation)
+                               return;
+                           if (runs(f, d))
+                               take();
+                           else
+                               f.m_events.emplace(d.m_paused_until, take);
+                       });
+}
+
+standing_view view_of(const fake_daemon& d, std::vector<peer_witness>& out)
+{
+    for (const auto& [name, w] : d.m_witnesses)
+        if (find_member(d.m_epoch.m_members, name) != nullptr)
+            out.push_back(w);
+    return {d.m_epoch.m_number, d.m_confirmed_at, d.m_platform_answers,
+            std::max<std::size_t>(d.m_epoch.m_members.size(), 1), out};
+}
+
+std::vector<member_sight> sights_of(const fake_fleet& f, const fake_daemon& d)
+{
+    std::vector<member_sight> sights{
+        {d.m_self, true, f.m_now, d.m_epoch.m_number, d.m_applied}};
+    for (const auto& [name, s] : d.m_sights)
+        sights.push_back(s);
+    return sights;
+}
+
+void apply_right(fake_fleet& f, fake_daemon& d)
+{
+    update_settling(d.m_settling, d.m_epoch, sights_of(f, d), f.m_now);
+    std::vector<peer_witness> witnesses;
+    share_right right;
+    right.m_epoch = d.m_epoch;
+    right.m_self = d.m_self;
+    right.m_settled = d.m_settling.m_settled;
+    right.m_from = d.m_started_at + loan_term + loan_margin;
+    right.m_until = standing_until(view_of(d, witnesses));
+    set_right(d.m_share, right, f.m_now);
+    if (keeps_to_right(d.m_share))
+        d.m_applied = d.m_epoch.m_number;
+}
+
+void ask_platform(fake_fleet& f, fake_daemon& d)
+{
+    d.m_platform_answers = f.m_faults.m_platform_up;
+    if (!d.m_platform_answers)
+        return;
+    d.m_epoch = f.m_platform_epoch;
+    d.m_confirmed_at = f.m_now;
+    apply_right(f, d);
+    if (d.m_epoch.m_number != 0 && !d.m_settling.m_settled)
+        return;
+    const auto next = propose_members(d.m_epoch, sights_of(f, d), f.m_now);
+    if (!next)
+        return;
+    f.m_platform_epoch = {f.m_platform_epoch.m_number + 1, *next,
+                          f.m_platform_epoch.m_members};
+    d.m_epoch = f.m_platform_epoch;
+    apply_right(f, d);
+}
+
+struct heartbeat
+{
+    member_sight m_sight;
+    peer_witness m_witness;
+};
+
+heartbeat heartbeat_of(const fake_fleet& f, const fake_daemon& d)
+{
+    std::vector<peer_witness> witnesses;
+    const duration age = f.m_now - confirmed_at(view_of(d, witnesses));
+    return {{d.m_self, true, {}, d.m_epoch.m_number, d.m_applied},
+            {{}, d.m_epoch.m_number, age, d.m_platform_answers}};
+}
+
+void learn(fake_fleet& f, fake_daemon& d, heartbeat h, time_point asked_at)
+{
+    h.m_sight.m_heard_at = asked_at;
+    h.m_witness.m_asked_at = asked_at;
+    const std::string& name = h.m_sight.m_member.m_name;
+    if (d.m_witnesses[name].m_asked_at > asked_at)
+        return;
+    d.m_sights[name] = h.m_sight;
+    d.m_witnesses[name] = h.m_witness;
+    apply_right(f, d);
+}
+
+template <class Ask, class Take>
+void exchange(fake_fleet& f, std::size_t from, std::size_t to, Ask ask,
+              Take take)
+{
+    const time_point asked_at = f.m_now;
+    deliver(f, to,
+            [&f, from, to, ask, take, asked_at]
+            {
+                deliver(f, from,
+                        [&f, from, take, asked_at, answer = ask(f, to)]
+                        {
+                            take(f, f.m_daemons[from], answer, asked_at);
+                        });
+            });
+}
+
+void beat(fake_fleet& f, std::size_t from)
+{
+    for (std::size_t to = 0; to < f.m_daemons.size(); ++to)
+        if (to != from)
+            exchange(
+                f, from, to,
+                [](fake_fleet& all, std::size_t there)
+                {
+                    return heartbeat_of(all, all.m_daemons[there]);
+                },
+                [](fake_fleet& all, fake_daemon& d, const heartbeat& h,
+                   time_point asked_at)
+                {
+                    learn(all, d, h, asked_at);
+                });
+}
+
+void ask_round(fake_fleet& f, std::size_t from)
+{
+    fake_daemon& d = f.m_daemons[from];
+    const bool wants = wanted_units(d.m_share, f.m_now) > 0;
+    const bool renews = keeps_loans(d.m_share, f.m_now) &&
+                        has_loans_to_keep(d.m_share.m_book, f.m_now);
+    if (f.m_now < d.m_next_round || (!wants && !renews))
+        return;
+    d.m_round_pause =
+        std::clamp<duration>(2 * d.m_round_pause, ask_pause, longest_ask_pause);
+    d.m_next_round = f.m_now + d.m_round_pause;
+    for (std::size_t to = 0; to < f.m_daemons.size(); ++to)
+    {
+        if (to == from)
+            continue;
+        const std::string lender = f.m_daemons[to].m_self.m_name;
+        const loan_ask ask =
+            make_ask(d.m_share, d.m_self.m_name, lender, f.m_now);
+        exchange(
+            f, from, to,
+            [ask](fake_fleet& all, std::size_t there)
+            {
+                return lend_rate(all.m_daemons[there].m_share, ask, all.m_now);
+            },
+            [lender](fake_fleet& all, fake_daemon& asker,
+                     const rate_loan& answer, time_point asked_at)
+            {
+                if (take_rate_loan(asker.m_share, lender, answer, asked_at,
+                                   all.m_now) > 0)
+                    asker.m_round_pause = {};
+            });
+    }
+}
+
+void start(fake_fleet& f, fake_daemon& d)
+{
+    d.m_self.m_incarnation = f.m_next_incarnation++;
+    d.m_started_at = f.m_now;
+    d.m_share = make_rate_share("ward", 1, f.m_now);
+    set_rate(d.m_share, f.m_rate, f.m_burst, f.m_now);
+}
+
+void admit_waiting(fake_fleet& f, fake_daemon& d)
+{
+    while (!d.m_waiting.empty() && admit_one(d.m_share, f.m_now))
+    {
+        d.m_waiting.pop_front();
+        ++f.m_admitted;
+        constexpr double rounding = 1e-6;
+        f.m_limit.m_tokens += rounding;
+        if (!take_token(f.m_limit, f.m_now))
+            ++f.m_over_limit;
+    }
+    while (!d.m_waiting.empty() && f.m_now - d.m_waiting.front() > loan_wait)
+    {
+        d.m_waiting.pop_front();
+        ++f.m_refused;
+    }
+}
+
+bool is_due(const fake_fleet& f, std::size_t index, duration period)
+{
+    const duration offset = milliseconds(35) * index;
+    return (f.m_now.time_since_epoch() + offset) % period < fake_step;
+}
+
+}
+
+fake_fleet::fake_fleet(std::size_t daemons, double rate, double burst,
+                       unsigned seed)
+    : m_random(seed), m_rate(rate),
+      m_burst(burst), m_limit{rate, burst, burst, m_now}
+{
+    m_daemons.resize(daemons);
+    for (std::size_t i = 0; i < daemons; ++i)
+    {
+        m_daemons[i].m_self.m_name = "vm-" + std::to_string(i + 1);
+        m_daemons[i].m_self.m_address = "127.0.0.1:" + std::to_string(i + 1);
+        start(*this, m_daemons[i]);
+    }
+}
+
+void step(fake_fleet& f)
+{
+    f.m_now += fake_step;
+    while (!f.m_events.empty() && f.m_events.begin()->first <= f.m_now)
+    {
+        const std::function<void()> next = f.m_events.begin()->second;
+        f.m_events.erase(f.m_events.begin());
+        next();
+    }
+    for (std::size_t i = 0; i < f.m_daemons.size(); ++i)
+    {
+        if (!runs(f, f.m_daemons[i]))
+            continue;
+        if (is_due(f, i, 2 * beat_period))
+            ask_platform(f, f.m_daemons[i]);
+        if (is_due(f, i, beat_period))
+            beat(f, i);
+        ask_round(f, i);
+        admit_waiting(f, f.m_daemons[i]);
+    }
+}
+
+void offer(fake_fleet& f, std::size_t daemon)
+{
+    fake_daemon& d = f.m_daemons[daemon];
+    if (!runs(f, d))
+        return;
+    note_arrival(d.m_share, f.m_now);
+    d.m_waiting.push_back(f.m_now);
+    admit_waiting(f, d);
+}
+
+void restart(fake_fleet& f, std::size_t daemon)
+{
+    const fleet_member self = f.m_daemons[daemon].m_self;
+    f.m_daemons[daemon] = {};
+    f.m_daemons[daemon].m_self = self;
+    start(f, f.m_daemons[daemon]);
+}
+
+void pause(fake_fleet& f, std::size_t daemon, duration length)
+{
+    f.m_daemons[daemon].m_paused_until = f.m_now + length;
+}
+
+std::uint32_t held_by_all(fake_fleet& f)
+{
+    std::uint32_t units = 0;
+    for (fake_daemon& d : f.m_daemons)
+    {
+        if (!runs(f, d))
+            continue;
+        settle(d.m_share, f.m_now);
+        units += held_units(d.m_share.m_book);
+    }
+    return units;
+}
+
+}
--- /dev/null
+++ b/Tests/shares/rate_share_test.cpp
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+#include <shares/fake_fleet.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::shares;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr double rate = 100;
+constexpr double burst = 40;
+
+void run_for(fake_fleet& f, duration length)
+{
+    for (const time_point end = f.m_now + length; f.m_now < end;)
+        step(f);
+}
+
+/// Offers `per_second` statements to each of the given daemons, evenly.
+std::size_t offer_for(fake_fleet& f, duration length, double per_second,
+                      std::span<const std::size_t> daemons)
+{
+    const std::size_t before = f.m_refused;
+    double due = 0;
+    for (const time_point end = f.m_now + length; f.m_now < end;)
+    {
+        step(f);
+        due += per_second * std::chrono::duration<double>(fake_step).count();
+        for (; due >= 1; due -= 1)
+            for (const std::size_t d : daemons)
+                offer(f, d);
+    }
+    run_for(f, 2 * loan_wait);
+    return f.m_refused - before;
+}
+
+void hurt(fake_fleet& f)
+{
+    const auto chance = [&](double p)
+    {
+        return std::bernoulli_distribution(p)(f.m_random);
+    };
+    const std::size_t victim = std::uniform_int_distribution<std::size_t>(
+        0, f.m_daemons.size() - 1)(f.m_random);
+    if (chance(0.4))
+        pause(f, victim,
+              milliseconds(
+                  std::uniform_int_distribution<int>(50, 25000)(f.m_random)));
+    if (chance(0.3))
+        restart(f, victim);
+    if (chance(0.3))
+        f.m_faults.m_platform_up = !f.m_faults.m_platform_up;
+    f.m_faults.m_loss = chance(0.5) ? 0.3 : 0;
+    f.m_faults.m_delay = milliseconds(chance(0.3) ? 1500 : 5);
+}
+
+}
+
+SCENARIO("A workspace's rate and burst hold over all daemons together")
+{
+    GIVEN("daemons that are paused, restarted, cut off and slow to hear")
+    {
+        const unsigned seed = GENERATE(range(1U, 61U));
+        fake_fleet f(3 + seed % 6, rate, burst, seed);
+        const std::vector<std::size_t> all{0, 1, 2};
+        run_for(f, seconds(8));
+        WHEN("each of three is sent more than the whole rate")
+        {
+            for (int i = 0; i < 40; ++i)
+            {
+                hurt(f);
+                offer_for(f, seconds(1), 1.2 * rate, all);
+            }
+            THEN("no window admits more than burst + rate * length")
+            {
+                INFO("seed " << seed);
+                CHECK(f.m_over_limit == 0);
+                CHECK(f.m_admitted > 0);
+            }
+        }
+    }
+}
+
+SCENARIO("Inside its rate a workspace is served wherever its traffic is")
+{
+    GIVEN("eight daemons on a sound network")
+    {
+        const unsigned seed = GENERATE(range(1U, 6U));
+        fake_fleet f(8, rate, burst, seed);
+        run_for(f, seconds(8));
+        REQUIRE(held_by_all(f) == 40);
+        const std::vector<std::size_t> one{3};
+        WHEN("all of it sits on one of them")
+        {
+            const std::size_t refused =
+                offer_for(f, seconds(20), 0.95 * rate, one);
+            THEN("nothing is refused")
+            {
+                CHECK(refused == 0);
+                CHECK(f.m_over_limit == 0);
+            }
+            AND_WHEN("it moves to another one")
+            {
+                const std::vector<std::size_t> other{6};
+                const std::size_t after_move =
+                    offer_for(f, seconds(20), 0.95 * rate, other);
+                THEN("still nothing is refused")
+                {
+                    CHECK(after_move == 0);
+                    CHECK(f.m_over_limit == 0);
+                }
+            }
+        }
+        WHEN("it is spread over all of them")
+        {
+            const std::vector<std::size_t> all{0, 1, 2, 3, 4, 5, 6, 7};
+            const std::size_t refused =
+                offer_for(f, seconds(20), 0.95 * rate / 8, all);
+            THEN("nothing is refused")
+            {
+                CHECK(refused == 0);
+                CHECK(f.m_over_limit == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("A cut-off daemon spends what it holds and no more")
+{
+    GIVEN("three daemons of which one hears nothing any more")
+    {
+        fake_fleet f(3, rate, burst, 7);
+        run_for(f, seconds(8));
+        const std::vector<std::size_t> cut{2};
+        WHEN("the platform is down and everything is lost")
+        {
+            f.m_faults = {1.0, milliseconds(2), false};
+            run_for(f, standing_bound + loan_term + seconds(1));
+            THEN("its share ends with its standing")
+            {
+                CHECK(held_by_all(f) == 0);
+                CHECK(offer_for(f, seconds(2), rate, cut) > 0);
+                CHECK(f.m_over_limit == 0);
+            }
+        }
+        WHEN("only the platform is down")
+        {
+            f.m_faults.m_platform_up = false;
+            run_for(f, seconds(60));
+            THEN("the daemons vouch for each other and keep their shares")
+            {
+                CHECK(held_by_all(f) == 40);
+            }
+        }
+    }
+}
