--- a/Tests/support/caller.cpp
+++ b/Tests/support/caller.cpp
@@ -10,21 +10,6 @@
 
 constexpr std::string_view session_header = "x-bluebellspoke-session";
 
-reply to_reply(http2_result& result)
-{
-    reply r;
-    if (const auto* failure = std::get_if<http2_failure>(&result))
-    {
-        r.m_failure = *failure;
-        return r;
-    }
-    auto& response = std::get<http2_response>(result);
-    r.m_status = response.m_status;
-    r.m_headers = std::move(response.m_headers);
-    r.m_body = std::move(response.m_body);
-    return r;
-}
-
 std::string text_field(const nlohmann::json& body, const char* field)
 {
     return body.is_object() ? body.value(field, std::string()) : std::string();
@@ -42,6 +27,21 @@
 
 }
 
+reply to_reply(http2_result& result)
+{
+    reply r;
+    if (const auto* failure = std::get_if<http2_failure>(&result))
+    {
+        r.m_failure = *failure;
+        return r;
+    }
+    auto& response = std::get<http2_response>(result);
+    r.m_status = response.m_status;
+    r.m_headers = std::move(response.m_headers);
+    r.m_body = std::move(response.m_body);
+    return r;
+}
+
 nlohmann::json reply::json() const
 {
     nlohmann::json body = nlohmann::json::parse(m_body, nullptr, false);
--- a/Tests/support/caller.hpp
+++ b/Tests/support/caller.hpp
@@ -29,6 +29,8 @@
     std::string outcome() const;
 };
 
+reply to_reply(http2_result& result);
+
 /// A caller that waits for each answer.
 class caller
 {
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -32,6 +32,13 @@
     return folder == nullptr ? std::string() : std::string(folder) + "/" + name;
 }
 
+// A relay before an endpoint is crossed by daemons and replicas alike, so a cut
+// there parts the endpoint from both.
+address reached_at(const endpoint_node& e)
+{
+    return e.m_relay ? e.m_relay->local() : e.m_address;
+}
+
 void add_endpoint(fleet& f, std::size_t index)
 {
     const fleet_options& o = f.m_options;
@@ -53,7 +60,7 @@
     if (index > 0)
     {
         e.m_command.emplace_back("--follow");
-        e.m_command.push_back(to_string(f.m_endpoints.front().m_address));
+        e.m_command.push_back(to_string(reached_at(f.m_endpoints.front())));
     }
     start_endpoint(e);
     if (o.m_relays)
@@ -99,9 +106,8 @@
     json endpoints = json::array();
     for (const endpoint_node& e : f.m_endpoints)
     {
-        const address& a = e.m_relay ? e.m_relay->local() : e.m_address;
         endpoints.push_back({{"name", e.m_name},
-                             {"address", to_string(a)},
+                             {"address", to_string(reached_at(e))},
                              {"zone", e.m_zone}});
     }
     return {{"kind", "service"},
--- a/Tests/support/relay.cpp
+++ b/Tests/support/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -57,6 +58,7 @@
 };
 
 constexpr std::size_t mailbox_size = 64;
+constexpr std::size_t record_bytes = std::size_t{32} << 20U;
 
 }
 
@@ -77,6 +79,8 @@
     std::list<std::unique_ptr<relayed>> m_connections;
     bool m_cut_forth = false;
     bool m_cut_back = false;
+    std::mutex m_record_guard;
+    std::string m_record; ///< What went to the target.
     std::thread m_thread;
 };
 
@@ -88,6 +92,14 @@
     return w.m_to_target ? s.m_cut_forth : s.m_cut_back;
 }
 
+void record(relay::state& s, std::string_view bytes)
+{
+    const std::lock_guard lock(s.m_record_guard);
+    s.m_record.append(bytes);
+    if (s.m_record.size() > record_bytes)
+        s.m_record.erase(0, s.m_record.size() - record_bytes / 2);
+}
+
 void pass_due(relay::state& s, way& w)
 {
     const time_point now = monotonic_clock::now();
@@ -95,6 +107,8 @@
            w.m_waiting.front().first <= now)
     {
         const std::string& bytes = w.m_waiting.front().second;
+        if (w.m_to_target)
+            record(s, bytes);
         bufferevent_write(w.m_out, bytes.data(), bytes.size());
         w.m_waiting.pop_front();
     }
@@ -254,6 +268,12 @@
     cut(false, false);
 }
 
+bool relay::passed(std::string_view bytes) const
+{
+    const std::lock_guard lock(m_state->m_record_guard);
+    return m_state->m_record.find(bytes) != std::string::npos;
+}
+
 void relay::drop_connections()
 {
     m_state->m_box.post(drop_wanted());
--- a/Tests/support/relay.hpp
+++ b/Tests/support/relay.hpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <string_view>
 
 #include <model/address.hpp>
 
@@ -27,6 +28,9 @@
     /// Holds back what goes to the target, and what comes from it.
     void cut(bool to_target, bool from_target);
     void heal();
+    /// True when these bytes have gone to the target in one piece. The last
+    /// 32 MB are known.
+    bool passed(std::string_view bytes) const;
     /// Closes every connection that runs through it.
     void drop_connections();
 
