whole: Carry the session token of a commit on

Cause: the story read with the token from before its commit, and so could see a replica 20 ms behind; that is the promise as stated, not a fault of it. The story now carries the token that the commit's answer brings, and demands as much as before.

Also: tests take a loopback number of their own process, since two that ran side by side took each other's ports and one daemon never came up.

--- a/Tests/support/caller.cpp
+++ b/Tests/support/caller.cpp
@@ -119,12 +119,17 @@
             {}};
 }
 
-reply run_statement(caller& c, session& s, const nlohmann::json& body)
+void keep_token(session& s, const reply& r)
 {
-    reply r = c.send(statement_request(s, body));
     const std::string_view token = find_header(r.m_headers, session_header);
     if (!token.empty())
         s.m_token = token;
+}
+
+reply run_statement(caller& c, session& s, const nlohmann::json& body)
+{
+    reply r = c.send(statement_request(s, body));
+    keep_token(s, r);
     return r;
 }
 
--- a/Tests/support/caller.hpp
+++ b/Tests/support/caller.hpp
@@ -62,6 +62,8 @@
 http2_request begin_request(const session& s);
 http2_request end_request(const session& s, const std::string& transaction,
                           const std::string& verb);
+/// Takes over the session token that a reply brings, if it brings one.
+void keep_token(session& s, const reply& r);
 /// Sends a statement and keeps the new session token.
 reply run_statement(caller& c, session& s, const nlohmann::json& body);
 
--- a/Tests/support/certificates.cpp
+++ b/Tests/support/certificates.cpp
@@ -7,6 +7,8 @@
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
 
+#include <support/loopback.hpp>
+
 namespace bluebellspoke::support
 {
 
@@ -116,7 +118,8 @@
     const certificate_ptr made = make_certificate(key.get(), name);
     X509_set_issuer_name(made.get(),
                          X509_get_subject_name(s.m_certificate.get()));
-    add_extension(made.get(), NID_subject_alt_name, "IP:127.0.0.1");
+    const std::string names = "IP:127.0.0.1,IP:" + test_host();
+    add_extension(made.get(), NID_subject_alt_name, names.c_str());
     X509_sign(made.get(), s.m_key.get(), EVP_sha256());
     tls_files files{s.m_folder / (name + ".pem"), s.m_folder / (name + ".key"),
                     authorities()};
--- a/Tests/support/certificates.hpp
+++ b/Tests/support/certificates.hpp
@@ -22,7 +22,7 @@
     std::filesystem::path m_path;
 };
 
-/// An authority that signs certificates for 127.0.0.1.
+/// An authority that signs certificates for 127.0.0.1 and test_host().
 class test_authority
 {
 public:
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <cstdlib>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -11,7 +10,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
-#include <wire/socket_address.hpp>
+#include <support/loopback.hpp>
 
 namespace bluebellspoke::support
 {
@@ -45,7 +44,7 @@
     endpoint_node e;
     e.m_name = "e" + std::to_string(index + 1);
     e.m_zone = zone_name(o, index);
-    e.m_address = {"127.0.0.1", free_port()};
+    e.m_address = free_address();
     e.m_command = {TEST_ENDPOINT,
                    "--listen",
                    to_string(e.m_address),
@@ -86,9 +85,9 @@
     daemon_node d;
     d.m_name = "vm-" + std::to_string(index + 1);
     d.m_zone = zone_name(f.m_options, index);
-    d.m_callers = {"127.0.0.1", free_port()};
-    d.m_peers = {"127.0.0.1", free_port()};
-    d.m_admin = {"127.0.0.1", free_port()};
+    d.m_callers = free_address();
+    d.m_peers = free_address();
+    d.m_admin = free_address();
     address platform = f.m_platform_address;
     if (f.m_options.m_relays)
     {
@@ -153,21 +152,9 @@
 
 }
 
-std::uint16_t free_port()
-{
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const socket_address any = to_socket_address({"127.0.0.1", 0});
-    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&any.m_storage),
-             any.m_length) != 0)
-        throw spawn_error();
-    const std::uint16_t port = local_address(descriptor).m_port;
-    close(descriptor);
-    return port;
-}
-
 fleet::fleet(const fleet_options& options) : m_options(options)
 {
-    m_platform_address = {"127.0.0.1", free_port()};
+    m_platform_address = free_address();
     std::vector<std::string> command{TEST_PLATFORM, "--listen",
                                      to_string(m_platform_address)};
     if (options.m_authority != nullptr)
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -66,9 +66,6 @@
     std::vector<daemon_node> m_daemons;
 };
 
-/// A port on loopback that is free now.
-std::uint16_t free_port();
-
 /// Starts a daemon's process anew.
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
--- a/Tests/whole/first_path_test.cpp
+++ b/Tests/whole/first_path_test.cpp
@@ -78,8 +78,9 @@
                         .json()
                         .at("rows")
                         .empty());
-            REQUIRE(first.send(end_request(clerk, id, "commit")).m_status ==
-                    200);
+            const reply done = first.send(end_request(clerk, id, "commit"));
+            REQUIRE(done.m_status == 200);
+            keep_token(clerk, done);
             REQUIRE(run_statement(first, clerk, read_bear())
                         .json()
                         .at("rows")
