--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -1,6 +1,7 @@
 #include <daemon/admin_task.hpp>
 
 #include <csignal>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,6 +22,7 @@
 {
 
 constexpr std::size_t dumping_tasks = 3;  // front, pool, control
+constexpr std::size_t counting_tasks = 3; // front, pool, control
 constexpr std::size_t draining_tasks = 2; // front, pool
 
 struct evhttp_deleter
@@ -37,6 +39,13 @@
     std::map<std::string, nlohmann::json> m_parts;
 };
 
+struct open_scrape
+{
+    evhttp_request* m_request = nullptr;
+    std::size_t m_tasks = 0; ///< That have answered.
+    metric_families m_families;
+};
+
 struct admin_state
 {
     admin_state(const daemon_settings& daemon, mailboxes& boxes);
@@ -52,6 +61,7 @@
     timer m_drain_limit;
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, open_dump> m_dumps;
+    std::map<std::uint64_t, open_scrape> m_scrapes;
     std::set<std::string> m_drained;
 };
 
@@ -129,6 +139,31 @@
     a.m_boxes.m_control.post(dump_wanted{ticket});
 }
 
+void on_metrics(evhttp_request* request, void* user)
+{
+    auto& a = *static_cast<admin_state*>(user);
+    const std::uint64_t ticket = a.m_next_ticket++;
+    a.m_scrapes[ticket].m_request = request;
+    a.m_boxes.m_front.post(metrics_wanted{ticket});
+    a.m_boxes.m_pool.post(metrics_wanted{ticket});
+    a.m_boxes.m_control.post(metrics_wanted{ticket});
+}
+
+void take_metrics(admin_state& a, task_metrics& metrics)
+{
+    const auto found = a.m_scrapes.find(metrics.m_ticket);
+    if (found == a.m_scrapes.end())
+        return;
+    open_scrape& open = found->second;
+    std::move(metrics.m_families.begin(), metrics.m_families.end(),
+              std::back_inserter(open.m_families));
+    if (++open.m_tasks < counting_tasks)
+        return;
+    reply(open.m_request, HTTP_OK, to_text(open.m_families),
+          "text/plain; version=0.0.4");
+    a.m_scrapes.erase(found);
+}
+
 void on_unknown(evhttp_request* request, void*)
 {
     reply(request, HTTP_NOTFOUND, "{\"error\":\"not_found\"}\n",
@@ -160,6 +195,10 @@
             {
                 take_dump(a, m);
             },
+            [&](task_metrics& m)
+            {
+                take_metrics(a, m);
+            },
             [&](settings_changed&)
             {
                 fire(a, daemon_event::configured);
@@ -202,6 +241,7 @@
     evhttp_set_cb(a.m_http.get(), "/health", on_health, &a);
     evhttp_set_cb(a.m_http.get(), "/ready", on_ready, &a);
     evhttp_set_cb(a.m_http.get(), "/dump", on_dump, &a);
+    evhttp_set_cb(a.m_http.get(), "/metrics", on_metrics, &a);
     evhttp_set_gencb(a.m_http.get(), on_unknown, &a);
 }
 
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -50,6 +50,18 @@
         .dump();
 }
 
+metric_families collect_control(const control_state& c)
+{
+    metric_families families;
+    add_value(families, metric_id::settings_version, {},
+              static_cast<double>(c.m_version));
+    add_value(families, metric_id::fleet_members, {},
+              static_cast<double>(c.m_members));
+    add_value(families, metric_id::platform_answers, {},
+              c.m_platform_answers ? 1 : 0);
+    return families;
+}
+
 void on_message(control_state& c, control_message& message)
 {
     std::visit(
@@ -64,6 +76,11 @@
                 c.m_boxes.m_admin.post(
                     state_dump{m.m_ticket, "control", describe_control(c)});
             },
+            [&](metrics_wanted& m)
+            {
+                c.m_boxes.m_admin.post(
+                    task_metrics{m.m_ticket, collect_control(c)});
+            },
         },
         message);
 }
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -149,7 +149,7 @@
 
 }
 
-void admit(front_state& f, arrived_request& arrived)
+void admit(front_state& f, arrived_request& arrived, request_context& context)
 {
     if (arrived.m_oversized)
         throw refused(refusal::body_too_large);
@@ -161,10 +161,10 @@
         throw refused(refusal::draining);
     const access_grant grant = check_access(f, r, arrived.m_request);
     const time_point now = monotonic_clock::now();
+    context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
+               grant.m_key != nullptr ? grant.m_key->m_id : std::string(), now};
     pool_request request;
-    request.m_context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
-                         grant.m_key != nullptr ? grant.m_key->m_id
-                                                : std::string()};
+    request.m_context = context;
     request.m_operation = r.m_operation;
     request.m_session = read_session(f, *grant.m_workspace, arrived.m_request);
     request.m_deadline = deadline_of(r.m_statement, *grant.m_workspace, now);
@@ -179,6 +179,13 @@
 
 void answer_request(front_state& f, request_outcome& outcome)
 {
+    const request_context& context = outcome.m_context;
+    const std::string_view workspace = context.m_workspace->m_name;
+    if (const auto* r = std::get_if<refused>(&outcome.m_result))
+        count_refused(f.m_counts, workspace, *r);
+    else
+        count_served(f.m_counts, workspace,
+                     monotonic_clock::now() - context.m_arrived_at);
     f.m_server->respond(outcome.m_context.m_exchange,
                         encode_outcome(f, outcome));
 }
--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <daemon/daemon_settings.hpp>
+#include <daemon/front_metrics.hpp>
 #include <daemon/messages.hpp>
 #include <decide/rate_bucket.hpp>
 #include <wire/http2_server.hpp>
@@ -26,10 +27,12 @@
     std::size_t m_members = 1;
     std::map<std::string, rate_bucket, std::less<>> m_buckets;
     bool m_draining = false;
+    front_counts m_counts{};
 };
 
-/// Checks one request and sends it to the pool. Throws refused.
-void admit(front_state& f, arrived_request& arrived);
+/// Checks one request and sends it to the pool. Throws refused; `context` then
+/// says for whom, if that is known.
+void admit(front_state& f, arrived_request& arrived, request_context& context);
 /// Answers a request whose outcome the pool has sent.
 void answer_request(front_state& f, request_outcome& outcome);
 /// Fits the rate buckets to the settings and the number of daemons.
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -14,12 +14,17 @@
 
 void on_request(front_state& f, arrived_request& arrived)
 {
+    request_context context;
     try
     {
-        admit(f, arrived);
+        admit(f, arrived, context);
     }
     catch (const refused& r)
     {
+        const workspace_view* workspace = context.m_workspace;
+        count_refused(
+            f.m_counts,
+            workspace == nullptr ? std::string_view() : workspace->m_name, r);
         f.m_server->respond(arrived.m_exchange, encode_refusal(r));
     }
 }
@@ -73,6 +78,11 @@
                 f.m_boxes.m_admin.post(
                     state_dump{m.m_ticket, "front", describe_front(f)});
             },
+            [&](metrics_wanted& m)
+            {
+                f.m_boxes.m_admin.post(
+                    task_metrics{m.m_ticket, collect_front(f)});
+            },
         },
         message);
 }
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -10,6 +10,7 @@
 #include <decide/settings_view.hpp>
 #include <model/refusal.hpp>
 #include <model/statement.hpp>
+#include <report/metric.hpp>
 #include <task/mailbox.hpp>
 #include <wire/http2_server.hpp>
 
@@ -34,6 +35,7 @@
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
     std::string m_key_id; ///< Empty on a route open to all.
+    time_point m_arrived_at{};
 };
 
 /// front → pool: run this.
@@ -104,21 +106,35 @@
     std::string m_json;
 };
 
+/// admin → every task: say what you count.
+struct metrics_wanted
+{
+    std::uint64_t m_ticket = 0;
+};
+
+/// every task → admin: what it counts.
+struct task_metrics
+{
+    std::uint64_t m_ticket = 0;
+    metric_families m_families;
+};
+
 /// front, pool → admin: no request of mine is left.
 struct task_drained
 {
     std::string m_task;
 };
 
-using front_message =
-    std::variant<request_outcome, settings_changed, session_secrets,
-                 fleet_changed, drain_begun, stop_wanted, dump_wanted>;
+using front_message = std::variant<request_outcome, settings_changed,
+                                   session_secrets, fleet_changed, drain_begun,
+                                   stop_wanted, dump_wanted, metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
-                 stop_wanted, dump_wanted>;
-using control_message = std::variant<drain_begun, stop_wanted, dump_wanted>;
-using admin_message = std::variant<state_dump, settings_changed, task_drained,
-                                   drain_begun, stop_wanted>;
+                 stop_wanted, dump_wanted, metrics_wanted>;
+using control_message =
+    std::variant<drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
+using admin_message = std::variant<state_dump, task_metrics, settings_changed,
+                                   task_drained, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -110,6 +110,7 @@
     c.m_request = &r;
     c.m_running = true;
     ++c.m_endpoint.m_view.m_running;
+    count_hand_over(r.m_pool.m_counts, r);
     if (r.m_transaction != nullptr)
         tell_transaction(r);
     c.m_pg->submit(query_for(r),
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -141,6 +141,8 @@
 
 void take_for_request(request& r, pool_endpoint& e, pg_reply& reply)
 {
+    if (!reply.m_lost)
+        count_endpoint_answer(e.m_group.m_pool.m_counts, r);
     try
     {
         if (reply.m_lost)
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -96,6 +96,7 @@
     switch (action)
     {
     case request_action::deliver:
+        count_answer(r.m_pool.m_counts, r);
         end_with(r, std::move(r.m_answer));
         break;
     case request_action::await_majority:
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -13,6 +13,7 @@
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/pool_charts.hpp>
+#include <daemon/pool_metrics.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/routing.hpp>
 #include <endpoint/pg_connection.hpp>
@@ -46,6 +47,7 @@
     term_number m_term = 0;                    ///< That it was handed over in.
     unsigned m_attempts = 0;
     time_point m_handed_over_at{};
+    time_point m_answered_at{}; ///< By the endpoint.
     answer m_answer;
     std::optional<refused> m_refusal;
     timer m_deadline;
@@ -128,6 +130,7 @@
     std::map<std::string, std::unique_ptr<transaction>, std::less<>>
         m_transactions;
     std::uint64_t m_next_transaction = 1;
+    pool_counts m_counts;
     bool m_draining = false;
     /// Closed connections wait here until nothing on the stack uses them.
     std::vector<std::unique_ptr<pooled_connection>> m_closed_connections;
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -41,6 +41,11 @@
                 p.m_boxes.m_admin.post(
                     state_dump{m.m_ticket, "pool", describe_pool(p)});
             },
+            [&](metrics_wanted& m)
+            {
+                p.m_boxes.m_admin.post(
+                    task_metrics{m.m_ticket, collect_pool(p)});
+            },
         },
         message);
 }
--- /dev/null
+++ b/Source/report/metric.cpp
@@ -0,0 +1,188 @@
+#include <report/metric.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <sstream>
+
+#include <prometheus/text_serializer.h>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::array catalogue{
+    metric_entry{metric_id::requests, metric_type::counter,
+                 "bluebellspoke_requests_total", "workspace,result",
+                 "requests by outcome: served, refused, or unknown"},
+    metric_entry{metric_id::refusals, metric_type::counter,
+                 "bluebellspoke_refusals_total", "error,outcome",
+                 "refusals by code and by what became of the request"},
+    metric_entry{metric_id::workspace_latency, metric_type::histogram,
+                 "bluebellspoke_request_seconds", "workspace",
+                 "time from a request's arrival to its answer"},
+    metric_entry{metric_id::workspace_rate, metric_type::gauge,
+                 "bluebellspoke_workspace_rate", "workspace",
+                 "statements a second allowed over the whole fleet"},
+    metric_entry{metric_id::open_requests, metric_type::gauge,
+                 "bluebellspoke_open_requests", "",
+                 "requests that wait for their answer"},
+    metric_entry{metric_id::caller_connections, metric_type::gauge,
+                 "bluebellspoke_caller_connections", "",
+                 "open connections from callers"},
+    metric_entry{metric_id::statements, metric_type::counter,
+                 "bluebellspoke_statements_total", "kind,role",
+                 "statements answered, by kind and by the endpoint's role"},
+    metric_entry{metric_id::queue_time, metric_type::histogram,
+                 "bluebellspoke_queue_seconds", "kind",
+                 "time from a request's arrival to its hand-over"},
+    metric_entry{metric_id::endpoint_time, metric_type::histogram,
+                 "bluebellspoke_endpoint_seconds", "kind",
+                 "time from a request's hand-over to the endpoint's answer"},
+    metric_entry{metric_id::confirm_time, metric_type::histogram,
+                 "bluebellspoke_confirm_seconds", "",
+                 "time from a write's commit to its majority"},
+    metric_entry{metric_id::retries, metric_type::counter,
+                 "bluebellspoke_retries_total", "",
+                 "hand-overs after a request's first"},
+    metric_entry{metric_id::last_write, metric_type::gauge,
+                 "bluebellspoke_write_age_seconds", "",
+                 "time since the last acknowledged write; -1 before the first"},
+    metric_entry{metric_id::queued_requests, metric_type::gauge,
+                 "bluebellspoke_pool_requests", "state",
+                 "requests in the pool, by state"},
+    metric_entry{metric_id::endpoint_state, metric_type::gauge,
+                 "bluebellspoke_endpoints", "state",
+                 "endpoints by state: primary, replica, closed or unreachable"},
+    metric_entry{metric_id::endpoint_running, metric_type::gauge,
+                 "bluebellspoke_running_statements", "",
+                 "statements that take a slot at an endpoint"},
+    metric_entry{metric_id::endpoint_connections, metric_type::gauge,
+                 "bluebellspoke_endpoint_connections", "",
+                 "connections to endpoints for statements"},
+    metric_entry{metric_id::settings_version, metric_type::gauge,
+                 "bluebellspoke_settings_version", "",
+                 "version of the settings in force"},
+    metric_entry{metric_id::fleet_members, metric_type::gauge,
+                 "bluebellspoke_fleet_members", "",
+                 "daemons that share the rates"},
+    metric_entry{metric_id::platform_answers, metric_type::gauge,
+                 "bluebellspoke_platform_answers", "",
+                 "1 while the platform's service answers, else 0"},
+};
+
+const metric_entry& entry_of(metric_id id)
+{
+    return catalogue[static_cast<std::size_t>(id)];
+}
+
+prometheus::MetricType to_prometheus(metric_type type)
+{
+    switch (type)
+    {
+    case metric_type::counter:
+        return prometheus::MetricType::Counter;
+    case metric_type::histogram:
+        return prometheus::MetricType::Histogram;
+    case metric_type::gauge:
+        break;
+    }
+    return prometheus::MetricType::Gauge;
+}
+
+prometheus::MetricFamily& family_of(metric_families& families,
+                                    const metric_entry& entry)
+{
+    const auto found = std::find_if(families.begin(), families.end(),
+                                    [&](const prometheus::MetricFamily& family)
+                                    {
+                                        return family.name == entry.m_name;
+                                    });
+    if (found != families.end())
+        return *found;
+    return families.emplace_back(
+        prometheus::MetricFamily{std::string(entry.m_name),
+                                 std::string(entry.m_meaning),
+                                 to_prometheus(entry.m_type),
+                                 {}});
+}
+
+std::vector<prometheus::ClientMetric::Label> to_labels(std::string_view names,
+                                                       label_values values)
+{
+    std::vector<prometheus::ClientMetric::Label> labels;
+    for (const std::string_view value : values)
+    {
+        const std::size_t comma = names.find(',');
+        labels.push_back(
+            {std::string(names.substr(0, comma)), std::string(value)});
+        names.remove_prefix(comma == std::string_view::npos ? names.size()
+                                                            : comma + 1);
+    }
+    return labels;
+}
+
+}
+
+std::span<const metric_entry> metric_catalogue() noexcept
+{
+    return catalogue;
+}
+
+std::string_view to_string(metric_type type) noexcept
+{
+    switch (type)
+    {
+    case metric_type::counter:
+        return "counter";
+    case metric_type::histogram:
+        return "histogram";
+    case metric_type::gauge:
+        break;
+    }
+    return "gauge";
+}
+
+void add_value(metric_families& families, metric_id id, label_values labels,
+               double value)
+{
+    const metric_entry& entry = entry_of(id);
+    prometheus::ClientMetric metric;
+    metric.label = to_labels(entry.m_labels, labels);
+    if (entry.m_type == metric_type::counter)
+        metric.counter.value = value;
+    else
+        metric.gauge.value = value;
+    family_of(families, entry).metric.push_back(std::move(metric));
+}
+
+void add_histogram(metric_families& families, metric_id id, label_values labels,
+                   const latency_histogram& histogram)
+{
+    const metric_entry& entry = entry_of(id);
+    prometheus::ClientMetric metric;
+    metric.label = to_labels(entry.m_labels, labels);
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < histogram.m_buckets.size(); ++i)
+    {
+        total += histogram.m_buckets[i];
+        const double bound = i < latency_bounds.size()
+                                 ? latency_bounds[i]
+                                 : std::numeric_limits<double>::infinity();
+        metric.histogram.bucket.push_back({total, bound});
+    }
+    metric.histogram.sample_count = total;
+    metric.histogram.sample_sum = histogram.m_sum;
+    family_of(families, entry).metric.push_back(std::move(metric));
+}
+
+std::string to_text(const metric_families& families)
+{
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, families);
+    return std::move(out).str();
+}
+
+}
--- /dev/null
+++ b/Source/report/metric.hpp
@@ -0,0 +1,77 @@
+#ifndef BLUEBELLSPOKE_REPORT_METRIC_HPP
+#define BLUEBELLSPOKE_REPORT_METRIC_HPP
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <prometheus/metric_family.h>
+
+#include <report/latency_histogram.hpp>
+
+namespace bluebellspoke
+{
+
+/// Metric families; docs/METRICS.md is their catalogue.
+enum class metric_id : std::uint8_t
+{
+    requests,
+    refusals,
+    workspace_latency,
+    workspace_rate,
+    open_requests,
+    caller_connections,
+    statements,
+    queue_time,
+    endpoint_time,
+    confirm_time,
+    retries,
+    last_write,
+    queued_requests,
+    endpoint_state,
+    endpoint_running,
+    endpoint_connections,
+    settings_version,
+    fleet_members,
+    platform_answers,
+};
+
+enum class metric_type : std::uint8_t
+{
+    counter,
+    gauge,
+    histogram,
+};
+
+struct metric_entry
+{
+    metric_id m_id;
+    metric_type m_type;
+    std::string_view m_name;
+    std::string_view m_labels; ///< Comma-separated; empty: none.
+    std::string_view m_meaning;
+};
+
+/// Every family, in the order of metric_id.
+std::span<const metric_entry> metric_catalogue() noexcept;
+std::string_view to_string(metric_type type) noexcept;
+
+using metric_families = std::vector<prometheus::MetricFamily>;
+/// Values of the labels, in the order in which the catalogue names them.
+using label_values = std::span<const std::string_view>;
+
+/// Adds one value of a counter or gauge.
+void add_value(metric_families& families, metric_id id, label_values labels,
+               double value);
+void add_histogram(metric_families& families, metric_id id, label_values labels,
+                   const latency_histogram& histogram);
+
+/// The text format that Prometheus reads.
+std::string to_text(const metric_families& families);
+
+}
+
+#endif
