--- a/Tests/report/catalogue_pages_test.cpp
+++ b/Tests/report/catalogue_pages_test.cpp
@@ -84,6 +84,8 @@
         return std::to_string(o.m_least) + " to " + std::to_string(o.m_most);
     case option_type::address:
         return "IP:port";
+    case option_type::file:
+        return "an existing file";
     case option_type::folder:
         return "an existing folder";
     case option_type::flag:
@@ -94,13 +96,18 @@
     return "text";
 }
 
+bool is_optional(const option_spec& o)
+{
+    return o.m_type == option_type::flag || o.m_type == option_type::file;
+}
+
 // The charts' default is a path of the build and differs between machines.
 std::string default_of(const option_spec& o)
 {
     if (o.m_type == option_type::folder)
         return "the installed one";
     if (o.m_default.empty())
-        return o.m_type == option_type::flag ? "" : "must be given";
+        return is_optional(o) ? "" : "must be given";
     return code(o.m_default);
 }
 
