standing: Refuse without standing, relay settings, end withdrawn keys

Cause: standing was decided but not used; every daemon watched the platform by itself; a withdrawn key ended nothing that ran; a drain sent GOAWAY at once, so that an open transaction could not be committed any more.

Control judges standing and tells the front the time up to which it may serve; the front compares that time at each admission, so a late or paused control task can't keep it serving. One daemon a zone keeps a short watch; the others hear over heartbeats, fetch from peers, and ask the platform by themselves once nobody confirmed for a second. An answer from an older copy of the store is not taken. Withdrawn keys end their requests and transactions in the pool by digest. A drain goes: not ready, grace, notice to callers, GOAWAY with the last taken request, half-close. Endpoints and zones have charts and return by steps.

Ruled out: GOAWAY with the last request at once (loses requests on their way); one long watch a daemon (an open watch confirms nothing, and 4,100 of them take the platform's calls).

--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -1,5 +1,6 @@
 #include <daemon/admin_task.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -20,6 +21,8 @@
 namespace
 {
 
+// For refusals to reach their callers after the drain's limit.
+constexpr std::chrono::seconds cut_limit{2};
 constexpr std::size_t dumping_tasks = 3;  // front, pool, control
 constexpr std::size_t draining_tasks = 2; // front, pool
 
@@ -49,7 +52,9 @@
     std::unique_ptr<evhttp, evhttp_deleter> m_http;
     event_ptr m_terminate;
     event_ptr m_interrupt;
+    timer m_grace;
     timer m_drain_limit;
+    time_point m_standing_until = time_point::min();
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, open_dump> m_dumps;
     std::set<std::string> m_drained;
@@ -63,17 +68,29 @@
     boxes.m_control.post(Message());
 }
 
+std::chrono::microseconds to_microseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(d);
+}
+
 void act(admin_state& a, daemon_action action)
 {
     switch (action)
     {
-    case daemon_action::begin_drain:
+    case daemon_action::begin_grace:
         log_event(event_id::daemon_draining);
-        a.m_drain_limit.start_once(
-            std::chrono::duration_cast<std::chrono::microseconds>(
-                a.m_daemon.m_drain_limit));
+        a.m_grace.start_once(to_microseconds(a.m_daemon.m_drain_grace));
+        break;
+    case daemon_action::begin_drain:
+        a.m_drain_limit.start_once(to_microseconds(a.m_daemon.m_drain_limit));
         tell_all<drain_begun>(a.m_boxes);
         break;
+    case daemon_action::cut_work:
+        log_event(event_id::drain_cut);
+        a.m_drain_limit.start_once(cut_limit);
+        a.m_boxes.m_pool.post(work_cut());
+        a.m_boxes.m_front.post(work_cut());
+        break;
     case daemon_action::stop_tasks:
         tell_all<stop_wanted>(a.m_boxes);
         stop(a.m_loop);
@@ -88,6 +105,7 @@
                    {
                        act(a, action);
                    });
+    a.m_boxes.m_control.post(life_changed{std::string(to_string(a.m_state))});
 }
 
 void on_signal(evutil_socket_t, short, void* user)
@@ -113,8 +131,10 @@
 void on_ready(evhttp_request* request, void* user)
 {
     const auto& a = *static_cast<admin_state*>(user);
-    const bool ready = a.m_state == daemon_state::serving;
-    const nlohmann::json body{{"state", to_string(a.m_state)}};
+    const bool stands = monotonic_clock::now() <= a.m_standing_until;
+    const bool ready = a.m_state == daemon_state::serving && stands;
+    const nlohmann::json body{{"state", to_string(a.m_state)},
+                              {"standing", stands}};
     reply(request, ready ? HTTP_OK : HTTP_SERVUNAVAIL, body.dump() + "\n",
           "application/json");
 }
@@ -160,9 +180,17 @@
             {
                 take_dump(a, m);
             },
-            [&](settings_changed&)
+            [&](settings_changed& m)
             {
+                const bool out =
+                    m.m_settings->m_zones_out.contains(a.m_daemon.m_zone);
                 fire(a, daemon_event::configured);
+                fire(a, out ? daemon_event::zone_taken_out
+                            : daemon_event::zone_put_back);
+            },
+            [&](standing_changed& m)
+            {
+                a.m_standing_until = m.m_until;
             },
             [&](task_drained& m)
             {
@@ -176,7 +204,6 @@
             },
             [&](stop_wanted&)
             {
-                fire(a, daemon_event::drain_expired);
                 stop(a.m_loop);
             },
         },
@@ -208,7 +235,11 @@
 admin_state::admin_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes),
       m_chart(load_daemon_chart(daemon.m_charts)), m_state(m_chart.initial()),
-      m_loop(make_loop()),
+      m_loop(make_loop()), m_grace(m_loop,
+                                   [this]
+                                   {
+                                       fire(*this, daemon_event::grace_over);
+                                   }),
       m_drain_limit(m_loop,
                     [this]
                     {
--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -18,7 +18,7 @@
     const auto* vms = std::get_if<std::vector<platform_vm>>(&result);
     if (vms == nullptr)
         return;
-    set_peers(c, *vms);
+    note_vms(c, *vms);
     const std::size_t members = std::max<std::size_t>(vms->size(), 1);
     if (members == c.m_members)
         return;
--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -1,6 +1,7 @@
 #include <daemon/control_state.hpp>
 
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include <daemon/overloaded.hpp>
@@ -15,6 +16,8 @@
 constexpr std::string_view peer_path = "/peer";
 constexpr std::chrono::seconds send_limit{1};
 constexpr std::chrono::milliseconds heartbeat_period{500};
+// No majority is one while nobody has said how many daemons there are.
+constexpr std::size_t unknown_members = std::numeric_limits<std::size_t>::max();
 constexpr int status_ok = 200;
 constexpr int status_malformed = 400;
 
@@ -28,7 +31,9 @@
             c.m_platform_answers,
             static_cast<std::uint64_t>(
                 std::chrono::ceil<std::chrono::milliseconds>(age).count()),
-            c.m_draining};
+            c.m_draining,
+            to_string(c.m_daemon.m_peer_listen),
+            c.m_daemon.m_zone};
 }
 
 // `asked_at` is when the message can have been sent at the earliest, as far as
@@ -41,6 +46,8 @@
         return;
     found->second.m_last = m;
     found->second.m_asked_at = asked_at;
+    fetch_from_peer(c);
+    tell_standing(c);
 }
 
 /// Takes one message of a peer and gives the answer to it.
@@ -48,11 +55,20 @@
 {
     return std::visit(
         overloaded{
-            [&](const peer_heartbeat&) -> peer_message
+            [&](const peer_heartbeat& m) -> peer_message
             {
+                note_caller(c, m);
                 return heartbeat_of(c);
             },
-            [&](const peer_declined&) -> peer_message
+            [&](const peer_settings_wanted& m) -> peer_message
+            {
+                return settings_for_peer(c, m.m_after);
+            },
+            [&](const peer_status_wanted&) -> peer_message
+            {
+                return status_of(c);
+            },
+            [&](const auto&) -> peer_message
             {
                 return peer_declined{c.m_daemon.m_name};
             },
@@ -125,7 +141,7 @@
                  std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
                  p.m_last->m_platform_answers});
     s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
-                c.m_members, s.m_witnesses};
+                c.m_vms_known ? c.m_members : unknown_members, s.m_witnesses};
     return s;
 }
 
--- a/Source/daemon/control_secrets.cpp
+++ b/Source/daemon/control_secrets.cpp
@@ -62,6 +62,7 @@
         for (const auto& secret : value.at("secrets"))
             if (secret.is_string())
                 secrets.m_secrets.push_back(secret.get<std::string>());
+    c.m_secrets = secrets.m_secrets;
     c.m_boxes.m_front.post(std::move(secrets));
 }
 
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -40,10 +41,26 @@
     mailboxes& m_boxes;
     loop m_loop;
     platform_client m_platform;
-    settings_tree m_tree;
+    /// Settings objects as they were last heard of, by name; the newest.
+    std::map<std::string, platform_object, std::less<>> m_objects;
+    std::set<std::string> m_refused; ///< Paths of nodes that can't be read.
+    settings_tree m_tree;            ///< The last good value of each node.
     std::uint64_t m_revision = 0; ///< Of the platform's store, as last heard.
-    std::uint64_t m_version = 0;  ///< Of the settings in force.
+    std::uint64_t m_version = 0;  ///< Of the settings, as last heard of.
+    bool m_published = false; ///< The other tasks have settings.
+    std::uint64_t m_front_version = 0;  ///< The front goes by it.
+    std::uint64_t m_pool_version = 0;   ///< The pool goes by it.
+    std::string m_life;                 ///< State of the daemon's life.
+    std::vector<std::string> m_secrets; ///< For session tokens.
     bool m_platform_answers = true;
+    bool m_asking_platform = false;
+    time_point m_asked_platform_at{};
+    bool m_asking_peer = false;
+    bool m_vms_known = false; ///< The list came from the platform or a peer.
+    std::vector<platform_vm> m_vms;
+    time_point m_started_at = monotonic_clock::now();
+    time_point m_next_question{}; ///< To the platform, at the earliest.
+    standing m_standing = standing::lapsed;
     /// When the last question was sent that the platform answered.
     time_point m_platform_confirmed_at{};
     std::size_t m_members = 1;
@@ -52,18 +69,35 @@
     std::map<std::string, peer, std::less<>> m_peers;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
-    timer m_retry_settings;
+    timer m_settings_tick;
     timer m_retry_secrets;
     timer m_vm_poll;
 };
 
 // control_settings.cpp
-/// Lists the whole tree, then watches it for good.
-void load_settings(control_state& c);
-void watch_settings(control_state& c);
+/// Asks the platform, or a peer, when there is reason to; again and again.
+void tend_settings(control_state& c);
+/// Objects that somebody knows to be newest, up to a version of the whole.
+void take_objects(control_state& c, std::span<const platform_object> objects,
+                  std::uint64_t version);
+/// The highest settings version that this daemon or a peer knows of.
+std::uint64_t newest_heard(const control_state& c);
 /// Notes that the platform answered or did not.
 void note_platform(control_state& c, bool answers);
 
+// control_relay.cpp
+/// Fetches from a peer what it knows newer, unless a question is under way.
+void fetch_from_peer(control_state& c);
+peer_settings settings_for_peer(const control_state& c, std::uint64_t after);
+peer_status status_of(const control_state& c);
+/// A daemon that knows no VM list learns the fleet from who calls it.
+void note_caller(control_state& c, const peer_heartbeat& m);
+void note_vms(control_state& c, std::span<const platform_vm> vms);
+
+// control_standing.cpp
+/// Judges standing and tells the front and the admin task.
+void tell_standing(control_state& c);
+
 // control_secrets.cpp
 /// Reads the fleet's session secrets, or makes them when there are none.
 void load_secrets(control_state& c);
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -43,6 +43,9 @@
 std::string describe_control(const control_state& c)
 {
     return nlohmann::json{{"settings_version", c.m_version},
+                          {"settings_in_force", status_of(c).m_in_force},
+                          {"settings_refused", c.m_refused},
+                          {"standing", to_string(c.m_standing)},
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
                           {"members", c.m_members},
@@ -54,7 +57,19 @@
 {
     std::visit(
         overloaded{
-            [&](drain_begun&) {},
+            [&](settings_taken& m)
+            {
+                (m.m_front ? c.m_front_version : c.m_pool_version) =
+                    m.m_version;
+            },
+            [&](life_changed& m)
+            {
+                c.m_life = std::move(m.m_state);
+            },
+            [&](drain_begun&)
+            {
+                c.m_draining = true;
+            },
             [&](stop_wanted&)
             {
                 stop(c.m_loop);
@@ -78,11 +93,11 @@
                                                        {
                                                            beat_peers(*this);
                                                        }),
-      m_retry_settings(m_loop,
-                       [this]
-                       {
-                           load_settings(*this);
-                       }),
+      m_settings_tick(m_loop,
+                      [this]
+                      {
+                          tend_settings(*this);
+                      }),
       m_retry_secrets(m_loop,
                       [this]
                       {
@@ -105,7 +120,7 @@
                                on_message(c, message);
                            });
     start_peers(c);
-    load_settings(c);
+    tend_settings(c);
     load_secrets(c);
     poll_vms(c);
     run(c.m_loop);
--- a/Source/daemon/daemon_chart.cpp
+++ b/Source/daemon/daemon_chart.cpp
@@ -8,11 +8,13 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> states{"starting", "serving",
-                                                 "draining", "stopped"};
-constexpr std::array<std::string_view, 4> events{"configured", "drain_asked",
-                                                 "drained", "drain_expired"};
-constexpr std::array<std::string_view, 2> actions{"begin_drain", "stop_tasks"};
+constexpr std::array<std::string_view, 7> states{
+    "starting", "serving", "out", "leaving", "draining", "cutting", "stopped"};
+constexpr std::array<std::string_view, 7> events{
+    "configured", "zone_taken_out", "zone_put_back", "drain_asked",
+    "grace_over", "drained",        "drain_expired"};
+constexpr std::array<std::string_view, 4> actions{"begin_grace", "begin_drain",
+                                                  "cut_work", "stop_tasks"};
 
 }
 
--- a/Source/daemon/daemon_chart.hpp
+++ b/Source/daemon/daemon_chart.hpp
@@ -13,21 +13,29 @@
 {
     starting,
     serving,
+    out,
+    leaving,
     draining,
+    cutting,
     stopped,
 };
 
 enum class daemon_event : std::uint8_t
 {
     configured,
+    zone_taken_out,
+    zone_put_back,
     drain_asked,
+    grace_over,
     drained,
     drain_expired,
 };
 
 enum class daemon_action : std::uint8_t
 {
+    begin_grace,
     begin_drain,
+    cut_work,
     stop_tasks,
 };
 
--- a/Source/daemon/daemon_settings.cpp
+++ b/Source/daemon/daemon_settings.cpp
@@ -24,8 +24,12 @@
                 "address of the platform's service", "", 0, 0},
     option_spec{"charts", option_type::folder, BLUEBELLSPOKE_CHART_FOLDER,
                 "folder of the state charts", "", 0, 0},
+    option_spec{"drain-grace-ms", option_type::count, "2000",
+                "time between not ready and the begin of a graceful shutdown",
+                "ms", 0, 60'000},
     option_spec{"drain-limit-ms", option_type::count, "30000",
-                "longest graceful shutdown", "ms", 100, 600'000},
+                "longest graceful shutdown, from its begin", "ms", 100,
+                600'000},
     option_spec{"mailbox", option_type::count, "4096",
                 "requests that wait for a task before more are refused",
                 "messages", 16, 1'000'000},
@@ -55,6 +59,7 @@
     s.m_admin_listen = parse_address(values.text("admin-listen"));
     s.m_platform = parse_address(values.text("platform"));
     s.m_charts = values.text("charts");
+    s.m_drain_grace = std::chrono::milliseconds(values.count("drain-grace-ms"));
     s.m_drain_limit = std::chrono::milliseconds(values.count("drain-limit-ms"));
     s.m_mailbox = values.count("mailbox");
     s.m_check_only = values.given("check");
--- a/Source/daemon/daemon_settings.hpp
+++ b/Source/daemon/daemon_settings.hpp
@@ -22,6 +22,7 @@
     address m_admin_listen; ///< Health, metrics, dumps.
     address m_platform;
     std::filesystem::path m_charts;
+    duration m_drain_grace{};
     duration m_drain_limit{};
     std::size_t m_mailbox = 0; ///< Messages.
     bool m_check_only = false;
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -153,18 +153,22 @@
 {
     if (arrived.m_oversized)
         throw refused(refusal::body_too_large);
-    if (!f.m_settings || f.m_secrets.empty())
+    // The time decides, not the last message: the control task may be late.
+    const time_point now = monotonic_clock::now();
+    if (!f.m_settings || f.m_secrets.empty() || now > f.m_standing_until)
         throw refused(refusal::configuration_stale);
     requested r = parse_request(arrived.m_request);
     // What belongs to a transaction under way is let through to its end.
     if (f.m_draining && r.m_statement.m_transaction.empty())
         throw refused(refusal::draining);
+    if (f.m_zone_out && r.m_statement.m_transaction.empty())
+        throw refused(refusal::zone_out);
     const access_grant grant = check_access(f, r, arrived.m_request);
-    const time_point now = monotonic_clock::now();
     pool_request request;
     request.m_context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
-                         grant.m_key != nullptr ? grant.m_key->m_id
-                                                : std::string()};
+                         {}};
+    if (grant.m_key != nullptr)
+        request.m_context.m_key = grant.m_key->m_digest;
     request.m_operation = r.m_operation;
     request.m_session = read_session(f, *grant.m_workspace, arrived.m_request);
     request.m_deadline = deadline_of(r.m_statement, *grant.m_workspace, now);
@@ -179,6 +183,7 @@
 
 void answer_request(front_state& f, request_outcome& outcome)
 {
+    note_begun(f, outcome);
     f.m_server->respond(outcome.m_context.m_exchange,
                         encode_outcome(f, outcome));
 }
@@ -216,6 +221,9 @@
         {"connections", f.m_server->open_connections()},
         {"open_requests", f.m_server->open_exchanges()},
         {"draining", f.m_draining},
+        {"zone_out", f.m_zone_out},
+        {"standing", monotonic_clock::now() <= f.m_standing_until},
+        {"transactions", f.m_transactions.size()},
         {"buckets", std::move(buckets)}}
         .dump();
 }
--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -26,6 +26,10 @@
     std::size_t m_members = 1;
     std::map<std::string, rate_bucket, std::less<>> m_buckets;
     bool m_draining = false;
+    bool m_zone_out = false; ///< This VM's own.
+    time_point m_standing_until = time_point::min();
+    /// Open transactions, and the connections that began them.
+    std::map<std::string, connection_id, std::less<>> m_transactions;
 };
 
 /// Checks one request and sends it to the pool. Throws refused.
@@ -36,6 +40,18 @@
 void update_buckets(front_state& f);
 std::string describe_front(const front_state& f);
 
+// front_drain.cpp
+/// Tells the admin task, while draining, that every caller has gone.
+void report_if_drained(front_state& f);
+void begin_drain(front_state& f);
+/// Lets callers go whose transactions have been cut.
+void cut_connections(front_state& f);
+/// Notes which connection began a transaction, and the transaction's end.
+void note_begun(front_state& f, const request_outcome& outcome);
+void note_ended(front_state& f, const std::string& transaction);
+/// Sends callers away when this VM's availability zone is taken out.
+void follow_zone(front_state& f);
+
 }
 
 #endif
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -24,19 +24,6 @@
     }
 }
 
-void report_if_drained(front_state& f)
-{
-    if (f.m_draining && f.m_server->open_exchanges() == 0)
-        f.m_boxes.m_admin.post(task_drained{"front"});
-}
-
-void begin_drain(front_state& f)
-{
-    f.m_draining = true;
-    f.m_server->begin_drain();
-    report_if_drained(f);
-}
-
 void on_message(front_state& f, front_message& message)
 {
     std::visit(
@@ -44,12 +31,18 @@
             [&](request_outcome& m)
             {
                 answer_request(f, m);
-                report_if_drained(f);
             },
             [&](settings_changed& m)
             {
                 f.m_settings = std::move(m.m_settings);
                 update_buckets(f);
+                follow_zone(f);
+                f.m_boxes.m_control.post(
+                    settings_taken{true, f.m_settings->m_version});
+            },
+            [&](standing_changed& m)
+            {
+                f.m_standing_until = m.m_until;
             },
             [&](session_secrets& m)
             {
@@ -64,6 +57,14 @@
             {
                 begin_drain(f);
             },
+            [&](transaction_ended& m)
+            {
+                note_ended(f, m.m_id);
+            },
+            [&](work_cut&)
+            {
+                cut_connections(f);
+            },
             [&](stop_wanted&)
             {
                 stop(f.m_loop);
@@ -87,9 +88,11 @@
     handlers.m_on_abandoned = [&f](exchange_id exchange)
     {
         f.m_boxes.m_pool.post(request_abandoned{exchange});
+    };
+    handlers.m_on_disconnect = [&f](connection_id)
+    {
         report_if_drained(f);
     };
-    handlers.m_on_disconnect = [](connection_id) {};
     return handlers;
 }
 
@@ -97,7 +100,8 @@
 
 void run_front_task(const daemon_settings& settings, mailboxes& boxes)
 {
-    front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false};
+    front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false,
+                  false, time_point::min(), {}};
     f.m_server = std::make_unique<http2_server>(
         f.m_loop, settings.m_listen, http2_server_limits(), make_handlers(f));
     boxes.m_front.attach(f.m_loop,
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <decide/settings_view.hpp>
+#include <decide/standing.hpp>
 #include <model/refusal.hpp>
 #include <model/statement.hpp>
 #include <task/mailbox.hpp>
@@ -33,7 +34,7 @@
     exchange_id m_exchange;
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
-    std::string m_key_id; ///< Empty on a route open to all.
+    std::optional<sha256_digest> m_key; ///< Absent on a route open to all.
 };
 
 /// front → pool: run this.
@@ -80,11 +81,42 @@
     std::size_t m_members = 1;
 };
 
+/// control → front, admin: until when the daemon may serve, unless told anew.
+struct standing_changed
+{
+    standing m_standing = standing::lapsed;
+    time_point m_until{};
+};
+
+/// front, pool → control: goes by this settings version now.
+struct settings_taken
+{
+    bool m_front = false; ///< Else the pool.
+    std::uint64_t m_version = 0;
+};
+
+/// admin → control: the state of the daemon's life.
+struct life_changed
+{
+    std::string m_state;
+};
+
 /// main → every task: finish what is under way and take no more.
 struct drain_begun
 {
 };
 
+/// pool → front: the transaction is no more.
+struct transaction_ended
+{
+    std::string m_id;
+};
+
+/// admin → front, pool: the drain's limit has passed; refuse what is left.
+struct work_cut
+{
+};
+
 /// main → every task: end now.
 struct stop_wanted
 {
@@ -112,13 +144,15 @@
 
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
-                 fleet_changed, drain_begun, stop_wanted, dump_wanted>;
+                 fleet_changed, standing_changed, transaction_ended,
+                 drain_begun, work_cut, stop_wanted, dump_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
-                 stop_wanted, dump_wanted>;
-using control_message = std::variant<drain_begun, stop_wanted, dump_wanted>;
+                 work_cut, stop_wanted, dump_wanted>;
+using control_message = std::variant<settings_taken, life_changed, drain_begun,
+                                     stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
-                                   drain_begun, stop_wanted>;
+                                   standing_changed, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::array<std::string_view, 4> request_states{"queued", "running",
                                                          "confirming", "ended"};
-constexpr std::array<std::string_view, 9> request_events{
+constexpr std::array<std::string_view, 10> request_events{
     "dispatched", "answered", "committed", "confirmed", "superseded",
-    "retried",    "failed",   "expired",   "abandoned"};
+    "retried",    "failed",   "expired",   "abandoned", "revoked"};
 constexpr std::array<std::string_view, 8> request_actions{
     "deliver",        "await_majority", "requeue",         "refuse_not_run",
     "refuse_as_told", "refuse_unknown", "drop_connection", "forget"};
@@ -33,7 +33,8 @@
             {load_chart(folder, {"request", request_states, request_events,
                                  request_actions})},
             {load_chart(folder, {"transaction", transaction_states,
-                                 transaction_events, transaction_actions})}};
+                                 transaction_events, transaction_actions})},
+            load_place_charts(folder)};
 }
 
 }
--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include <chart/chart.hpp>
+#include <daemon/place_charts.hpp>
 #include <endpoint/pg_connection.hpp>
 
 namespace bluebellspoke
@@ -28,6 +29,7 @@
     failed,
     expired,
     abandoned,
+    revoked,
 };
 
 enum class request_action : std::uint8_t
@@ -77,6 +79,7 @@
     connection_chart m_connection;
     request_chart m_request;
     transaction_chart m_transaction;
+    place_charts m_places;
 };
 
 /// Throws chart_error.
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -165,6 +165,7 @@
 {
     try
     {
+        check_key(p, arrived);
         pool_group& group = group_of(p, arrived);
         const exchange_id exchange = arrived.m_context.m_exchange;
         auto made = std::make_unique<request>(p, group, std::move(arrived));
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -63,7 +63,7 @@
     for (const auto& e : g.m_endpoints)
     {
         e->m_connection_share = view.m_connections;
-        e->m_view.m_slots = view.m_slots;
+        e->m_slot_share = view.m_slots;
         update_admission(*e);
     }
     dispatch(g);
@@ -73,6 +73,7 @@
 {
     nlohmann::json out{
         {"name", e.m_setting.m_name},           {"zone", e.m_setting.m_zone},
+        {"state", to_string(e.m_life)},
         {"reachable", e.m_reachable},           {"admits", e.m_view.m_admits},
         {"running", e.m_view.m_running},        {"slots", e.m_view.m_slots},
         {"connections", e.m_connections.size()}};
@@ -88,14 +89,6 @@
 
 }
 
-void update_admission(pool_endpoint& e)
-{
-    const settings_view& settings = *e.m_group.m_pool.m_settings;
-    const bool zone_in = !settings.m_zones_out.contains(e.m_setting.m_zone);
-    e.m_view.m_admits = e.m_reachable && !e.m_setting.m_leaving && zone_in;
-    e.m_view.m_local = e.m_setting.m_zone == e.m_group.m_pool.m_daemon.m_zone;
-}
-
 void apply_settings(pool_state& p, settings_view_ptr settings)
 {
     p.m_settings = std::move(settings);
@@ -110,6 +103,8 @@
     for (auto& [name, group] : p.m_groups)
         if (!p.m_settings->m_groups.contains(name))
             apply_group(*group, group_view());
+    move_zones(p);
+    end_withdrawn_keys(p);
 }
 
 std::string describe_pool(const pool_state& p)
@@ -122,10 +117,14 @@
             endpoints.push_back(describe_endpoint(*e));
         groups[name] = std::move(endpoints);
     }
+    nlohmann::json zones = nlohmann::json::object();
+    for (const auto& [name, state] : p.m_zones)
+        zones[name] = to_string(state);
     return nlohmann::json{
         {"settings_version", p.m_settings ? p.m_settings->m_version : 0},
         {"requests", p.m_requests.size()},
         {"transactions", p.m_transactions.size()},
+        {"zones", std::move(zones)},
         {"groups", std::move(groups)}}
         .dump();
 }
--- a/Source/daemon/pool_state.cpp
+++ b/Source/daemon/pool_state.cpp
@@ -14,7 +14,12 @@
                    m_closed_connections.clear();
                    m_closed_monitors.clear();
                    m_closed_endpoints.clear();
-               })
+               }),
+      m_return_step(m_loop,
+                    [this]
+                    {
+                        step_returns(*this);
+                    })
 {
 }
 
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -74,7 +74,7 @@
     pool_group& m_group;
     std::string m_id;
     std::string m_workspace;
-    std::string m_key_id;
+    std::optional<sha256_digest> m_key; ///< That began it.
     transaction_state m_state;
     pooled_connection* m_connection = nullptr;
     term_number m_term = 0;
@@ -89,6 +89,9 @@
     pool_group& m_group;
     endpoint_setting m_setting;
     endpoint_view m_view;
+    endpoint_life m_life = endpoint_life::joining;
+    time_point m_returned_at{};
+    std::uint32_t m_slot_share = 0; ///< When it has wholly returned.
     std::uint32_t m_connection_share = 1;
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
@@ -127,6 +130,7 @@
     std::map<exchange_id, std::unique_ptr<request>> m_requests;
     std::map<std::string, std::unique_ptr<transaction>, std::less<>>
         m_transactions;
+    std::map<std::string, zone_life, std::less<>> m_zones;
     std::uint64_t m_next_transaction = 1;
     bool m_draining = false;
     /// Closed connections wait here until nothing on the stack uses them.
@@ -134,6 +138,7 @@
     std::vector<std::unique_ptr<pg_connection>> m_closed_monitors;
     std::vector<std::unique_ptr<pool_endpoint>> m_closed_endpoints;
     timer m_reaper;
+    timer m_return_step; ///< While a place goes out or returns.
 };
 
 // pool_task.cpp
@@ -143,10 +148,24 @@
 // pool_settings.cpp
 /// Fits groups and endpoints to the configuration in force.
 void apply_settings(pool_state& p, settings_view_ptr settings);
-/// Decides anew whether an endpoint takes new work.
-void update_admission(pool_endpoint& e);
 std::string describe_pool(const pool_state& p);
 
+// pool_places.cpp
+/// Decides anew whether an endpoint takes new work, and how much.
+void update_admission(pool_endpoint& e);
+/// Moves the lives of the availability zones on.
+void move_zones(pool_state& p);
+/// Gives what returns its next part of the work.
+void step_returns(pool_state& p);
+
+// pool_keys.cpp
+/// Throws refused when the request's key has been withdrawn meanwhile.
+void check_key(const pool_state& p, const pool_request& r);
+/// Ends requests and transactions of keys that no longer stand.
+void end_withdrawn_keys(pool_state& p);
+/// Refuses all that is left when a drain's limit has passed.
+void cut_work(pool_state& p);
+
 // pool_requests.cpp
 /// Takes a request in; its outcome follows as a message to the front.
 void accept_request(pool_state& p, pool_request&& arrived);
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -26,12 +26,18 @@
             [&](settings_changed& m)
             {
                 apply_settings(p, std::move(m.m_settings));
+                p.m_boxes.m_control.post(
+                    settings_taken{false, p.m_settings->m_version});
             },
             [&](drain_begun&)
             {
                 p.m_draining = true;
                 report_if_drained(p);
             },
+            [&](work_cut&)
+            {
+                cut_work(p);
+            },
             [&](stop_wanted&)
             {
                 stop(p.m_loop);
--- a/Source/daemon/pool_transactions.cpp
+++ b/Source/daemon/pool_transactions.cpp
@@ -27,6 +27,7 @@
         if (r->m_state == request_state::queued)
             orphans.push_back(r.get());
     }
+    p.m_boxes.m_front.post(transaction_ended{t.m_id});
     p.m_transactions.erase(t.m_id);
     for (request* orphan : orphans)
         fail(*orphan, refusal::unknown_transaction, fate::not_run);
@@ -72,7 +73,7 @@
     auto made = std::make_unique<transaction>(p, r.m_group, id);
     transaction& t = *made;
     t.m_workspace = r.m_arrived.m_context.m_workspace->m_name;
-    t.m_key_id = r.m_arrived.m_context.m_key_id;
+    t.m_key = r.m_arrived.m_context.m_key;
     p.m_transactions.emplace(std::move(id), std::move(made));
     return t;
 }
--- a/Source/decide/access.cpp
+++ b/Source/decide/access.cpp
@@ -20,6 +20,15 @@
     return {&workspace->second, &found->second};
 }
 
+bool key_stands(const settings_view& view, const sha256_digest& key,
+                std::string_view workspace)
+{
+    const auto found = view.m_keys.find(key);
+    return found != view.m_keys.end() && !found->second.m_withdrawn &&
+           found->second.m_workspace == workspace &&
+           view.m_workspaces.contains(workspace);
+}
+
 access_grant check_open_access(const settings_view& view,
                                std::string_view workspace, statement_kind kind)
 {
--- a/Source/decide/access.hpp
+++ b/Source/decide/access.hpp
@@ -19,6 +19,10 @@
 /// Finds the workspace a key belongs to. Throws refused.
 access_grant check_key_access(const settings_view& view, std::string_view key);
 
+/// True while a key, known by its digest, may run requests of a workspace.
+bool key_stands(const settings_view& view, const sha256_digest& key,
+                std::string_view workspace);
+
 /// Finds an open workspace by name; only reads may use it. Throws refused.
 access_grant check_open_access(const settings_view& view,
                                std::string_view workspace, statement_kind kind);
--- /dev/null
+++ b/Source/decide/settings_progress.cpp
@@ -0,0 +1,65 @@
+#include <decide/settings_progress.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <decide/standing.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// The daemons write a node to remove it, so an object that is gone can only
+// have been lost by the platform.
+bool lacks_known(const version_map& known, std::uint64_t newest_known,
+                 const listing_facts& listing)
+{
+    std::set<std::string_view> listed;
+    for (const object_version& o : listing.m_objects)
+        listed.insert(o.m_name);
+    return std::any_of(known.begin(), known.end(),
+                       [&](const auto& entry)
+                       {
+                           return entry.second <= newest_known &&
+                                  !listed.contains(entry.first);
+                       });
+}
+
+}
+
+bool is_reverted(const version_map& known, std::uint64_t newest_known,
+                 const listing_facts& listing)
+{
+    if (listing.m_revision < newest_known)
+        return true;
+    for (const object_version& o : listing.m_objects)
+    {
+        const auto held = known.find(o.m_name);
+        const bool comparable =
+            held != known.end() && held->second <= newest_known;
+        if (comparable && o.m_version < held->second)
+            return true;
+    }
+    return listing.m_whole && lacks_known(known, newest_known, listing);
+}
+
+bool keeps_watch(std::string_view self,
+                 std::span<const watch_candidate> zone) noexcept
+{
+    return std::none_of(zone.begin(), zone.end(),
+                        [self](const watch_candidate& c)
+                        {
+                            return c.m_fit && c.m_name < self;
+                        });
+}
+
+bool may_take_first(const first_settings_view& view) noexcept
+{
+    if (view.m_waited >= standing_bound)
+        return true;
+    return view.m_vms_known && view.m_peers_heard >= view.m_peers;
+}
+
+}
--- a/Source/decide/settings_tree.cpp
+++ b/Source/decide/settings_tree.cpp
@@ -61,6 +61,8 @@
         return "service";
     case node_kind::zone:
         return "zone";
+    case node_kind::removed:
+        return "removed";
     }
     return "branch";
 }
--- a/Source/decide/settings_tree.hpp
+++ b/Source/decide/settings_tree.hpp
@@ -19,6 +19,8 @@
     workspace,
     service,
     zone,
+    removed, ///< The node stands no more; its object stays, so that a lost
+             ///< object is told apart from a removed one.
 };
 
 std::string_view to_string(node_kind kind) noexcept;
--- a/Source/decide/settings_view.cpp
+++ b/Source/decide/settings_view.cpp
@@ -81,10 +81,11 @@
 {
     for (const key_setting& key : own.m_keys)
     {
+        const sha256_digest digest = from_hex(key.m_sha256);
         const bool added =
             view.m_keys
-                .emplace(from_hex(key.m_sha256),
-                         key_view{path, key.m_id, key.m_withdrawn})
+                .emplace(digest,
+                         key_view{digest, path, key.m_id, key.m_withdrawn})
                 .second;
         if (!added)
             throw settings_error(settings_fault::duplicate_key, path, "keys");
@@ -94,7 +95,10 @@
 void check_parent(const settings_tree& tree, const std::string& path)
 {
     const auto parent = parent_path(path);
-    if (parent && !parent->empty() && !tree.contains(*parent))
+    if (!parent || parent->empty())
+        return;
+    const auto node = tree.find(*parent);
+    if (node == tree.end() || node->second.m_own.m_kind == node_kind::removed)
         throw settings_error(settings_fault::missing_parent, path, "path");
 }
 
@@ -116,10 +120,12 @@
     for (const auto& [path, node] : tree)
     {
         check_node(path, node.m_own);
-        check_parent(tree, path);
+        if (node.m_own.m_kind != node_kind::removed)
+            check_parent(tree, path);
         switch (node.m_own.m_kind.value_or(node_kind::branch))
         {
         case node_kind::branch:
+        case node_kind::removed:
             break;
         case node_kind::workspace:
             view->m_workspaces.emplace(path, resolve_workspace(tree, path));
--- a/Source/decide/settings_view.hpp
+++ b/Source/decide/settings_view.hpp
@@ -46,6 +46,7 @@
 
 struct key_view
 {
+    sha256_digest m_digest{};
     std::string m_workspace;
     std::string m_id;
     bool m_withdrawn = false;
--- a/Source/decide/standing.cpp
+++ b/Source/decide/standing.cpp
@@ -1,6 +1,8 @@
 #include <decide/standing.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <vector>
 
 namespace bluebellspoke
 {
@@ -35,6 +37,37 @@
     return latest;
 }
 
+time_point standing_until(const standing_view& view)
+{
+    const time_point confirmed = confirmed_at(view) + standing_bound;
+    const std::size_t needed = view.m_members / 2;
+    if (view.m_platform_answers || needed == 0)
+        return view.m_platform_answers ? confirmed : time_point::max();
+    std::vector<time_point> asked;
+    for (const peer_witness& w : view.m_peers)
+        if (!w.m_platform_answers && w.m_version <= view.m_version)
+            asked.push_back(w.m_asked_at);
+    if (asked.size() < needed)
+        return confirmed;
+    // The majority lasts as long as the oldest answer that it needs.
+    std::sort(asked.begin(), asked.end(), std::greater<>());
+    return std::max(confirmed, asked[needed - 1] + standing_bound);
+}
+
+std::string_view to_string(standing s) noexcept
+{
+    switch (s)
+    {
+    case standing::confirmed:
+        return "confirmed";
+    case standing::witnessed:
+        return "witnessed";
+    case standing::lapsed:
+        return "lapsed";
+    }
+    return "lapsed";
+}
+
 standing judge_standing(const standing_view& view, time_point now) noexcept
 {
     if (now - confirmed_at(view) <= standing_bound)
--- a/Source/decide/standing.hpp
+++ b/Source/decide/standing.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include <model/clock.hpp>
 
@@ -45,6 +46,10 @@
 /// The time up to which this daemon is known to have been current.
 time_point confirmed_at(const standing_view& view) noexcept;
 
+/// Up to when the daemon may serve if it hears nothing more.
+time_point standing_until(const standing_view& view);
+std::string_view to_string(standing s) noexcept;
+
 /// Whether a daemon still has the right to serve. docs/design/standing.md
 /// shows why no accepted change can pass it by.
 standing judge_standing(const standing_view& view, time_point now) noexcept;
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -28,7 +28,9 @@
                 {"settings_version", m.m_settings_version},
                 {"platform_answers", m.m_platform_answers},
                 {"confirmed_age_ms", m.m_confirmed_age_ms},
-                {"draining", m.m_draining}};
+                {"draining", m.m_draining},
+                {"address", m.m_address},
+                {"zone", m.m_zone}};
     }
     static peer_heartbeat read(const json& j)
     {
@@ -37,7 +39,9 @@
                 j.at("settings_version").get<std::uint64_t>(),
                 j.at("platform_answers").get<bool>(),
                 j.at("confirmed_age_ms").get<std::uint64_t>(),
-                j.at("draining").get<bool>()};
+                j.at("draining").get<bool>(),
+                j.at("address").get<std::string>(),
+                j.at("zone").get<std::string>()};
     }
 };
 
@@ -56,6 +60,95 @@
     }
 };
 
+template <>
+struct format<peer_settings_wanted>
+{
+    static constexpr const char* tag = "settings_wanted";
+
+    static json write(const peer_settings_wanted& m)
+    {
+        return {{"after", m.m_after}};
+    }
+    static peer_settings_wanted read(const json& j)
+    {
+        return {j.at("after").get<std::uint64_t>()};
+    }
+};
+
+template <>
+struct format<peer_settings>
+{
+    static constexpr const char* tag = "settings";
+
+    static json write(const peer_settings& m)
+    {
+        json objects = json::array();
+        for (const peer_object& o : m.m_objects)
+            objects.push_back({o.m_name, o.m_version, o.m_value});
+        json vms = json::array();
+        for (const peer_vm& vm : m.m_vms)
+            vms.push_back({vm.m_name, vm.m_address, vm.m_zone, vm.m_leaving});
+        return {{"version", m.m_version},
+                {"objects", std::move(objects)},
+                {"vms", std::move(vms)},
+                {"secrets", m.m_secrets}};
+    }
+    static peer_settings read(const json& j)
+    {
+        peer_settings m;
+        m.m_version = j.at("version").get<std::uint64_t>();
+        for (const json& o : j.at("objects"))
+            m.m_objects.push_back({o.at(0).get<std::string>(),
+                                   o.at(1).get<std::uint64_t>(),
+                                   o.at(2).get<std::string>()});
+        for (const json& vm : j.at("vms"))
+            m.m_vms.push_back(
+                {vm.at(0).get<std::string>(), vm.at(1).get<std::string>(),
+                 vm.at(2).get<std::string>(), vm.at(3).get<bool>()});
+        m.m_secrets = j.at("secrets").get<std::vector<std::string>>();
+        return m;
+    }
+};
+
+template <>
+struct format<peer_status_wanted>
+{
+    static constexpr const char* tag = "status_wanted";
+
+    static json write(const peer_status_wanted&)
+    {
+        return json::object();
+    }
+    static peer_status_wanted read(const json&)
+    {
+        return {};
+    }
+};
+
+template <>
+struct format<peer_status>
+{
+    static constexpr const char* tag = "status";
+
+    static json write(const peer_status& m)
+    {
+        return {{"name", m.m_name},         {"zone", m.m_zone},
+                {"known", m.m_known},       {"in_force", m.m_in_force},
+                {"standing", m.m_standing}, {"state", m.m_state},
+                {"refused", m.m_refused}};
+    }
+    static peer_status read(const json& j)
+    {
+        return {j.at("name").get<std::string>(),
+                j.at("zone").get<std::string>(),
+                j.at("known").get<std::uint64_t>(),
+                j.at("in_force").get<std::uint64_t>(),
+                j.at("standing").get<std::string>(),
+                j.at("state").get<std::string>(),
+                j.at("refused").get<std::vector<std::string>>()};
+    }
+};
+
 template <std::size_t Index = 0>
 peer_message read_tagged(const std::string& tag, const json& body)
 {
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace bluebellspoke
 {
@@ -20,6 +21,8 @@
     bool m_platform_answers = false;
     std::uint64_t m_confirmed_age_ms = 0; ///< Since it was known current.
     bool m_draining = false;
+    std::string m_address; ///< Of the sender for its peers, IP:port.
+    std::string m_zone;
 };
 
 /// The receiver doesn't know what was asked, or can't do it now.
@@ -28,7 +31,58 @@
     std::string m_name;
 };
 
-using peer_message = std::variant<peer_heartbeat, peer_declined>;
+/// One of the platform's objects, passed on by a daemon.
+struct peer_object
+{
+    std::string m_name;
+    std::uint64_t m_version = 0;
+    std::string m_value; ///< JSON.
+};
+
+/// One VM of the platform's list, passed on by a daemon.
+struct peer_vm
+{
+    std::string m_name;
+    std::string m_address; ///< IP:port.
+    std::string m_zone;
+    bool m_leaving = false;
+};
+
+/// Asks for the settings objects that are newer than a version.
+struct peer_settings_wanted
+{
+    std::uint64_t m_after = 0;
+};
+
+/// What a daemon knows of the platform's objects.
+struct peer_settings
+{
+    std::uint64_t m_version = 0; ///< Of the settings as a whole.
+    std::vector<peer_object> m_objects;
+    std::vector<peer_vm> m_vms;
+    std::vector<std::string> m_secrets; ///< For session tokens.
+};
+
+/// Asks a daemon how it stands.
+struct peer_status_wanted
+{
+};
+
+/// How a daemon stands, for operators.
+struct peer_status
+{
+    std::string m_name;
+    std::string m_zone;
+    std::uint64_t m_known = 0;    ///< Newest settings version it knows of.
+    std::uint64_t m_in_force = 0; ///< That every one of its tasks goes by.
+    std::string m_standing;       ///< confirmed, witnessed or lapsed.
+    std::string m_state;          ///< Of the daemon's life.
+    std::vector<std::string> m_refused; ///< Nodes that it could not take.
+};
+
+using peer_message =
+    std::variant<peer_heartbeat, peer_declined, peer_settings_wanted,
+                 peer_settings, peer_status_wanted, peer_status>;
 
 }
 
--- a/Source/platform/settings_codec.cpp
+++ b/Source/platform/settings_codec.cpp
@@ -58,7 +58,8 @@
     {
         const std::string name = text(value, "kind");
         for (const node_kind k : {node_kind::branch, node_kind::workspace,
-                                  node_kind::service, node_kind::zone})
+                                  node_kind::service, node_kind::zone,
+                                  node_kind::removed})
             if (name == to_string(k))
                 return k;
         refuse(settings_fault::out_of_range, "kind");
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -26,6 +26,9 @@
                 "the daemon ended after its shutdown"},
     event_entry{event_id::daemon_failed, event_level::error, "daemon_failed",
                 "a task ended by a failure and the daemon with it"},
+    event_entry{event_id::drain_cut, event_level::warning, "drain_cut",
+                "the limit of a graceful shutdown passed; what was left is "
+                "refused"},
     event_entry{event_id::settings_in_force, event_level::info,
                 "settings_in_force", "a settings version came into force"},
     event_entry{event_id::settings_refused, event_level::error,
@@ -36,6 +39,14 @@
                 "the platform's service doesn't answer"},
     event_entry{event_id::platform_back, event_level::info, "platform_back",
                 "the platform's service answers again"},
+    event_entry{event_id::settings_reverted, event_level::error,
+                "settings_reverted",
+                "the platform answers from an older copy of its store, which "
+                "is not taken"},
+    event_entry{event_id::standing_changed, event_level::warning,
+                "standing_changed",
+                "the daemon's right to serve was judged anew; lapsed means "
+                "that it refuses requests"},
     event_entry{event_id::endpoint_reached, event_level::info,
                 "endpoint_reached", "an endpoint answers"},
     event_entry{event_id::endpoint_unreachable, event_level::warning,
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -17,10 +17,13 @@
     daemon_draining = 1002,
     daemon_stopped = 1003,
     daemon_failed = 1004,
+    drain_cut = 1005,
     settings_in_force = 2001,
     settings_refused = 2002,
     platform_lost = 2003,
     platform_back = 2004,
+    settings_reverted = 2005,
+    standing_changed = 2006,
     endpoint_reached = 3001,
     endpoint_unreachable = 3002,
 };
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <boost/intrusive/list.hpp>
 #include <event2/buffer.h>
 #include <event2/listener.h>
@@ -48,6 +50,9 @@
     intrusive::list<server_stream, intrusive::constant_time_size<false>>
         m_streams;
     bool m_doomed = false;
+    bool m_retiring = false;    ///< Told that it will end.
+    bool m_half_closed = false; ///< Everything is sent; the caller's end waits.
+    unsigned m_sweeps = 0;      ///< Since it was half closed.
 
     ~connection()
     {
@@ -80,7 +85,7 @@
     std::vector<std::size_t> m_free;
     std::size_t m_open_connections = 0;
     std::size_t m_open_exchanges = 0;
-    bool m_draining = false;
+    std::unique_ptr<timer> m_sweep; ///< Ends retiring connections.
 };
 
 namespace
@@ -122,14 +127,72 @@
     s.m_handlers.m_on_disconnect(id);
 }
 
+// Closing a socket that still holds input resets it, and the caller may lose
+// the last answer. So only the sending side ends; the caller closes the rest.
+void half_close(connection& c)
+{
+    c.m_half_closed = true;
+    shutdown(bufferevent_getfd(c.m_transport.m_stream.get()), SHUT_WR);
+}
+
 void pump_or_drop(connection& c)
 {
+    if (c.m_half_closed)
+        return;
     if (!pump(c.m_transport))
         c.m_doomed = true;
     evbuffer* output = bufferevent_get_output(c.m_transport.m_stream.get());
     const bool flushed = evbuffer_get_length(output) == 0;
-    if (c.m_doomed && flushed && !c.m_transport.m_feeding)
+    if (!c.m_doomed || !flushed || c.m_transport.m_feeding)
+        return;
+    if (c.m_retiring)
+        half_close(c);
+    else
+        drop_connection(c);
+}
+
+constexpr std::chrono::milliseconds sweep_period{50};
+
+// The notice lets requests that were on their way still arrive. Once none is
+// left, the last message names the last request that was taken.
+bool end_if_idle(connection& c)
+{
+    constexpr unsigned most_sweeps = 20;
+    if (c.m_half_closed && ++c.m_sweeps > most_sweeps)
+    {
         drop_connection(c);
+        return false;
+    }
+    if (!c.m_retiring || c.m_half_closed || !c.m_streams.empty())
+        return c.m_retiring;
+    nghttp2_session* session = c.m_transport.m_session.get();
+    nghttp2_submit_goaway(session, NGHTTP2_FLAG_NONE,
+                          nghttp2_session_get_last_proc_stream_id(session),
+                          NGHTTP2_NO_ERROR, nullptr, 0);
+    pump_or_drop(c);
+    return true;
+}
+
+void sweep(server_state& s)
+{
+    bool any = false;
+    for (std::size_t slot = 0; slot < s.m_slots.size(); ++slot)
+    {
+        connection* c = s.m_slots[slot].m_connection.get();
+        if (c != nullptr && end_if_idle(*c))
+            any = true;
+    }
+    if (any)
+        s.m_sweep->start_once(sweep_period);
+}
+
+void retire_connection(connection& c)
+{
+    if (std::exchange(c.m_retiring, true))
+        return;
+    nghttp2_submit_shutdown_notice(c.m_transport.m_session.get());
+    c.m_server->m_sweep->start_once(sweep_period);
+    pump_or_drop(c);
 }
 
 int on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame,
@@ -312,8 +375,13 @@
                            http2_server_limits limits,
                            http2_server_handlers handlers)
     : m_state(std::make_unique<state>(state{
-          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, false}))
+          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, {}}))
 {
+    m_state->m_sweep = std::make_unique<timer>(l,
+                                               [this]
+                                               {
+                                                   sweep(*m_state);
+                                               });
     m_state->m_callbacks = make_server_callbacks();
     const socket_address bound = to_socket_address(listen);
     constexpr int system_backlog = -1;
@@ -358,21 +426,45 @@
     return true;
 }
 
-void http2_server::begin_drain()
+void http2_server::stop_accepting()
 {
-    m_state->m_draining = true;
-    m_state->m_listener.reset();
-    for (std::size_t slot = 0; slot < m_state->m_slots.size(); ++slot)
+    if (!m_state->m_listener)
+        return;
+    // Callers whose connections wait in the kernel's queue have connected as
+    // far as they know, and may have sent requests.
+    const int listening = evconnlistener_get_fd(m_state->m_listener.get());
+    for (;;)
     {
-        connection* c = m_state->m_slots[slot].m_connection.get();
-        if (c == nullptr)
-            continue;
-        nghttp2_session* session = c->m_transport.m_session.get();
-        nghttp2_submit_goaway(session, NGHTTP2_FLAG_NONE,
-                              nghttp2_session_get_last_proc_stream_id(session),
-                              NGHTTP2_NO_ERROR, nullptr, 0);
-        pump_or_drop(*c);
+        const int descriptor = accept4(listening, nullptr, nullptr,
+                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+            break;
+        on_accept(nullptr, descriptor, nullptr, 0, m_state.get());
     }
+    m_state->m_listener.reset();
+}
+
+void http2_server::retire(connection_id id)
+{
+    connection* c = find_connection(*m_state, id);
+    if (c != nullptr)
+        retire_connection(*c);
+}
+
+std::vector<connection_id> http2_server::connections() const
+{
+    std::vector<connection_id> open;
+    for (const connection_slot& slot : m_state->m_slots)
+        if (slot.m_connection)
+            open.push_back(slot.m_connection->m_id);
+    return open;
+}
+
+void http2_server::begin_drain()
+{
+    stop_accepting();
+    for (const connection_id id : connections())
+        retire(id);
 }
 
 void http2_server::disconnect(connection_id id)
--- a/Source/wire/http2_server.hpp
+++ b/Source/wire/http2_server.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include <model/address.hpp>
 #include <sigc++/sigc++.h>
@@ -63,8 +64,13 @@
     address local() const;
     /// Answers an exchange. Returns false when nobody waits for it any more.
     bool respond(exchange_id exchange, http2_response response);
-    /// Accepts no more, and tells callers that each connection takes no new
-    /// request; what is under way goes on.
+    /// Accepts no more connections; those that wait to be accepted still are.
+    void stop_accepting();
+    /// Tells a caller to send new requests elsewhere. Those that it has sent
+    /// meanwhile still arrive; then the connection ends.
+    void retire(connection_id connection);
+    std::vector<connection_id> connections() const;
+    /// Accepts no more and retires every connection.
     void begin_drain();
     /// Closes one connection at once.
     void disconnect(connection_id connection);
