--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include <daemon/daemon_tls.hpp>
 #include <decide/settings_view.hpp>
 #include <decide/standing.hpp>
 #include <model/refusal.hpp>
@@ -101,6 +102,12 @@
     std::string m_state;
 };
 
+/// admin → front, control: certificates were read anew.
+struct tls_changed
+{
+    daemon_tls m_tls;
+};
+
 /// main → every task: finish what is under way and take no more.
 struct drain_begun
 {
@@ -145,12 +152,13 @@
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
                  fleet_changed, standing_changed, transaction_ended,
-                 drain_begun, work_cut, stop_wanted, dump_wanted>;
+                 tls_changed, drain_begun, work_cut, stop_wanted, dump_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
                  work_cut, stop_wanted, dump_wanted>;
-using control_message = std::variant<settings_taken, life_changed, drain_begun,
-                                     stop_wanted, dump_wanted>;
+using control_message =
+    std::variant<settings_taken, life_changed, tls_changed, drain_begun,
+                 stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
                                    standing_changed, drain_begun, stop_wanted>;
 
--- a/Source/decide/standing.hpp
+++ b/Source/decide/standing.hpp
@@ -46,7 +46,7 @@
 /// The time up to which this daemon is known to have been current.
 time_point confirmed_at(const standing_view& view) noexcept;
 
-/// Up to when the daemon may serve if it hears nothing more.
+/// The time up to which what the daemon knows now gives it standing.
 time_point standing_until(const standing_view& view);
 std::string_view to_string(standing s) noexcept;
 
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -26,6 +26,12 @@
                 "the daemon ended after its shutdown"},
     event_entry{event_id::daemon_failed, event_level::error, "daemon_failed",
                 "a task ended by a failure and the daemon with it"},
+    event_entry{event_id::certificates_reloaded, event_level::info,
+                "certificates_reloaded",
+                "new connections use the certificates that were read anew"},
+    event_entry{event_id::certificates_refused, event_level::error,
+                "certificates_refused",
+                "certificates can't be used; the old ones stay in force"},
     event_entry{event_id::drain_cut, event_level::warning, "drain_cut",
                 "the limit of a graceful shutdown passed; what was left is "
                 "refused"},
