--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -149,20 +149,33 @@
 
 }
 
+front_state::front_state(const daemon_settings& daemon, mailboxes& boxes)
+    : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop())
+{
+}
+
 void admit(front_state& f, arrived_request& arrived, request_context& context)
 {
     if (arrived.m_oversized)
         throw refused(refusal::body_too_large);
-    if (!f.m_settings || f.m_secrets.empty())
+    // The time decides, not the last message: the control task may be late.
+    const time_point now = monotonic_clock::now();
+    if (!f.m_settings || f.m_secrets.empty() || now > f.m_standing_until)
         throw refused(refusal::configuration_stale);
     requested r = parse_request(arrived.m_request);
     // What belongs to a transaction under way is let through to its end.
     if (f.m_draining && r.m_statement.m_transaction.empty())
         throw refused(refusal::draining);
+    if (f.m_zone_out && r.m_statement.m_transaction.empty())
+        throw refused(refusal::zone_out);
     const access_grant grant = check_access(f, r, arrived.m_request);
-    const time_point now = monotonic_clock::now();
-    context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
-               grant.m_key != nullptr ? grant.m_key->m_id : std::string(), now};
+    context = {arrived.m_exchange,
+               f.m_settings,
+               grant.m_workspace,
+               {},
+               monotonic_clock::now()};
+    if (grant.m_key != nullptr)
+        context.m_key = grant.m_key->m_digest;
     pool_request request;
     request.m_context = context;
     request.m_operation = r.m_operation;
@@ -186,6 +199,7 @@
     else
         count_served(f.m_counts, workspace,
                      monotonic_clock::now() - context.m_arrived_at);
+    note_begun(f, outcome);
     f.m_server->respond(outcome.m_context.m_exchange,
                         encode_outcome(f, outcome));
 }
@@ -223,6 +237,9 @@
         {"connections", f.m_server->open_connections()},
         {"open_requests", f.m_server->open_exchanges()},
         {"draining", f.m_draining},
+        {"zone_out", f.m_zone_out},
+        {"standing", monotonic_clock::now() <= f.m_standing_until},
+        {"transactions", f.m_transactions.size()},
         {"buckets", std::move(buckets)}}
         .dump();
 }
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -9,6 +9,7 @@
 
 #include <daemon/daemon_tls.hpp>
 #include <decide/settings_view.hpp>
+#include <decide/standing.hpp>
 #include <model/refusal.hpp>
 #include <model/statement.hpp>
 #include <report/metric.hpp>
@@ -35,7 +36,7 @@
     exchange_id m_exchange;
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
-    std::string m_key_id; ///< Empty on a route open to all.
+    std::optional<sha256_digest> m_key; ///< Absent on a route open to all.
     time_point m_arrived_at{};
 };
 
@@ -83,6 +84,26 @@
     std::size_t m_members = 1;
 };
 
+/// control → front, admin: until when the daemon may serve, unless told anew.
+struct standing_changed
+{
+    standing m_standing = standing::lapsed;
+    time_point m_until{};
+};
+
+/// front, pool → control: goes by this settings version now.
+struct settings_taken
+{
+    bool m_front = false; ///< Else the pool.
+    std::uint64_t m_version = 0;
+};
+
+/// admin → control: the state of the daemon's life.
+struct life_changed
+{
+    std::string m_state;
+};
+
 /// admin → front, control: certificates were read anew.
 struct tls_changed
 {
@@ -94,6 +115,17 @@
 {
 };
 
+/// pool → front: the transaction is no more.
+struct transaction_ended
+{
+    std::string m_id;
+};
+
+/// admin → front, pool: the drain's limit has passed; refuse what is left.
+struct work_cut
+{
+};
+
 /// main → every task: end now.
 struct stop_wanted
 {
@@ -134,15 +166,18 @@
 
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
-                 fleet_changed, tls_changed, drain_begun, stop_wanted,
-                 dump_wanted, metrics_wanted>;
+                 fleet_changed, standing_changed, transaction_ended,
+                 tls_changed, drain_begun, work_cut, stop_wanted, dump_wanted,
+                 metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
+                 work_cut, stop_wanted, dump_wanted, metrics_wanted>;
+using control_message =
+    std::variant<settings_taken, life_changed, tls_changed, drain_begun,
                  stop_wanted, dump_wanted, metrics_wanted>;
-using control_message = std::variant<tls_changed, drain_begun, stop_wanted,
-                                     dump_wanted, metrics_wanted>;
-using admin_message = std::variant<state_dump, task_metrics, settings_changed,
-                                   task_drained, drain_begun, stop_wanted>;
+using admin_message =
+    std::variant<state_dump, task_metrics, settings_changed, task_drained,
+                 standing_changed, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -19,10 +19,13 @@
     daemon_failed = 1004,
     certificates_reloaded = 1005,
     certificates_refused = 1006,
+    drain_cut = 1007,
     settings_in_force = 2001,
     settings_refused = 2002,
     platform_lost = 2003,
     platform_back = 2004,
+    settings_reverted = 2005,
+    standing_changed = 2006,
     endpoint_reached = 3001,
     endpoint_unreachable = 3002,
 };
--- a/Tests/standin/platform_server.cpp
+++ b/Tests/standin/platform_server.cpp
@@ -195,6 +195,19 @@
               });
 }
 
+void save(platform_server& p)
+{
+    p.m_saved = p.m_objects;
+    p.m_saved_revision = p.m_revision;
+}
+
+// The platform comes back from an older copy of its store.
+void restore(platform_server& p)
+{
+    p.m_objects = p.m_saved;
+    p.m_revision = p.m_saved_revision;
+}
+
 // The test's own side of the stand-in, which no outage touches.
 bool serve_test(platform_server& p, const arrived_request& arrived)
 {
@@ -206,6 +219,10 @@
         set_fault(p, body);
     else if (path == "/standin/vms")
         set_vms(p, body);
+    else if (path == "/standin/save")
+        save(p);
+    else if (path == "/standin/restore")
+        restore(p);
     const json counters{{"reads", p.m_reads},
                         {"writes", p.m_writes},
                         {"watches", p.m_watch_calls},
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -129,6 +129,18 @@
             {"endpoints", std::move(endpoints)}};
 }
 
+void post_to_platform(const fleet& f, const std::string& path, const json& body)
+{
+    tls_context_ptr tls;
+    if (f.m_options.m_authority != nullptr)
+        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
+    caller c(f.m_platform_address, tls);
+    if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
+        throw spawn_error();
+}
+
+}
+
 json vm_list(const fleet& f)
 {
     json vms = json::array();
@@ -140,16 +152,20 @@
     return vms;
 }
 
-void post_to_platform(const fleet& f, const std::string& path, const json& body)
+json dump_of(const daemon_node& d)
 {
-    tls_context_ptr tls;
-    if (f.m_options.m_authority != nullptr)
-        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
-    caller c(f.m_platform_address, tls);
-    if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
-        throw spawn_error();
+    const json whole = admin_get(d, "/dump").json();
+    return whole.is_object() ? whole.at("tasks") : json();
 }
 
+void save_platform(const fleet& f)
+{
+    post_to_platform(f, "/standin/save", json::object());
+}
+
+void restore_platform(const fleet& f)
+{
+    post_to_platform(f, "/standin/restore", json::object());
 }
 
 fleet::fleet(const fleet_options& options) : m_options(options)
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -80,9 +80,16 @@
                       const std::string& id);
 /// Makes the platform go down, slow, silent, lose answers, or come up.
 void set_platform_fault(const fleet& f, const nlohmann::json& fault);
+/// Keeps a copy of the platform's store, or goes back to it.
+void save_platform(const fleet& f);
+void restore_platform(const fleet& f);
 /// Tells the platform's list of VMs.
 void set_vms(const fleet& f, const nlohmann::json& vms);
 
+/// The list of VMs as the fleet was started.
+nlohmann::json vm_list(const fleet& f);
+/// The parts of a daemon's dump by task; null when it doesn't answer.
+nlohmann::json dump_of(const daemon_node& d);
 /// GET on the admin address; a status of 0 means no answer.
 reply admin_get(const daemon_node& d, const std::string& path);
 
