--- a/Tests/scenario/language/decisions.lua
+++ b/Tests/scenario/language/decisions.lua
@@ -40,7 +40,10 @@
 
     -- A node takes messages by its fields `on_NAME(node, from, body)` and is
     -- woken by `tick(node)` once a period while it runs.
+    local names = {} -- Sorted, so that each run goes the same way.
     function w.add(name, node)
+        names[#names + 1] = name
+        table.sort(names)
         node.name = name
         node.runs = true
         node.frozen = false
@@ -80,15 +83,6 @@
         return best and table.remove(w.queue, best)
     end
 
-    local function sorted_names()
-        local names = {}
-        for name in pairs(w.nodes) do
-            names[#names + 1] = name
-        end
-        table.sort(names)
-        return names
-    end
-
     -- Moves the clock on, 1 ms at a time.
     function w.advance(ms)
         for _ = 1, ms do
@@ -98,7 +92,7 @@
                 deliver(m)
                 m = next_due()
             end
-            for _, name in ipairs(sorted_names()) do
+            for _, name in ipairs(names) do
                 local node = w.nodes[name]
                 if node.tick and node.runs and not node.frozen then
                     node:tick()
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
@@ -136,16 +137,28 @@
 
 }
 
+// Below the ports that the kernel gives to outgoing connections, so that none
+// of these takes it before its process listens, or while it is restarted.
 std::uint16_t free_port()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const socket_address any = to_socket_address({"127.0.0.1", 0});
-    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&any.m_storage),
-             any.m_length) != 0)
-        throw spawn_error();
-    const std::uint16_t port = local_address(descriptor).m_port;
-    close(descriptor);
-    return port;
+    constexpr std::uint16_t first = 12'000;
+    constexpr std::uint16_t last = 32'000;
+    static std::mt19937 random{std::random_device()()};
+    std::uniform_int_distribution<std::uint16_t> draw(first, last);
+    for (;;)
+    {
+        const std::uint16_t port = draw(random);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (descriptor < 0)
+            throw spawn_error();
+        const socket_address at = to_socket_address({"127.0.0.1", port});
+        const bool bound =
+            bind(descriptor, reinterpret_cast<const sockaddr*>(&at.m_storage),
+                 at.m_length) == 0;
+        close(descriptor);
+        if (bound)
+            return port;
+    }
 }
 
 fleet::fleet(const fleet_options& options) : m_options(options)
