--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -1,6 +1,7 @@
 #include <daemon/admin_task.hpp>
 
 #include <csignal>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,6 +22,7 @@
 {
 
 constexpr std::size_t dumping_tasks = 3;  // front, pool, control
+constexpr std::size_t counting_tasks = 3; // front, pool, control
 constexpr std::size_t draining_tasks = 2; // front, pool
 
 struct evhttp_deleter
@@ -37,6 +39,13 @@
     std::map<std::string, nlohmann::json> m_parts;
 };
 
+struct open_scrape
+{
+    evhttp_request* m_request = nullptr;
+    std::size_t m_tasks = 0; ///< That have answered.
+    metric_families m_families;
+};
+
 struct admin_state
 {
     admin_state(const daemon_settings& daemon, mailboxes& boxes);
@@ -49,9 +58,11 @@
     std::unique_ptr<evhttp, evhttp_deleter> m_http;
     event_ptr m_terminate;
     event_ptr m_interrupt;
+    event_ptr m_hang_up;
     timer m_drain_limit;
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, open_dump> m_dumps;
+    std::map<std::uint64_t, open_scrape> m_scrapes;
     std::set<std::string> m_drained;
 };
 
@@ -129,6 +140,31 @@
     a.m_boxes.m_control.post(dump_wanted{ticket});
 }
 
+void on_metrics(evhttp_request* request, void* user)
+{
+    auto& a = *static_cast<admin_state*>(user);
+    const std::uint64_t ticket = a.m_next_ticket++;
+    a.m_scrapes[ticket].m_request = request;
+    a.m_boxes.m_front.post(metrics_wanted{ticket});
+    a.m_boxes.m_pool.post(metrics_wanted{ticket});
+    a.m_boxes.m_control.post(metrics_wanted{ticket});
+}
+
+void take_metrics(admin_state& a, task_metrics& metrics)
+{
+    const auto found = a.m_scrapes.find(metrics.m_ticket);
+    if (found == a.m_scrapes.end())
+        return;
+    open_scrape& open = found->second;
+    std::move(metrics.m_families.begin(), metrics.m_families.end(),
+              std::back_inserter(open.m_families));
+    if (++open.m_tasks < counting_tasks)
+        return;
+    reply(open.m_request, HTTP_OK, to_text(open.m_families),
+          "text/plain; version=0.0.4");
+    a.m_scrapes.erase(found);
+}
+
 void on_unknown(evhttp_request* request, void*)
 {
     reply(request, HTTP_NOTFOUND, "{\"error\":\"not_found\"}\n",
@@ -160,6 +196,10 @@
             {
                 take_dump(a, m);
             },
+            [&](task_metrics& m)
+            {
+                take_metrics(a, m);
+            },
             [&](settings_changed&)
             {
                 fire(a, daemon_event::configured);
@@ -183,9 +223,28 @@
         message);
 }
 
-event_ptr watch_signal(admin_state& a, int number)
+// Certificates that can't be used leave the old ones in force.
+void on_hang_up(evutil_socket_t, short, void* user)
+{
+    auto& a = *static_cast<admin_state*>(user);
+    try
+    {
+        const daemon_tls tls = load_daemon_tls(a.m_daemon);
+        a.m_boxes.m_front.post(tls_changed{tls});
+        a.m_boxes.m_control.post(tls_changed{tls});
+        log_event(event_id::certificates_reloaded);
+    }
+    catch (const tls_error& e)
+    {
+        log_event(event_id::certificates_refused, {{"fault", e.what()}});
+    }
+}
+
+event_ptr watch_signal(admin_state& a, int number,
+                       event_callback_fn on_signalled)
 {
-    event_ptr watch(evsignal_new(a.m_loop.m_base.get(), number, on_signal, &a));
+    event_ptr watch(
+        evsignal_new(a.m_loop.m_base.get(), number, on_signalled, &a));
     if (!watch)
         throw loop_error();
     event_add(watch.get(), nullptr);
@@ -202,6 +261,7 @@
     evhttp_set_cb(a.m_http.get(), "/health", on_health, &a);
     evhttp_set_cb(a.m_http.get(), "/ready", on_ready, &a);
     evhttp_set_cb(a.m_http.get(), "/dump", on_dump, &a);
+    evhttp_set_cb(a.m_http.get(), "/metrics", on_metrics, &a);
     evhttp_set_gencb(a.m_http.get(), on_unknown, &a);
 }
 
@@ -215,8 +275,9 @@
                         fire(*this, daemon_event::drain_expired);
                     })
 {
-    m_terminate = watch_signal(*this, SIGTERM);
-    m_interrupt = watch_signal(*this, SIGINT);
+    m_terminate = watch_signal(*this, SIGTERM, on_signal);
+    m_interrupt = watch_signal(*this, SIGINT, on_signal);
+    m_hang_up = watch_signal(*this, SIGHUP, on_hang_up);
     open_http(*this);
 }
 
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -2,9 +2,7 @@
 
 #include <array>
 #include <cstdlib>
-#include <random>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -12,7 +10,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
-#include <wire/socket_address.hpp>
+#include <support/loopback.hpp>
 
 namespace bluebellspoke::support
 {
@@ -46,7 +44,7 @@
     endpoint_node e;
     e.m_name = "e" + std::to_string(index + 1);
     e.m_zone = zone_name(o, index);
-    e.m_address = {"127.0.0.1", free_port()};
+    e.m_address = free_address();
     e.m_command = {TEST_ENDPOINT,
                    "--listen",
                    to_string(e.m_address),
@@ -69,14 +67,27 @@
     f.m_endpoints.push_back(std::move(e));
 }
 
+void add_tls_flags(daemon_node& d, const test_authority* authority)
+{
+    if (authority == nullptr)
+        return;
+    const tls_files files = authority->issue(d.m_name);
+    for (const std::string& word :
+         {std::string("--tls-certificate"), files.m_certificate.native(),
+          std::string("--tls-key"), files.m_key.native(),
+          std::string("--tls-authorities"), files.m_authorities.native(),
+          std::string("--platform-authorities"), files.m_authorities.native()})
+        d.m_command.push_back(word);
+}
+
 void add_daemon(fleet& f, std::size_t index)
 {
     daemon_node d;
     d.m_name = "vm-" + std::to_string(index + 1);
     d.m_zone = zone_name(f.m_options, index);
-    d.m_callers = {"127.0.0.1", free_port()};
-    d.m_peers = {"127.0.0.1", free_port()};
-    d.m_admin = {"127.0.0.1", free_port()};
+    d.m_callers = free_address();
+    d.m_peers = free_address();
+    d.m_admin = free_address();
     address platform = f.m_platform_address;
     if (f.m_options.m_relays)
     {
@@ -98,6 +109,7 @@
                    to_string(d.m_peers),
                    "--admin-listen",
                    to_string(d.m_admin)};
+    add_tls_flags(d, f.m_options.m_authority);
     start_daemon(d);
     f.m_daemons.push_back(std::move(d));
 }
@@ -130,42 +142,28 @@
 
 void post_to_platform(const fleet& f, const std::string& path, const json& body)
 {
-    caller c(f.m_platform_address);
+    tls_context_ptr tls;
+    if (f.m_options.m_authority != nullptr)
+        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
+    caller c(f.m_platform_address, tls);
     if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
         throw spawn_error();
 }
 
 }
 
-// Below the ports that the kernel gives to outgoing connections, so that none
-// of these takes it before its process listens, or while it is restarted.
-std::uint16_t free_port()
+fleet::fleet(const fleet_options& options) : m_options(options)
 {
-    constexpr std::uint16_t first = 12'000;
-    constexpr std::uint16_t last = 32'000;
-    static std::mt19937 random{std::random_device()()};
-    std::uniform_int_distribution<std::uint16_t> draw(first, last);
-    for (;;)
+    m_platform_address = free_address();
+    std::vector<std::string> command{TEST_PLATFORM, "--listen",
+                                     to_string(m_platform_address)};
+    if (options.m_authority != nullptr)
     {
-        const std::uint16_t port = draw(random);
-        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        if (descriptor < 0)
-            throw spawn_error();
-        const socket_address at = to_socket_address({"127.0.0.1", port});
-        const bool bound =
-            bind(descriptor, reinterpret_cast<const sockaddr*>(&at.m_storage),
-                 at.m_length) == 0;
-        close(descriptor);
-        if (bound)
-            return port;
+        const tls_files files = options.m_authority->issue("platform");
+        command.insert(command.end(),
+                       {"--tls-certificate", files.m_certificate.native(),
+                        "--tls-key", files.m_key.native()});
     }
-}
-
-fleet::fleet(const fleet_options& options) : m_options(options)
-{
-    m_platform_address = {"127.0.0.1", free_port()};
-    const std::array<std::string, 3> command{TEST_PLATFORM, "--listen",
-                                             to_string(m_platform_address)};
     m_platform = std::make_unique<child_process>(command, log_file("platform"));
     m_platform->read_line();
     for (std::size_t i = 0; i < options.m_endpoints; ++i)
@@ -200,6 +198,10 @@
 {
     std::vector<std::string> command{TEST_CTL, "--platform",
                                      to_string(f.m_platform_address)};
+    if (f.m_options.m_authority != nullptr)
+        command.insert(command.end(),
+                       {"--platform-authorities",
+                        f.m_options.m_authority->authorities().native()});
     for (std::string& word : words)
         command.push_back(std::move(word));
     return run_program(command);
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <support/caller.hpp>
+#include <support/certificates.hpp>
 #include <support/child_process.hpp>
 #include <support/relay.hpp>
 
@@ -48,6 +49,7 @@
     unsigned m_service_us = 0; ///< Of each statement.
     unsigned m_slots = 5;
     unsigned m_connections = 30;
+    const test_authority* m_authority = nullptr; ///< Absent: no TLS.
     bool m_relays = false; ///< Put relays before the stand-ins.
 };
 
@@ -64,9 +66,6 @@
     std::vector<daemon_node> m_daemons;
 };
 
-/// A port on loopback that is free now.
-std::uint16_t free_port();
-
 /// Starts a daemon's process anew.
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
