--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -110,6 +110,8 @@
                    to_string(d.m_peers),
                    "--admin-listen",
                    to_string(d.m_admin)};
+    const auto& flags = f.m_options.m_daemon_flags;
+    d.m_command.insert(d.m_command.end(), flags.begin(), flags.end());
     add_tls_flags(d, f.m_options.m_authority);
     start_daemon(d);
     f.m_daemons.push_back(std::move(d));
