ctl: Wait for acceptance, settle lost answers, show conflicts

Cause: an operator was told that an edit was written, not that it holds; a lost answer ended as a failure; a racing edit said only 'conflict'.

An edit is checked with the whole tree before it is written, read back when its answer is lost, and reported as in force when every daemon goes by it, or a majority has for longer than the bound of standing.

--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -2,127 +2,104 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-#include <openssl/rand.h>
-
-#include <decide/settings_view.hpp>
-#include <platform/settings_codec.hpp>
-
 namespace bluebellspoke
 {
 
 namespace
 {
 
-using words = std::span<const std::string>;
-
-std::string to_hex(std::span<const std::uint8_t> bytes)
+std::array<std::span<const command>, 3> all_commands()
 {
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (const std::uint8_t byte : bytes)
-    {
-        text.push_back(digits[byte >> 4U]);
-        text.push_back(digits[byte & 0xfU]);
-    }
-    return text;
+    return {settings_commands(), access_commands(), fleet_commands()};
 }
 
-std::string random_key()
+std::string usage()
 {
-    constexpr std::size_t key_bytes = 32;
-    std::array<std::uint8_t, key_bytes> bytes{};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    return "bbs_" + to_hex(bytes);
+    constexpr std::size_t column = 38;
+    std::string text = "commands:\n";
+    for (const auto commands : all_commands())
+        for (const command& c : commands)
+        {
+            std::string line = "  " + std::string(c.m_usage);
+            line.resize(std::max(column, line.size() + 1), ' ');
+            text.append(line).append(c.m_meaning).append("\n");
+        }
+    return text;
 }
 
-std::string show(operator_session& s, words)
+std::string join(std::span<const std::string> names)
 {
-    const platform_listing listing = list_objects(s, settings_prefix);
-    nlohmann::ordered_json out = nlohmann::ordered_json::object();
-    for (const platform_object& object : listing.m_objects)
-        out["/" + settings_path(object.m_name)] = {
-            {"version", object.m_version},
-            {"own", nlohmann::json::parse(object.m_value)}};
-    return out.dump(2) + "\n";
+    std::string text;
+    for (const std::string& name : names)
+        text.append(text.empty() ? "" : ", ").append(name);
+    return text;
 }
 
-std::string put(operator_session& s, words arguments)
-{
-    const std::string& path = arguments[0];
-    const node_settings own = decode_node(path, arguments[1]);
-    const std::string name = settings_object_name(path);
-    const platform_object before = get_object(s, name);
-    const platform_object after =
-        put_object(s, name, encode_node(own), before.m_version);
-    return "version " + std::to_string(after.m_version) + "\n";
 }
 
-std::string grant_key(operator_session& s, words arguments)
-{
-    const std::string name = settings_object_name(arguments[0]);
-    const platform_object before = get_object(s, name);
-    node_settings own = decode_node(arguments[0], before.m_value);
-    const std::string key = random_key();
-    own.m_keys.push_back({arguments[1], to_hex(sha256(key)), false});
-    put_object(s, name, encode_node(own), before.m_version);
-    return key + "\n";
-}
+usage_error::usage_error(std::string usage) : m_usage(std::move(usage)) {}
 
-std::string withdraw_key(operator_session& s, words arguments)
+const char* usage_error::what() const noexcept
 {
-    const std::string name = settings_object_name(arguments[0]);
-    const platform_object before = get_object(s, name);
-    node_settings own = decode_node(arguments[0], before.m_value);
-    for (key_setting& key : own.m_keys)
-        if (key.m_id == arguments[1])
-            key.m_withdrawn = true;
-    const platform_object after =
-        put_object(s, name, encode_node(own), before.m_version);
-    return "version " + std::to_string(after.m_version) + "\n";
+    return m_usage.c_str();
 }
 
-struct command
-{
-    std::string_view m_name;
-    std::size_t m_arguments;
-    std::string_view m_usage;
-    std::string (*m_run)(operator_session&, words);
-};
-
-constexpr std::array commands{
-    command{"show", 0, "show", show},
-    command{"put", 2, "put PATH JSON", put},
-    command{"grant", 2, "grant WORKSPACE KEY_ID", grant_key},
-    command{"withdraw", 2, "withdraw WORKSPACE KEY_ID", withdraw_key},
-};
-
-std::string usage()
+std::uint64_t read_version(const std::string& word)
 {
-    std::string text = "commands:\n";
-    for (const command& c : commands)
-        text.append("  ").append(c.m_usage).append("\n");
-    return text;
+    std::uint64_t version = 0;
+    const char* end = word.data() + word.size();
+    const auto read = std::from_chars(word.data(), end, version);
+    if (read.ec != std::errc() || read.ptr != end)
+        throw usage_error("'" + word + "' is no version: a whole number\n");
+    return version;
 }
 
-}
-
-usage_error::usage_error(std::string usage) : m_usage(std::move(usage)) {}
-
-const char* usage_error::what() const noexcept
+command_result report_edit(const edit_outcome& outcome)
 {
-    return m_usage.c_str();
+    command_result result;
+    result.m_json["version"] = outcome.m_version;
+    result.m_json["in_force"] = outcome.m_in_force;
+    result.m_json["waiting_for"] = outcome.m_waiting;
+    result.m_json["refused_by"] = outcome.m_refused;
+    result.m_text = "version " + std::to_string(outcome.m_version);
+    if (outcome.m_in_force)
+    {
+        result.m_text.append(" is in force\n");
+        if (!outcome.m_waiting.empty())
+            result.m_text.append("without the right to serve: ")
+                .append(join(outcome.m_waiting))
+                .append("\n");
+        return result;
+    }
+    result.m_code = exit_code::not_in_force;
+    result.m_text.append(" is in the platform, not yet in force\n");
+    if (!outcome.m_waiting.empty())
+        result.m_text.append("waiting for: ")
+            .append(join(outcome.m_waiting))
+            .append("\n");
+    if (!outcome.m_refused.empty())
+        result.m_text.append("refused by: ")
+            .append(join(outcome.m_refused))
+            .append("; 'status' names the nodes to mend\n");
+    result.m_text.append("next: 'in-force ")
+        .append(std::to_string(outcome.m_version))
+        .append("' waits for it again\n");
+    return result;
 }
 
-std::string run_command(operator_session& s, words line)
+command_result run_command(operator_session& s, words line)
 {
     if (line.empty())
         throw usage_error(usage());
-    for (const command& c : commands)
-        if (c.m_name == line.front() && c.m_arguments == line.size() - 1)
-            return c.m_run(s, line.subspan(1));
+    const std::size_t given = line.size() - 1;
+    for (const auto commands : all_commands())
+        for (const command& c : commands)
+            if (c.m_name == line.front() && given >= c.m_least &&
+                given <= c.m_most)
+                return c.m_run(s, line.subspan(1));
     throw usage_error(usage());
 }
 
--- a/Source/ctl/commands.hpp
+++ b/Source/ctl/commands.hpp
@@ -5,7 +5,10 @@
 #include <span>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include <ctl/operator_session.hpp>
+#include <ctl/settings_edit.hpp>
 
 namespace bluebellspoke
 {
@@ -21,10 +24,38 @@
     std::string m_usage;
 };
 
-/// Runs one command and returns what it prints.
-/// Throws usage_error, platform_error, settings_error.
-std::string run_command(operator_session& s,
-                        std::span<const std::string> words);
+/// What a command prints, for people and for scripts, and how it ends.
+struct command_result
+{
+    std::string m_text;
+    nlohmann::ordered_json m_json;
+    exit_code m_code = exit_code::ok;
+};
+
+using words = std::span<const std::string>;
+
+/// One command. Its last arguments may be left out down to `m_least`.
+struct command
+{
+    std::string_view m_name;
+    std::size_t m_least;
+    std::size_t m_most;
+    std::string_view m_usage;
+    std::string_view m_meaning;
+    command_result (*m_run)(operator_session&, words);
+};
+
+std::span<const command> settings_commands() noexcept;
+std::span<const command> access_commands() noexcept;
+std::span<const command> fleet_commands() noexcept;
+
+/// Reads a version from a command's word. Throws usage_error.
+std::uint64_t read_version(const std::string& word);
+/// Says what became of an edit.
+command_result report_edit(const edit_outcome& outcome);
+
+/// Runs one command. Throws usage_error, ctl_error, settings_error.
+command_result run_command(operator_session& s, words line);
 
 }
 
--- a/Source/ctl/main/bluebellspokectl.cpp
+++ b/Source/ctl/main/bluebellspokectl.cpp
@@ -1,10 +1,12 @@
 #include <array>
+#include <chrono>
 #include <cstdio>
 #include <exception>
 #include <span>
 
 #include <ctl/commands.hpp>
 #include <ctl/operator_session.hpp>
+#include <decide/settings_tree.hpp>
 #include <options/options.hpp>
 
 namespace
@@ -12,11 +14,6 @@
 
 using namespace bluebellspoke;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
-constexpr int exit_conflict = 3;
-
 constexpr std::array options{
     option_spec{"platform", option_type::address, "",
                 "address of the platform's service", "", 0, 0},
@@ -24,34 +21,55 @@
                 "authorities that signed the platform's certificate, PEM; "
                 "turns TLS on towards the platform",
                 "", 0, 0},
+    option_spec{"tls-certificate", option_type::file, "",
+                "certificate to show to daemons, PEM; turns TLS on towards "
+                "them",
+                "", 0, 0},
+    option_spec{"tls-key", option_type::file, "",
+                "private key of the certificate, PEM", "", 0, 0},
+    option_spec{"tls-authorities", option_type::file, "",
+                "authorities that signed the daemons' certificates, PEM", "", 0,
+                0},
+    option_spec{"wait-ms", option_type::count, "10000",
+                "longest wait for an edit to be in force", "ms", 0, 600'000},
+    option_spec{"json", option_type::flag, "", "print JSON, for scripts", "", 0,
+                0},
 };
 
-tls_context_ptr platform_tls(const option_values& values)
+operator_settings read_settings(const option_values& values)
 {
-    if (!values.given("platform-authorities"))
-        return {};
-    tls_files files;
-    files.m_authorities = values.text("platform-authorities");
-    return load_client_tls(files);
+    operator_settings s;
+    s.m_platform = parse_address(values.text("platform"));
+    s.m_wait = std::chrono::milliseconds(values.count("wait-ms"));
+    if (values.given("platform-authorities"))
+        s.m_platform_tls =
+            load_client_tls({{}, {}, values.text("platform-authorities")});
+    if (values.given("tls-certificate"))
+        s.m_peer_tls = load_client_tls({values.text("tls-certificate"),
+                                        values.text("tls-key"),
+                                        values.text("tls-authorities")});
+    return s;
 }
 
 int run(std::span<const char* const> arguments)
 {
     const option_values values =
         parse_options({"bluebellspokectl", "Operators' client of bluebellspoke",
-                       "0.1.0", "command"},
+                       BLUEBELLSPOKE_VERSION, "command"},
                       options, arguments, process_environment());
-    operator_session session(parse_address(values.text("platform")),
-                             platform_tls(values));
-    std::fputs(run_command(session, values.words()).c_str(), stdout);
-    return exit_ok;
+    operator_session session(read_settings(values));
+    const command_result result = run_command(session, values.words());
+    const std::string text =
+        values.given("json") ? result.m_json.dump(2) + "\n" : result.m_text;
+    std::fputs(text.c_str(), stdout);
+    return static_cast<int>(result.m_code);
 }
 
-int fail(const std::exception& e, int code)
+int fail(const std::exception& e, exit_code code)
 {
     std::fputs(e.what(), stderr);
     std::fputc('\n', stderr);
-    return code;
+    return static_cast<int>(code);
 }
 
 }
@@ -64,23 +82,27 @@
     }
     catch (const options_exit&)
     {
-        return exit_ok;
+        return static_cast<int>(exit_code::ok);
     }
     catch (const options_error& e)
     {
-        return fail(e, exit_usage);
+        return fail(e, exit_code::usage);
     }
     catch (const usage_error& e)
     {
-        return fail(e, exit_usage);
+        return fail(e, exit_code::usage);
+    }
+    catch (const settings_error& e)
+    {
+        return fail(ctl_error(ctl_fault::settings_refused, e.what()),
+                    exit_code::refused);
     }
-    catch (const platform_error& e)
+    catch (const ctl_error& e)
     {
-        return fail(e, e.m_failure == platform_failure::conflict ? exit_conflict
-                                                                 : exit_failed);
+        return fail(e, describe(e.m_fault).m_code);
     }
     catch (const std::exception& e)
     {
-        return fail(e, exit_failed);
+        return fail(e, exit_code::failed);
     }
 }
--- a/Source/ctl/operator_session.hpp
+++ b/Source/ctl/operator_session.hpp
@@ -2,41 +2,61 @@
 #define BLUEBELLSPOKE_CTL_OPERATOR_SESSION_HPP
 
 #include <cstdint>
-#include <exception>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
-#include <decide/settings_tree.hpp>
+#include <ctl/ctl_error.hpp>
+#include <peer/peer_message.hpp>
 #include <platform/platform_client.hpp>
 
 namespace bluebellspoke
 {
 
-/// A call to the platform failed.
-class platform_error : public std::exception
+/// What one run of the operators' client is told.
+struct operator_settings
 {
-public:
-    explicit platform_error(platform_failure failure);
-    const char* what() const noexcept override;
-
-    platform_failure m_failure;
+    address m_platform;
+    tls_context_ptr m_platform_tls; ///< Null: in the clear.
+    tls_context_ptr m_peer_tls;     ///< Towards daemons; null: in the clear.
+    duration m_wait{};              ///< For an edit to be in force.
 };
 
-/// One run of the operators' client: calls the platform and waits for it.
+/// One run of the operators' client: calls the platform and the daemons, and
+/// waits for them.
 struct operator_session
 {
-    explicit operator_session(const address& platform,
-                              tls_context_ptr tls = {});
+    explicit operator_session(const operator_settings& settings);
 
+    operator_settings m_settings;
     loop m_loop;
     platform_client m_platform;
 };
 
-/// Each throws platform_error.
+/// One VM of the platform's list and what its daemon says of itself.
+struct fleet_member
+{
+    platform_vm m_vm;
+    std::optional<peer_status> m_status; ///< Absent: no answer.
+};
+
+/// Each throws ctl_error.
 platform_listing list_objects(operator_session& s, std::string_view prefix);
 platform_object get_object(operator_session& s, std::string_view name);
-platform_object put_object(operator_session& s, std::string_view name,
-                           const std::string& value, std::uint64_t if_version);
+std::vector<platform_vm> list_vms(operator_session& s);
+/// Writes and gives what the platform said, failures too.
+platform_result<platform_object> try_put(operator_session& s,
+                                         const platform_object& object,
+                                         std::uint64_t if_version);
+/// Asks every VM's daemon at once how it stands.
+std::vector<fleet_member> ask_fleet(operator_session& s);
+/// Sends one message to a daemon. Absent: no answer in time.
+std::optional<peer_message> ask_daemon(operator_session& s,
+                                       const platform_vm& vm,
+                                       const peer_message& message);
+void pause(operator_session& s, duration time);
 
 }
 
--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -68,6 +68,11 @@
             {
                 return status_of(c);
             },
+            [&](const peer_drain_wanted&) -> peer_message
+            {
+                c.m_boxes.m_admin.post(drain_begun());
+                return status_of(c);
+            },
             [&](const auto&) -> peer_message
             {
                 return peer_declined{c.m_daemon.m_name};
--- a/Source/daemon/control_relay.cpp
+++ b/Source/daemon/control_relay.cpp
@@ -15,9 +15,9 @@
 {
     const peer* newest = nullptr;
     for (const auto& [name, p] : c.m_peers)
-        if (p.m_last && (newest == nullptr ||
-                         p.m_last->m_settings_version >
-                             newest->m_last->m_settings_version))
+        if (p.m_last &&
+            (newest == nullptr ||
+             p.m_last->m_settings_version > newest->m_last->m_settings_version))
             newest = &p;
     return newest;
 }
@@ -95,7 +95,8 @@
             std::min(c.m_front_version, c.m_pool_version),
             std::string(to_string(c.m_standing)),
             c.m_life,
-            {c.m_refused.begin(), c.m_refused.end()}};
+            {c.m_refused.begin(), c.m_refused.end()},
+            to_string(c.m_daemon.m_admin_listen)};
 }
 
 void note_caller(control_state& c, const peer_heartbeat& m)
--- a/Source/daemon/control_standing.cpp
+++ b/Source/daemon/control_standing.cpp
@@ -14,9 +14,8 @@
         return;
     const witnessed_standing s = standing_of(c);
     const standing now = judge_standing(s.m_view, monotonic_clock::now());
-    const time_point until = now == standing::lapsed
-                                 ? time_point::min()
-                                 : standing_until(s.m_view);
+    const time_point until =
+        now == standing::lapsed ? time_point::min() : standing_until(s.m_view);
     c.m_boxes.m_front.post(standing_changed{now, until});
     c.m_boxes.m_admin.post(standing_changed{now, until});
     if (now == std::exchange(c.m_standing, now))
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -47,7 +47,7 @@
     settings_tree m_tree;            ///< The last good value of each node.
     std::uint64_t m_revision = 0; ///< Of the platform's store, as last heard.
     std::uint64_t m_version = 0;  ///< Of the settings, as last heard of.
-    bool m_published = false; ///< The other tasks have settings.
+    bool m_published = false;     ///< The other tasks have settings.
     std::uint64_t m_front_version = 0;  ///< The front goes by it.
     std::uint64_t m_pool_version = 0;   ///< The pool goes by it.
     std::string m_life;                 ///< State of the daemon's life.
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -165,8 +165,8 @@
         throw refused(refusal::zone_out);
     const access_grant grant = check_access(f, r, arrived.m_request);
     pool_request request;
-    request.m_context = {arrived.m_exchange, f.m_settings, grant.m_workspace,
-                         {}};
+    request.m_context = {
+        arrived.m_exchange, f.m_settings, grant.m_workspace, {}};
     if (grant.m_key != nullptr)
         request.m_context.m_key = grant.m_key->m_digest;
     request.m_operation = r.m_operation;
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -105,8 +105,8 @@
 void run_front_task(const daemon_settings& settings, const daemon_tls& tls,
                     mailboxes& boxes)
 {
-    front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false,
-                  false, time_point::min(), {}};
+    front_state f{settings, boxes, make_loop(),       {}, {}, {}, 1, {},
+                  false,    false, time_point::min(), {}};
     f.m_server = std::make_unique<http2_server>(
         f.m_loop, settings.m_listen, http2_server_limits(), make_handlers(f));
     f.m_server->set_tls(tls.m_callers);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -156,9 +156,8 @@
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
                  work_cut, stop_wanted, dump_wanted>;
-using control_message =
-    std::variant<settings_taken, life_changed, tls_changed, drain_begun,
-                 stop_wanted, dump_wanted>;
+using control_message = std::variant<settings_taken, life_changed, tls_changed,
+                                     drain_begun, stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
                                    standing_changed, drain_begun, stop_wanted>;
 
--- a/Source/daemon/pool_keys.cpp
+++ b/Source/daemon/pool_keys.cpp
@@ -20,9 +20,8 @@
 
 bool key_of_request_stands(const pool_state& p, const pool_request& r)
 {
-    return !r.m_context.m_key ||
-           key_stands(*p.m_settings, *r.m_context.m_key,
-                      r.m_context.m_workspace->m_name);
+    return !r.m_context.m_key || key_stands(*p.m_settings, *r.m_context.m_key,
+                                            r.m_context.m_workspace->m_name);
 }
 
 void end_request(pool_state& p, exchange_id exchange, refusal code)
--- a/Source/daemon/pool_places.cpp
+++ b/Source/daemon/pool_places.cpp
@@ -90,14 +90,13 @@
 {
     const pool_state& p = e.m_group.m_pool;
     follow_settings(e);
-    e.m_view.m_admits =
-        admits_work({e.m_reachable, e.m_setting.m_leaving,
-                     zone_is_out(p, e.m_setting.m_zone)});
+    e.m_view.m_admits = admits_work({e.m_reachable, e.m_setting.m_leaving,
+                                     zone_is_out(p, e.m_setting.m_zone)});
     e.m_view.m_local = e.m_setting.m_zone == p.m_daemon.m_zone;
     const bool returning = e.m_life == endpoint_life::returning;
     e.m_view.m_slots =
-        returning ? returning_slots(e.m_slot_share, monotonic_clock::now() -
-                                                        e.m_returned_at)
+        returning ? returning_slots(e.m_slot_share,
+                                    monotonic_clock::now() - e.m_returned_at)
                   : e.m_slot_share;
 }
 
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -71,12 +71,14 @@
 
 nlohmann::json describe_endpoint(const pool_endpoint& e)
 {
-    nlohmann::json out{
-        {"name", e.m_setting.m_name},           {"zone", e.m_setting.m_zone},
-        {"state", to_string(e.m_life)},
-        {"reachable", e.m_reachable},           {"admits", e.m_view.m_admits},
-        {"running", e.m_view.m_running},        {"slots", e.m_view.m_slots},
-        {"connections", e.m_connections.size()}};
+    nlohmann::json out{{"name", e.m_setting.m_name},
+                       {"zone", e.m_setting.m_zone},
+                       {"state", to_string(e.m_life)},
+                       {"reachable", e.m_reachable},
+                       {"admits", e.m_view.m_admits},
+                       {"running", e.m_view.m_running},
+                       {"slots", e.m_view.m_slots},
+                       {"connections", e.m_connections.size()}};
     if (!e.m_view.m_state)
         return out;
     const endpoint_state& s = *e.m_view.m_state;
--- a/Source/decide/settings_view.cpp
+++ b/Source/decide/settings_view.cpp
@@ -82,11 +82,10 @@
     for (const key_setting& key : own.m_keys)
     {
         const sha256_digest digest = from_hex(key.m_sha256);
-        const bool added =
-            view.m_keys
-                .emplace(digest,
-                         key_view{digest, path, key.m_id, key.m_withdrawn})
-                .second;
+        const bool added = view.m_keys
+                               .emplace(digest, key_view{digest, path, key.m_id,
+                                                         key.m_withdrawn})
+                               .second;
         if (!added)
             throw settings_error(settings_fault::duplicate_key, path, "keys");
     }
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -135,7 +135,7 @@
         return {{"name", m.m_name},         {"zone", m.m_zone},
                 {"known", m.m_known},       {"in_force", m.m_in_force},
                 {"standing", m.m_standing}, {"state", m.m_state},
-                {"refused", m.m_refused}};
+                {"refused", m.m_refused},   {"admin", m.m_admin}};
     }
     static peer_status read(const json& j)
     {
@@ -145,7 +145,23 @@
                 j.at("in_force").get<std::uint64_t>(),
                 j.at("standing").get<std::string>(),
                 j.at("state").get<std::string>(),
-                j.at("refused").get<std::vector<std::string>>()};
+                j.at("refused").get<std::vector<std::string>>(),
+                j.at("admin").get<std::string>()};
+    }
+};
+
+template <>
+struct format<peer_drain_wanted>
+{
+    static constexpr const char* tag = "drain_wanted";
+
+    static json write(const peer_drain_wanted&)
+    {
+        return json::object();
+    }
+    static peer_drain_wanted read(const json&)
+    {
+        return {};
     }
 };
 
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -78,11 +78,18 @@
     std::string m_standing;       ///< confirmed, witnessed or lapsed.
     std::string m_state;          ///< Of the daemon's life.
     std::vector<std::string> m_refused; ///< Nodes that it could not take.
+    std::string m_admin;                ///< Address for dumps, IP:port.
+};
+
+/// Operators want the daemon to end after its work; answered by its status.
+struct peer_drain_wanted
+{
 };
 
 using peer_message =
     std::variant<peer_heartbeat, peer_declined, peer_settings_wanted,
-                 peer_settings, peer_status_wanted, peer_status>;
+                 peer_settings, peer_status_wanted, peer_status,
+                 peer_drain_wanted>;
 
 }
 
--- a/Source/platform/settings_codec.cpp
+++ b/Source/platform/settings_codec.cpp
@@ -57,9 +57,9 @@
     node_kind kind(const json& value) const
     {
         const std::string name = text(value, "kind");
-        for (const node_kind k : {node_kind::branch, node_kind::workspace,
-                                  node_kind::service, node_kind::zone,
-                                  node_kind::removed})
+        for (const node_kind k :
+             {node_kind::branch, node_kind::workspace, node_kind::service,
+              node_kind::zone, node_kind::removed})
             if (name == to_string(k))
                 return k;
         refuse(settings_fault::out_of_range, "kind");
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -440,8 +440,8 @@
     const int listening = evconnlistener_get_fd(m_state->m_listener.get());
     for (;;)
     {
-        const int descriptor = accept4(listening, nullptr, nullptr,
-                                       SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int descriptor =
+            accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0)
             break;
         on_accept(nullptr, descriptor, nullptr, 0, m_state.get());
