--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -111,6 +111,8 @@
                    "--admin-listen",
                    to_string(d.m_admin)};
     add_tls_flags(d, f.m_options.m_authority);
+    for (const std::string& word : f.m_options.m_daemon_words)
+        d.m_command.push_back(word);
     start_daemon(d);
     f.m_daemons.push_back(std::move(d));
 }
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -51,6 +51,7 @@
     unsigned m_connections = 30;
     const test_authority* m_authority = nullptr; ///< Absent: no TLS.
     bool m_relays = false; ///< Put relays before the stand-ins.
+    std::vector<std::string> m_daemon_words{}; ///< More flags of daemons.
 };
 
 /// The whole system on loopback: a platform, one database group named "group"
