--- /dev/null
+++ b/Tests/operators/standing_test.cpp
@@ -0,0 +1,183 @@
+#include <csignal>
+
+#include <catch2/catch.hpp>
+#include <operators/ward.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+
+namespace
+{
+
+bool all_stand(const ward& w, const std::string& standing)
+{
+    for (const daemon_node& d : w.m_fleet.m_daemons)
+        if (standing_of(d) != standing)
+            return false;
+    return true;
+}
+
+bool is_refused(const reply& r)
+{
+    const bool typed =
+        r.error() == "configuration_stale" || r.error() == "key_withdrawn";
+    return typed && r.outcome() == "not_run";
+}
+
+}
+
+TEST_CASE("A daemon serves while it knows that its settings are current")
+{
+    ward w({.m_daemons = 3, .m_zones = 2, .m_relays = true});
+    fleet& f = w.m_fleet;
+
+    SECTION("the whole fleet loses the platform")
+    {
+        const auto mode = GENERATE(as<std::string>(), "down", "silent");
+        set_platform_fault(f, {{"mode", mode}});
+
+        THEN("a majority witnesses it and service goes on")
+        {
+            REQUIRE(eventually(
+                [&]
+                {
+                    return all_stand(w, "witnessed");
+                }));
+            REQUIRE(all_serve(w));
+
+            AND_WHEN("a daemon is replaced meanwhile")
+            {
+                daemon_node& replaced = f.m_daemons[0];
+                replaced.m_process.reset();
+                start_daemon(replaced);
+                THEN("it learns the settings from its peers and serves")
+                {
+                    REQUIRE(eventually(
+                        [&]
+                        {
+                            return read_through(w, 0).m_status == 200;
+                        }));
+                }
+            }
+            AND_WHEN("the platform is back")
+            {
+                set_platform_fault(f, {{"mode", "up"}});
+                THEN("every daemon is confirmed again")
+                {
+                    REQUIRE(eventually(
+                        [&]
+                        {
+                            return all_stand(w, "confirmed");
+                        }));
+                    REQUIRE(all_serve(w));
+                }
+            }
+        }
+    }
+
+    SECTION("one daemon is cut off from the platform and from its peers")
+    {
+        f.m_daemons[0].m_platform->cut(true, true);
+        f.m_daemons[1].m_process->send_signal(SIGSTOP);
+        f.m_daemons[2].m_process->send_signal(SIGSTOP);
+
+        THEN("it refuses, and says that nothing ran")
+        {
+            REQUIRE(eventually(
+                [&]
+                {
+                    return is_refused(read_through(w, 0));
+                }));
+            REQUIRE(admin_get(f.m_daemons[0], "/ready").m_status == 503);
+
+            AND_WHEN("it is joined again")
+            {
+                f.m_daemons[1].m_process->send_signal(SIGCONT);
+                f.m_daemons[2].m_process->send_signal(SIGCONT);
+                f.m_daemons[0].m_platform->heal();
+                THEN("all serve")
+                {
+                    REQUIRE(eventually(
+                        [&]
+                        {
+                            return all_serve(w);
+                        }));
+                }
+            }
+        }
+    }
+
+    SECTION("a daemon sleeps while a key is withdrawn")
+    {
+        f.m_daemons[0].m_process->send_signal(SIGSTOP);
+        REQUIRE(ctl(f, {"withdraw", "ward", "clerk"}).m_code == 0);
+        f.m_daemons[0].m_process->send_signal(SIGCONT);
+
+        THEN("it refuses the key from its first answer on")
+        {
+            REQUIRE(is_refused(read_through(w, 0)));
+        }
+    }
+}
+
+TEST_CASE("An older copy of the platform's store brings nothing back")
+{
+    ward w({.m_daemons = 3, .m_zones = 2, .m_relays = true});
+    fleet& f = w.m_fleet;
+    save_platform(f);
+    REQUIRE(ctl(f, {"withdraw", "ward", "clerk"}).m_code == 0);
+    const auto all_refuse = [&]
+    {
+        for (std::size_t i = 0; i < 3; ++i)
+            if (read_through(w, i).error() != "key_withdrawn")
+                return false;
+        return true;
+    };
+    REQUIRE(eventually(all_refuse));
+
+    WHEN("the platform comes back from the copy")
+    {
+        restore_platform(f);
+        REQUIRE(eventually(
+            [&]
+            {
+                return all_stand(w, "witnessed");
+            }));
+
+        THEN("the key stays withdrawn")
+        {
+            REQUIRE(all_refuse());
+        }
+        AND_WHEN("a daemon starts anew")
+        {
+            f.m_daemons[0].m_process.reset();
+            start_daemon(f.m_daemons[0]);
+            THEN("it goes by what its peers know")
+            {
+                REQUIRE(eventually(
+                    [&]
+                    {
+                        const std::string error = read_through(w, 0).error();
+                        REQUIRE((error.empty() || error == "key_withdrawn" ||
+                                 error == "configuration_stale"));
+                        REQUIRE(read_through(w, 0).m_status != 200);
+                        return error == "key_withdrawn";
+                    }));
+            }
+        }
+        AND_WHEN("new edits bring the old store past the newest version")
+        {
+            for (int i = 0; i < 9; ++i)
+                put_node(f, "depot", {{"rate", 100 + i}});
+            THEN("the key still stays withdrawn")
+            {
+                REQUIRE(eventually(
+                    [&]
+                    {
+                        return all_refuse();
+                    }));
+                REQUIRE(all_stand(w, "witnessed"));
+            }
+        }
+    }
+}
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -109,6 +109,8 @@
                    to_string(d.m_peers),
                    "--admin-listen",
                    to_string(d.m_admin)};
+    const auto& flags = f.m_options.m_daemon_flags;
+    d.m_command.insert(d.m_command.end(), flags.begin(), flags.end());
     add_tls_flags(d, f.m_options.m_authority);
     start_daemon(d);
     f.m_daemons.push_back(std::move(d));
@@ -129,6 +131,18 @@
             {"endpoints", std::move(endpoints)}};
 }
 
+void post_to_platform(const fleet& f, const std::string& path, const json& body)
+{
+    tls_context_ptr tls;
+    if (f.m_options.m_authority != nullptr)
+        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
+    caller c(f.m_platform_address, tls);
+    if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
+        throw spawn_error();
+}
+
+}
+
 json vm_list(const fleet& f)
 {
     json vms = json::array();
@@ -140,16 +154,20 @@
     return vms;
 }
 
-void post_to_platform(const fleet& f, const std::string& path, const json& body)
+json dump_of(const daemon_node& d)
 {
-    tls_context_ptr tls;
-    if (f.m_options.m_authority != nullptr)
-        tls = load_client_tls({{}, {}, f.m_options.m_authority->authorities()});
-    caller c(f.m_platform_address, tls);
-    if (c.send({"POST", path, {}, body.dump()}).m_status != 200)
-        throw spawn_error();
+    const json whole = admin_get(d, "/dump").json();
+    return whole.is_object() ? whole.at("tasks") : json();
 }
 
+void save_platform(const fleet& f)
+{
+    post_to_platform(f, "/standin/save", json::object());
+}
+
+void restore_platform(const fleet& f)
+{
+    post_to_platform(f, "/standin/restore", json::object());
 }
 
 fleet::fleet(const fleet_options& options) : m_options(options)
