promotion: Promote another endpoint when a group's primary is lost

Cause: nobody promoted, so a lost primary stopped a group's writes for good.

Each daemon watches a group's primary by the chart group.scxml. Decisions are in decide/promotion: suspicion, rendezvous turns, votes, winner, strays. The votes of a majority carry safety; the lease in the platform, claimed only for a promotion and released after it, only keeps daemons out of each other's way. It costs two reads or writes a promotion and none while all is well. Ruled out: a lease held all the time, one a group or one a daemon; 23,000 groups or 4,100 daemons that renew every second or two are more than several hundred writes a second.

Faults of the code before that came up on the way: - a write whose endpoint left the term between its commit and the state that came with the answer took a position of the later term, and could be acknowledged though the new primary lacks it; - a write that was retried and then refused in the queue said not_run, though its first attempt may have taken effect; - the commit of a transaction with a failed statement was acknowledged: the endpoint answers it with success and rolls back; - removing two endpoints at once with requests at them read a moved pointer; - a monitor whose question met an error, or no answer, never asked again.

--- /dev/null
+++ b/Source/daemon/control_leases.cpp
@@ -0,0 +1,163 @@
+#include <daemon/control_leases.hpp>
+
+#include <chrono>
+
+#include <daemon/control_state.hpp>
+#include <platform/lease_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds call_limit{400};
+
+void fire(control_state& c, const std::string& group, lease_event event);
+
+void tell(control_state& c, const group_claim& claim, lease_verdict verdict)
+{
+    c.m_boxes.m_pool.post(lease_answer{claim.m_wanted.m_group,
+                                       claim.m_wanted.m_ticket, verdict,
+                                       lease_end(claim.m_asked_at)});
+}
+
+// An answer to an earlier claim says nothing about this one.
+bool is_current(control_state& c, const std::string& group, std::uint64_t claim)
+{
+    return c.m_leases.m_claims[group].m_record.m_claim == claim;
+}
+
+void on_read(control_state& c, const std::string& group,
+             platform_result<platform_object>& result)
+{
+    group_claim& claim = c.m_leases.m_claims[group];
+    const auto* object = std::get_if<platform_object>(&result);
+    if (object == nullptr)
+    {
+        fire(c, group, lease_event::unanswered);
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    claim.m_seen = note_lease(claim.m_seen, object->m_version,
+                              decode_lease(object->m_value), now);
+    claim.m_version = object->m_version;
+    switch (judge_lease(*claim.m_seen, claim.m_record, now))
+    {
+    case lease_step::take:
+        fire(c, group, lease_event::free);
+        break;
+    case lease_step::wait:
+        fire(c, group, lease_event::taken);
+        break;
+    case lease_step::held:
+        fire(c, group, lease_event::own);
+        break;
+    }
+}
+
+void read_object(control_state& c, const std::string& group)
+{
+    const std::uint64_t claim = c.m_leases.m_claims[group].m_record.m_claim;
+    c.m_platform.get(
+        lease_object_name(group), call_limit,
+        [&c, group, claim](platform_result<platform_object>& result)
+        {
+            if (is_current(c, group, claim))
+                on_read(c, group, result);
+        });
+}
+
+void on_written(control_state& c, const std::string& group,
+                platform_result<platform_object>& result)
+{
+    if (const auto* object = std::get_if<platform_object>(&result))
+    {
+        c.m_leases.m_claims[group].m_version = object->m_version;
+        fire(c, group, lease_event::written);
+        return;
+    }
+    const bool conflict =
+        std::get<platform_failure>(result) == platform_failure::conflict;
+    fire(c, group, conflict ? lease_event::taken : lease_event::unanswered);
+}
+
+// The lease is counted from before the first try was sent: a lost answer may
+// belong to a write that took effect at once.
+void write_claim(control_state& c, const std::string& group)
+{
+    group_claim& claim = c.m_leases.m_claims[group];
+    if (claim.m_asked_at == time_point())
+        claim.m_asked_at = monotonic_clock::now();
+    c.m_platform.put(lease_object_name(group), encode_lease(claim.m_record),
+                     claim.m_version, call_limit,
+                     [&c, group, number = claim.m_record.m_claim](
+                         platform_result<platform_object>& r)
+                     {
+                         if (is_current(c, group, number))
+                             on_written(c, group, r);
+                     });
+}
+
+// Only a courtesy to the next daemon; the lease lapses without it.
+void write_release(control_state& c, const std::string& group)
+{
+    const group_claim& claim = c.m_leases.m_claims[group];
+    c.m_platform.put(lease_object_name(group), encode_lease({}),
+                     claim.m_version, call_limit,
+                     [](platform_result<platform_object>&) {});
+}
+
+void act(control_state& c, const std::string& group, lease_action action)
+{
+    const group_claim& claim = c.m_leases.m_claims[group];
+    switch (action)
+    {
+    case lease_action::read_object:
+        read_object(c, group);
+        break;
+    case lease_action::write_claim:
+        write_claim(c, group);
+        break;
+    case lease_action::write_release:
+        write_release(c, group);
+        break;
+    case lease_action::tell_granted:
+        tell(c, claim, lease_verdict::granted);
+        break;
+    case lease_action::tell_denied:
+        tell(c, claim, lease_verdict::denied);
+        break;
+    case lease_action::tell_unanswered:
+        tell(c, claim, lease_verdict::unanswered);
+        break;
+    }
+}
+
+void fire(control_state& c, const std::string& group, lease_event event)
+{
+    c.m_leases.m_chart.fire(c.m_leases.m_claims[group].m_state, event,
+                            [&](lease_action action)
+                            {
+                                act(c, group, action);
+                            });
+}
+
+}
+
+void want_lease(control_state& c, const lease_wanted& m)
+{
+    group_claim& claim = c.m_leases.m_claims[m.m_group];
+    claim.m_wanted = m;
+    claim.m_record = {m.m_candidate, c.m_leases.m_next_claim++,
+                      static_cast<std::uint64_t>(lease_length.count())};
+    claim.m_asked_at = {};
+    fire(c, m.m_group, lease_event::wanted);
+}
+
+void release_lease(control_state& c, const lease_released& m)
+{
+    fire(c, m.m_group, lease_event::released);
+}
+
+}
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <daemon/control_leases.hpp>
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
 #include <decide/settings_tree.hpp>
@@ -50,6 +51,7 @@
     bool m_draining = false;
     std::uint64_t m_incarnation = 0; ///< Of this process.
     std::map<std::string, peer, std::less<>> m_peers;
+    lease_keeper m_leases;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
     timer m_retry_settings;
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -54,6 +54,14 @@
 {
     std::visit(
         overloaded{
+            [&](lease_wanted& m)
+            {
+                want_lease(c, m);
+            },
+            [&](lease_released& m)
+            {
+                release_lease(c, m);
+            },
             [&](drain_begun&) {},
             [&](stop_wanted&)
             {
@@ -73,11 +81,13 @@
 control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
       m_platform(m_loop, daemon.m_platform),
-      m_incarnation(random_incarnation()), m_heartbeat(m_loop,
-                                                       [this]
-                                                       {
-                                                           beat_peers(*this);
-                                                       }),
+      m_incarnation(random_incarnation()),
+      m_leases{load_lease_chart(daemon.m_charts), {}, 1},
+      m_heartbeat(m_loop,
+                  [this]
+                  {
+                      beat_peers(*this);
+                  }),
       m_retry_settings(m_loop,
                        [this]
                        {
--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include <daemon/admin_task.hpp>
+#include <daemon/control_charts.hpp>
 #include <daemon/control_task.hpp>
 #include <daemon/daemon_chart.hpp>
 #include <daemon/front_task.hpp>
@@ -52,6 +53,7 @@
 {
     const pool_charts charts = load_pool_charts(settings.m_charts);
     load_daemon_chart(settings.m_charts);
+    load_lease_chart(settings.m_charts);
     if (settings.m_check_only)
         return;
     std::signal(SIGPIPE, SIG_IGN);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -80,6 +80,42 @@
     std::size_t m_members = 1;
 };
 
+/// control → pool: the names of the fleet's daemons.
+struct members_changed
+{
+    std::vector<std::string> m_names;
+};
+
+/// pool → control: may this daemon promote in the group?
+struct lease_wanted
+{
+    std::string m_group;
+    std::string m_candidate; ///< Name and incarnation of this daemon.
+    std::uint64_t m_ticket = 0;
+};
+
+/// pool → control: the right is no longer needed.
+struct lease_released
+{
+    std::string m_group;
+};
+
+enum class lease_verdict : std::uint8_t
+{
+    granted,
+    denied,
+    unanswered, ///< The platform is down or slow.
+};
+
+/// control → pool: the answer to a lease_wanted.
+struct lease_answer
+{
+    std::string m_group;
+    std::uint64_t m_ticket = 0;
+    lease_verdict m_verdict = lease_verdict::unanswered;
+    time_point m_until{}; ///< End of a granted lease.
+};
+
 /// main → every task: finish what is under way and take no more.
 struct drain_begun
 {
@@ -114,9 +150,11 @@
     std::variant<request_outcome, settings_changed, session_secrets,
                  fleet_changed, drain_begun, stop_wanted, dump_wanted>;
 using pool_message =
-    std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
-                 stop_wanted, dump_wanted>;
-using control_message = std::variant<drain_begun, stop_wanted, dump_wanted>;
+    std::variant<pool_request, request_abandoned, settings_changed,
+                 members_changed, lease_answer, drain_begun, stop_wanted,
+                 dump_wanted>;
+using control_message = std::variant<lease_wanted, lease_released, drain_begun,
+                                     stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
                                    drain_begun, stop_wanted>;
 
--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -10,12 +10,13 @@
 
 constexpr std::array<std::string_view, 4> request_states{"queued", "running",
                                                          "confirming", "ended"};
-constexpr std::array<std::string_view, 9> request_events{
-    "dispatched", "answered", "committed", "confirmed", "superseded",
+constexpr std::array<std::string_view, 8> request_events{
+    "dispatched", "answered", "committed", "confirmed",
     "retried",    "failed",   "expired",   "abandoned"};
-constexpr std::array<std::string_view, 8> request_actions{
-    "deliver",        "await_majority", "requeue",         "refuse_not_run",
-    "refuse_as_told", "refuse_unknown", "drop_connection", "forget"};
+constexpr std::array<std::string_view, 9> request_actions{
+    "deliver",        "await_majority",  "stop_waiting",
+    "requeue",        "refuse_not_run",  "refuse_as_told",
+    "refuse_unknown", "drop_connection", "forget"};
 
 constexpr std::array<std::string_view, 4> transaction_states{"open", "busy",
                                                              "ending", "ended"};
@@ -25,6 +26,15 @@
 constexpr std::array<std::string_view, 3> transaction_actions{
     "release_connection", "drop_connection", "forget"};
 
+constexpr std::array<std::string_view, 5> group_states{
+    "led", "suspected", "claiming", "fencing", "promoting"};
+constexpr std::array<std::string_view, 8> group_events{
+    "missed",        "found",        "reshaped", "turn_came",
+    "lease_granted", "lease_denied", "elected",  "outbid"};
+constexpr std::array<std::string_view, 5> group_actions{
+    "await_turn", "claim_lease", "send_fences", "send_promote",
+    "release_lease"};
+
 }
 
 pool_charts load_pool_charts(const std::filesystem::path& folder)
@@ -33,7 +43,9 @@
             {load_chart(folder, {"request", request_states, request_events,
                                  request_actions})},
             {load_chart(folder, {"transaction", transaction_states,
-                                 transaction_events, transaction_actions})}};
+                                 transaction_events, transaction_actions})},
+            {load_chart(folder,
+                        {"group", group_states, group_events, group_actions})}};
 }
 
 }
--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -23,7 +23,6 @@
     answered,
     committed,
     confirmed,
-    superseded,
     retried,
     failed,
     expired,
@@ -34,6 +33,7 @@
 {
     deliver,
     await_majority,
+    stop_waiting,
     requeue,
     refuse_not_run,
     refuse_as_told,
@@ -67,16 +67,49 @@
     forget,
 };
 
+enum class group_state : std::uint8_t
+{
+    led,
+    suspected,
+    claiming,
+    fencing,
+    promoting,
+};
+
+enum class group_event : std::uint8_t
+{
+    missed,
+    found,
+    reshaped, ///< The group's endpoints were changed.
+    turn_came,
+    lease_granted,
+    lease_denied,
+    elected,
+    outbid,
+};
+
+enum class group_action : std::uint8_t
+{
+    await_turn,
+    claim_lease,
+    send_fences,
+    send_promote,
+    release_lease,
+};
+
 using request_chart = typed_chart<request_state, request_event, request_action>;
 using transaction_chart =
     typed_chart<transaction_state, transaction_event, transaction_action>;
 
+using group_chart = typed_chart<group_state, group_event, group_action>;
+
 /// The charts that the pool task interprets.
 struct pool_charts
 {
     connection_chart m_connection;
     request_chart m_request;
     transaction_chart m_transaction;
+    group_chart m_group;
 };
 
 /// Throws chart_error.
--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -101,10 +101,18 @@
     }
 }
 
+// A transaction belongs to the term that it began in, whoever leads by now.
+term_number term_for(const request& r, const pooled_connection& c)
+{
+    const bool inside = r.m_transaction != nullptr &&
+                        r.m_arrived.m_operation != request_operation::begin;
+    return inside ? r.m_transaction->m_term : primary_term(c.m_endpoint);
+}
+
 void hand_over(request& r, pooled_connection& c)
 {
     r.m_connection = &c;
-    r.m_term = primary_term(c.m_endpoint);
+    r.m_term = term_for(r, c);
     ++r.m_attempts;
     r.m_handed_over_at = monotonic_clock::now();
     c.m_request = &r;
--- a/Source/daemon/pool_endpoints.cpp
+++ b/Source/daemon/pool_endpoints.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds waiting_poll_period{2};
 constexpr milliseconds reconnect_delay{200};
 constexpr milliseconds await_limit{100};
+/// A replica that shows data this much newer than before hears a primary.
+constexpr milliseconds fed_step{20};
 
 bool anyone_waits(const pool_endpoint& e)
 {
@@ -36,10 +38,13 @@
 
 void take_state(pool_endpoint& e, time_point asked_at, const pg_reply& reply)
 {
-    if (reply.m_lost || reply.m_error || reply.m_tables.empty())
+    e.m_silence.cancel();
+    if (reply.m_lost)
         return;
     try
     {
+        if (reply.m_error || reply.m_tables.empty())
+            throw endpoint_protocol_error();
         learn_state(e, parse_state(reply.m_tables.front(), asked_at));
     }
     catch (const endpoint_protocol_error&)
@@ -61,17 +66,32 @@
     hasten_poll(e);
 }
 
+// What runs at an endpoint that is silent goes on elsewhere or is in doubt;
+// its connections may never tell.
+void drop_running(pool_endpoint& e)
+{
+    std::vector<pg_connection*> running;
+    for (const auto& c : e.m_connections)
+        if (c->m_running || c->m_transaction != nullptr)
+            running.push_back(c->m_pg.get());
+    for (pg_connection* pg : running)
+        pg->close();
+}
+
 void on_monitor_closed(pool_endpoint& e)
 {
-    if (std::exchange(e.m_reachable, false))
-        log_event(
-            event_id::endpoint_unreachable,
-            {{"group", e.m_group.m_name}, {"endpoint", e.m_setting.m_name}});
+    const bool was_reachable = std::exchange(e.m_reachable, false);
+    e.m_silence.cancel();
     update_admission(e);
     pool_state& p = e.m_group.m_pool;
     p.m_closed_monitors.push_back(std::move(e.m_monitor));
     p.m_reaper.start_once(std::chrono::microseconds::zero());
     e.m_reconnect.start_once(reconnect_delay);
+    if (!was_reachable)
+        return;
+    log_event(event_id::endpoint_unreachable,
+              {{"group", e.m_group.m_name}, {"endpoint", e.m_setting.m_name}});
+    drop_running(e);
 }
 
 void on_connection_closed(pool_endpoint& e, pooled_connection& c)
@@ -107,6 +127,21 @@
     return target;
 }
 
+// The age is counted back from the asking, so a slow answer looks older than
+// it is and never newer.
+void note_feeding(pool_endpoint& e, const endpoint_state& state)
+{
+    e.m_heard_at =
+        std::max(e.m_heard_at.value_or(state.m_asked_at), state.m_asked_at);
+    if (!state.m_age || state.m_role == endpoint_role::primary)
+        return;
+    const time_point fresh = state.m_asked_at - *state.m_age;
+    if (fresh - e.m_fresh_until < fed_step)
+        return;
+    e.m_fresh_until = fresh;
+    e.m_fed_at = state.m_asked_at;
+}
+
 }
 
 void start_monitor(pool_endpoint& e)
@@ -131,6 +166,7 @@
     if (!e.m_monitor || e.m_monitor->state() != connection_state::idle)
         return;
     const time_point asked_at = monotonic_clock::now();
+    e.m_silence.start_once(suspicion_time);
     e.m_monitor->submit(poll_query(e),
                         [&e, asked_at](pg_reply& reply)
                         {
@@ -146,6 +182,7 @@
 
 void learn_state(pool_endpoint& e, const endpoint_state& state)
 {
+    note_feeding(e, state);
     if (e.m_view.m_state && !is_newer(state, *e.m_view.m_state))
         return;
     e.m_view.m_state = state;
@@ -181,8 +218,10 @@
 {
     while (!e.m_connections.empty())
         e.m_connections.back()->m_pg->close();
+    drop_order(e);
     if (e.m_monitor)
         e.m_monitor->close();
+    e.m_silence.cancel();
     e.m_poll.cancel();
     e.m_reconnect.cancel();
 }
--- /dev/null
+++ b/Source/daemon/pool_promotion.cpp
@@ -0,0 +1,347 @@
+#include <daemon/pool_state.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <endpoint/endpoint_sql.hpp>
+#include <report/event.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick_period{25};
+constexpr milliseconds lease_patience{600};
+constexpr milliseconds order_patience{1000};
+
+void fire(pool_group& g, group_event event);
+
+voter voter_of(const pool_endpoint& e)
+{
+    const settings_view& settings = *e.m_group.m_pool.m_settings;
+    voter v;
+    v.m_state = e.m_view.m_state;
+    v.m_heard_at = e.m_heard_at;
+    v.m_fed_at = e.m_fed_at;
+    v.m_known_since = e.m_known_since;
+    v.m_eligible = !e.m_setting.m_leaving &&
+                   !settings.m_zones_out.contains(e.m_setting.m_zone);
+    return v;
+}
+
+std::vector<voter> voters_of(const pool_group& g)
+{
+    std::vector<voter> voters;
+    voters.reserve(g.m_endpoints.size());
+    for (const auto& e : g.m_endpoints)
+        voters.push_back(voter_of(*e));
+    return voters;
+}
+
+duration own_delay(const pool_group& g)
+{
+    const pool_state& p = g.m_pool;
+    return turn_delay(
+        rendezvous_rank(g.m_name, p.m_daemon.m_name, p.m_members));
+}
+
+bool still_in(const pool_group& g, term_number term, group_state state)
+{
+    return g.m_watch.m_state == state && g.m_watch.m_election.m_term == term;
+}
+
+// ---- actions
+
+void await_turn(pool_group& g)
+{
+    g.m_watch.m_turn_at = monotonic_clock::now() + own_delay(g);
+}
+
+void claim_lease(pool_group& g)
+{
+    pool_state& p = g.m_pool;
+    g.m_watch.m_lease_until.reset();
+    p.m_boxes.m_control.post(
+        lease_wanted{g.m_name, p.m_candidate, ++g.m_watch.m_ticket});
+}
+
+void release_lease(pool_group& g)
+{
+    g.m_pool.m_boxes.m_control.post(lease_released{g.m_name});
+}
+
+void take_vote(pool_endpoint& e, std::size_t index, term_number term,
+               time_point asked_at, const pg_reply& reply)
+{
+    pool_group& g = e.m_group;
+    if (!still_in(g, term, group_state::fencing) || reply.m_error ||
+        reply.m_tables.empty())
+        return;
+    ballot b;
+    try
+    {
+        b.m_state = parse_state(reply.m_tables.front(), asked_at);
+        b.m_granted = parse_granted(reply.m_tables.front());
+    }
+    catch (const endpoint_protocol_error&)
+    {
+        return;
+    }
+    g.m_watch.m_election.m_ballots[index] = b;
+    learn_state(e, b.m_state);
+    watch_primary(g);
+}
+
+void send_fences(pool_group& g)
+{
+    primary_watch& w = g.m_watch;
+    const time_point now = monotonic_clock::now();
+    w.m_election =
+        begin_election(voters_of(g), w.m_last_term, g.m_pool.m_candidate, now);
+    const term_number term = w.m_election.m_term;
+    w.m_last_term = term;
+    log_event(event_id::election_begun,
+              {{"group", g.m_name}, {"term", std::to_string(term)}});
+    for (std::size_t i = 0; i < g.m_endpoints.size(); ++i)
+    {
+        pool_endpoint& e = *g.m_endpoints[i];
+        send_order(e, fence_query(term, w.m_election.m_candidate),
+                   [&e, i, term, now](pg_reply& reply)
+                   {
+                       take_vote(e, i, term, now, reply);
+                   });
+    }
+}
+
+void take_promotion(pool_endpoint& e, time_point asked_at,
+                    const pg_reply& reply)
+{
+    if (reply.m_error || reply.m_tables.empty())
+        return;
+    try
+    {
+        learn_state(e, parse_state(reply.m_tables.front(), asked_at));
+    }
+    catch (const endpoint_protocol_error&)
+    {
+        return;
+    }
+    watch_primary(e.m_group);
+}
+
+void send_promote(pool_group& g)
+{
+    primary_watch& w = g.m_watch;
+    pool_endpoint& e = *g.m_endpoints[w.m_winner];
+    w.m_promoted_term = w.m_election.m_term;
+    log_event(event_id::promotion_ordered,
+              {{"group", g.m_name},
+               {"endpoint", e.m_setting.m_name},
+               {"term", std::to_string(w.m_promoted_term)}});
+    const time_point now = monotonic_clock::now();
+    send_order(e, promote_query(w.m_promoted_term),
+               [&e, now](pg_reply& reply)
+               {
+                   take_promotion(e, now, reply);
+               });
+}
+
+void act(pool_group& g, group_action action)
+{
+    switch (action)
+    {
+    case group_action::await_turn:
+        await_turn(g);
+        break;
+    case group_action::claim_lease:
+        claim_lease(g);
+        break;
+    case group_action::send_fences:
+        send_fences(g);
+        break;
+    case group_action::send_promote:
+        send_promote(g);
+        break;
+    case group_action::release_lease:
+        release_lease(g);
+        break;
+    }
+}
+
+void report(const pool_group& g, group_event event)
+{
+    if (event == group_event::missed)
+        log_event(event_id::primary_missed, {{"group", g.m_name}});
+    if (event == group_event::found)
+        log_event(event_id::primary_found, {{"group", g.m_name}});
+    if (event == group_event::outbid)
+        log_event(event_id::election_lost,
+                  {{"group", g.m_name},
+                   {"term", std::to_string(g.m_watch.m_election.m_term)}});
+}
+
+void fire(pool_group& g, group_event event)
+{
+    const group_state before = g.m_watch.m_state;
+    const bool taken = g.m_pool.m_charts.m_group.fire(g.m_watch.m_state, event,
+                                                      [&g](group_action action)
+                                                      {
+                                                          act(g, action);
+                                                      });
+    if (!taken)
+        return;
+    if (g.m_watch.m_state != before)
+        g.m_watch.m_entered_at = monotonic_clock::now();
+    report(g, event);
+}
+
+// ---- what each state waits for
+
+void judge_votes(pool_group& g, std::span<const voter> voters, time_point now)
+{
+    primary_watch& w = g.m_watch;
+    const election_result result = judge_election(w.m_election, voters, now);
+    // A holder that was paused past its lease leaves the field to the next.
+    const bool lapsed = w.m_lease_until && now >= *w.m_lease_until;
+    if (result.m_outcome == election_outcome::lost || lapsed)
+    {
+        fire(g, group_event::outbid);
+        return;
+    }
+    if (result.m_outcome != election_outcome::won)
+        return;
+    w.m_winner = result.m_winner;
+    fire(g, group_event::elected);
+}
+
+void go_on(pool_group& g, std::span<const voter> voters, time_point now)
+{
+    const primary_watch& w = g.m_watch;
+    const duration in_state = now - w.m_entered_at;
+    switch (w.m_state)
+    {
+    case group_state::led:
+        break;
+    case group_state::suspected:
+        if (now >= w.m_turn_at)
+            fire(g, group_event::turn_came);
+        break;
+    case group_state::claiming:
+        // Without the platform the order of turns and the votes carry it.
+        if (in_state >= lease_patience)
+            fire(g, group_event::lease_granted);
+        break;
+    case group_state::fencing:
+        judge_votes(g, voters, now);
+        break;
+    case group_state::promoting:
+        if (in_state >= vote_limit)
+            fire(g, group_event::outbid);
+        break;
+    }
+}
+
+// ---- endpoints that follow nobody, or an old primary
+
+void order_follow(pool_endpoint& e, const pool_endpoint& leader,
+                  term_number term)
+{
+    log_event(event_id::follow_ordered, {{"group", e.m_group.m_name},
+                                         {"endpoint", e.m_setting.m_name},
+                                         {"primary", leader.m_setting.m_name},
+                                         {"term", std::to_string(term)}});
+    send_order(e, follow_query(term, leader.m_setting.m_address),
+               [&e, term](pg_reply& reply)
+               {
+                   if (!reply.m_error)
+                       e.m_told_term = term;
+               });
+}
+
+std::vector<term_number> told_terms(const pool_group& g, term_number term)
+{
+    // The daemon that promoted tells everybody once; others only mend what
+    // they see fenced below the leader's term.
+    const bool promoted_here = g.m_watch.m_promoted_term == term;
+    std::vector<term_number> told;
+    for (const auto& e : g.m_endpoints)
+        told.push_back(promoted_here ? e->m_told_term : term);
+    return told;
+}
+
+bool may_order(pool_endpoint& e, time_point now, duration delay)
+{
+    if (!e.m_stray_since)
+        e.m_stray_since = now;
+    if (!e.m_reachable || now - *e.m_stray_since < delay)
+        return false;
+    return !e.m_order || now - e.m_order->m_sent_at >= order_patience;
+}
+
+void gather_strays(pool_group& g, std::span<const voter> voters, time_point now)
+{
+    const std::size_t leader = *find_leader(voters);
+    const term_number term = voters[leader].m_state->m_fence;
+    const bool promoted_here = g.m_watch.m_promoted_term == term;
+    const duration delay = promoted_here ? duration::zero() : own_delay(g);
+    const auto strays = find_strays(voters, leader, told_terms(g, term));
+    std::vector<bool> is_stray(voters.size(), false);
+    for (const std::size_t i : strays)
+    {
+        is_stray[i] = true;
+        if (may_order(*g.m_endpoints[i], now, delay))
+            order_follow(*g.m_endpoints[i], *g.m_endpoints[leader], term);
+    }
+    for (std::size_t i = 0; i < voters.size(); ++i)
+        if (!is_stray[i])
+            g.m_endpoints[i]->m_stray_since.reset();
+}
+
+}
+
+void watch_primary(pool_group& g)
+{
+    if (g.m_endpoints.empty())
+        return;
+    g.m_watch.m_tick.start_once(tick_period);
+    const time_point now = monotonic_clock::now();
+    const std::vector<voter> voters = voters_of(g);
+    const leadership judged = judge_leadership(voters, now);
+    if (judged == leadership::led)
+    {
+        fire(g, group_event::found);
+        gather_strays(g, voters, now);
+        return;
+    }
+    if (judged != leadership::unknown)
+        fire(g, group_event::missed);
+    go_on(g, voters, now);
+}
+
+void take_lease_answer(pool_state& p, const lease_answer& m)
+{
+    const auto found = p.m_groups.find(m.m_group);
+    if (found == p.m_groups.end())
+        return;
+    pool_group& g = *found->second;
+    const bool current = g.m_watch.m_state == group_state::claiming &&
+                         g.m_watch.m_ticket == m.m_ticket;
+    if (!current)
+        return;
+    if (m.m_verdict == lease_verdict::granted)
+        g.m_watch.m_lease_until = m.m_until;
+    fire(g, m.m_verdict == lease_verdict::denied ? group_event::lease_denied
+                                                 : group_event::lease_granted);
+}
+
+void reshape(pool_group& g)
+{
+    fire(g, group_event::reshaped);
+    watch_primary(g);
+}
+
+}
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include <decide/acknowledgement.hpp>
 #include <endpoint/endpoint_sql.hpp>
 
 namespace bluebellspoke
@@ -18,6 +19,12 @@
     --c.m_endpoint.m_view.m_running;
 }
 
+bool is_lone_write(const request& r)
+{
+    return stands_alone(r.m_arrived) &&
+           r.m_arrived.m_statement.m_kind == statement_kind::write;
+}
+
 /// True when running the request once more can do no harm.
 bool may_retry(const request& r)
 {
@@ -29,6 +36,14 @@
            r.m_attempts < most_attempts;
 }
 
+// Whatever is refused later, the first attempt may have taken effect.
+void retry_in_doubt(request& r)
+{
+    r.m_in_doubt = r.m_in_doubt || is_lone_write(r);
+    r.m_answer = {};
+    fire(r, request_event::retried);
+}
+
 // What was not committed is rolled back with its connection.
 void take_lost(request& r)
 {
@@ -36,12 +51,21 @@
         !stands_alone(r.m_arrived) &&
         r.m_arrived.m_operation != request_operation::commit;
     if (may_retry(r))
-        fire(r, request_event::retried);
+        retry_in_doubt(r);
     else
         fail(r, refusal::endpoint_lost,
              uncommitted ? fate::not_run : fate::outcome_unknown);
 }
 
+// It was committed, or nearly, by a primary that has been replaced since.
+void take_superseded(request& r)
+{
+    if (may_retry(r))
+        retry_in_doubt(r);
+    else
+        fail(r, refusal::not_confirmed, fate::outcome_unknown);
+}
+
 // The endpoint's state is unknown until it is asked again.
 void distrust(pool_endpoint& e)
 {
@@ -68,12 +92,6 @@
          error.m_sqlstate + ": " + error.m_message);
 }
 
-bool is_lone_write(const request& r)
-{
-    return stands_alone(r.m_arrived) &&
-           r.m_arrived.m_statement.m_kind == statement_kind::write;
-}
-
 bool needs_majority(const request& r)
 {
     return is_lone_write(r) ||
@@ -93,8 +111,6 @@
     {
         r.m_answer.m_table = std::move(reply.m_tables.at(statement_table));
     }
-    if (needs_majority(r))
-        r.m_answer.m_position = state.m_received;
     r.m_answer.m_from_replica = state.m_role == endpoint_role::replica;
 }
 
@@ -123,7 +139,14 @@
         fire(r, request_event::answered);
         return;
     }
-    fire(r, request_event::committed);
+    const auto position = committed_position(state, r.m_term);
+    if (!position)
+        take_superseded(r);
+    else
+    {
+        r.m_answer.m_position = *position;
+        fire(r, request_event::committed);
+    }
     learn_state(e, state);
     hasten_polls(e.m_group);
 }
@@ -139,12 +162,22 @@
                      : transaction_event::statement_done);
 }
 
+// An endpoint answers the commit of a transaction in which a statement failed
+// with success, and rolls it back.
+bool is_undone_commit(const request& r, const pg_reply& reply)
+{
+    return r.m_arrived.m_operation == request_operation::commit &&
+           reply.m_rolled_back;
+}
+
 void take_for_request(request& r, pool_endpoint& e, pg_reply& reply)
 {
     try
     {
         if (reply.m_lost)
             take_lost(r);
+        else if (is_undone_commit(r, reply))
+            fail(r, refusal::endpoint_error, fate::not_run);
         else if (reply.m_error)
             take_error(r, e, *reply.m_error);
         else
@@ -159,6 +192,11 @@
 
 }
 
+void settle_superseded(request& r)
+{
+    take_superseded(r);
+}
+
 void take_reply(pooled_connection& c, pg_reply& reply)
 {
     pool_endpoint& e = c.m_endpoint;
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -56,13 +56,21 @@
     forget(r);
 }
 
+// An attempt before this one may have taken effect, or may yet.
+refused as_known(const request& r, refused refusal)
+{
+    if (r.m_in_doubt)
+        refusal.m_fate = fate::outcome_unknown;
+    return refusal;
+}
+
 refused queue_refusal(const request& r)
 {
     if (r.m_refusal)
-        return *r.m_refusal;
+        return as_known(r, *r.m_refusal);
     const bool leaderless = !find_primary(endpoint_views(r.m_group));
-    return refused(leaderless ? refusal::no_primary
-                              : refusal::deadline_exceeded);
+    return as_known(r, refused(leaderless ? refusal::no_primary
+                                          : refusal::deadline_exceeded));
 }
 
 // Once its position is known, the write was committed at the primary.
@@ -106,13 +114,17 @@
                          r.m_arrived.m_context.m_workspace->m_confirm)));
         break;
     case request_action::requeue:
+        r.m_deadline.start_once(until(r.m_arrived.m_deadline));
         enqueue_request(r);
         break;
+    case request_action::stop_waiting:
+        r.group_hook::unlink();
+        break;
     case request_action::refuse_not_run:
         end_with(r, queue_refusal(r));
         break;
     case request_action::refuse_as_told:
-        end_with(r, *r.m_refusal);
+        end_with(r, as_known(r, *r.m_refusal));
         break;
     case request_action::refuse_unknown:
         end_with(r, doubt_refusal(r));
@@ -232,7 +244,7 @@
         if (is_confirmed(views, position))
             fire(r, request_event::confirmed);
         else if (is_superseded(views, position))
-            fire(r, request_event::superseded);
+            settle_superseded(r);
     }
 }
 
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -1,6 +1,7 @@
 #include <daemon/pool_state.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -26,7 +27,8 @@
     start_monitor(*g.m_endpoints.back());
 }
 
-void drop_removed_endpoints(pool_group& g, const group_view& view)
+/// Returns true when any was removed.
+bool drop_removed_endpoints(pool_group& g, const group_view& view)
 {
     const auto is_kept = [&](const std::unique_ptr<pool_endpoint>& e)
     {
@@ -40,21 +42,29 @@
     };
     const auto removed = std::stable_partition(g.m_endpoints.begin(),
                                                g.m_endpoints.end(), is_kept);
-    for (auto e = removed; e != g.m_endpoints.end(); ++e)
+    // Closing one sends its requests elsewhere, so none may be in the group
+    // by then.
+    std::vector<std::unique_ptr<pool_endpoint>> gone(
+        std::make_move_iterator(removed),
+        std::make_move_iterator(g.m_endpoints.end()));
+    g.m_endpoints.erase(removed, g.m_endpoints.end());
+    const bool any = !gone.empty();
+    for (auto& e : gone)
     {
-        close_endpoint(**e);
-        g.m_pool.m_closed_endpoints.push_back(std::move(*e));
+        close_endpoint(*e);
+        g.m_pool.m_closed_endpoints.push_back(std::move(e));
     }
-    g.m_endpoints.erase(removed, g.m_endpoints.end());
     g.m_pool.m_reaper.start_once(std::chrono::microseconds::zero());
+    return any;
 }
 
 void apply_group(pool_group& g, const group_view& view)
 {
-    drop_removed_endpoints(g, view);
+    bool reshaped = drop_removed_endpoints(g, view);
     for (const endpoint_setting& wanted : view.m_endpoints)
     {
         pool_endpoint* e = find_endpoint(g, wanted);
+        reshaped = reshaped || e == nullptr;
         if (e == nullptr)
             add_endpoint(g, wanted);
         else
@@ -66,6 +76,8 @@
         e->m_view.m_slots = view.m_slots;
         update_admission(*e);
     }
+    if (reshaped)
+        reshape(g);
     dispatch(g);
 }
 
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -14,6 +14,7 @@
 #include <daemon/messages.hpp>
 #include <daemon/pool_charts.hpp>
 #include <decide/fair_queue.hpp>
+#include <decide/promotion.hpp>
 #include <decide/routing.hpp>
 #include <endpoint/pg_connection.hpp>
 
@@ -45,6 +46,7 @@
     transaction* m_transaction = nullptr;      ///< Of begin, or named.
     term_number m_term = 0;                    ///< That it was handed over in.
     unsigned m_attempts = 0;
+    bool m_in_doubt = false; ///< An earlier attempt may have taken effect.
     time_point m_handed_over_at{};
     answer m_answer;
     std::optional<refused> m_refusal;
@@ -81,6 +83,15 @@
     timer m_idle_limit;
 };
 
+/// One order to an endpoint, on a connection of its own.
+struct endpoint_order
+{
+    std::string m_query;
+    pg_done m_done; ///< Called with the answer; not called when none came.
+    time_point m_sent_at{};
+    std::unique_ptr<pg_connection> m_pg;
+};
+
 /// One endpoint: its connections, what it last said, and who asks it.
 struct pool_endpoint
 {
@@ -93,10 +104,36 @@
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
     bool m_reachable = false;
+    time_point m_known_since = monotonic_clock::now();
+    std::optional<time_point> m_heard_at; ///< As voter::m_heard_at.
+    std::optional<time_point> m_fed_at;   ///< As voter::m_fed_at.
+    time_point m_fresh_until{};  ///< What its reads saw when it was last fed.
+    term_number m_told_term = 0; ///< In which it obeyed a follow order.
+    std::optional<time_point> m_stray_since;
+    std::unique_ptr<endpoint_order> m_order; ///< Under way.
+    timer m_silence;   ///< The monitor's question has waited too long.
     timer m_poll;      ///< Asks for the state again.
     timer m_reconnect; ///< After the monitor's connection ended.
 };
 
+/// What this daemon does about one group's primary.
+struct primary_watch
+{
+    primary_watch(pool_state& p, pool_group& g);
+
+    group_state m_state;
+    election m_election;
+    std::size_t m_winner = 0;
+    term_number m_last_term = 0;     ///< Tried by this daemon.
+    term_number m_promoted_term = 0; ///< Of its last promotion.
+    std::uint64_t m_ticket = 0;      ///< Of the lease last asked for.
+    /// End of the lease; absent: this daemon acts without one.
+    std::optional<time_point> m_lease_until;
+    time_point m_entered_at{}; ///< The present state.
+    time_point m_turn_at{};
+    timer m_tick;
+};
+
 /// One database group, as one service's settings name it.
 struct pool_group
 {
@@ -110,6 +147,7 @@
     std::array<fair_queue, 2> m_queues;
     confirming_list m_confirming;
     bool m_dispatching = false;
+    primary_watch m_watch;
 };
 
 /// What the pool task owns; nobody else touches it.
@@ -129,9 +167,12 @@
         m_transactions;
     std::uint64_t m_next_transaction = 1;
     bool m_draining = false;
+    std::vector<std::string> m_members; ///< Names of the fleet's daemons.
+    std::string m_candidate;            ///< Name and incarnation of this one.
     /// Closed connections wait here until nothing on the stack uses them.
     std::vector<std::unique_ptr<pooled_connection>> m_closed_connections;
     std::vector<std::unique_ptr<pg_connection>> m_closed_monitors;
+    std::vector<std::unique_ptr<endpoint_order>> m_closed_orders;
     std::vector<std::unique_ptr<pool_endpoint>> m_closed_endpoints;
     timer m_reaper;
 };
@@ -169,6 +210,9 @@
 // pool_replies.cpp
 /// Takes what came back for the request on a connection.
 void take_reply(pooled_connection& c, pg_reply& reply);
+/// Ends or retries a write whose primary was replaced before a majority was
+/// known to hold it.
+void settle_superseded(request& r);
 
 // pool_endpoints.cpp
 void start_monitor(pool_endpoint& e);
@@ -182,6 +226,18 @@
 void hasten_polls(pool_group& g);
 void close_endpoint(pool_endpoint& e);
 
+// pool_orders.cpp
+/// Sends an order on a connection of its own; replaces one under way.
+void send_order(pool_endpoint& e, std::string query, pg_done done);
+void drop_order(pool_endpoint& e);
+
+// pool_promotion.cpp
+/// Looks after a group's primary, and again after a period.
+void watch_primary(pool_group& g);
+void take_lease_answer(pool_state& p, const lease_answer& m);
+/// The group's endpoints are others than before.
+void reshape(pool_group& g);
+
 // pool_transactions.cpp
 transaction& begin_transaction(pool_state& p, request& r);
 /// Finds the transaction that a request names. Throws refused.
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -27,6 +27,14 @@
             {
                 apply_settings(p, std::move(m.m_settings));
             },
+            [&](members_changed& m)
+            {
+                p.m_members = std::move(m.m_names);
+            },
+            [&](lease_answer& m)
+            {
+                take_lease_answer(p, m);
+            },
             [&](drain_begun&)
             {
                 p.m_draining = true;
--- a/Source/decide/acknowledgement.cpp
+++ b/Source/decide/acknowledgement.cpp
@@ -28,6 +28,14 @@
     return static_cast<std::size_t>(count) >= majority(endpoints.size());
 }
 
+std::optional<log_position> committed_position(const endpoint_state& state,
+                                               term_number term) noexcept
+{
+    if (state.m_fence != term || state.m_received.m_term != term)
+        return std::nullopt;
+    return state.m_received;
+}
+
 bool is_superseded(std::span<const endpoint_view> endpoints,
                    const log_position& position) noexcept
 {
--- a/Source/decide/acknowledgement.hpp
+++ b/Source/decide/acknowledgement.hpp
@@ -24,6 +24,12 @@
 bool is_confirmed(std::span<const endpoint_view> endpoints,
                   const log_position& position) noexcept;
 
+/// Where a write that ran in `term` stands, from the state that came with its
+/// answer; nothing when the endpoint has left that term since: what it holds
+/// now may lack the write.
+std::optional<log_position> committed_position(const endpoint_state& state,
+                                               term_number term) noexcept;
+
 /// True when some endpoint is fenced past the position's term, so that the
 /// write can no longer be confirmed by waiting.
 bool is_superseded(std::span<const endpoint_view> endpoints,
--- /dev/null
+++ b/Source/decide/promotion.cpp
@@ -0,0 +1,229 @@
+#include <decide/promotion.hpp>
+
+#include <algorithm>
+
+#include <decide/acknowledgement.hpp>
+#include <xxhash.h>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::size_t last_turn = 8;
+
+bool heard_within(const voter& v, time_point now, duration limit)
+{
+    return v.m_heard_at && now - *v.m_heard_at <= limit;
+}
+
+// A replica that is still fed shows that the primary lives, though this daemon
+// can't reach it.
+bool is_fed(std::span<const voter> voters, std::size_t leader, time_point now)
+{
+    for (std::size_t i = 0; i < voters.size(); ++i)
+    {
+        const voter& v = voters[i];
+        const bool fed = i != leader && v.m_fed_at &&
+                         now - *v.m_fed_at <= suspicion_time &&
+                         heard_within(v, now, suspicion_time);
+        if (fed)
+            return true;
+    }
+    return false;
+}
+
+std::size_t count_able(std::span<const voter> voters, time_point now)
+{
+    const auto able = std::count_if(
+        voters.begin(), voters.end(),
+        [&](const voter& v)
+        {
+            return v.m_eligible && heard_within(v, now, suspicion_time);
+        });
+    return static_cast<std::size_t>(able);
+}
+
+bool can_elect(std::span<const voter> voters, time_point now)
+{
+    const auto heard =
+        std::count_if(voters.begin(), voters.end(),
+                      [&](const voter& v)
+                      {
+                          return heard_within(v, now, suspicion_time);
+                      });
+    return static_cast<std::size_t>(heard) >= majority(voters.size());
+}
+
+// An endpoint that has yet to tell its state may be the primary.
+bool may_hide_leader(std::span<const voter> voters, time_point now)
+{
+    return std::any_of(voters.begin(), voters.end(),
+                       [&](const voter& v)
+                       {
+                           const time_point since =
+                               std::max(v.m_heard_at.value_or(v.m_known_since),
+                                        v.m_known_since);
+                           return !v.m_state && now - since <= suspicion_time;
+                       });
+}
+
+bool refused_vote(const std::optional<ballot>& b)
+{
+    return b && !b->m_granted;
+}
+
+// Among the voters that `counts` accepts: how many granted their vote, and
+// which of them has the most advanced log.
+struct tally
+{
+    std::size_t m_granted = 0;
+    std::size_t m_best = 0;
+};
+
+template <class Counts>
+tally count_votes(const election& e, Counts counts)
+{
+    tally t;
+    for (std::size_t i = 0; i < e.m_ballots.size(); ++i)
+    {
+        const std::optional<ballot>& b = e.m_ballots[i];
+        if (!b || !b->m_granted || !counts(i))
+            continue;
+        const bool better =
+            t.m_granted == 0 ||
+            b->m_state.m_received > e.m_ballots[t.m_best]->m_state.m_received;
+        if (better)
+            t.m_best = i;
+        ++t.m_granted;
+    }
+    return t;
+}
+
+}
+
+term_number highest_fence(std::span<const voter> voters) noexcept
+{
+    term_number highest = 0;
+    for (const voter& v : voters)
+        if (v.m_state)
+            highest = std::max(highest, v.m_state->m_fence);
+    return highest;
+}
+
+std::optional<std::size_t> find_leader(std::span<const voter> voters) noexcept
+{
+    const term_number highest = highest_fence(voters);
+    for (std::size_t i = 0; i < voters.size(); ++i)
+    {
+        const auto& state = voters[i].m_state;
+        if (state && state->m_role == endpoint_role::primary &&
+            state->m_fence == highest)
+            return i;
+    }
+    return std::nullopt;
+}
+
+leadership judge_leadership(std::span<const voter> voters, time_point now)
+{
+    const std::optional<std::size_t> leader = find_leader(voters);
+    if (!can_elect(voters, now))
+        return leader && heard_within(voters[*leader], now, suspicion_time)
+                   ? leadership::led
+                   : leadership::unknown;
+    if (!leader)
+        return may_hide_leader(voters, now) ? leadership::unknown
+                                            : leadership::missed;
+    const duration limit =
+        is_fed(voters, *leader, now) ? contested_time : suspicion_time;
+    if (!heard_within(voters[*leader], now, limit))
+        return leadership::missed;
+    const bool others_can = count_able(voters, now) >= majority(voters.size());
+    if (!voters[*leader].m_eligible && others_can)
+        return leadership::misplaced;
+    return leadership::led;
+}
+
+election begin_election(std::span<const voter> voters, term_number last_term,
+                        std::string_view candidate, time_point now)
+{
+    election e;
+    e.m_term = std::max(highest_fence(voters), last_term) + 1;
+    e.m_candidate = candidate;
+    e.m_began_at = now;
+    e.m_ballots.resize(voters.size());
+    return e;
+}
+
+// Any majority of granted votes is safe to choose from: it meets every
+// majority that held an acknowledged write, and the most advanced of it has
+// that write. So one that may lead is preferred as soon as these alone are a
+// majority.
+election_result judge_election(const election& e, std::span<const voter> voters,
+                               time_point now)
+{
+    const std::size_t needed = majority(e.m_ballots.size());
+    const tally able = count_votes(e,
+                                   [&](std::size_t i)
+                                   {
+                                       return voters[i].m_eligible;
+                                   });
+    if (able.m_granted >= needed)
+        return {election_outcome::won, able.m_best};
+    const tally all = count_votes(e,
+                                  [](std::size_t)
+                                  {
+                                      return true;
+                                  });
+    if (all.m_granted >= needed && now - e.m_began_at >= vote_grace)
+        return {election_outcome::won, all.m_best};
+    const auto refusals = static_cast<std::size_t>(
+        std::count_if(e.m_ballots.begin(), e.m_ballots.end(), refused_vote));
+    const bool hopeless = e.m_ballots.size() - refusals < needed;
+    if (hopeless || now - e.m_began_at >= vote_limit)
+        return {election_outcome::lost, 0};
+    return {};
+}
+
+std::size_t rendezvous_rank(std::string_view group, std::string_view daemon,
+                            std::span<const std::string> daemons)
+{
+    const auto weight = [&](std::string_view name)
+    {
+        return XXH3_64bits_withSeed(name.data(), name.size(),
+                                    XXH3_64bits(group.data(), group.size()));
+    };
+    const auto own = std::pair(weight(daemon), daemon);
+    const auto ahead = std::count_if(
+        daemons.begin(), daemons.end(),
+        [&](const std::string& other)
+        {
+            return std::pair(weight(other), std::string_view(other)) > own;
+        });
+    return static_cast<std::size_t>(ahead);
+}
+
+duration turn_delay(std::size_t rank) noexcept
+{
+    return first_turn + turn_step * std::min(rank, last_turn);
+}
+
+std::vector<std::size_t> find_strays(std::span<const voter> voters,
+                                     std::size_t leader,
+                                     std::span<const term_number> told_terms)
+{
+    std::vector<std::size_t> strays;
+    const term_number term = voters[leader].m_state->m_fence;
+    for (std::size_t i = 0; i < voters.size(); ++i)
+    {
+        const auto& state = voters[i].m_state;
+        if (i == leader || !state || state->m_fence > term)
+            continue;
+        if (state->m_fence < term || told_terms[i] < term)
+            strays.push_back(i);
+    }
+    return strays;
+}
+
+}
--- a/Source/endpoint/pg_connection.cpp
+++ b/Source/endpoint/pg_connection.cpp
@@ -217,7 +217,11 @@
         const ExecStatusType status = PQresultStatus(result);
         if (status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK ||
             status == PGRES_EMPTY_QUERY)
+        {
             m_reply.m_tables.push_back(to_table(result));
+            m_reply.m_rolled_back |=
+                std::string_view(PQcmdStatus(result)) == "ROLLBACK";
+        }
         else
             m_reply.m_error = to_error(result);
         PQclear(result);
--- a/Source/endpoint/pg_connection.hpp
+++ b/Source/endpoint/pg_connection.hpp
@@ -60,7 +60,8 @@
 {
     std::vector<result_table> m_tables; ///< One for each statement that ran.
     std::optional<pg_error> m_error;
-    bool m_lost = false; ///< The connection ended first; nobody knows.
+    bool m_rolled_back = false; ///< A commit or rollback undid the transaction.
+    bool m_lost = false;        ///< The connection ended first; nobody knows.
 };
 
 struct pg_target
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -40,6 +40,19 @@
                 "endpoint_reached", "an endpoint answers"},
     event_entry{event_id::endpoint_unreachable, event_level::warning,
                 "endpoint_unreachable", "an endpoint's connection ended"},
+    event_entry{event_id::primary_missed, event_level::warning,
+                "primary_missed",
+                "a group's primary is suspected or misplaced"},
+    event_entry{event_id::primary_found, event_level::info, "primary_found",
+                "a group's primary leads and answers"},
+    event_entry{event_id::election_begun, event_level::info, "election_begun",
+                "this daemon fences a group at a new term"},
+    event_entry{event_id::election_lost, event_level::info, "election_lost",
+                "this daemon's election got no majority or came too late"},
+    event_entry{event_id::promotion_ordered, event_level::warning,
+                "promotion_ordered", "this daemon orders a new primary"},
+    event_entry{event_id::follow_ordered, event_level::info, "follow_ordered",
+                "this daemon orders an endpoint to follow the primary"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -23,6 +23,12 @@
     platform_back = 2004,
     endpoint_reached = 3001,
     endpoint_unreachable = 3002,
+    primary_missed = 3010,
+    primary_found = 3011,
+    election_begun = 3012,
+    election_lost = 3013,
+    promotion_ordered = 3014,
+    follow_ordered = 3015,
 };
 
 enum class event_level : std::uint8_t
