--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -8,15 +8,15 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> request_states{"queued", "running",
-                                                         "confirming", "ended"};
-constexpr std::array<std::string_view, 8> request_events{
-    "dispatched", "answered", "committed", "confirmed",
-    "retried",    "failed",   "expired",   "abandoned"};
-constexpr std::array<std::string_view, 9> request_actions{
-    "deliver",        "await_majority",  "stop_waiting",
-    "requeue",        "refuse_not_run",  "refuse_as_told",
-    "refuse_unknown", "drop_connection", "forget"};
+constexpr std::array<std::string_view, 5> request_states{
+    "queued", "parked", "running", "confirming", "ended"};
+constexpr std::array<std::string_view, 10> request_events{
+    "dispatched", "parked",  "woken",  "answered", "committed",
+    "confirmed",  "retried", "failed", "expired",  "abandoned"};
+constexpr std::array<std::string_view, 10> request_actions{
+    "deliver",         "await_replica",  "await_majority", "stop_waiting",
+    "requeue",         "refuse_not_run", "refuse_as_told", "refuse_unknown",
+    "drop_connection", "forget"};
 
 constexpr std::array<std::string_view, 4> transaction_states{"open", "busy",
                                                              "ending", "ended"};
--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -12,6 +12,7 @@
 enum class request_state : std::uint8_t
 {
     queued,
+    parked,
     running,
     confirming,
     ended,
@@ -20,6 +21,8 @@
 enum class request_event : std::uint8_t
 {
     dispatched,
+    parked,
+    woken,
     answered,
     committed,
     confirmed,
@@ -32,6 +35,7 @@
 enum class request_action : std::uint8_t
 {
     deliver,
+    await_replica,
     await_majority,
     stop_waiting,
     requeue,
--- a/Source/daemon/pool_endpoints.cpp
+++ b/Source/daemon/pool_endpoints.cpp
@@ -25,12 +25,12 @@
 
 bool anyone_waits(const pool_endpoint& e)
 {
-    return !e.m_group.m_confirming.empty();
+    return !e.m_group.m_confirming.empty() || !e.m_group.m_catching_up.empty();
 }
 
 std::string poll_query(const pool_endpoint& e)
 {
-    if (!anyone_waits(e))
+    if (e.m_group.m_confirming.empty())
         return state_query();
     return await_query(e.m_group.m_confirming.front().m_answer.m_position,
                        await_limit);
@@ -187,6 +187,7 @@
         return;
     e.m_view.m_state = state;
     confirm_requests(e.m_group);
+    wake_reads(e.m_group);
     dispatch(e.m_group);
 }
 
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -122,6 +122,22 @@
            r.m_arrived.m_operation == request_operation::commit;
 }
 
+// The endpoint may have been replaced or restarted since it was chosen.
+bool is_behind(const request& r, const endpoint_state& state)
+{
+    const auto& mark = r.m_need.m_session;
+    return mark && !sees(state, *mark) && !leads_past(state, *mark);
+}
+
+void take_stale(request& r, pool_endpoint& e)
+{
+    distrust(e);
+    if (may_retry(r))
+        fire(r, request_event::retried);
+    else
+        fail(r, refusal::no_endpoint, fate::not_run);
+}
+
 void take_answer(request& r, pool_endpoint& e, pg_reply& reply)
 {
     if (!carries_state(r))
@@ -136,7 +152,10 @@
     read_answer(r, reply, state);
     if (!needs_majority(r))
     {
-        fire(r, request_event::answered);
+        if (is_behind(r, state))
+            take_stale(r, e);
+        else
+            fire(r, request_event::answered);
         return;
     }
     const auto position = committed_position(state, r.m_term);
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -106,6 +106,10 @@
     case request_action::deliver:
         end_with(r, std::move(r.m_answer));
         break;
+    case request_action::await_replica:
+        r.fair_queue_hook::unlink();
+        r.m_group.m_catching_up.push_back(r);
+        break;
     case request_action::await_majority:
         r.m_group.m_confirming.push_back(r);
         r.m_deadline.start_once(
@@ -146,6 +150,9 @@
     need.m_session = arrived.m_session;
     need.m_max_age = arrived.m_statement.m_max_age;
     need.m_primary_only = !stands_alone(arrived);
+    const duration patience = arrived.m_context.m_workspace->m_lag_wait;
+    if (need.m_session && patience > duration::zero())
+        need.m_replica_until = monotonic_clock::now() + patience;
     return need;
 }
 
@@ -162,6 +169,17 @@
         r.m_transaction = &begin_transaction(r.m_pool, r);
 }
 
+// Such a read stands aside: in the queue it would hold up others of its
+// workspace that can run now.
+bool waits_for_replica(const request& r)
+{
+    if (!r.m_need.m_session || !stands_alone(r.m_arrived))
+        return false;
+    const route chosen = choose_endpoint(endpoint_views(r.m_group), r.m_need,
+                                         monotonic_clock::now());
+    return chosen.m_outcome == route_outcome::wait_state;
+}
+
 pool_group& group_of(pool_state& p, const pool_request& arrived)
 {
     const auto group =
@@ -193,7 +211,10 @@
         p.m_requests.emplace(exchange, std::move(made));
         r.m_deadline.start_once(until(r.m_arrived.m_deadline));
         enqueue_request(r);
-        dispatch(group);
+        if (waits_for_replica(r))
+            fire(r, request_event::parked);
+        else
+            dispatch(group);
     }
     catch (const refused& r)
     {
@@ -208,6 +229,18 @@
         fire(*found->second, request_event::abandoned);
 }
 
+void wake_reads(pool_group& g)
+{
+    for (auto next = g.m_catching_up.begin(); next != g.m_catching_up.end();)
+    {
+        request& r = *next++;
+        if (waits_for_replica(r))
+            continue;
+        r.m_need.m_replica_until.reset();
+        fire(r, request_event::woken);
+    }
+}
+
 bool stands_alone(const pool_request& r) noexcept
 {
     return r.m_operation == request_operation::statement &&
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -146,6 +146,7 @@
     /// the primary holds up no read.
     std::array<fair_queue, 2> m_queues;
     confirming_list m_confirming;
+    confirming_list m_catching_up; ///< Reads that wait for a replica.
     bool m_dispatching = false;
     primary_watch m_watch;
 };
@@ -198,6 +199,8 @@
 void fire(request& r, request_event event);
 /// Refuses a request; the chart says what became of its work.
 void fail(request& r, refusal code, fate what_became, std::string detail = {});
+/// Lets reads go on for which a replica has caught up, or that waited enough.
+void wake_reads(pool_group& g);
 /// Acknowledges the writes that a majority holds by now.
 void confirm_requests(pool_group& g);
 
--- a/Source/decide/routing.cpp
+++ b/Source/decide/routing.cpp
@@ -1,5 +1,11 @@
 #include <decide/routing.hpp>
 
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+#include <decide/acknowledgement.hpp>
+
 namespace bluebellspoke
 {
 
@@ -34,6 +40,61 @@
     return e.m_running < e.m_slots;
 }
 
+std::optional<std::size_t>
+best_replica(std::span<const endpoint_view> endpoints, const routing_need& need,
+             time_point now)
+{
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < endpoints.size(); ++i)
+    {
+        const endpoint_view& e = endpoints[i];
+        const bool is_replica = e.m_admits && e.m_state &&
+                                e.m_state->m_role == endpoint_role::replica;
+        if (!is_replica || !replica_fits(*e.m_state, need, now))
+            continue;
+        const bool better = !best ||
+                            (has_slot(e) && !has_slot(endpoints[*best])) ||
+                            (has_slot(e) == has_slot(endpoints[*best]) &&
+                             less_loaded(e, endpoints[*best]));
+        if (better)
+            best = i;
+    }
+    return best;
+}
+
+// A primary that was replaced without knowing says that its data has no age:
+// only a majority that is still in its term bounds it. A session that has seen
+// a later term must not read there at all.
+std::optional<std::size_t>
+fitting_primary(std::span<const endpoint_view> endpoints,
+                const routing_need& need, time_point now)
+{
+    const std::optional<std::size_t> primary = find_primary(endpoints);
+    if (!primary || !endpoints[*primary].m_admits)
+        return std::nullopt;
+    if (need.m_session &&
+        !leads_past(*endpoints[*primary].m_state, *need.m_session))
+        return std::nullopt;
+    if (!need.m_max_age)
+        return primary;
+    const auto led_at = leadership_time(endpoints, *primary);
+    const bool young = led_at && now - *led_at <= *need.m_max_age;
+    return young ? primary : std::nullopt;
+}
+
+bool may_catch_up(std::span<const endpoint_view> endpoints,
+                  const routing_need& need, time_point now)
+{
+    if (!need.m_replica_until || now >= *need.m_replica_until)
+        return false;
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [](const endpoint_view& e)
+                       {
+                           return e.m_admits && e.m_state &&
+                                  e.m_state->m_role == endpoint_role::replica;
+                       });
+}
+
 route run_or_wait(std::span<const endpoint_view> endpoints, std::size_t index)
 {
     const bool free = has_slot(endpoints[index]);
@@ -73,29 +134,41 @@
     return found;
 }
 
+bool leads_past(const endpoint_state& state, const log_position& mark) noexcept
+{
+    return state.m_role == endpoint_role::primary &&
+           state.m_fence >= mark.m_term;
+}
+
+std::optional<time_point>
+leadership_time(std::span<const endpoint_view> endpoints, std::size_t primary)
+{
+    const term_number term = endpoints[primary].m_state->m_fence;
+    std::vector<time_point> times;
+    for (const endpoint_view& e : endpoints)
+        if (e.m_state && e.m_state->m_fence == term)
+            times.push_back(e.m_state->m_asked_at);
+    const std::size_t needed = majority(endpoints.size());
+    if (times.size() < needed)
+        return std::nullopt;
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[needed - 1];
+}
+
 route choose_endpoint(std::span<const endpoint_view> endpoints,
-                      const routing_need& need, time_point now) noexcept
+                      const routing_need& need, time_point now)
 {
-    const std::optional<std::size_t> primary = find_primary(endpoints);
+    const std::optional<std::size_t> primary =
+        fitting_primary(endpoints, need, now);
     const bool replicas_allowed =
         need.m_kind == statement_kind::read && !need.m_primary_only;
-    std::optional<std::size_t> best;
-    for (std::size_t i = 0; replicas_allowed && i < endpoints.size(); ++i)
-    {
-        const endpoint_view& e = endpoints[i];
-        const bool is_replica = e.m_admits && e.m_state && i != primary;
-        if (!is_replica || !replica_fits(*e.m_state, need, now))
-            continue;
-        const bool better = !best ||
-                            (has_slot(e) && !has_slot(endpoints[*best])) ||
-                            (has_slot(e) == has_slot(endpoints[*best]) &&
-                             less_loaded(e, endpoints[*best]));
-        if (better)
-            best = i;
-    }
+    const std::optional<std::size_t> best =
+        replicas_allowed ? best_replica(endpoints, need, now) : std::nullopt;
     if (best && has_slot(endpoints[*best]))
         return {route_outcome::run, *best};
-    if (primary && endpoints[*primary].m_admits)
+    if (!best && replicas_allowed && may_catch_up(endpoints, need, now))
+        return {route_outcome::wait_state, 0};
+    if (primary)
     {
         // A read that only a replica's queue holds up goes to the primary when
         // that one is idle.
--- a/Source/decide/routing.hpp
+++ b/Source/decide/routing.hpp
@@ -31,6 +31,8 @@
     statement_kind m_kind = statement_kind::read;
     std::optional<log_position> m_session; ///< Must be visible; absent: none.
     std::optional<duration> m_max_age;     ///< Accepts data this old.
+    /// Until then the read waits for a replica that has yet to catch up.
+    std::optional<time_point> m_replica_until;
     bool m_primary_only = false; ///< In a transaction, or a replica was late.
 };
 
@@ -55,13 +57,21 @@
 std::optional<duration> age_bound(const endpoint_state& state,
                                   time_point now) noexcept;
 
+/// True when reads at a primary that says this see what the session has seen.
+bool leads_past(const endpoint_state& state, const log_position& mark) noexcept;
+
+/// When a majority last said that it is fenced at this primary's term, so that
+/// nobody else had been promoted by then; absent when none has.
+std::optional<time_point>
+leadership_time(std::span<const endpoint_view> endpoints, std::size_t primary);
+
 /// The primary of the highest term that any endpoint is fenced at.
 std::optional<std::size_t>
 find_primary(std::span<const endpoint_view> endpoints) noexcept;
 
 /// Chooses where a statement runs.
 route choose_endpoint(std::span<const endpoint_view> endpoints,
-                      const routing_need& need, time_point now) noexcept;
+                      const routing_need& need, time_point now);
 
 }
 
