--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include <daemon/control_charts.hpp>
 #include <daemon/control_task.hpp>
 #include <daemon/daemon_chart.hpp>
+#include <daemon/daemon_tls.hpp>
 #include <daemon/front_task.hpp>
 #include <daemon/messages.hpp>
 #include <daemon/pool_task.hpp>
@@ -25,6 +26,7 @@
     sigemptyset(&blocked);
     sigaddset(&blocked, SIGTERM);
     sigaddset(&blocked, SIGINT);
+    sigaddset(&blocked, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &blocked, &before);
 }
 
@@ -54,6 +56,7 @@
     const pool_charts charts = load_pool_charts(settings.m_charts);
     load_daemon_chart(settings.m_charts);
     load_lease_chart(settings.m_charts);
+    const daemon_tls tls = load_daemon_tls(settings);
     if (settings.m_check_only)
         return;
     std::signal(SIGPIPE, SIG_IGN);
@@ -63,7 +66,7 @@
     task_thread front("front", guarded(boxes,
                                        [&]
                                        {
-                                           run_front_task(settings, boxes);
+                                           run_front_task(settings, tls, boxes);
                                        }));
     task_thread pool("pool", guarded(boxes,
                                      [&]
@@ -73,7 +76,7 @@
     task_thread control("control", guarded(boxes,
                                            [&]
                                            {
-                                               run_control_task(settings,
+                                               run_control_task(settings, tls,
                                                                 boxes);
                                            }));
     pthread_sigmask(SIG_SETMASK, &before, nullptr);
--- a/Tests/support/caller.hpp
+++ b/Tests/support/caller.hpp
@@ -29,11 +29,13 @@
     std::string outcome() const;
 };
 
+reply to_reply(http2_result& result);
+
 /// A caller that waits for each answer.
 class caller
 {
 public:
-    explicit caller(const address& server);
+    explicit caller(const address& server, tls_context_ptr tls = {});
 
     reply send(http2_request request,
                std::chrono::milliseconds limit = std::chrono::seconds(20));
