--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -8,14 +8,15 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> request_states{"queued", "running",
-                                                         "confirming", "ended"};
-constexpr std::array<std::string_view, 10> request_events{
-    "dispatched", "answered", "committed", "confirmed", "superseded",
-    "retried",    "failed",   "expired",   "abandoned", "revoked"};
-constexpr std::array<std::string_view, 8> request_actions{
-    "deliver",        "await_majority", "requeue",         "refuse_not_run",
-    "refuse_as_told", "refuse_unknown", "drop_connection", "forget"};
+constexpr std::array<std::string_view, 5> request_states{
+    "queued", "parked", "running", "confirming", "ended"};
+constexpr std::array<std::string_view, 11> request_events{
+    "dispatched", "parked", "woken",   "answered",  "committed", "confirmed",
+    "retried",    "failed", "expired", "abandoned", "revoked"};
+constexpr std::array<std::string_view, 10> request_actions{
+    "deliver",         "await_replica",  "await_majority", "stop_waiting",
+    "requeue",         "refuse_not_run", "refuse_as_told", "refuse_unknown",
+    "drop_connection", "forget"};
 
 constexpr std::array<std::string_view, 4> transaction_states{"open", "busy",
                                                              "ending", "ended"};
@@ -25,6 +26,15 @@
 constexpr std::array<std::string_view, 3> transaction_actions{
     "release_connection", "drop_connection", "forget"};
 
+constexpr std::array<std::string_view, 5> group_states{
+    "led", "suspected", "claiming", "fencing", "promoting"};
+constexpr std::array<std::string_view, 8> group_events{
+    "missed",        "found",        "reshaped", "turn_came",
+    "lease_granted", "lease_denied", "elected",  "outbid"};
+constexpr std::array<std::string_view, 5> group_actions{
+    "await_turn", "claim_lease", "send_fences", "send_promote",
+    "release_lease"};
+
 }
 
 pool_charts load_pool_charts(const std::filesystem::path& folder)
@@ -34,6 +44,8 @@
                                  request_actions})},
             {load_chart(folder, {"transaction", transaction_states,
                                  transaction_events, transaction_actions})},
+            {load_chart(folder,
+                        {"group", group_states, group_events, group_actions})},
             load_place_charts(folder)};
 }
 
--- a/Source/daemon/pool_keys.cpp
+++ b/Source/daemon/pool_keys.cpp
@@ -14,7 +14,8 @@
     const bool uncommitted =
         !stands_alone(r.m_arrived) &&
         r.m_arrived.m_operation != request_operation::commit;
-    const bool unsent = r.m_state == request_state::queued;
+    const bool unsent = r.m_state == request_state::queued ||
+                        r.m_state == request_state::parked;
     return uncommitted || unsent ? fate::not_run : fate::outcome_unknown;
 }
 
