tls: Show the operator's certificate to daemons in tests

Cause: bluebellspokectl now asks the daemons whether an edit is in force, and they listen to certified peers only, so every edit in the TLS story ended as not yet in force.

--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -67,17 +67,13 @@
     f.m_endpoints.push_back(std::move(e));
 }
 
-void add_tls_flags(daemon_node& d, const test_authority* authority)
+void add_tls_words(std::vector<std::string>& command, const tls_files& files)
 {
-    if (authority == nullptr)
-        return;
-    const tls_files files = authority->issue(d.m_name);
-    for (const std::string& word :
-         {std::string("--tls-certificate"), files.m_certificate.native(),
-          std::string("--tls-key"), files.m_key.native(),
-          std::string("--tls-authorities"), files.m_authorities.native(),
-          std::string("--platform-authorities"), files.m_authorities.native()})
-        d.m_command.push_back(word);
+    command.insert(command.end(),
+                   {"--tls-certificate", files.m_certificate.native(),
+                    "--tls-key", files.m_key.native(), "--tls-authorities",
+                    files.m_authorities.native(), "--platform-authorities",
+                    files.m_authorities.native()});
 }
 
 void add_daemon(fleet& f, std::size_t index)
@@ -111,7 +107,8 @@
                    to_string(d.m_admin)};
     const auto& flags = f.m_options.m_daemon_flags;
     d.m_command.insert(d.m_command.end(), flags.begin(), flags.end());
-    add_tls_flags(d, f.m_options.m_authority);
+    if (f.m_options.m_authority != nullptr)
+        add_tls_words(d.m_command, f.m_options.m_authority->issue(d.m_name));
     for (const std::string& word : f.m_options.m_daemon_words)
         d.m_command.push_back(word);
     start_daemon(d);
@@ -219,9 +216,7 @@
     std::vector<std::string> command{TEST_CTL, "--platform",
                                      to_string(f.m_platform_address)};
     if (f.m_options.m_authority != nullptr)
-        command.insert(command.end(),
-                       {"--platform-authorities",
-                        f.m_options.m_authority->authorities().native()});
+        add_tls_words(command, f.m_options.m_authority->issue("operator"));
     for (std::string& word : words)
         command.push_back(std::move(word));
     return run_program(command);
