task: Let no broken pipe end a process

Cause: a write to a peer that had just gone ended test_failover, and could end a stand-in, by SIGPIPE (seen under a debugger in the relay's thread); only the daemon ignored it, and only there.

Ruled out: a send flag on each write, since libevent's writev takes none.

Every program that has a loop ignores the signal now.

--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -59,7 +59,6 @@
     const daemon_tls tls = load_daemon_tls(settings);
     if (settings.m_check_only)
         return;
-    std::signal(SIGPIPE, SIG_IGN);
     mailboxes boxes(settings.m_mailbox);
     sigset_t before;
     block_signals(before);
--- a/Source/task/loop.cpp
+++ b/Source/task/loop.cpp
@@ -1,5 +1,6 @@
 #include <task/loop.hpp>
 
+#include <csignal>
 #include <utility>
 
 namespace bluebellspoke
@@ -22,6 +23,8 @@
 
 loop make_loop()
 {
+    // A peer that goes away is an error of its socket, not the process's end.
+    std::signal(SIGPIPE, SIG_IGN);
     event_base_ptr base(event_base_new());
     if (!base)
         throw loop_error();
--- a/Source/task/loop.hpp
+++ b/Source/task/loop.hpp
@@ -35,7 +35,7 @@
     event_base_ptr m_base;
 };
 
-/// Throws loop_error.
+/// Makes the process ignore SIGPIPE too. Throws loop_error.
 loop make_loop();
 /// Runs until stop(); sleeps in the kernel while nothing happens.
 void run(loop& l);
