--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <daemon/daemon_settings.hpp>
+#include <daemon/front_metrics.hpp>
 #include <daemon/messages.hpp>
 #include <decide/rate_bucket.hpp>
 #include <wire/http2_server.hpp>
@@ -17,6 +18,8 @@
 /// What the front task owns; nobody else touches it.
 struct front_state
 {
+    front_state(const daemon_settings& daemon, mailboxes& boxes);
+
     const daemon_settings& m_daemon;
     mailboxes& m_boxes;
     loop m_loop;
@@ -26,14 +29,16 @@
     std::size_t m_members = 1;
     std::map<std::string, rate_bucket, std::less<>> m_buckets;
     bool m_draining = false;
+    front_counts m_counts{};
     bool m_zone_out = false; ///< This VM's own.
     time_point m_standing_until = time_point::min();
     /// Open transactions, and the connections that began them.
     std::map<std::string, connection_id, std::less<>> m_transactions;
 };
 
-/// Checks one request and sends it to the pool. Throws refused.
-void admit(front_state& f, arrived_request& arrived);
+/// Checks one request and sends it to the pool. Throws refused; `context` then
+/// says for whom, if that is known.
+void admit(front_state& f, arrived_request& arrived, request_context& context);
 /// Answers a request whose outcome the pool has sent.
 void answer_request(front_state& f, request_outcome& outcome);
 /// Fits the rate buckets to the settings and the number of daemons.
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -50,6 +50,7 @@
     unsigned m_slots = 5;
     unsigned m_connections = 30;
     const test_authority* m_authority = nullptr; ///< Absent: no TLS.
+    std::vector<std::string> m_daemon_flags = {};     ///< Further ones.
     bool m_relays = false; ///< Put relays before the stand-ins.
     std::vector<std::string> m_daemon_words{}; ///< More flags of daemons.
 };
@@ -67,9 +68,6 @@
     std::vector<daemon_node> m_daemons;
 };
 
-/// A port on loopback that is free now.
-std::uint16_t free_port();
-
 /// Starts a daemon's process anew.
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
