ctl: Hold transcripts and edits under failure

Cause: the client's words, codes and behaviour under lost answers, races and sleeping daemons were not held by tests; history was read from a temporary that had ended and came out empty; a node refused for its service stayed listed as refused after the service was mended.

--- a/Source/ctl/access_commands.cpp
+++ b/Source/ctl/access_commands.cpp
@@ -60,14 +60,14 @@
                                       [&](node_settings& own)
                                       {
                                           own.m_kind = node_kind::workspace;
-                                          own.m_service = arguments[1];
+                                          own.m_service = to_path(arguments[1]);
                                       }}));
 }
 
 command_result make_service(operator_session& s, words arguments)
 {
-    require_absent(s, arguments[0]);
-    const std::string& path = arguments[0];
+    const std::string path = to_path(arguments[0]);
+    require_absent(s, path);
     const node_settings read = decode_node(
         path, R"({"kind":"service","endpoints":)" + arguments[1] + "}");
     return report_edit(apply_edit(s, {path, std::nullopt,
@@ -79,7 +79,8 @@
 
 command_result grant_key(operator_session& s, words arguments)
 {
-    require_kind(s, arguments[0], node_kind::workspace);
+    const std::string path = to_path(arguments[0]);
+    require_kind(s, path, node_kind::workspace);
     const std::string key = random_key();
     command_result result = report_edit(apply_edit(
         s,
@@ -107,8 +108,9 @@
 
 command_result withdraw_key(operator_session& s, words arguments)
 {
-    require_kind(s, arguments[0], node_kind::workspace);
-    return report_edit(apply_edit(s, {arguments[0], std::nullopt,
+    const std::string path = to_path(arguments[0]);
+    require_kind(s, path, node_kind::workspace);
+    return report_edit(apply_edit(s, {path, std::nullopt,
                                       [&](node_settings& own)
                                       {
                                           withdraw(own, arguments);
@@ -117,9 +119,10 @@
 
 command_result move_endpoint(operator_session& s, words arguments, bool leaving)
 {
-    require_kind(s, arguments[1], node_kind::service);
+    const std::string path = to_path(arguments[1]);
+    require_kind(s, path, node_kind::service);
     return report_edit(apply_edit(
-        s, {arguments[1], std::nullopt,
+        s, {path, std::nullopt,
             [&](node_settings& own)
             {
                 const auto found =
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -47,6 +47,13 @@
     return m_usage.c_str();
 }
 
+std::string to_path(const std::string& word)
+{
+    if (word.starts_with('/'))
+        return word.substr(1);
+    return word;
+}
+
 std::uint64_t read_version(const std::string& word)
 {
     std::uint64_t version = 0;
--- a/Source/ctl/commands.hpp
+++ b/Source/ctl/commands.hpp
@@ -49,6 +49,8 @@
 std::span<const command> access_commands() noexcept;
 std::span<const command> fleet_commands() noexcept;
 
+/// A node's path; people may write it as it is shown, with a slash before it.
+std::string to_path(const std::string& word);
 /// Reads a version from a command's word. Throws usage_error.
 std::uint64_t read_version(const std::string& word);
 /// Says what became of an edit.
--- a/Source/ctl/fleet_commands.cpp
+++ b/Source/ctl/fleet_commands.cpp
@@ -18,7 +18,6 @@
 constexpr int name_width = 16;
 constexpr int zone_width = 14;
 constexpr int state_width = 12;
-constexpr int version_width = 10;
 
 std::string list_state(const platform_vm& vm)
 {
@@ -43,11 +42,11 @@
 
 void print_row(std::ostream& out, const std::array<std::string, 6>& cells)
 {
-    constexpr std::array widths{name_width,  zone_width,  state_width,
-                                state_width, state_width, version_width};
-    for (std::size_t i = 0; i < cells.size(); ++i)
+    constexpr std::array widths{name_width, zone_width, state_width,
+                                state_width, state_width};
+    for (std::size_t i = 0; i + 1 < cells.size(); ++i)
         out << std::left << std::setw(widths[i]) << cells[i];
-    out << "\n";
+    out << cells.back() << "\n";
 }
 
 void print_member(std::ostream& out, const fleet_member& m)
--- a/Source/ctl/main/bluebellspokectl.cpp
+++ b/Source/ctl/main/bluebellspokectl.cpp
@@ -4,9 +4,8 @@
 #include <exception>
 #include <span>
 
-#include <ctl/commands.hpp>
 #include <ctl/operator_session.hpp>
-#include <decide/settings_tree.hpp>
+#include <ctl/run_line.hpp>
 #include <options/options.hpp>
 
 namespace
@@ -58,11 +57,10 @@
                        BLUEBELLSPOKE_VERSION, "command"},
                       options, arguments, process_environment());
     operator_session session(read_settings(values));
-    const command_result result = run_command(session, values.words());
-    const std::string text =
-        values.given("json") ? result.m_json.dump(2) + "\n" : result.m_text;
-    std::fputs(text.c_str(), stdout);
-    return static_cast<int>(result.m_code);
+    const printed run = run_line(session, values.words(), values.given("json"));
+    std::fputs(run.m_output.c_str(), stdout);
+    std::fputs(run.m_errors.c_str(), stderr);
+    return static_cast<int>(run.m_code);
 }
 
 int fail(const std::exception& e, exit_code code)
@@ -88,19 +86,6 @@
     {
         return fail(e, exit_code::usage);
     }
-    catch (const usage_error& e)
-    {
-        return fail(e, exit_code::usage);
-    }
-    catch (const settings_error& e)
-    {
-        return fail(ctl_error(ctl_fault::settings_refused, e.what()),
-                    exit_code::refused);
-    }
-    catch (const ctl_error& e)
-    {
-        return fail(e, describe(e.m_fault).m_code);
-    }
     catch (const std::exception& e)
     {
         return fail(e, exit_code::failed);
--- a/Source/ctl/settings_commands.cpp
+++ b/Source/ctl/settings_commands.cpp
@@ -15,14 +15,6 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
-// People may write a path as it is shown, with a slash before it.
-std::string to_path(const std::string& word)
-{
-    if (word.starts_with('/'))
-        return word.substr(1);
-    return word;
-}
-
 std::optional<std::uint64_t> version_word(words arguments, std::size_t index)
 {
     if (arguments.size() <= index)
--- a/Source/ctl/settings_edit.cpp
+++ b/Source/ctl/settings_edit.cpp
@@ -21,6 +21,20 @@
 constexpr std::chrono::milliseconds status_pause{100};
 constexpr int most_tries = 8;
 
+// What was written past this client may not be readable. It must not keep
+// operators from mending it.
+node_settings read_own(const std::string& path, const std::string& value)
+{
+    try
+    {
+        return decode_node(path, value);
+    }
+    catch (const settings_error&)
+    {
+        return {};
+    }
+}
+
 // The daemons are asked before the platform: whatever they know by then, the
 // platform must know too.
 void check_current(std::span<const fleet_member> fleet, const stored_tree& tree)
@@ -134,8 +148,7 @@
     for (const platform_object& object : listing.m_objects)
     {
         const std::string path = settings_path(object.m_name);
-        tree.m_nodes[path] = {object.m_version,
-                              decode_node(path, object.m_value)};
+        tree.m_nodes[path] = {object.m_version, read_own(path, object.m_value)};
     }
     return tree;
 }
--- a/Source/ctl/settings_history.cpp
+++ b/Source/ctl/settings_history.cpp
@@ -40,7 +40,8 @@
     std::vector<history_entry> entries;
     if (object.m_version == 0)
         return entries;
-    for (const json& e : json::parse(object.m_value).at("entries"))
+    const json kept = json::parse(object.m_value);
+    for (const json& e : kept.at("entries"))
         entries.push_back({{e.at("version").get<std::uint64_t>(),
                             decode_node(path, e.at("own").dump())},
                            e.at("at").get<std::string>()});
--- a/Source/daemon/control_relay.cpp
+++ b/Source/daemon/control_relay.cpp
@@ -89,13 +89,16 @@
 
 peer_status status_of(const control_state& c)
 {
+    std::set<std::string> refused = c.m_refused;
+    if (c.m_unresolved)
+        refused.insert(*c.m_unresolved);
     return {c.m_daemon.m_name,
             c.m_daemon.m_zone,
             c.m_version,
             std::min(c.m_front_version, c.m_pool_version),
             std::string(to_string(c.m_standing)),
             c.m_life,
-            {c.m_refused.begin(), c.m_refused.end()},
+            {refused.begin(), refused.end()},
             to_string(c.m_daemon.m_admin_listen)};
 }
 
--- a/Source/daemon/control_settings.cpp
+++ b/Source/daemon/control_settings.cpp
@@ -38,11 +38,12 @@
     }
     catch (const settings_error& e)
     {
-        c.m_refused.insert(e.m_path);
+        c.m_unresolved = e.m_path;
         log_event(event_id::settings_refused, {{"fault", e.what()}});
         return;
     }
     c.m_published = true;
+    c.m_unresolved.reset();
     log_event(event_id::settings_in_force,
               {{"version", std::to_string(c.m_version)}});
     c.m_boxes.m_front.post(settings_changed{view});
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -44,6 +44,7 @@
     /// Settings objects as they were last heard of, by name; the newest.
     std::map<std::string, platform_object, std::less<>> m_objects;
     std::set<std::string> m_refused; ///< Paths of nodes that can't be read.
+    std::optional<std::string> m_unresolved; ///< Node that fits no tree.
     settings_tree m_tree;            ///< The last good value of each node.
     std::uint64_t m_revision = 0; ///< Of the platform's store, as last heard.
     std::uint64_t m_version = 0;  ///< Of the settings, as last heard of.
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -44,7 +44,7 @@
 {
     return nlohmann::json{{"settings_version", c.m_version},
                           {"settings_in_force", status_of(c).m_in_force},
-                          {"settings_refused", c.m_refused},
+                          {"settings_refused", status_of(c).m_refused},
                           {"standing", to_string(c.m_standing)},
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
