--- a/Tests/endpoint/decoders_fuzz_test.cpp
+++ b/Tests/endpoint/decoders_fuzz_test.cpp
@@ -150,8 +150,10 @@
 
 TEST_CASE("Random bytes of a peer decode or are refused")
 {
-    const std::string whole =
-        encode_peer_message(peer_heartbeat{"vm-1", 1, 2, true, 3, false});
+    peer_heartbeat heartbeat;
+    heartbeat.m_name = "vm-1";
+    heartbeat.m_settings_version = 2;
+    const std::string whole = encode_peer_message(heartbeat);
     REQUIRE(std::get<peer_heartbeat>(decode_peer_message(whole)).m_name ==
             "vm-1");
     const unsigned seed = GENERATE(1U, 2U, 3U);
--- a/Tests/scenario/language/processes.lua
+++ b/Tests/scenario/language/processes.lua
@@ -255,3 +255,30 @@
     end
     return counts
 end
+
+-- The settings version that a daemon has in force; 0 while it doesn't answer.
+function version_at(vm)
+    local dump = process.admin(vm, "/dump")
+    return dump.body and dump.body.tasks.control.settings_version or 0
+end
+
+-- Edits the group's endpoints by name: change(name, node) may alter the node.
+function edit_group(change, settings)
+    local node = { kind = "service" }
+    for field, value in pairs(settings or {}) do
+        node[field] = value
+    end
+    node.endpoints = process.group_endpoints()
+    for _, endpoint in ipairs(node.endpoints) do
+        change(endpoint.name, endpoint)
+    end
+    return edit("group", node)
+end
+
+-- A read that a replica may serve, with a mark by which relays know it.
+function marked_read(mark)
+    return {
+        statement = "select value from bears where key = $1",
+        parameters = { mark }, max_age_ms = 600000,
+    }
+end
--- a/Tests/scenario/process_verbs.cpp
+++ b/Tests/scenario/process_verbs.cpp
@@ -187,13 +187,39 @@
     return vms;
 }
 
-json run_ctl(process_world& w, const json& arguments)
+json group_endpoints(process_world& w, const json&)
+{
+    return support::group_node(*w.m_fleet).at("endpoints");
+}
+
+json to_json(const support::finished_program& finished)
 {
-    const auto finished =
-        support::ctl(*w.m_fleet, arguments.get<std::vector<std::string>>());
     return {{"code", finished.m_code}, {"output", finished.m_output}};
 }
 
+json run_ctl(process_world& w, const json& arguments)
+{
+    return to_json(
+        support::ctl(*w.m_fleet, arguments.get<std::vector<std::string>>()));
+}
+
+// race([WORDS…]): operators that all start at once.
+json race(process_world& w, const json& arguments)
+{
+    std::vector<std::future<support::finished_program>> under_way;
+    for (const json& words : arguments.at(0))
+        under_way.push_back(
+            std::async(std::launch::async,
+                       [&w, line = words.get<std::vector<std::string>>()]
+                       {
+                           return support::ctl(*w.m_fleet, line);
+                       }));
+    json results = json::array();
+    for (auto& one : under_way)
+        results.push_back(to_json(one.get()));
+    return results;
+}
+
 json to_json(const reply& r)
 {
     json out{{"status", r.m_status},
@@ -342,6 +368,8 @@
                            process_verb{"set_vms", set_vms},
                            process_verb{"vm_list", vm_list},
                            process_verb{"ctl", run_ctl},
+                           process_verb{"race", race},
+                           process_verb{"group_endpoints", group_endpoints},
                            process_verb{"send", send},
                            process_verb{"send_everywhere", send_everywhere},
                            process_verb{"hang_up", hang_up},
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -116,21 +116,6 @@
     f.m_daemons.push_back(std::move(d));
 }
 
-json group_node(const fleet& f)
-{
-    json endpoints = json::array();
-    for (const endpoint_node& e : f.m_endpoints)
-    {
-        endpoints.push_back({{"name", e.m_name},
-                             {"address", to_string(reached_at(e))},
-                             {"zone", e.m_zone}});
-    }
-    return {{"kind", "service"},
-            {"slots", f.m_options.m_slots},
-            {"connections", f.m_options.m_connections},
-            {"endpoints", std::move(endpoints)}};
-}
-
 void post_to_platform(const fleet& f, const std::string& path, const json& body)
 {
     tls_context_ptr tls;
@@ -170,6 +155,21 @@
     post_to_platform(f, "/standin/restore", json::object());
 }
 
+json group_node(const fleet& f)
+{
+    json endpoints = json::array();
+    for (const endpoint_node& e : f.m_endpoints)
+    {
+        endpoints.push_back({{"name", e.m_name},
+                             {"address", to_string(reached_at(e))},
+                             {"zone", e.m_zone}});
+    }
+    return {{"kind", "service"},
+            {"slots", f.m_options.m_slots},
+            {"connections", f.m_options.m_connections},
+            {"endpoints", std::move(endpoints)}};
+}
+
 fleet::fleet(const fleet_options& options) : m_options(options)
 {
     m_platform_address = free_address();
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -71,6 +71,9 @@
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
 
+/// The settings node of the group.
+nlohmann::json group_node(const fleet& f);
+
 /// Runs bluebellspokectl against the fleet's platform.
 finished_program ctl(const fleet& f, std::vector<std::string> words);
 /// Writes a node of the settings tree; fails the test's set-up by throwing.
