--- a/Source/daemon/daemon_settings.cpp
+++ b/Source/daemon/daemon_settings.cpp
@@ -49,6 +49,12 @@
                 "authorities that signed the platform's certificate, PEM; "
                 "turns TLS on towards the platform",
                 "", 0, 0},
+    option_spec{"reads-at-primary", option_type::flag, "",
+                "for experiments: no read runs at a replica", "", 0, 0},
+    option_spec{"queue-by-arrival", option_type::flag, "",
+                "for experiments: workspaces share one queue, first come first "
+                "served",
+                "", 0, 0},
     option_spec{"check", option_type::flag, "",
                 "check settings and charts, then end", "", 0, 0},
 };
@@ -101,6 +107,8 @@
     s.m_tls = {values.text("tls-certificate"), values.text("tls-key"),
                values.text("tls-authorities")};
     s.m_platform_tls.m_authorities = values.text("platform-authorities");
+    s.m_reads_at_primary = values.given("reads-at-primary");
+    s.m_queue_by_arrival = values.given("queue-by-arrival");
     s.m_check_only = values.given("check");
     return s;
 }
--- a/Source/daemon/daemon_settings.hpp
+++ b/Source/daemon/daemon_settings.hpp
@@ -28,6 +28,8 @@
     std::size_t m_mailbox = 0; ///< Messages.
     tls_files m_tls;           ///< Callers and peers; no certificate: off.
     tls_files m_platform_tls;  ///< The platform; no authorities: off.
+    bool m_reads_at_primary = false; ///< No read runs at a replica.
+    bool m_queue_by_arrival = false; ///< Workspaces share one queue.
     bool m_check_only = false;
 };
 
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -79,7 +79,12 @@
     const workspace_view& workspace = *r.m_arrived.m_context.m_workspace;
     fair_queue& queue =
         r.m_group.m_queues[static_cast<std::size_t>(r.m_need.m_kind)];
-    enqueue(queue, workspace.m_name, workspace.m_weight, r);
+    // Without a flow of its own for each workspace, the queue keeps the order
+    // of arrival.
+    if (r.m_pool.m_daemon.m_queue_by_arrival)
+        enqueue(queue, {}, 1, r);
+    else
+        enqueue(queue, workspace.m_name, workspace.m_weight, r);
 }
 
 void drop_connection(request& r)
@@ -142,6 +147,8 @@
 {
     const pool_request& arrived = r.m_arrived;
     r.m_need = need_of(arrived);
+    if (r.m_pool.m_daemon.m_reads_at_primary)
+        r.m_need.m_primary_only = true;
     if (arrived.m_operation == request_operation::statement)
         r.m_bound = bind_parameters(arrived.m_statement.m_text,
                                     arrived.m_statement.m_parameters);
--- a/Source/decide/session_token.cpp
+++ b/Source/decide/session_token.cpp
@@ -8,6 +8,8 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <decide/sha256_algorithm.hpp>
+
 namespace bluebellspoke
 {
 
@@ -48,7 +50,7 @@
     signed_text.append(workspace).append(group).append(body);
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned length = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+    HMAC(sha256_algorithm(), secret.data(), static_cast<int>(secret.size()),
          reinterpret_cast<const unsigned char*>(signed_text.data()),
          signed_text.size(), digest.data(), &length);
     std::string tag;
--- a/Source/decide/settings_view.cpp
+++ b/Source/decide/settings_view.cpp
@@ -2,7 +2,9 @@
 
 #include <chrono>
 
-#include <openssl/sha.h>
+#include <openssl/evp.h>
+
+#include <decide/sha256_algorithm.hpp>
 
 #include <decide/settings_limits.hpp>
 
@@ -146,8 +148,8 @@
 sha256_digest sha256(std::string_view text)
 {
     sha256_digest digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-           digest.data());
+    EVP_Digest(text.data(), text.size(), digest.data(), nullptr,
+               sha256_algorithm(), nullptr);
     return digest;
 }
 
--- a/Source/front/statement_codec.cpp
+++ b/Source/front/statement_codec.cpp
@@ -1,6 +1,8 @@
 #include <front/statement_codec.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -89,6 +91,52 @@
         malformed(field);
 }
 
+bool is_plain(char c)
+{
+    constexpr char first_printable = 0x20;
+    constexpr char last_printable = 0x7e;
+    return c >= first_printable && c <= last_printable && c != '"' && c != '\\';
+}
+
+// Most cells need no escaping; the library sees to those that do. Endpoints may
+// hold bytes that are not UTF-8; the answer stays whole.
+void append_text(std::string& out, const std::string& text)
+{
+    if (std::all_of(text.begin(), text.end(), is_plain))
+        out.append(1, '"').append(text).push_back('"');
+    else
+        out.append(
+            json(text).dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void append_cell(std::string& out, const std::optional<std::string>& cell)
+{
+    if (cell)
+        append_text(out, *cell);
+    else
+        out.append("null");
+}
+
+template <class Items, class Append>
+void append_list(std::string& out, const Items& items, Append append)
+{
+    bool first = true;
+    for (const auto& item : items)
+    {
+        if (!std::exchange(first, false))
+            out.push_back(',');
+        append(out, item);
+    }
+}
+
+void append_row(std::string& out,
+                const std::vector<std::optional<std::string>>& row)
+{
+    out.push_back('[');
+    append_list(out, row, append_cell);
+    out.push_back(']');
+}
+
 }
 
 statement decode_statement(std::string_view text)
@@ -108,22 +156,18 @@
 
 std::string encode_answer(const answer& a)
 {
-    json rows = json::array();
-    for (const auto& row : a.m_table.m_rows)
-    {
-        json cells = json::array();
-        for (const auto& value : row)
-            cells.push_back(value ? json(*value) : json());
-        rows.push_back(std::move(cells));
-    }
-    json body{{"columns", a.m_table.m_columns},
-              {"rows", std::move(rows)},
-              {"affected", a.m_table.m_affected},
-              {"from", a.m_from_replica ? "replica" : "primary"}};
+    std::string body = R"({"columns":[)";
+    append_list(body, a.m_table.m_columns, append_text);
+    body.append(R"(],"rows":[)");
+    append_list(body, a.m_table.m_rows, append_row);
+    body.append(R"(],"affected":)");
+    body.append(std::to_string(a.m_table.m_affected));
+    body.append(R"(,"from":")");
+    body.append(a.m_from_replica ? "replica" : "primary").push_back('"');
     if (a.m_first_outcome)
-        body["first_outcome"] = true;
-    // Endpoints may hold bytes that are not UTF-8; the answer stays whole.
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+        body.append(R"(,"first_outcome":true)");
+    body.push_back('}');
+    return body;
 }
 
 http2_response encode_refusal(const refused& r)
--- a/Source/task/loop.cpp
+++ b/Source/task/loop.cpp
@@ -5,6 +5,20 @@
 namespace bluebellspoke
 {
 
+namespace
+{
+
+struct event_config_deleter
+{
+    void operator()(event_config* config) const noexcept
+    {
+        event_config_free(config);
+    }
+};
+using event_config_ptr = std::unique_ptr<event_config, event_config_deleter>;
+
+}
+
 const char* loop_error::what() const noexcept
 {
     return "event loop unavailable";
@@ -22,7 +36,13 @@
 
 loop make_loop()
 {
-    event_base_ptr base(event_base_new());
+    const event_config_ptr config(event_config_new());
+    if (!config)
+        throw loop_error();
+    // A write event comes and goes with each answer; collected until the next
+    // wait, most of these changes cancel out before they reach the kernel.
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base_ptr base(event_base_new_with_config(config.get()));
     if (!base)
         throw loop_error();
     return {std::move(base)};
--- a/Tools/load/direct_comparison.cpp
+++ b/Tools/load/direct_comparison.cpp
@@ -1,6 +1,8 @@
 #include <load/direct_comparison.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <thread>
 
 #include <endpoint/endpoint_sql.hpp>
 #include <endpoint/pg_connection.hpp>
@@ -15,6 +17,7 @@
 using nlohmann::json;
 using std::chrono::microseconds;
 
+constexpr std::size_t tool_threads = 4;
 constexpr const char* plain_read = "select value from bears where key = 'a'";
 
 /// What one way of asking gave.
@@ -145,6 +148,29 @@
         std::chrono::duration<double>(monotonic_clock::now() - start).count();
 }
 
+// Several threads share the callers, so that the tool isn't what is measured.
+void run_in_threads(
+    way& w, const comparison_options& options,
+    const std::function<void(way&, const comparison_options&)>& run_callers)
+{
+    comparison_options part = options;
+    part.m_callers = std::max<std::size_t>(options.m_callers / tool_threads, 1);
+    std::vector<way> parts(tool_threads);
+    std::vector<std::thread> threads;
+    for (way& own : parts)
+        threads.emplace_back(
+            [&]
+            {
+                run_callers(own, part);
+            });
+    for (std::thread& t : threads)
+        t.join();
+    for (const way& own : parts)
+        w.m_times.insert(w.m_times.end(), own.m_times.begin(),
+                         own.m_times.end());
+    w.m_seconds += parts.front().m_seconds;
+}
+
 double quantile(std::vector<double> times, double q)
 {
     if (times.empty())
@@ -204,8 +230,16 @@
     way proxy;
     for (unsigned round = 0; round < options.m_rounds; ++round)
     {
-        run_direct(direct, f, options);
-        run_proxy(proxy, f, options, request);
+        run_in_threads(direct, options,
+                       [&](way& w, const comparison_options& part)
+                       {
+                           run_direct(w, f, part);
+                       });
+        run_in_threads(proxy, options,
+                       [&](way& w, const comparison_options& part)
+                       {
+                           run_proxy(w, f, part, request);
+                       });
     }
     const json direct_json = to_json(direct);
     const json proxy_json = to_json(proxy);
--- a/Tools/load/experiment.cpp
+++ b/Tools/load/experiment.cpp
@@ -12,9 +12,11 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::pair<std::string_view, step_kind>, 6> step_names{{
+constexpr std::array<std::pair<std::string_view, step_kind>, 8> step_names{{
     {"kill_endpoint", step_kind::kill_endpoint},
     {"start_endpoint", step_kind::start_endpoint},
+    {"kill_group", step_kind::kill_group},
+    {"start_group", step_kind::start_group},
     {"zone_out", step_kind::zone_out},
     {"zone_in", step_kind::zone_in},
     {"kill_daemon", step_kind::kill_daemon},
--- a/Tools/load/experiment.hpp
+++ b/Tools/load/experiment.hpp
@@ -36,6 +36,8 @@
 {
     kill_endpoint,
     start_endpoint,
+    kill_group, ///< All its endpoints.
+    start_group,
     zone_out,
     zone_in,
     kill_daemon,
--- a/Tools/load/load_player.cpp
+++ b/Tools/load/load_player.cpp
@@ -159,6 +159,14 @@
     case step_kind::start_endpoint:
         support::start_endpoint(f.m_endpoints.at(s.m_index));
         break;
+    case step_kind::kill_group:
+        for (const support::endpoint_node& e : f.m_endpoints)
+            e.m_process->send_signal(SIGKILL);
+        break;
+    case step_kind::start_group:
+        for (support::endpoint_node& e : f.m_endpoints)
+            support::start_endpoint(e);
+        break;
     case step_kind::zone_out:
         take_zone(f, s.m_zone, true);
         break;
--- a/Tools/load/main.cpp
+++ b/Tools/load/main.cpp
@@ -6,6 +6,7 @@
 
 #include <load/direct_comparison.hpp>
 #include <load/load_player.hpp>
+#include <load/measures.hpp>
 #include <options/options.hpp>
 
 namespace
@@ -57,7 +58,15 @@
         print(compare_with_direct(o));
         return 0;
     }
-    std::fputs("commands: play FILE, direct\n", stderr);
+    if (!words.empty() && words.size() <= 2 && words[0] == "measures")
+    {
+        const nlohmann::json measures =
+            run_measures(words.size() == 2 ? words[1] : std::string());
+        print(measures);
+        std::fputs(measures_table(measures).c_str(), stderr);
+        return 0;
+    }
+    std::fputs("commands: play FILE, direct, measures [NAME]\n", stderr);
     return exit_usage;
 }
 
--- /dev/null
+++ b/Tools/load/measures.cpp
@@ -0,0 +1,200 @@
+#include <load/measures.hpp>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <vector>
+
+#include <load/load_player.hpp>
+
+namespace bluebellspoke::load
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+using figure = double (*)(const load_result&);
+
+/// One experiment under one policy.
+struct variant
+{
+    const char* m_name;
+    const char* m_patch; ///< JSON merge patch on the experiment.
+};
+
+struct measure
+{
+    const char* m_name;
+    const char* m_file;
+    const char* m_figure_name;
+    figure m_figure;
+    std::vector<variant> m_variants;
+};
+
+double replica_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    return percent * replica_share(r);
+}
+
+double worst_served_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    // Who exceeds the own rate is refused by right.
+    load_result inside = r;
+    std::erase_if(inside.m_workspaces,
+                  [](const workspace_result& w)
+                  {
+                      return w.m_refused.contains("rate_exceeded");
+                  });
+    return inside.m_workspaces.empty()
+               ? 0
+               : percent * served_share(worst_served(inside));
+}
+
+double worst_p99(const load_result& r)
+{
+    double worst = 0;
+    for (const workspace_result& w : r.m_workspaces)
+        if (!w.m_refused.contains("rate_exceeded"))
+            worst = std::max(worst, latency_quantile(w, 0.99));
+    return worst;
+}
+
+double rate_refusals_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    const workspace_result& w = r.m_workspaces.front();
+    const auto found = w.m_refused.find("rate_exceeded");
+    const std::uint64_t count = found == w.m_refused.end() ? 0 : found->second;
+    return percent * static_cast<double>(count) / static_cast<double>(w.m_sent);
+}
+
+double served_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    return percent * served_share_between(r, 0, r.m_seconds);
+}
+
+constexpr const char* zone_steps = R"({"steps":[
+    {"at":4,"do":"zone_out","zone":"zone-2"},
+    {"at":8,"do":"zone_in","zone":"zone-2"}]})";
+constexpr const char* zone_failure_steps = R"({"steps":[
+    {"at":4,"do":"kill_endpoint","index":1},
+    {"at":8,"do":"start_endpoint","index":1}]})";
+
+const std::vector<measure>& all_measures()
+{
+    static const std::vector<measure> measures{
+        {"reads",
+         "measure_reads.json",
+         "reads at replicas, %",
+         replica_percent,
+         {{"10 ms lag", R"({"fleet":{"lag_ms":10}})"},
+          {"100 ms lag", R"({"fleet":{"lag_ms":100}})"},
+          {"1000 ms lag", R"({"fleet":{"lag_ms":1000}})"},
+          {"primary only, 100 ms lag",
+           R"({"fleet":{"lag_ms":100,"daemon_flags":["--reads-at-primary"]}})"}}},
+        {"failover",
+         "measure_failover.json",
+         "longest gap in writes, ms",
+         longest_write_gap,
+         {{"fleet promotes", "{}"},
+          {"group restarted after 10 s",
+           R"({"steps":[{"at":3,"do":"kill_group"},
+                        {"at":13,"do":"start_group"}]})"}}},
+        {"worst_served",
+         "measure_worst_served.json",
+         "served of the worst-served workspace, %",
+         worst_served_percent,
+         {{"fair queue", "{}"},
+          {"first come, first served",
+           R"({"fleet":{"daemon_flags":["--queue-by-arrival"]}})"}}},
+        {"worst_latency",
+         "measure_worst_served.json",
+         "highest 99th percentile inside the rate, ms",
+         worst_p99,
+         {{"fair queue", "{}"},
+          {"first come, first served",
+           R"({"fleet":{"daemon_flags":["--queue-by-arrival"]}})"}}},
+        {"one_proxy",
+         "measure_one_proxy.json",
+         "refusals inside the rate, %",
+         rate_refusals_percent,
+         {{"shares that move", "{}"},
+          {"even static split",
+           R"({"fleet":{"daemon_flags":["--even-shares"]}})"}}},
+        {"zone",
+         "measure_zone.json",
+         "requests served, %",
+         served_percent,
+         {{"zone taken out and back", zone_steps},
+          {"zone's endpoint fails and returns", zone_failure_steps},
+          {"nothing happens", "{}"}}},
+    };
+    return measures;
+}
+
+json read_base(const std::string& file)
+{
+    std::ifstream in(LOAD_EXPERIMENTS "/" + file);
+    if (!in)
+        throw experiment_error("no such file: " + file);
+    return json::parse(in);
+}
+
+json run_variant(const measure& m, const variant& v)
+{
+    json text = read_base(m.m_file);
+    text.merge_patch(json::parse(v.m_patch));
+    json out{{"measure", m.m_name},
+             {"variant", v.m_name},
+             {"figure", m.m_figure_name}};
+    try
+    {
+        const load_result result = play(read_experiment(text));
+        out["value"] = m.m_figure(result);
+        out["result"] = to_json(result);
+    }
+    catch (const support::spawn_error&)
+    {
+        // A policy that this build doesn't have yet: nothing was measured.
+        out["value"] = nullptr;
+    }
+    return out;
+}
+
+}
+
+json run_measures(const std::string& only)
+{
+    json out = json::array();
+    for (const measure& m : all_measures())
+        for (const variant& v : m.m_variants)
+            if (only.empty() || only == m.m_name)
+                out.push_back(run_variant(m, v));
+    return out;
+}
+
+std::string measures_table(const json& measures)
+{
+    std::string text =
+        "| measure | policy | figure | value |\n|---|---|---|---|\n";
+    for (const json& m : measures)
+    {
+        std::array<char, 32> value{"not measured"};
+        if (!m.at("value").is_null())
+            std::snprintf(value.data(), value.size(), "%.1f",
+                          m.at("value").get<double>());
+        for (const char* field : {"measure", "variant", "figure"})
+            text.append("| ")
+                .append(m.at(field).get<std::string>())
+                .append(" ");
+        text.append("| ").append(value.data()).append(" |\n");
+    }
+    return text;
+}
+
+}
