--- a/Tools/load/load_player.cpp
+++ b/Tools/load/load_player.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <load/arrivals.hpp>
+#include <load/process_usage.hpp>
 
 namespace bluebellspoke::load
 {
@@ -76,15 +77,31 @@
     return std::chrono::duration<double, std::milli>(now - start).count();
 }
 
-void take_result(player& p, const arrival& a, http2_result& result)
+void send(player& p, const arrival& a, std::size_t daemon, bool first);
+
+// As the advice of these refusals says; the platform's balancer does the same
+// once it has seen the daemon's readiness.
+bool goes_elsewhere(const std::string& refusal)
+{
+    return refusal == "zone_out" || refusal == "draining";
+}
+
+void take_result(player& p, const arrival& a, std::size_t daemon, bool first,
+                 http2_result& result)
 {
+    const auto* response = std::get_if<http2_response>(&result);
+    const bool served = response != nullptr && response->m_status == 200;
+    if (!served && first && goes_elsewhere(refusal_name(result)))
+    {
+        send(p, a, (daemon + 1) % p.m_fleet.m_daemons.size(), false);
+        return;
+    }
     workspace_result& w = p.m_result.m_workspaces[a.m_workspace];
     sample s;
     s.m_intended = std::chrono::duration<double, std::milli>(a.m_at).count();
     s.m_ended = ms_since(p.m_start, monotonic_clock::now());
     s.m_write = a.m_write;
-    const auto* response = std::get_if<http2_response>(&result);
-    s.m_served = response != nullptr && response->m_status == 200;
+    s.m_served = served;
     w.m_samples.push_back(s);
     --p.m_open;
     if (!s.m_served)
@@ -102,20 +119,18 @@
         ++(replica ? w.m_at_replica : w.m_at_primary);
 }
 
-void send(player& p, const arrival& a)
+void send(player& p, const arrival& a, std::size_t daemon, bool first)
 {
     constexpr std::chrono::seconds slack{2};
     const support::session& session = p.m_sessions[a.m_workspace][a.m_session];
-    const std::size_t client = daemon_for(p, a) * connections_per_daemon +
-                               a.m_session % connections_per_daemon;
-    ++p.m_result.m_workspaces[a.m_workspace].m_sent;
-    ++p.m_open;
+    const std::size_t client =
+        daemon * connections_per_daemon + a.m_session % connections_per_daemon;
     p.m_clients[client]->send(
         support::statement_request(session, body_of(p.m_experiment, a)),
         std::chrono::milliseconds(p.m_experiment.m_time_limit_ms) + slack,
-        [&p, a](http2_result& result)
+        [&p, a, daemon, first](http2_result& result)
         {
-            take_result(p, a, result);
+            take_result(p, a, daemon, first, result);
         });
 }
 
@@ -128,7 +143,9 @@
         const arrival& a = p.m_arrivals[p.m_next];
         if (now - a.m_at > late)
             ++p.m_result.m_late;
-        send(p, a);
+        ++p.m_result.m_workspaces[a.m_workspace].m_sent;
+        ++p.m_open;
+        send(p, a, daemon_for(p, a), true);
         ++p.m_next;
     }
     const bool all_sent = p.m_next == p.m_arrivals.size();
@@ -222,6 +239,14 @@
                .m_status == 200;
 }
 
+double daemon_cpu(const support::fleet& f)
+{
+    double sum = 0;
+    for (const support::daemon_node& d : f.m_daemons)
+        sum += processor_seconds(d.m_process->id());
+    return sum;
+}
+
 void wait_until_served(const player& p)
 {
     for (const support::daemon_node& d : p.m_fleet.m_daemons)
@@ -267,7 +292,9 @@
             take_steps(f, e, p.m_start);
         });
     p.m_wake.start_once(std::chrono::microseconds::zero());
+    const double cpu_before = daemon_cpu(f);
     run(p.m_loop);
+    p.m_result.m_daemon_cpu_seconds = daemon_cpu(f) - cpu_before;
     steps.join();
     return std::move(p.m_result);
 }
--- a/Tools/load/load_result.hpp
+++ b/Tools/load/load_result.hpp
@@ -38,6 +38,7 @@
     std::string m_experiment;
     double m_seconds = 0;
     std::vector<workspace_result> m_workspaces;
+    double m_daemon_cpu_seconds = 0; ///< Of all daemons, under the load.
     /// Requests sent late by the tool itself, over 5 ms.
     std::uint64_t m_late = 0;
 };
--- a/Tools/load/main.cpp
+++ b/Tools/load/main.cpp
@@ -7,6 +7,7 @@
 #include <load/direct_comparison.hpp>
 #include <load/load_player.hpp>
 #include <load/measures.hpp>
+#include <load/slopes.hpp>
 #include <options/options.hpp>
 
 namespace
@@ -66,7 +67,13 @@
         std::fputs(measures_table(measures).c_str(), stderr);
         return 0;
     }
-    std::fputs("commands: play FILE, direct, measures [NAME]\n", stderr);
+    if (!words.empty() && words.size() <= 2 && words[0] == "slopes")
+    {
+        print(run_slopes(words.size() == 2 ? words[1] : std::string()));
+        return 0;
+    }
+    std::fputs("commands: play FILE, direct, measures [NAME], slopes [NAME]\n",
+               stderr);
     return exit_usage;
 }
 
