--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -135,7 +135,7 @@
         return {{"name", m.m_name},         {"zone", m.m_zone},
                 {"known", m.m_known},       {"in_force", m.m_in_force},
                 {"standing", m.m_standing}, {"state", m.m_state},
-                {"refused", m.m_refused}};
+                {"refused", m.m_refused},   {"admin", m.m_admin}};
     }
     static peer_status read(const json& j)
     {
@@ -145,7 +145,23 @@
                 j.at("in_force").get<std::uint64_t>(),
                 j.at("standing").get<std::string>(),
                 j.at("state").get<std::string>(),
-                j.at("refused").get<std::vector<std::string>>()};
+                j.at("refused").get<std::vector<std::string>>(),
+                j.at("admin").get<std::string>()};
+    }
+};
+
+template <>
+struct format<peer_drain_wanted>
+{
+    static constexpr const char* tag = "drain_wanted";
+
+    static json write(const peer_drain_wanted&)
+    {
+        return json::object();
+    }
+    static peer_drain_wanted read(const json&)
+    {
+        return {};
     }
 };
 
@@ -188,11 +204,12 @@
 
 peer_message decode_peer_message(std::string_view bytes)
 {
-    const json tagged = json::from_cbor(bytes, true, false);
-    if (!tagged.is_array() || tagged.size() != 2 || !tagged[0].is_string())
-        throw peer_protocol_error();
     try
     {
+        // It throws for sizes past the memory's, also when told not to.
+        const json tagged = json::from_cbor(bytes, true, false);
+        if (!tagged.is_array() || tagged.size() != 2 || !tagged[0].is_string())
+            throw peer_protocol_error();
         return read_tagged(tagged[0].get<std::string>(), tagged[1]);
     }
     catch (const json::exception&)
