--- a/Source/task/loop.cpp
+++ b/Source/task/loop.cpp
@@ -6,6 +6,20 @@
 namespace bluebellspoke
 {
 
+namespace
+{
+
+struct event_config_deleter
+{
+    void operator()(event_config* config) const noexcept
+    {
+        event_config_free(config);
+    }
+};
+using event_config_ptr = std::unique_ptr<event_config, event_config_deleter>;
+
+}
+
 const char* loop_error::what() const noexcept
 {
     return "event loop unavailable";
