shares: Divide rates by a fleet epoch and move them by loans

Cause: each daemon took rate / number of listed VMs, whoever else did.

The epoch is one object of the platform; its version is its number. Daemons report in heartbeats which epoch they follow and keep to; a larger share waits for all former members. Loans go from front to front through the control tasks.

--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -18,17 +18,29 @@
 constexpr int status_ok = 200;
 constexpr int status_malformed = 400;
 
+std::uint64_t age_ms(time_point since)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(monotonic_clock::now() -
+                                                     since)
+            .count());
+}
+
 peer_heartbeat heartbeat_of(const control_state& c)
 {
-    const duration age =
-        monotonic_clock::now() - confirmed_at(standing_of(c).m_view);
-    return {c.m_daemon.m_name,
-            c.m_incarnation,
-            c.m_version,
-            c.m_platform_answers,
-            static_cast<std::uint64_t>(
-                std::chrono::ceil<std::chrono::milliseconds>(age).count()),
-            c.m_draining};
+    peer_heartbeat m;
+    m.m_name = c.m_daemon.m_name;
+    m.m_incarnation = c.m_incarnation;
+    m.m_settings_version = c.m_version;
+    m.m_platform_answers = c.m_platform_answers;
+    m.m_confirmed_age_ms = age_ms(confirmed_at(standing_of(c).m_view));
+    m.m_draining = c.m_draining;
+    m.m_epoch = c.m_fleet.m_epoch.m_number;
+    m.m_epoch_applied = applied_epoch(c);
+    m.m_epoch_confirmed_age_ms =
+        age_ms(confirmed_at(epoch_standing_of(c).m_view));
+    m.m_epoch_platform_answers = c.m_fleet.m_platform_answers;
+    return m;
 }
 
 // `asked_at` is when the message can have been sent at the earliest, as far as
@@ -37,24 +49,41 @@
                      time_point asked_at)
 {
     const auto found = c.m_peers.find(m.m_name);
-    if (found == c.m_peers.end())
+    if (found == c.m_peers.end() || asked_at < found->second.m_asked_at)
         return;
     found->second.m_last = m;
     found->second.m_asked_at = asked_at;
+    if (m.m_epoch > c.m_fleet.m_epoch.m_number)
+        read_epoch(c);
+    update_right(c);
 }
 
-/// Takes one message of a peer and gives the answer to it.
-peer_message take_peer_message(control_state& c, const peer_message& message)
+void answer_peer(control_state& c, exchange_id exchange,
+                 const peer_message& message)
 {
-    return std::visit(
+    http2_response response;
+    response.m_status = status_ok;
+    response.m_body = encode_peer_message(message);
+    c.m_peer_server->respond(exchange, std::move(response));
+}
+
+/// Takes one message of a peer and sees to the answer.
+void take_peer_message(control_state& c, exchange_id exchange,
+                       const peer_message& message)
+{
+    std::visit(
         overloaded{
-            [&](const peer_heartbeat&) -> peer_message
+            [&](const peer_heartbeat&)
             {
-                return heartbeat_of(c);
+                answer_peer(c, exchange, heartbeat_of(c));
             },
-            [&](const peer_declined&) -> peer_message
+            [&](const peer_loan_ask& m)
             {
-                return peer_declined{c.m_daemon.m_name};
+                pass_loan_ask(c, exchange, m);
+            },
+            [&](const auto&)
+            {
+                answer_peer(c, exchange, peer_declined{c.m_daemon.m_name});
             },
         },
         message);
@@ -62,19 +91,17 @@
 
 void on_request(control_state& c, arrived_request& arrived)
 {
-    http2_response response;
     try
     {
-        const peer_message message =
-            decode_peer_message(arrived.m_request.m_body);
-        response.m_status = status_ok;
-        response.m_body = encode_peer_message(take_peer_message(c, message));
+        take_peer_message(c, arrived.m_exchange,
+                          decode_peer_message(arrived.m_request.m_body));
     }
     catch (const peer_protocol_error&)
     {
+        http2_response response;
         response.m_status = status_malformed;
+        c.m_peer_server->respond(arrived.m_exchange, std::move(response));
     }
-    c.m_peer_server->respond(arrived.m_exchange, std::move(response));
 }
 
 void beat(control_state& c)
@@ -115,6 +142,16 @@
     beat(c);
 }
 
+void beat_soon(control_state& c)
+{
+    c.m_heartbeat.start_once(std::chrono::microseconds::zero());
+}
+
+void answer_loan(control_state& c, const loan_given& given)
+{
+    answer_peer(c, given.m_exchange, loan_message(given.m_loan));
+}
+
 witnessed_standing standing_of(const control_state& c)
 {
     witnessed_standing s;
@@ -147,6 +184,8 @@
             p.m_client = std::make_unique<http2_client>(
                 c.m_loop, parse_address(vm.m_peer_address),
                 c.m_tls.m_peer_client);
+        if (!same)
+            p.m_since = monotonic_clock::now();
         p.m_vm = vm;
     }
     c.m_peers = std::move(kept);
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_DAEMON_CONTROL_STATE_HPP
 #define BLUEBELLSPOKE_DAEMON_CONTROL_STATE_HPP
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
+#include <decide/fleet_epoch.hpp>
 #include <decide/settings_tree.hpp>
 #include <decide/standing.hpp>
 #include <peer/peer_message.hpp>
@@ -26,6 +28,25 @@
     std::unique_ptr<http2_client> m_client;
     std::optional<peer_heartbeat> m_last;
     time_point m_asked_at{}; ///< When the question it answered was sent.
+    time_point m_since{};    ///< When this daemon began to ask it.
+};
+
+/// What a daemon knows of the fleet that limits are divided among.
+struct fleet_state
+{
+    std::vector<platform_vm> m_listed;
+    fleet_epoch m_epoch;
+    /// When the last question was sent that the platform answered with nothing
+    /// newer than m_epoch.
+    time_point m_confirmed_at{};
+    bool m_platform_answers = false;
+    bool m_reading = false;
+    bool m_proposing = false;
+    settling m_settling;
+    std::array<std::uint64_t, 2> m_applied{}; ///< By share_holder.
+    time_point m_started_at{};
+    std::optional<time_point> m_joined_at; ///< Its shares begin then.
+    std::optional<time_point> m_propose_at;
 };
 
 /// A peer's answer, or nothing when none came in time.
@@ -51,11 +72,13 @@
     std::uint64_t m_incarnation = 0; ///< Of this process.
     daemon_tls m_tls;
     std::map<std::string, peer, std::less<>> m_peers;
+    fleet_state m_fleet;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
     timer m_retry_settings;
     timer m_retry_secrets;
     timer m_vm_poll;
+    timer m_epoch_poll;
 };
 
 // control_settings.cpp
@@ -74,6 +97,10 @@
 void start_peers(control_state& c);
 /// Sends a heartbeat to the peers, and again after a period.
 void beat_peers(control_state& c);
+/// The same at once, because there is something new to say.
+void beat_soon(control_state& c);
+/// Sends what a task lends to the peer that asked.
+void answer_loan(control_state& c, const loan_given& given);
 /// What standing is judged by; the view looks into the witnesses beside it.
 struct witnessed_standing
 {
@@ -88,6 +115,25 @@
 
 // control_fleet.cpp
 void poll_vms(control_state& c);
+/// Asks the platform which epoch of the fleet is the newest.
+void read_epoch(control_state& c);
+/// Works out anew what this daemon may use, and tells the other tasks.
+void update_right(control_state& c);
+/// A task keeps to the shares of an epoch.
+void note_applied(control_state& c, const right_applied& applied);
+/// The epoch that all tasks keep to.
+std::uint64_t applied_epoch(const control_state& c);
+/// What standing in the epoch is judged by.
+witnessed_standing epoch_standing_of(const control_state& c);
+
+// control_shares.cpp
+/// Sends a task's question for a loan to the peer it names.
+void ask_for_loan(control_state& c, loan_wanted& wanted);
+/// Takes a peer's question to the task that holds the share.
+void pass_loan_ask(control_state& c, exchange_id exchange,
+                   const peer_loan_ask& ask);
+/// The answer to a peer's question.
+peer_message loan_message(const rate_loan& given);
 
 }
 
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -46,6 +46,9 @@
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
                           {"members", c.m_members},
+                          {"epoch", c.m_fleet.m_epoch.m_number},
+                          {"epoch_applied", applied_epoch(c)},
+                          {"epoch_settled", c.m_fleet.m_settling.m_settled},
                           {"peers", describe_peers(c)}}
         .dump();
 }
@@ -67,6 +70,18 @@
             {
                 use_tls(c, m.m_tls);
             },
+            [&](right_applied& m)
+            {
+                note_applied(c, m);
+            },
+            [&](loan_wanted& m)
+            {
+                ask_for_loan(c, m);
+            },
+            [&](loan_given& m)
+            {
+                answer_loan(c, m);
+            },
             [&](drain_begun&) {},
             [&](stop_wanted&)
             {
@@ -105,8 +120,14 @@
                 [this]
                 {
                     poll_vms(*this);
-                })
+                }),
+      m_epoch_poll(m_loop,
+                   [this]
+                   {
+                       read_epoch(*this);
+                   })
 {
+    m_fleet.m_started_at = monotonic_clock::now();
 }
 
 void run_control_task(const daemon_settings& settings, const daemon_tls& tls,
@@ -123,6 +144,7 @@
     load_settings(c);
     load_secrets(c);
     poll_vms(c);
+    read_epoch(c);
     run(c.m_loop);
 }
 
--- /dev/null
+++ b/Source/daemon/front_shares.cpp
@@ -0,0 +1,262 @@
+#include <daemon/front_shares.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include <daemon/front_state.hpp>
+#include <front/statement_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::size_t most_waiting = 256; ///< Requests of one workspace.
+constexpr std::size_t asked_at_once = 8;  ///< Peers in one round.
+
+void refuse(front_state& f, const pool_request& request, refusal code)
+{
+    f.m_server->respond(request.m_context.m_exchange,
+                        encode_refusal(refused(code)));
+}
+
+void hand_to_pool(front_state& f, pool_request&& request)
+{
+    const exchange_id exchange = request.m_context.m_exchange;
+    if (!f.m_boxes.m_pool.try_post(std::move(request)))
+        f.m_server->respond(exchange,
+                            encode_refusal(refused(refusal::overloaded)));
+}
+
+bool has_right(const front_state& f, time_point now)
+{
+    const auto& right = f.m_rates.m_right;
+    return right && now >= right->m_from && now < right->m_until;
+}
+
+refusal code_now(const front_state& f, time_point now)
+{
+    return has_right(f, now) ? refusal::rate_exceeded
+                             : refusal::configuration_stale;
+}
+
+void admit_waiting(front_state& f, front_rate& r, time_point now)
+{
+    while (!r.m_waiting.empty() && admit_one(r.m_share, now))
+    {
+        pool_request request = std::move(r.m_waiting.front().m_request);
+        r.m_waiting.pop_front();
+        hand_to_pool(f, std::move(request));
+    }
+    while (!r.m_waiting.empty() &&
+           now - r.m_waiting.front().m_since >= loan_wait)
+    {
+        const pool_request request = std::move(r.m_waiting.front().m_request);
+        r.m_waiting.pop_front();
+        refuse(f, request, code_now(f, now));
+    }
+}
+
+bool needs_round(const front_rate& r, time_point now)
+{
+    const bool keeps =
+        keeps_loans(r.m_share, now) && has_loans_to_keep(r.m_share.m_book, now);
+    return keeps || wanted_units(r.m_share, now) > 0;
+}
+
+bool is_involved(const front_rate& r, std::string_view lender)
+{
+    const auto& loans = r.m_share.m_book.m_borrowed;
+    return std::any_of(loans.begin(), loans.end(),
+                       [&](const loan& l)
+                       {
+                           return l.m_peer == lender;
+                       });
+}
+
+void ask_round(front_state& f, front_rate& r, time_point now)
+{
+    if (!f.m_rates.m_right || now < r.m_next_round || !needs_round(r, now))
+        return;
+    if (std::exchange(r.m_gained, 0) > 0)
+        r.m_pause = {};
+    r.m_pause =
+        std::clamp<duration>(2 * r.m_pause, ask_pause, longest_ask_pause);
+    r.m_next_round = now + r.m_pause;
+    const bool wants = wanted_units(r.m_share, now) > 0;
+    std::size_t asked = 0;
+    for (const std::string& lender :
+         lenders_in_order(*f.m_rates.m_right, r.m_share.m_workspace))
+    {
+        const bool more = wants && asked < asked_at_once;
+        if (!more && !is_involved(r, lender))
+            continue;
+        ++asked;
+        f.m_boxes.m_control.post(
+            loan_wanted{share_kind::rate, r.m_share.m_workspace, lender,
+                        make_ask(r.m_share, f.m_daemon.m_name, lender, now)});
+    }
+}
+
+// An epoch is applied when nothing is lent beyond what it gives.
+void report_applied(front_state& f)
+{
+    front_rates& rates = f.m_rates;
+    if (!rates.m_right || rates.m_applied == rates.m_right->m_epoch.m_number)
+        return;
+    for (const auto& [name, r] : rates.m_rates)
+        if (!keeps_to_right(r.m_share))
+            return;
+    rates.m_applied = rates.m_right->m_epoch.m_number;
+    f.m_boxes.m_control.post(
+        right_applied{share_holder::front, rates.m_applied});
+}
+
+bool is_active(const front_rate& r, time_point now)
+{
+    return !r.m_waiting.empty() || !r.m_share.m_book.m_lent.empty() ||
+           keeps_loans(r.m_share, now);
+}
+
+void start_ticking(front_state& f)
+{
+    if (!std::exchange(f.m_rates.m_ticking, true))
+        f.m_tick.start_once(ask_pause);
+}
+
+front_rate& rate_of(front_state& f, const std::string& workspace,
+                    time_point now)
+{
+    const auto [entry, added] = f.m_rates.m_rates.try_emplace(workspace);
+    if (added)
+        entry->second.m_share =
+            make_rate_share(workspace, f.m_rates.m_first_loan, now);
+    return entry->second;
+}
+
+}
+
+void update_rates(front_state& f)
+{
+    if (!f.m_settings)
+        return;
+    const time_point now = monotonic_clock::now();
+    // What is still lent keeps its place: a workspace that comes back must not
+    // be lent twice.
+    std::erase_if(
+        f.m_rates.m_rates,
+        [&](const auto& entry)
+        {
+            const front_rate& r = entry.second;
+            return !f.m_settings->m_workspaces.contains(entry.first) &&
+                   r.m_waiting.empty() && r.m_share.m_book.m_lent.empty();
+        });
+    for (const auto& [name, workspace] : f.m_settings->m_workspaces)
+    {
+        front_rate& r = rate_of(f, name, now);
+        if (f.m_rates.m_right)
+            set_right(r.m_share, *f.m_rates.m_right, now);
+        set_rate(r.m_share, workspace.m_rate, workspace.m_burst, now);
+    }
+}
+
+void take_right(front_state& f, const share_right& right)
+{
+    const time_point now = monotonic_clock::now();
+    f.m_rates.m_right = right;
+    for (auto& [name, r] : f.m_rates.m_rates)
+    {
+        set_right(r.m_share, right, now);
+        admit_waiting(f, r, now);
+    }
+    report_applied(f);
+    start_ticking(f);
+}
+
+void admit_by_rate(front_state& f, pool_request&& request)
+{
+    const time_point now = monotonic_clock::now();
+    front_rate& r = rate_of(f, request.m_context.m_workspace->m_name, now);
+    note_arrival(r.m_share, now);
+    start_ticking(f);
+    if (r.m_waiting.empty() && admit_one(r.m_share, now))
+    {
+        hand_to_pool(f, std::move(request));
+        ask_round(f, r, now);
+        return;
+    }
+    const bool holds_all = held_units(r.m_share.m_book) >= r.m_share.m_burst;
+    if (holds_all || r.m_waiting.size() >= most_waiting)
+        throw refused(code_now(f, now));
+    r.m_waiting.push_back({std::move(request), now});
+    ask_round(f, r, now);
+}
+
+void forget_waiting(front_state& f, exchange_id exchange)
+{
+    for (auto& [name, r] : f.m_rates.m_rates)
+        std::erase_if(r.m_waiting,
+                      [&](const waiting_request& w)
+                      {
+                          return w.m_request.m_context.m_exchange == exchange;
+                      });
+}
+
+void lend_to_peer(front_state& f, const loan_asked& asked)
+{
+    const auto r = f.m_rates.m_rates.find(asked.m_resource);
+    rate_loan given;
+    if (r != f.m_rates.m_rates.end())
+        given =
+            lend_rate(r->second.m_share, asked.m_ask, monotonic_clock::now());
+    f.m_boxes.m_control.post(loan_given{asked.m_exchange, std::move(given)});
+    start_ticking(f);
+}
+
+void take_loan(front_state& f, const loan_arrived& arrived)
+{
+    const auto found = f.m_rates.m_rates.find(arrived.m_resource);
+    if (found == f.m_rates.m_rates.end())
+        return;
+    const time_point now = monotonic_clock::now();
+    front_rate& r = found->second;
+    r.m_gained += take_rate_loan(r.m_share, arrived.m_lender, arrived.m_loan,
+                                 arrived.m_asked_at, now);
+    admit_waiting(f, r, now);
+}
+
+void tick_rates(front_state& f)
+{
+    const time_point now = monotonic_clock::now();
+    bool active = false;
+    for (auto& [name, r] : f.m_rates.m_rates)
+    {
+        settle(r.m_share, now);
+        admit_waiting(f, r, now);
+        ask_round(f, r, now);
+        active = active || is_active(r, now);
+    }
+    report_applied(f);
+    f.m_rates.m_ticking = false;
+    if (active)
+        start_ticking(f);
+}
+
+nlohmann::json describe_rates(const front_state& f)
+{
+    nlohmann::json out = nlohmann::json::object();
+    for (const auto& [name, r] : f.m_rates.m_rates)
+        out[name] = {{"rate", r.m_share.m_bucket.m_rate},
+                     {"burst", r.m_share.m_bucket.m_burst},
+                     {"tokens", r.m_share.m_bucket.m_tokens},
+                     {"base", r.m_share.m_book.m_base},
+                     {"lent", count_units(r.m_share.m_book.m_lent)},
+                     {"borrowed", count_units(r.m_share.m_book.m_borrowed)},
+                     {"waiting", r.m_waiting.size()}};
+    return out;
+}
+
+}
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -1,6 +1,7 @@
 #include <daemon/front_state.hpp>
 
 #include <algorithm>
+#include <random>
 #include <string_view>
 #include <utility>
 
@@ -77,6 +78,14 @@
     return r;
 }
 
+// A lender's numbers never come again after a restart, so that a loan of the
+// process before is not taken for one of this.
+std::uint64_t random_loan_number()
+{
+    std::random_device source;
+    return std::uniform_int_distribution<std::uint64_t>(1, 1ULL << 62U)(source);
+}
+
 access_grant check_access(const front_state& f, const requested& r,
                           const http2_request& request)
 {
@@ -86,13 +95,6 @@
     return check_key_access(*f.m_settings, bearer_key(request.m_headers));
 }
 
-void check_rate(front_state& f, const workspace_view& workspace, time_point now)
-{
-    const auto bucket = f.m_buckets.find(workspace.m_name);
-    if (bucket == f.m_buckets.end() || !take_token(bucket->second, now))
-        throw refused(refusal::rate_exceeded);
-}
-
 std::optional<log_position> read_session(const front_state& f,
                                          const workspace_view& workspace,
                                          const http2_request& request)
@@ -149,6 +151,17 @@
 
 }
 
+front_state::front_state(const daemon_settings& daemon, mailboxes& boxes)
+    : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
+      m_tick(m_loop,
+             [this]
+             {
+                 tick_rates(*this);
+             })
+{
+    m_rates.m_first_loan = random_loan_number();
+}
+
 void admit(front_state& f, arrived_request& arrived)
 {
     if (arrived.m_oversized)
@@ -172,8 +185,8 @@
     const bool ends_transaction = r.m_operation == request_operation::commit ||
                                   r.m_operation == request_operation::rollback;
     if (!ends_transaction)
-        check_rate(f, *grant.m_workspace, now);
-    if (!f.m_boxes.m_pool.try_post(std::move(request)))
+        admit_by_rate(f, std::move(request));
+    else if (!f.m_boxes.m_pool.try_post(std::move(request)))
         throw refused(refusal::overloaded);
 }
 
@@ -183,40 +196,14 @@
                         encode_outcome(f, outcome));
 }
 
-void update_buckets(front_state& f)
-{
-    if (!f.m_settings)
-        return;
-    const time_point now = monotonic_clock::now();
-    const auto members = static_cast<double>(f.m_members);
-    std::erase_if(f.m_buckets,
-                  [&](const auto& entry)
-                  {
-                      return !f.m_settings->m_workspaces.contains(entry.first);
-                  });
-    for (const auto& [name, workspace] : f.m_settings->m_workspaces)
-    {
-        const double burst = workspace.m_burst / members;
-        const auto [bucket, added] = f.m_buckets.try_emplace(name);
-        if (added)
-            bucket->second = {0, burst, burst, now};
-        set_share(bucket->second, workspace.m_rate / members, burst, now);
-    }
-}
-
 std::string describe_front(const front_state& f)
 {
-    nlohmann::json buckets = nlohmann::json::object();
-    for (const auto& [name, bucket] : f.m_buckets)
-        buckets[name] = {{"rate", bucket.m_rate},
-                         {"burst", bucket.m_burst},
-                         {"tokens", bucket.m_tokens}};
     return nlohmann::json{
         {"settings_version", f.m_settings ? f.m_settings->m_version : 0},
         {"connections", f.m_server->open_connections()},
         {"open_requests", f.m_server->open_exchanges()},
         {"draining", f.m_draining},
-        {"buckets", std::move(buckets)}}
+        {"buckets", describe_rates(f)}}
         .dump();
 }
 
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -49,21 +49,28 @@
             [&](settings_changed& m)
             {
                 f.m_settings = std::move(m.m_settings);
-                update_buckets(f);
+                update_rates(f);
             },
             [&](session_secrets& m)
             {
                 f.m_secrets = std::move(m.m_secrets);
             },
-            [&](fleet_changed& m)
-            {
-                f.m_members = m.m_members;
-                update_buckets(f);
-            },
             [&](tls_changed& m)
             {
                 f.m_server->set_tls(std::move(m.m_tls.m_callers));
             },
+            [&](right_changed& m)
+            {
+                take_right(f, m.m_right);
+            },
+            [&](loan_asked& m)
+            {
+                lend_to_peer(f, m);
+            },
+            [&](loan_arrived& m)
+            {
+                take_loan(f, m);
+            },
             [&](drain_begun&)
             {
                 begin_drain(f);
@@ -90,6 +97,7 @@
     };
     handlers.m_on_abandoned = [&f](exchange_id exchange)
     {
+        forget_waiting(f, exchange);
         f.m_boxes.m_pool.post(request_abandoned{exchange});
         report_if_drained(f);
     };
@@ -102,7 +110,7 @@
 void run_front_task(const daemon_settings& settings, const daemon_tls& tls,
                     mailboxes& boxes)
 {
-    front_state f{settings, boxes, make_loop(), {}, {}, {}, 1, {}, false};
+    front_state f(settings, boxes);
     f.m_server = std::make_unique<http2_server>(
         f.m_loop, settings.m_listen, http2_server_limits(), make_handlers(f));
     f.m_server->set_tls(tls.m_callers);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include <daemon/daemon_tls.hpp>
+#include <decide/rate_share.hpp>
 #include <decide/settings_view.hpp>
 #include <model/refusal.hpp>
+#include <model/share_kind.hpp>
 #include <model/statement.hpp>
 #include <task/mailbox.hpp>
 #include <wire/http2_server.hpp>
@@ -75,10 +77,58 @@
     std::vector<std::string> m_secrets;
 };
 
-/// control → front: how many daemons share the rates.
-struct fleet_changed
+/// control → front, pool: what this daemon may use of the fleet's limits.
+struct right_changed
 {
-    std::size_t m_members = 1;
+    share_right m_right;
+};
+
+enum class share_holder : std::uint8_t
+{
+    front,
+    pool,
+};
+
+/// front, pool → control: an epoch's shares are kept to.
+struct right_applied
+{
+    share_holder m_holder = share_holder::front;
+    std::uint64_t m_epoch = 0;
+};
+
+/// front, pool → control: ask a peer for a part of its share.
+struct loan_wanted
+{
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    std::string m_lender;
+    loan_ask m_ask;
+};
+
+/// control → front, pool: what that peer gave; nothing if no answer came.
+struct loan_arrived
+{
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    std::string m_lender;
+    rate_loan m_loan;
+    time_point m_asked_at{};
+};
+
+/// control → front, pool: a peer asks for a part of this daemon's share.
+struct loan_asked
+{
+    exchange_id m_exchange;
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    loan_ask m_ask;
+};
+
+/// front, pool → control: what that peer gets.
+struct loan_given
+{
+    exchange_id m_exchange;
+    rate_loan m_loan;
 };
 
 /// admin → front, control: certificates were read anew.
@@ -117,14 +167,17 @@
     std::string m_task;
 };
 
-using front_message = std::variant<request_outcome, settings_changed,
-                                   session_secrets, fleet_changed, tls_changed,
-                                   drain_begun, stop_wanted, dump_wanted>;
+using front_message =
+    std::variant<request_outcome, settings_changed, session_secrets,
+                 right_changed, loan_asked, loan_arrived, tls_changed,
+                 drain_begun, stop_wanted, dump_wanted>;
 using pool_message =
-    std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
+    std::variant<pool_request, request_abandoned, settings_changed,
+                 right_changed, loan_asked, loan_arrived, drain_begun,
                  stop_wanted, dump_wanted>;
 using control_message =
-    std::variant<tls_changed, drain_begun, stop_wanted, dump_wanted>;
+    std::variant<right_applied, loan_wanted, loan_given, tls_changed,
+                 drain_begun, stop_wanted, dump_wanted>;
 using admin_message = std::variant<state_dump, settings_changed, task_drained,
                                    drain_begun, stop_wanted>;
 
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -27,6 +27,16 @@
             {
                 apply_settings(p, std::move(m.m_settings));
             },
+            [&](right_changed& m)
+            {
+                p.m_boxes.m_control.post(right_applied{
+                    share_holder::pool, m.m_right.m_epoch.m_number});
+            },
+            [&](loan_asked& m)
+            {
+                p.m_boxes.m_control.post(loan_given{m.m_exchange, {}});
+            },
+            [&](loan_arrived&) {},
             [&](drain_begun&)
             {
                 p.m_draining = true;
--- a/Source/decide/fleet_epoch.cpp
+++ b/Source/decide/fleet_epoch.cpp
@@ -19,11 +19,16 @@
     return found == sights.end() ? nullptr : &*found;
 }
 
-bool is_heard(const member_sight& s, time_point now)
+bool is_silent(const member_sight& s, time_point now)
 {
     const duration bound = s.m_listed ? duration(listed_silence_bound)
                                       : duration(unlisted_silence_bound);
-    return s.m_member.m_incarnation != 0 && now - s.m_heard_at <= bound;
+    return now - s.m_heard_at > bound;
+}
+
+bool is_heard(const member_sight& s, time_point now)
+{
+    return s.m_member.m_incarnation != 0 && !is_silent(s, now);
 }
 
 // The address is bound by one process at a time, so whoever answers there in
@@ -90,10 +95,9 @@
     for (const fleet_member& m : epoch.m_members)
     {
         const member_sight* s = find_sight(sights, m.m_name);
-        const bool heard = s != nullptr && is_heard(*s, now);
-        if (heard)
+        if (s != nullptr && is_heard(*s, now))
             next.push_back(s->m_member);
-        else if (!may_remove)
+        else if (s == nullptr || !may_remove || !is_silent(*s, now))
             next.push_back(m);
     }
     for (const member_sight& s : sights)
--- a/Source/decide/fleet_epoch.hpp
+++ b/Source/decide/fleet_epoch.hpp
@@ -45,7 +45,7 @@
 /// A daemon as another one sees it, itself included.
 struct member_sight
 {
-    fleet_member m_member;
+    fleet_member m_member;       ///< Incarnation 0: never heard.
     bool m_listed = false;       ///< By the platform.
     time_point m_heard_at{};     ///< Asked then, and answered.
     std::uint64_t m_follows = 0; ///< Newest epoch that it knows.
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include <peer/peer_codec.hpp>
 
-#include <array>
+#include <span>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -28,7 +29,11 @@
                 {"settings_version", m.m_settings_version},
                 {"platform_answers", m.m_platform_answers},
                 {"confirmed_age_ms", m.m_confirmed_age_ms},
-                {"draining", m.m_draining}};
+                {"draining", m.m_draining},
+                {"epoch", m.m_epoch},
+                {"epoch_applied", m.m_epoch_applied},
+                {"epoch_confirmed_age_ms", m.m_epoch_confirmed_age_ms},
+                {"epoch_platform_answers", m.m_epoch_platform_answers}};
     }
     static peer_heartbeat read(const json& j)
     {
@@ -37,7 +42,11 @@
                 j.at("settings_version").get<std::uint64_t>(),
                 j.at("platform_answers").get<bool>(),
                 j.at("confirmed_age_ms").get<std::uint64_t>(),
-                j.at("draining").get<bool>()};
+                j.at("draining").get<bool>(),
+                j.at("epoch").get<std::uint64_t>(),
+                j.at("epoch_applied").get<std::uint64_t>(),
+                j.at("epoch_confirmed_age_ms").get<std::uint64_t>(),
+                j.at("epoch_platform_answers").get<bool>()};
     }
 };
 
@@ -56,6 +65,134 @@
     }
 };
 
+// Loans go often, so their parts are arrays without names.
+json write_part(const peer_loan_part& p)
+{
+    return json::array({p.m_id, p.m_units});
+}
+
+peer_loan_part read_part(const json& j)
+{
+    return {j.at(0).get<std::uint64_t>(), j.at(1).get<std::uint32_t>()};
+}
+
+json write_claim(const peer_loan_claim& c)
+{
+    return json::array({c.m_id, c.m_passed_by, c.m_units});
+}
+
+peer_loan_claim read_claim(const json& j)
+{
+    return {j.at(0).get<std::uint64_t>(), j.at(1).get<std::string>(),
+            j.at(2).get<std::uint32_t>()};
+}
+
+json write_passed(const peer_passed_loan& p)
+{
+    return json::array({p.m_lender, p.m_id, p.m_units, p.m_left_ms});
+}
+
+peer_passed_loan read_passed(const json& j)
+{
+    return {j.at(0).get<std::string>(), j.at(1).get<std::uint64_t>(),
+            j.at(2).get<std::uint32_t>(), j.at(3).get<std::uint64_t>()};
+}
+
+json write_claimed(const peer_claimed_loan& c)
+{
+    return json::array({write_claim(c.m_claim), c.m_id});
+}
+
+peer_claimed_loan read_claimed(const json& j)
+{
+    return {read_claim(j.at(0)), j.at(1).get<std::uint64_t>()};
+}
+
+template <class Value, class Write>
+json write_all(std::span<const Value> values, Write write)
+{
+    json out = json::array();
+    for (const Value& v : values)
+        out.push_back(write(v));
+    return out;
+}
+
+template <class Read>
+auto read_all(const json& j, Read read)
+{
+    std::vector<decltype(read(j))> out;
+    for (const json& value : j)
+        out.push_back(read(value));
+    return out;
+}
+
+share_kind read_kind(const json& j)
+{
+    const auto kind = j.get<std::uint8_t>();
+    if (kind >= share_kinds)
+        throw peer_protocol_error();
+    return static_cast<share_kind>(kind);
+}
+
+template <>
+struct format<peer_loan_ask>
+{
+    static constexpr const char* tag = "loan_ask";
+
+    static json write(const peer_loan_ask& m)
+    {
+        return {
+            {"name", m.m_name},
+            {"kind", static_cast<std::uint8_t>(m.m_kind)},
+            {"resource", m.m_resource},
+            {"wanted", m.m_wanted},
+            {"held", m.m_held},
+            {"demand", m.m_demand},
+            {"renews", write_all<peer_loan_part>(m.m_renews, write_part)},
+            {"claims", write_all<peer_loan_claim>(m.m_claims, write_claim)}};
+    }
+    static peer_loan_ask read(const json& j)
+    {
+        return {j.at("name").get<std::string>(),
+                read_kind(j.at("kind")),
+                j.at("resource").get<std::string>(),
+                j.at("wanted").get<std::uint32_t>(),
+                j.at("held").get<std::uint32_t>(),
+                j.at("demand").get<double>(),
+                read_all(j.at("renews"), read_part),
+                read_all(j.at("claims"), read_claim)};
+    }
+};
+
+template <>
+struct format<peer_loan>
+{
+    static constexpr const char* tag = "loan";
+
+    static json write(const peer_loan& m)
+    {
+        return {
+            {"id", m.m_id},
+            {"units", m.m_units},
+            {"tokens", m.m_tokens},
+            {"returned", write_all<peer_loan_part>(m.m_returned, write_part)},
+            {"passed", write_all<peer_passed_loan>(m.m_passed, write_passed)},
+            {"renewed", write_all<peer_loan_part>(m.m_renewed, write_part)},
+            {"claimed",
+             write_all<peer_claimed_loan>(m.m_claimed, write_claimed)}};
+    }
+    static peer_loan read(const json& j)
+    {
+        return {j.at("id").get<std::uint64_t>(),
+                j.at("units").get<std::uint32_t>(),
+                j.at("tokens").get<double>(),
+                read_all(j.at("returned"), read_part),
+                read_all(j.at("passed"), read_passed),
+                read_all(j.at("renewed"), read_part),
+                read_all(j.at("claimed"), read_claimed)};
+    }
+};
+
 template <std::size_t Index = 0>
 peer_message read_tagged(const std::string& tag, const json& body)
 {
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
+
+#include <model/share_kind.hpp>
 
 namespace bluebellspoke
 {
@@ -20,6 +23,10 @@
     bool m_platform_answers = false;
     std::uint64_t m_confirmed_age_ms = 0; ///< Since it was known current.
     bool m_draining = false;
+    std::uint64_t m_epoch = 0;         ///< Newest fleet epoch that it knows.
+    std::uint64_t m_epoch_applied = 0; ///< Whose shares it keeps to.
+    std::uint64_t m_epoch_confirmed_age_ms = 0;
+    bool m_epoch_platform_answers = false; ///< To its question for the epoch.
 };
 
 /// The receiver doesn't know what was asked, or can't do it now.
@@ -28,7 +35,60 @@
     std::string m_name;
 };
 
-using peer_message = std::variant<peer_heartbeat, peer_declined>;
+struct peer_loan_part
+{
+    std::uint64_t m_id = 0;
+    std::uint32_t m_units = 0;
+};
+
+struct peer_loan_claim
+{
+    std::uint64_t m_id = 0;
+    std::string m_passed_by;
+    std::uint32_t m_units = 0;
+};
+
+struct peer_passed_loan
+{
+    std::string m_lender;
+    std::uint64_t m_id = 0;
+    std::uint32_t m_units = 0;
+    std::uint64_t m_left_ms = 0;
+};
+
+struct peer_claimed_loan
+{
+    peer_loan_claim m_claim;
+    std::uint64_t m_id = 0;
+};
+
+/// A daemon asks for a part of the receiver's share; answered by a peer_loan.
+struct peer_loan_ask
+{
+    std::string m_name;
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    std::uint32_t m_wanted = 0; ///< Units.
+    std::uint32_t m_held = 0;
+    double m_demand = 0;
+    std::vector<peer_loan_part> m_renews;
+    std::vector<peer_loan_claim> m_claims;
+};
+
+/// What the receiver gives; it has already given it up.
+struct peer_loan
+{
+    std::uint64_t m_id = 0;
+    std::uint32_t m_units = 0;
+    double m_tokens = 0;
+    std::vector<peer_loan_part> m_returned;
+    std::vector<peer_passed_loan> m_passed;
+    std::vector<peer_loan_part> m_renewed;
+    std::vector<peer_claimed_loan> m_claimed;
+};
+
+using peer_message =
+    std::variant<peer_heartbeat, peer_declined, peer_loan_ask, peer_loan>;
 
 }
 
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -23,6 +23,8 @@
     settings_refused = 2002,
     platform_lost = 2003,
     platform_back = 2004,
+    fleet_epoch_followed = 2101,
+    fleet_epoch_refused = 2102,
     endpoint_reached = 3001,
     endpoint_unreachable = 3002,
 };
--- a/Tests/shares/fake_fleet.cpp
+++ b/Tests/shares/fake_fleet.cpp
@@ -78,6 +78,10 @@
         {d.m_self, true, f.m_now, d.m_epoch.m_number, d.m_applied}};
     for (const auto& [name, s] : d.m_sights)
         sights.push_back(s);
+    for (const fleet_member& m : d.m_epoch.m_members)
+        if (m.m_name != d.m_self.m_name && !d.m_sights.contains(m.m_name))
+            sights.push_back(
+                {{m.m_name, 0, m.m_address}, false, d.m_started_at, 0, 0});
     for (member_sight& s : sights)
         s.m_listed = is_listed(f, s.m_member.m_name);
     return sights;
