--- a/Source/daemon/front_shares.cpp
+++ b/Source/daemon/front_shares.cpp
@@ -17,18 +17,21 @@
 constexpr std::size_t most_waiting = 256; ///< Requests of one workspace.
 constexpr std::size_t asked_at_once = 8;  ///< Peers in one round.
 
-void refuse(front_state& f, const pool_request& request, refusal code)
+void refuse(front_state& f, exchange_id exchange, std::string_view workspace,
+            refusal code)
 {
-    f.m_server->respond(request.m_context.m_exchange,
-                        encode_refusal(refused(code)));
+    const refused r(code);
+    count_refused(f.m_counts, workspace, r);
+    f.m_server->respond(exchange, encode_refusal(r));
 }
 
 void hand_to_pool(front_state& f, pool_request&& request)
 {
     const exchange_id exchange = request.m_context.m_exchange;
+    const settings_view_ptr keep = request.m_context.m_settings;
+    const std::string_view workspace = request.m_context.m_workspace->m_name;
     if (!f.m_boxes.m_pool.try_post(std::move(request)))
-        f.m_server->respond(exchange,
-                            encode_refusal(refused(refusal::overloaded)));
+        refuse(f, exchange, workspace, refusal::overloaded);
 }
 
 bool has_right(const front_state& f, time_point now)
@@ -56,7 +59,8 @@
     {
         const pool_request request = std::move(r.m_waiting.front().m_request);
         r.m_waiting.pop_front();
-        refuse(f, request, code_now(f, now));
+        refuse(f, request.m_context.m_exchange, r.m_share.m_workspace,
+               code_now(f, now));
     }
 }
 
--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <daemon/daemon_settings.hpp>
+#include <daemon/front_metrics.hpp>
 #include <daemon/front_shares.hpp>
 #include <daemon/messages.hpp>
 #include <wire/http2_server.hpp>
@@ -27,10 +28,12 @@
     front_rates m_rates;
     bool m_draining = false;
     timer m_tick; ///< While rates have something to do.
+    front_counts m_counts{};
 };
 
-/// Checks one request and sends it to the pool. Throws refused.
-void admit(front_state& f, arrived_request& arrived);
+/// Checks one request and sends it to the pool. Throws refused; `context` then
+/// says for whom, if that is known.
+void admit(front_state& f, arrived_request& arrived, request_context& context);
 /// Answers a request whose outcome the pool has sent.
 void answer_request(front_state& f, request_outcome& outcome);
 std::string describe_front(const front_state& f);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -13,6 +13,7 @@
 #include <model/refusal.hpp>
 #include <model/share_kind.hpp>
 #include <model/statement.hpp>
+#include <report/metric.hpp>
 #include <task/mailbox.hpp>
 #include <wire/http2_server.hpp>
 
@@ -37,6 +38,7 @@
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
     std::string m_key_id; ///< Empty on a route open to all.
+    time_point m_arrived_at{};
 };
 
 /// front → pool: run this.
@@ -161,6 +163,19 @@
     std::string m_json;
 };
 
+/// admin → every task: say what you count.
+struct metrics_wanted
+{
+    std::uint64_t m_ticket = 0;
+};
+
+/// every task → admin: what it counts.
+struct task_metrics
+{
+    std::uint64_t m_ticket = 0;
+    metric_families m_families;
+};
+
 /// front, pool → admin: no request of mine is left.
 struct task_drained
 {
@@ -170,16 +185,16 @@
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
                  right_changed, loan_asked, loan_arrived, tls_changed,
-                 drain_begun, stop_wanted, dump_wanted>;
+                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed,
                  right_changed, loan_asked, loan_arrived, drain_begun,
-                 stop_wanted, dump_wanted>;
+                 stop_wanted, dump_wanted, metrics_wanted>;
 using control_message =
     std::variant<right_applied, loan_wanted, loan_given, tls_changed,
-                 drain_begun, stop_wanted, dump_wanted>;
-using admin_message = std::variant<state_dump, settings_changed, task_drained,
-                                   drain_begun, stop_wanted>;
+                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
+using admin_message = std::variant<state_dump, task_metrics, settings_changed,
+                                   task_drained, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
