--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -34,7 +34,7 @@
 
 const platform_vm* find_vm(const control_state& c, std::string_view name)
 {
-    for (const platform_vm& vm : c.m_fleet.m_listed)
+    for (const platform_vm& vm : c.m_vms)
         if (vm.m_name == name)
             return &vm;
     return nullptr;
@@ -91,7 +91,7 @@
 // answer settles an epoch.
 void refresh_peers(control_state& c)
 {
-    std::vector<platform_vm> vms = c.m_fleet.m_listed;
+    std::vector<platform_vm> vms = c.m_vms;
     add_unlisted(vms, c.m_fleet.m_epoch.m_members);
     add_unlisted(vms, c.m_fleet.m_epoch.m_former);
     set_peers(c, vms);
@@ -100,8 +100,8 @@
 void note_members(control_state& c)
 {
     const std::size_t of_epoch = c.m_fleet.m_epoch.m_members.size();
-    c.m_members = std::max<std::size_t>(
-        of_epoch > 0 ? of_epoch : c.m_fleet.m_listed.size(), 1);
+    c.m_members =
+        std::max<std::size_t>(of_epoch > 0 ? of_epoch : c.m_vms.size(), 1);
 }
 
 // Loans that the process before this one gave may still run. Only an epoch
@@ -147,7 +147,7 @@
 std::uint64_t rank_among_listed(const control_state& c)
 {
     std::uint64_t rank = 0;
-    for (const platform_vm& vm : c.m_fleet.m_listed)
+    for (const platform_vm& vm : c.m_vms)
         if (vm.m_name < c.m_daemon.m_name)
             ++rank;
     return rank;
@@ -172,7 +172,7 @@
 {
     fleet_state& f = c.m_fleet;
     const bool settled = f.m_epoch.m_number == 0 || f.m_settling.m_settled;
-    if (!settled || f.m_proposing || f.m_listed.empty())
+    if (!settled || f.m_proposing || c.m_vms.empty())
         return;
     const time_point now = monotonic_clock::now();
     auto next = propose_members(f.m_epoch, sights_of(c), now);
@@ -216,11 +216,15 @@
     const auto* vms = std::get_if<std::vector<platform_vm>>(&result);
     if (vms == nullptr)
         return;
-    c.m_fleet.m_listed = *vms;
-    note_members(c);
-    refresh_peers(c);
+    note_vms(c, *vms);
+}
+
 }
 
+void follow_vms(control_state& c)
+{
+    note_members(c);
+    refresh_peers(c);
 }
 
 void poll_vms(control_state& c)
--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -1,6 +1,7 @@
 #include <daemon/control_state.hpp>
 
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include <daemon/overloaded.hpp>
@@ -15,6 +16,8 @@
 constexpr std::string_view peer_path = "/peer";
 constexpr std::chrono::seconds send_limit{1};
 constexpr std::chrono::milliseconds heartbeat_period{500};
+// No majority is one while nobody has said how many daemons there are.
+constexpr std::size_t unknown_members = std::numeric_limits<std::size_t>::max();
 constexpr int status_ok = 200;
 constexpr int status_malformed = 400;
 
@@ -40,6 +43,8 @@
     m.m_epoch_confirmed_age_ms =
         age_ms(confirmed_at(epoch_standing_of(c).m_view));
     m.m_epoch_platform_answers = c.m_fleet.m_platform_answers;
+    m.m_address = to_string(c.m_daemon.m_peer_listen);
+    m.m_zone = c.m_daemon.m_zone;
     return m;
 }
 
@@ -56,6 +61,8 @@
     if (m.m_epoch > c.m_fleet.m_epoch.m_number)
         read_epoch(c);
     update_right(c);
+    fetch_from_peer(c);
+    tell_standing(c);
 }
 
 void answer_peer(control_state& c, exchange_id exchange,
@@ -73,10 +80,19 @@
 {
     std::visit(
         overloaded{
-            [&](const peer_heartbeat&)
+            [&](const peer_heartbeat& m)
             {
+                note_caller(c, m);
                 answer_peer(c, exchange, heartbeat_of(c));
             },
+            [&](const peer_settings_wanted& m)
+            {
+                answer_peer(c, exchange, settings_for_peer(c, m.m_after));
+            },
+            [&](const peer_status_wanted&)
+            {
+                answer_peer(c, exchange, status_of(c));
+            },
             [&](const peer_loan_ask& m)
             {
                 pass_loan_ask(c, exchange, m);
@@ -162,7 +178,7 @@
                  std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
                  p.m_last->m_platform_answers});
     s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
-                c.m_members, s.m_witnesses};
+                c.m_vms_known ? c.m_members : unknown_members, s.m_witnesses};
     return s;
 }
 
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -29,19 +29,6 @@
     }
 }
 
-void report_if_drained(front_state& f)
-{
-    if (f.m_draining && f.m_server->open_exchanges() == 0)
-        f.m_boxes.m_admin.post(task_drained{"front"});
-}
-
-void begin_drain(front_state& f)
-{
-    f.m_draining = true;
-    f.m_server->begin_drain();
-    report_if_drained(f);
-}
-
 void on_message(front_state& f, front_message& message)
 {
     std::visit(
@@ -49,12 +36,18 @@
             [&](request_outcome& m)
             {
                 answer_request(f, m);
-                report_if_drained(f);
             },
             [&](settings_changed& m)
             {
                 f.m_settings = std::move(m.m_settings);
                 update_rates(f);
+                follow_zone(f);
+                f.m_boxes.m_control.post(
+                    settings_taken{true, f.m_settings->m_version});
+            },
+            [&](standing_changed& m)
+            {
+                f.m_standing_until = m.m_until;
             },
             [&](session_secrets& m)
             {
@@ -80,6 +73,14 @@
             {
                 begin_drain(f);
             },
+            [&](transaction_ended& m)
+            {
+                note_ended(f, m.m_id);
+            },
+            [&](work_cut&)
+            {
+                cut_connections(f);
+            },
             [&](stop_wanted&)
             {
                 stop(f.m_loop);
@@ -109,9 +110,11 @@
     {
         forget_waiting(f, exchange);
         f.m_boxes.m_pool.post(request_abandoned{exchange});
+    };
+    handlers.m_on_disconnect = [&f](connection_id)
+    {
         report_if_drained(f);
     };
-    handlers.m_on_disconnect = [](connection_id) {};
     return handlers;
 }
 
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -10,6 +10,7 @@
 #include <daemon/daemon_tls.hpp>
 #include <decide/rate_share.hpp>
 #include <decide/settings_view.hpp>
+#include <decide/standing.hpp>
 #include <model/refusal.hpp>
 #include <model/share_kind.hpp>
 #include <model/statement.hpp>
@@ -37,7 +38,7 @@
     exchange_id m_exchange;
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
-    std::string m_key_id; ///< Empty on a route open to all.
+    std::optional<sha256_digest> m_key; ///< Absent on a route open to all.
     time_point m_arrived_at{};
 };
 
@@ -133,6 +134,26 @@
     rate_loan m_loan;
 };
 
+/// control → front, admin: until when the daemon may serve, unless told anew.
+struct standing_changed
+{
+    standing m_standing = standing::lapsed;
+    time_point m_until{};
+};
+
+/// front, pool → control: goes by this settings version now.
+struct settings_taken
+{
+    bool m_front = false; ///< Else the pool.
+    std::uint64_t m_version = 0;
+};
+
+/// admin → control: the state of the daemon's life.
+struct life_changed
+{
+    std::string m_state;
+};
+
 /// admin → front, control: certificates were read anew.
 struct tls_changed
 {
@@ -144,6 +165,17 @@
 {
 };
 
+/// pool → front: the transaction is no more.
+struct transaction_ended
+{
+    std::string m_id;
+};
+
+/// admin → front, pool: the drain's limit has passed; refuse what is left.
+struct work_cut
+{
+};
+
 /// main → every task: end now.
 struct stop_wanted
 {
@@ -184,17 +216,20 @@
 
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
-                 right_changed, loan_asked, loan_arrived, tls_changed,
-                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
+                 right_changed, loan_asked, loan_arrived, standing_changed,
+                 transaction_ended, tls_changed, drain_begun, work_cut,
+                 stop_wanted, dump_wanted, metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed,
-                 right_changed, loan_asked, loan_arrived, drain_begun,
+                 right_changed, loan_asked, loan_arrived, drain_begun, work_cut,
                  stop_wanted, dump_wanted, metrics_wanted>;
 using control_message =
-    std::variant<right_applied, loan_wanted, loan_given, tls_changed,
-                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
-using admin_message = std::variant<state_dump, task_metrics, settings_changed,
-                                   task_drained, drain_begun, stop_wanted>;
+    std::variant<right_applied, loan_wanted, loan_given, settings_taken,
+                 life_changed, tls_changed, drain_begun, stop_wanted,
+                 dump_wanted, metrics_wanted>;
+using admin_message =
+    std::variant<state_dump, task_metrics, settings_changed, task_drained,
+                 standing_changed, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
--- a/Source/decide/standing.hpp
+++ b/Source/decide/standing.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include <model/clock.hpp>
 
@@ -47,6 +48,7 @@
 
 /// The time up to which what the daemon knows now gives it standing.
 time_point standing_until(const standing_view& view);
+std::string_view to_string(standing s) noexcept;
 
 /// Whether a daemon still has the right to serve. docs/design/standing.md
 /// shows why no accepted change can pass it by.
