--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -40,7 +40,7 @@
             [&](settings_changed& m)
             {
                 f.m_settings = std::move(m.m_settings);
-                update_buckets(f);
+                update_rates(f);
                 follow_zone(f);
                 f.m_boxes.m_control.post(
                     settings_taken{true, f.m_settings->m_version});
@@ -53,15 +53,22 @@
             {
                 f.m_secrets = std::move(m.m_secrets);
             },
-            [&](fleet_changed& m)
-            {
-                f.m_members = m.m_members;
-                update_buckets(f);
-            },
             [&](tls_changed& m)
             {
                 f.m_server->set_tls(std::move(m.m_tls.m_callers));
             },
+            [&](right_changed& m)
+            {
+                take_right(f, m.m_right);
+            },
+            [&](loan_asked& m)
+            {
+                lend_to_peer(f, m);
+            },
+            [&](loan_arrived& m)
+            {
+                take_loan(f, m);
+            },
             [&](drain_begun&)
             {
                 begin_drain(f);
@@ -101,6 +108,7 @@
     };
     handlers.m_on_abandoned = [&f](exchange_id exchange)
     {
+        forget_waiting(f, exchange);
         f.m_boxes.m_pool.post(request_abandoned{exchange});
     };
     handlers.m_on_disconnect = [&f](connection_id)
--- a/Source/task/loop.cpp
+++ b/Source/task/loop.cpp
@@ -39,7 +39,13 @@
 {
     // A peer that goes away is an error of its socket, not the process's end.
     std::signal(SIGPIPE, SIG_IGN);
-    event_base_ptr base(event_base_new());
+    const event_config_ptr config(event_config_new());
+    if (!config)
+        throw loop_error();
+    // A write event comes and goes with each answer; collected until the next
+    // wait, most of these changes cancel out before they reach the kernel.
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base_ptr base(event_base_new_with_config(config.get()));
     if (!base)
         throw loop_error();
     return {std::move(base)};
