--- a/Tests/support/relay.cpp
+++ b/Tests/support/relay.cpp
@@ -1,5 +1,6 @@
 #include <support/relay.hpp>
 
+#include <csignal>
 #include <deque>
 #include <list>
 #include <mutex>
@@ -224,6 +225,8 @@
 relay::relay(const address& target, std::chrono::microseconds latency)
     : m_state(std::make_unique<state>(target, latency))
 {
+    // A peer that is killed ends its connections, not the test.
+    std::signal(SIGPIPE, SIG_IGN);
     state& s = *m_state;
     const socket_address bound = to_socket_address({"127.0.0.1", 0});
     s.m_listener.reset(evconnlistener_new_bind(
