--- a/Tests/failover/doubt_test.cpp
+++ b/Tests/failover/doubt_test.cpp
@@ -157,7 +157,7 @@
         std::vector<http2_request> reads;
         json read = find_bear("box-1");
         read["max_age_ms"] = 10'000;
-        for (int i = 0; i < 60; ++i)
+        for (int i = 0; i < 400; ++i)
             reads.push_back(statement_request(w.m_clerk, read));
 
         WHEN("two of them leave the settings at once")
