--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -1,6 +1,8 @@
 #include <daemon/admin_task.hpp>
 
+#include <chrono>
 #include <csignal>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -20,7 +22,10 @@
 namespace
 {
 
+// For refusals to reach their callers after the drain's limit.
+constexpr std::chrono::seconds cut_limit{2};
 constexpr std::size_t dumping_tasks = 3;  // front, pool, control
+constexpr std::size_t counting_tasks = 3; // front, pool, control
 constexpr std::size_t draining_tasks = 2; // front, pool
 
 struct evhttp_deleter
@@ -37,6 +42,13 @@
     std::map<std::string, nlohmann::json> m_parts;
 };
 
+struct open_scrape
+{
+    evhttp_request* m_request = nullptr;
+    std::size_t m_tasks = 0; ///< That have answered.
+    metric_families m_families;
+};
+
 struct admin_state
 {
     admin_state(const daemon_settings& daemon, mailboxes& boxes);
@@ -49,10 +61,13 @@
     std::unique_ptr<evhttp, evhttp_deleter> m_http;
     event_ptr m_terminate;
     event_ptr m_interrupt;
+    timer m_grace;
     event_ptr m_hang_up;
     timer m_drain_limit;
+    time_point m_standing_until = time_point::min();
     std::uint64_t m_next_ticket = 1;
     std::map<std::uint64_t, open_dump> m_dumps;
+    std::map<std::uint64_t, open_scrape> m_scrapes;
     std::set<std::string> m_drained;
 };
 
@@ -64,17 +79,29 @@
     boxes.m_control.post(Message());
 }
 
+std::chrono::microseconds to_microseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(d);
+}
+
 void act(admin_state& a, daemon_action action)
 {
     switch (action)
     {
-    case daemon_action::begin_drain:
+    case daemon_action::begin_grace:
         log_event(event_id::daemon_draining);
-        a.m_drain_limit.start_once(
-            std::chrono::duration_cast<std::chrono::microseconds>(
-                a.m_daemon.m_drain_limit));
+        a.m_grace.start_once(to_microseconds(a.m_daemon.m_drain_grace));
+        break;
+    case daemon_action::begin_drain:
+        a.m_drain_limit.start_once(to_microseconds(a.m_daemon.m_drain_limit));
         tell_all<drain_begun>(a.m_boxes);
         break;
+    case daemon_action::cut_work:
+        log_event(event_id::drain_cut);
+        a.m_drain_limit.start_once(cut_limit);
+        a.m_boxes.m_pool.post(work_cut());
+        a.m_boxes.m_front.post(work_cut());
+        break;
     case daemon_action::stop_tasks:
         tell_all<stop_wanted>(a.m_boxes);
         stop(a.m_loop);
@@ -89,6 +116,7 @@
                    {
                        act(a, action);
                    });
+    a.m_boxes.m_control.post(life_changed{std::string(to_string(a.m_state))});
 }
 
 void on_signal(evutil_socket_t, short, void* user)
@@ -114,8 +142,10 @@
 void on_ready(evhttp_request* request, void* user)
 {
     const auto& a = *static_cast<admin_state*>(user);
-    const bool ready = a.m_state == daemon_state::serving;
-    const nlohmann::json body{{"state", to_string(a.m_state)}};
+    const bool stands = monotonic_clock::now() <= a.m_standing_until;
+    const bool ready = a.m_state == daemon_state::serving && stands;
+    const nlohmann::json body{{"state", to_string(a.m_state)},
+                              {"standing", stands}};
     reply(request, ready ? HTTP_OK : HTTP_SERVUNAVAIL, body.dump() + "\n",
           "application/json");
 }
@@ -130,6 +160,31 @@
     a.m_boxes.m_control.post(dump_wanted{ticket});
 }
 
+void on_metrics(evhttp_request* request, void* user)
+{
+    auto& a = *static_cast<admin_state*>(user);
+    const std::uint64_t ticket = a.m_next_ticket++;
+    a.m_scrapes[ticket].m_request = request;
+    a.m_boxes.m_front.post(metrics_wanted{ticket});
+    a.m_boxes.m_pool.post(metrics_wanted{ticket});
+    a.m_boxes.m_control.post(metrics_wanted{ticket});
+}
+
+void take_metrics(admin_state& a, task_metrics& metrics)
+{
+    const auto found = a.m_scrapes.find(metrics.m_ticket);
+    if (found == a.m_scrapes.end())
+        return;
+    open_scrape& open = found->second;
+    std::move(metrics.m_families.begin(), metrics.m_families.end(),
+              std::back_inserter(open.m_families));
+    if (++open.m_tasks < counting_tasks)
+        return;
+    reply(open.m_request, HTTP_OK, to_text(open.m_families),
+          "text/plain; version=0.0.4");
+    a.m_scrapes.erase(found);
+}
+
 void on_unknown(evhttp_request* request, void*)
 {
     reply(request, HTTP_NOTFOUND, "{\"error\":\"not_found\"}\n",
@@ -161,9 +216,21 @@
             {
                 take_dump(a, m);
             },
-            [&](settings_changed&)
+            [&](task_metrics& m)
+            {
+                take_metrics(a, m);
+            },
+            [&](settings_changed& m)
             {
+                const bool out =
+                    m.m_settings->m_zones_out.contains(a.m_daemon.m_zone);
                 fire(a, daemon_event::configured);
+                fire(a, out ? daemon_event::zone_taken_out
+                            : daemon_event::zone_put_back);
+            },
+            [&](standing_changed& m)
+            {
+                a.m_standing_until = m.m_until;
             },
             [&](task_drained& m)
             {
@@ -177,7 +244,6 @@
             },
             [&](stop_wanted&)
             {
-                fire(a, daemon_event::drain_expired);
                 stop(a.m_loop);
             },
         },
@@ -222,13 +288,18 @@
     evhttp_set_cb(a.m_http.get(), "/health", on_health, &a);
     evhttp_set_cb(a.m_http.get(), "/ready", on_ready, &a);
     evhttp_set_cb(a.m_http.get(), "/dump", on_dump, &a);
+    evhttp_set_cb(a.m_http.get(), "/metrics", on_metrics, &a);
     evhttp_set_gencb(a.m_http.get(), on_unknown, &a);
 }
 
 admin_state::admin_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes),
       m_chart(load_daemon_chart(daemon.m_charts)), m_state(m_chart.initial()),
-      m_loop(make_loop()),
+      m_loop(make_loop()), m_grace(m_loop,
+                                   [this]
+                                   {
+                                       fire(*this, daemon_event::grace_over);
+                                   }),
       m_drain_limit(m_loop,
                     [this]
                     {
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -43,6 +43,9 @@
 std::string describe_control(const control_state& c)
 {
     return nlohmann::json{{"settings_version", c.m_version},
+                          {"settings_in_force", status_of(c).m_in_force},
+                          {"settings_refused", c.m_refused},
+                          {"standing", to_string(c.m_standing)},
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
                           {"members", c.m_members},
@@ -50,6 +53,18 @@
         .dump();
 }
 
+metric_families collect_control(const control_state& c)
+{
+    metric_families families;
+    add_value(families, metric_id::settings_version, {},
+              static_cast<double>(c.m_version));
+    add_value(families, metric_id::fleet_members, {},
+              static_cast<double>(c.m_members));
+    add_value(families, metric_id::platform_answers, {},
+              c.m_platform_answers ? 1 : 0);
+    return families;
+}
+
 void use_tls(control_state& c, const daemon_tls& tls)
 {
     c.m_tls = tls;
@@ -63,6 +78,15 @@
 {
     std::visit(
         overloaded{
+            [&](settings_taken& m)
+            {
+                (m.m_front ? c.m_front_version : c.m_pool_version) =
+                    m.m_version;
+            },
+            [&](life_changed& m)
+            {
+                c.m_life = std::move(m.m_state);
+            },
             [&](lease_wanted& m)
             {
                 want_lease(c, m);
@@ -75,7 +99,10 @@
             {
                 use_tls(c, m.m_tls);
             },
-            [&](drain_begun&) {},
+            [&](drain_begun&)
+            {
+                c.m_draining = true;
+            },
             [&](stop_wanted&)
             {
                 stop(c.m_loop);
@@ -85,6 +112,11 @@
                 c.m_boxes.m_admin.post(
                     state_dump{m.m_ticket, "control", describe_control(c)});
             },
+            [&](metrics_wanted& m)
+            {
+                c.m_boxes.m_admin.post(
+                    task_metrics{m.m_ticket, collect_control(c)});
+            },
         },
         message);
 }
@@ -101,11 +133,11 @@
                   {
                       beat_peers(*this);
                   }),
-      m_retry_settings(m_loop,
-                       [this]
-                       {
-                           load_settings(*this);
-                       }),
+      m_settings_tick(m_loop,
+                      [this]
+                      {
+                          tend_settings(*this);
+                      }),
       m_retry_secrets(m_loop,
                       [this]
                       {
@@ -130,7 +162,7 @@
                            });
     start_peers(c);
     use_tls(c, tls);
-    load_settings(c);
+    tend_settings(c);
     load_secrets(c);
     poll_vms(c);
     run(c.m_loop);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -9,8 +9,10 @@
 
 #include <daemon/daemon_tls.hpp>
 #include <decide/settings_view.hpp>
+#include <decide/standing.hpp>
 #include <model/refusal.hpp>
 #include <model/statement.hpp>
+#include <report/metric.hpp>
 #include <task/mailbox.hpp>
 #include <wire/http2_server.hpp>
 
@@ -34,7 +36,8 @@
     exchange_id m_exchange;
     settings_view_ptr m_settings;
     const workspace_view* m_workspace = nullptr;
-    std::string m_key_id; ///< Empty on a route open to all.
+    std::optional<sha256_digest> m_key; ///< Absent on a route open to all.
+    time_point m_arrived_at{};
 };
 
 /// front → pool: run this.
@@ -81,6 +84,26 @@
     std::size_t m_members = 1;
 };
 
+/// control → front, admin: until when the daemon may serve, unless told anew.
+struct standing_changed
+{
+    standing m_standing = standing::lapsed;
+    time_point m_until{};
+};
+
+/// front, pool → control: goes by this settings version now.
+struct settings_taken
+{
+    bool m_front = false; ///< Else the pool.
+    std::uint64_t m_version = 0;
+};
+
+/// admin → control: the state of the daemon's life.
+struct life_changed
+{
+    std::string m_state;
+};
+
 /// control → pool: the names of the fleet's daemons.
 struct members_changed
 {
@@ -128,6 +151,17 @@
 {
 };
 
+/// pool → front: the transaction is no more.
+struct transaction_ended
+{
+    std::string m_id;
+};
+
+/// admin → front, pool: the drain's limit has passed; refuse what is left.
+struct work_cut
+{
+};
+
 /// main → every task: end now.
 struct stop_wanted
 {
@@ -147,23 +181,40 @@
     std::string m_json;
 };
 
+/// admin → every task: say what you count.
+struct metrics_wanted
+{
+    std::uint64_t m_ticket = 0;
+};
+
+/// every task → admin: what it counts.
+struct task_metrics
+{
+    std::uint64_t m_ticket = 0;
+    metric_families m_families;
+};
+
 /// front, pool → admin: no request of mine is left.
 struct task_drained
 {
     std::string m_task;
 };
 
-using front_message = std::variant<request_outcome, settings_changed,
-                                   session_secrets, fleet_changed, tls_changed,
-                                   drain_begun, stop_wanted, dump_wanted>;
+using front_message =
+    std::variant<request_outcome, settings_changed, session_secrets,
+                 fleet_changed, standing_changed, transaction_ended,
+                 tls_changed, drain_begun, work_cut, stop_wanted, dump_wanted,
+                 metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed,
-                 members_changed, lease_answer, drain_begun, stop_wanted,
-                 dump_wanted>;
-using control_message = std::variant<lease_wanted, lease_released, tls_changed,
-                                     drain_begun, stop_wanted, dump_wanted>;
-using admin_message = std::variant<state_dump, settings_changed, task_drained,
-                                   drain_begun, stop_wanted>;
+                 members_changed, lease_answer, drain_begun, work_cut,
+                 stop_wanted, dump_wanted, metrics_wanted>;
+using control_message = std::variant<settings_taken, life_changed, lease_wanted,
+                                     lease_released, tls_changed, drain_begun,
+                                     stop_wanted, dump_wanted, metrics_wanted>;
+using admin_message =
+    std::variant<state_dump, task_metrics, settings_changed, task_drained,
+                 standing_changed, drain_begun, stop_wanted>;
 
 /// The mailboxes through which a daemon's tasks reach each other.
 struct mailboxes
--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::array<std::string_view, 5> request_states{
     "queued", "parked", "running", "confirming", "ended"};
-constexpr std::array<std::string_view, 10> request_events{
-    "dispatched", "parked",  "woken",  "answered", "committed",
-    "confirmed",  "retried", "failed", "expired",  "abandoned"};
+constexpr std::array<std::string_view, 11> request_events{
+    "dispatched", "parked", "woken",   "answered",  "committed", "confirmed",
+    "retried",    "failed", "expired", "abandoned", "revoked"};
 constexpr std::array<std::string_view, 10> request_actions{
     "deliver",         "await_replica",  "await_majority", "stop_waiting",
     "requeue",         "refuse_not_run", "refuse_as_told", "refuse_unknown",
@@ -45,7 +45,8 @@
             {load_chart(folder, {"transaction", transaction_states,
                                  transaction_events, transaction_actions})},
             {load_chart(folder,
-                        {"group", group_states, group_events, group_actions})}};
+                        {"group", group_states, group_events, group_actions})},
+            load_place_charts(folder)};
 }
 
 }
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -191,6 +191,8 @@
 
 void take_for_request(request& r, pool_endpoint& e, pg_reply& reply)
 {
+    if (!reply.m_lost)
+        count_endpoint_answer(e.m_group.m_pool.m_counts, r);
     try
     {
         if (reply.m_lost)
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -104,6 +104,7 @@
     switch (action)
     {
     case request_action::deliver:
+        count_answer(r.m_pool.m_counts, r);
         end_with(r, std::move(r.m_answer));
         break;
     case request_action::await_replica:
@@ -195,6 +196,7 @@
 {
     try
     {
+        check_key(p, arrived);
         pool_group& group = group_of(p, arrived);
         const exchange_id exchange = arrived.m_context.m_exchange;
         auto made = std::make_unique<request>(p, group, std::move(arrived));
--- a/Source/daemon/pool_state.cpp
+++ b/Source/daemon/pool_state.cpp
@@ -30,7 +30,12 @@
                    m_closed_monitors.clear();
                    m_closed_orders.clear();
                    m_closed_endpoints.clear();
-               })
+               }),
+      m_return_step(m_loop,
+                    [this]
+                    {
+                        step_returns(*this);
+                    })
 {
 }
 
--- a/Source/decide/standing.cpp
+++ b/Source/decide/standing.cpp
@@ -56,6 +56,20 @@
     return std::max(confirmed, asked[needed - 1] + standing_bound);
 }
 
+std::string_view to_string(standing s) noexcept
+{
+    switch (s)
+    {
+    case standing::confirmed:
+        return "confirmed";
+    case standing::witnessed:
+        return "witnessed";
+    case standing::lapsed:
+        return "lapsed";
+    }
+    return "lapsed";
+}
+
 standing judge_standing(const standing_view& view, time_point now) noexcept
 {
     if (now - confirmed_at(view) <= standing_bound)
--- a/Tests/standin/platform_server.hpp
+++ b/Tests/standin/platform_server.hpp
@@ -49,6 +49,8 @@
     std::uint64_t m_revision = 0;
     std::map<std::string, stored_object> m_objects;
     std::list<platform_watch> m_watches;
+    std::uint64_t m_saved_revision = 0;
+    std::map<std::string, stored_object> m_saved; ///< Copy to restore.
     nlohmann::json m_vms = nlohmann::json::array();
     std::list<std::unique_ptr<timer>> m_timers;
     std::uint64_t m_reads = 0;
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -50,7 +50,9 @@
     unsigned m_slots = 5;
     unsigned m_connections = 30;
     const test_authority* m_authority = nullptr; ///< Absent: no TLS.
+    std::vector<std::string> m_daemon_flags = {};     ///< Further ones.
     bool m_relays = false; ///< Put relays before the stand-ins.
+    std::vector<std::string> m_daemon_words{}; ///< More flags of daemons.
 };
 
 /// The whole system on loopback: a platform, one database group named "group"
@@ -66,9 +68,6 @@
     std::vector<daemon_node> m_daemons;
 };
 
-/// A port on loopback that is free now.
-std::uint16_t free_port();
-
 /// Starts a daemon's process anew.
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
@@ -83,9 +82,16 @@
                       const std::string& id);
 /// Makes the platform go down, slow, silent, lose answers, or come up.
 void set_platform_fault(const fleet& f, const nlohmann::json& fault);
+/// Keeps a copy of the platform's store, or goes back to it.
+void save_platform(const fleet& f);
+void restore_platform(const fleet& f);
 /// Tells the platform's list of VMs.
 void set_vms(const fleet& f, const nlohmann::json& vms);
 
+/// The list of VMs as the fleet was started.
+nlohmann::json vm_list(const fleet& f);
+/// The parts of a daemon's dump by task; null when it doesn't answer.
+nlohmann::json dump_of(const daemon_node& d);
 /// GET on the admin address; a status of 0 means no answer.
 reply admin_get(const daemon_node& d, const std::string& path);
 
