--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -104,6 +104,42 @@
     std::string m_state;
 };
 
+/// control → pool: the names of the fleet's daemons.
+struct members_changed
+{
+    std::vector<std::string> m_names;
+};
+
+/// pool → control: may this daemon promote in the group?
+struct lease_wanted
+{
+    std::string m_group;
+    std::string m_candidate; ///< Name and incarnation of this daemon.
+    std::uint64_t m_ticket = 0;
+};
+
+/// pool → control: the right is no longer needed.
+struct lease_released
+{
+    std::string m_group;
+};
+
+enum class lease_verdict : std::uint8_t
+{
+    granted,
+    denied,
+    unanswered, ///< The platform is down or slow.
+};
+
+/// control → pool: the answer to a lease_wanted.
+struct lease_answer
+{
+    std::string m_group;
+    std::uint64_t m_ticket = 0;
+    lease_verdict m_verdict = lease_verdict::unanswered;
+    time_point m_until{}; ///< End of a granted lease.
+};
+
 /// admin → front, control: certificates were read anew.
 struct tls_changed
 {
@@ -170,11 +206,12 @@
                  tls_changed, drain_begun, work_cut, stop_wanted, dump_wanted,
                  metrics_wanted>;
 using pool_message =
-    std::variant<pool_request, request_abandoned, settings_changed, drain_begun,
-                 work_cut, stop_wanted, dump_wanted, metrics_wanted>;
-using control_message =
-    std::variant<settings_taken, life_changed, tls_changed, drain_begun,
+    std::variant<pool_request, request_abandoned, settings_changed,
+                 members_changed, lease_answer, drain_begun, work_cut,
                  stop_wanted, dump_wanted, metrics_wanted>;
+using control_message = std::variant<settings_taken, life_changed, lease_wanted,
+                                     lease_released, tls_changed, drain_begun,
+                                     stop_wanted, dump_wanted, metrics_wanted>;
 using admin_message =
     std::variant<state_dump, task_metrics, settings_changed, task_drained,
                  standing_changed, drain_begun, stop_wanted>;
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -15,6 +15,7 @@
 #include <daemon/pool_charts.hpp>
 #include <daemon/pool_metrics.hpp>
 #include <decide/fair_queue.hpp>
+#include <decide/promotion.hpp>
 #include <decide/routing.hpp>
 #include <endpoint/pg_connection.hpp>
 
@@ -46,6 +47,7 @@
     transaction* m_transaction = nullptr;      ///< Of begin, or named.
     term_number m_term = 0;                    ///< That it was handed over in.
     unsigned m_attempts = 0;
+    bool m_in_doubt = false; ///< An earlier attempt may have taken effect.
     time_point m_handed_over_at{};
     time_point m_answered_at{}; ///< By the endpoint.
     answer m_answer;
@@ -83,6 +85,15 @@
     timer m_idle_limit;
 };
 
+/// One order to an endpoint, on a connection of its own.
+struct endpoint_order
+{
+    std::string m_query;
+    pg_done m_done; ///< Called with the answer; not called when none came.
+    time_point m_sent_at{};
+    std::unique_ptr<pg_connection> m_pg;
+};
+
 /// One endpoint: its connections, what it last said, and who asks it.
 struct pool_endpoint
 {
@@ -98,10 +109,36 @@
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
     bool m_reachable = false;
+    time_point m_known_since = monotonic_clock::now();
+    std::optional<time_point> m_heard_at; ///< As voter::m_heard_at.
+    std::optional<time_point> m_fed_at;   ///< As voter::m_fed_at.
+    time_point m_fresh_until{};  ///< What its reads saw when it was last fed.
+    term_number m_told_term = 0; ///< In which it obeyed a follow order.
+    std::optional<time_point> m_stray_since;
+    std::unique_ptr<endpoint_order> m_order; ///< Under way.
+    timer m_silence;   ///< The monitor's question has waited too long.
     timer m_poll;      ///< Asks for the state again.
     timer m_reconnect; ///< After the monitor's connection ended.
 };
 
+/// What this daemon does about one group's primary.
+struct primary_watch
+{
+    primary_watch(pool_state& p, pool_group& g);
+
+    group_state m_state;
+    election m_election;
+    std::size_t m_winner = 0;
+    term_number m_last_term = 0;     ///< Tried by this daemon.
+    term_number m_promoted_term = 0; ///< Of its last promotion.
+    std::uint64_t m_ticket = 0;      ///< Of the lease last asked for.
+    /// End of the lease; absent: this daemon acts without one.
+    std::optional<time_point> m_lease_until;
+    time_point m_entered_at{}; ///< The present state.
+    time_point m_turn_at{};
+    timer m_tick;
+};
+
 /// One database group, as one service's settings name it.
 struct pool_group
 {
@@ -114,7 +151,9 @@
     /// the primary holds up no read.
     std::array<fair_queue, 2> m_queues;
     confirming_list m_confirming;
+    confirming_list m_catching_up; ///< Reads that wait for a replica.
     bool m_dispatching = false;
+    primary_watch m_watch;
 };
 
 /// What the pool task owns; nobody else touches it.
@@ -136,9 +175,12 @@
     std::uint64_t m_next_transaction = 1;
     pool_counts m_counts;
     bool m_draining = false;
+    std::vector<std::string> m_members; ///< Names of the fleet's daemons.
+    std::string m_candidate;            ///< Name and incarnation of this one.
     /// Closed connections wait here until nothing on the stack uses them.
     std::vector<std::unique_ptr<pooled_connection>> m_closed_connections;
     std::vector<std::unique_ptr<pg_connection>> m_closed_monitors;
+    std::vector<std::unique_ptr<endpoint_order>> m_closed_orders;
     std::vector<std::unique_ptr<pool_endpoint>> m_closed_endpoints;
     timer m_reaper;
     timer m_return_step; ///< While a place goes out or returns.
@@ -179,6 +221,8 @@
 void fire(request& r, request_event event);
 /// Refuses a request; the chart says what became of its work.
 void fail(request& r, refusal code, fate what_became, std::string detail = {});
+/// Lets reads go on for which a replica has caught up, or that waited enough.
+void wake_reads(pool_group& g);
 /// Acknowledges the writes that a majority holds by now.
 void confirm_requests(pool_group& g);
 
@@ -191,6 +235,9 @@
 // pool_replies.cpp
 /// Takes what came back for the request on a connection.
 void take_reply(pooled_connection& c, pg_reply& reply);
+/// Ends or retries a write whose primary was replaced before a majority was
+/// known to hold it.
+void settle_superseded(request& r);
 
 // pool_endpoints.cpp
 void start_monitor(pool_endpoint& e);
@@ -204,6 +251,18 @@
 void hasten_polls(pool_group& g);
 void close_endpoint(pool_endpoint& e);
 
+// pool_orders.cpp
+/// Sends an order on a connection of its own; replaces one under way.
+void send_order(pool_endpoint& e, std::string query, pg_done done);
+void drop_order(pool_endpoint& e);
+
+// pool_promotion.cpp
+/// Looks after a group's primary, and again after a period.
+void watch_primary(pool_group& g);
+void take_lease_answer(pool_state& p, const lease_answer& m);
+/// The group's endpoints are others than before.
+void reshape(pool_group& g);
+
 // pool_transactions.cpp
 transaction& begin_transaction(pool_state& p, request& r);
 /// Finds the transaction that a request names. Throws refused.
--- a/Tests/operators/keys_test.cpp
+++ b/Tests/operators/keys_test.cpp
@@ -1,6 +1,9 @@
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <operators/ward.hpp>
@@ -77,3 +80,62 @@
         }
     }
 }
+
+namespace
+{
+
+std::string read_all(const std::filesystem::path& folder)
+{
+    std::ostringstream text;
+    for (const auto& entry : std::filesystem::directory_iterator(folder))
+        text << std::ifstream(entry.path()).rdbuf();
+    return text.str();
+}
+
+}
+
+TEST_CASE("No log, dump or metric shows a key")
+{
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() /
+        ("bluebellspoke-keys-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder);
+    std::string shown;
+    std::string key;
+    {
+        const char* name = "BLUEBELLSPOKE_TEST_LOGS";
+        const char* before = std::getenv(name);
+        const std::string kept = before == nullptr ? "" : before;
+        setenv(name, folder.c_str(), 1);
+        ward w({});
+        if (kept.empty())
+            unsetenv(name);
+        else
+            setenv(name, kept.c_str(), 1);
+        key = w.m_clerk.m_key;
+        const std::string wrong = "bbs_no-such-key";
+        caller& c = *w.m_callers[0];
+        REQUIRE(c.send(statement_request({wrong, {}}, read_bears())).error() ==
+                "unknown_key");
+        REQUIRE(c.send({"POST",
+                        "/v1/" + key,
+                        {{"authorization", "Bearer " + key}},
+                        key})
+                    .error() == "not_found");
+        REQUIRE(ctl(w.m_fleet, {"withdraw", "ward", "clerk"}).m_code == 0);
+        REQUIRE(read_through(w, 0).error() == "key_withdrawn");
+        for (const daemon_node& d : w.m_fleet.m_daemons)
+            for (const char* path : {"/dump", "/metrics", "/ready"})
+                shown += admin_get(d, path).m_body;
+        shown += ctl(w.m_fleet, {"show"}).m_output;
+        shown += ctl(w.m_fleet, {"history", "ward"}).m_output;
+    }
+    shown += read_all(folder);
+    std::filesystem::remove_all(folder);
+
+    REQUIRE(shown.find("settings_in_force") != std::string::npos);
+    REQUIRE(shown.find("buckets") != std::string::npos);
+    REQUIRE(shown.find(key) == std::string::npos);
+    REQUIRE(shown.find(key.substr(4, 16)) == std::string::npos);
+    REQUIRE(shown.find("bbs_no-such-key") == std::string::npos);
+}
