standing: Count no majority by a list that doesn't name the daemon

Cause: the list of VMs lagged and was empty when the daemon last read it, which made one member; after the thaw the platform's late answer counted as an outage, and the daemon was a majority by itself. Ruled out: the bound itself, the confirmation by peers, the watch. A list without the daemon's own name now gives no member count.

--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -68,6 +68,11 @@
             {
                 return status_of(c);
             },
+            [&](const peer_drain_wanted&) -> peer_message
+            {
+                c.m_boxes.m_admin.post(drain_begun());
+                return status_of(c);
+            },
             [&](const auto&) -> peer_message
             {
                 return peer_declined{c.m_daemon.m_name};
@@ -109,6 +114,16 @@
                      });
 }
 
+// A list that doesn't name this daemon is from before its time: how many there
+// are can't be told from it, so no majority can be counted.
+std::size_t known_members(const control_state& c)
+{
+    for (const platform_vm& vm : c.m_vms)
+        if (vm.m_name == c.m_daemon.m_name)
+            return c.m_members;
+    return unknown_members;
+}
+
 }
 
 void start_peers(control_state& c)
@@ -141,7 +156,7 @@
                  std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
                  p.m_last->m_platform_answers});
     s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
-                c.m_vms_known ? c.m_members : unknown_members, s.m_witnesses};
+                known_members(c), s.m_witnesses};
     return s;
 }
 
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include <daemon/control_leases.hpp>
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
 #include <decide/settings_tree.hpp>
@@ -68,6 +69,7 @@
     std::uint64_t m_incarnation = 0; ///< Of this process.
     daemon_tls m_tls;
     std::map<std::string, peer, std::less<>> m_peers;
+    lease_keeper m_leases;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
     timer m_settings_tick;
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -87,6 +87,14 @@
             {
                 c.m_life = std::move(m.m_state);
             },
+            [&](lease_wanted& m)
+            {
+                want_lease(c, m);
+            },
+            [&](lease_released& m)
+            {
+                release_lease(c, m);
+            },
             [&](tls_changed& m)
             {
                 use_tls(c, m.m_tls);
@@ -118,11 +126,13 @@
 control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
       m_platform(m_loop, daemon.m_platform),
-      m_incarnation(random_incarnation()), m_heartbeat(m_loop,
-                                                       [this]
-                                                       {
-                                                           beat_peers(*this);
-                                                       }),
+      m_incarnation(random_incarnation()),
+      m_leases{load_lease_chart(daemon.m_charts), {}, 1},
+      m_heartbeat(m_loop,
+                  [this]
+                  {
+                      beat_peers(*this);
+                  }),
       m_settings_tick(m_loop,
                       [this]
                       {
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -56,13 +56,21 @@
     forget(r);
 }
 
+// An attempt before this one may have taken effect, or may yet.
+refused as_known(const request& r, refused refusal)
+{
+    if (r.m_in_doubt)
+        refusal.m_fate = fate::outcome_unknown;
+    return refusal;
+}
+
 refused queue_refusal(const request& r)
 {
     if (r.m_refusal)
-        return *r.m_refusal;
+        return as_known(r, *r.m_refusal);
     const bool leaderless = !find_primary(endpoint_views(r.m_group));
-    return refused(leaderless ? refusal::no_primary
-                              : refusal::deadline_exceeded);
+    return as_known(r, refused(leaderless ? refusal::no_primary
+                                          : refusal::deadline_exceeded));
 }
 
 // Once its position is known, the write was committed at the primary.
@@ -99,6 +107,10 @@
         count_answer(r.m_pool.m_counts, r);
         end_with(r, std::move(r.m_answer));
         break;
+    case request_action::await_replica:
+        r.fair_queue_hook::unlink();
+        r.m_group.m_catching_up.push_back(r);
+        break;
     case request_action::await_majority:
         r.m_group.m_confirming.push_back(r);
         r.m_deadline.start_once(
@@ -107,13 +119,17 @@
                          r.m_arrived.m_context.m_workspace->m_confirm)));
         break;
     case request_action::requeue:
+        r.m_deadline.start_once(until(r.m_arrived.m_deadline));
         enqueue_request(r);
         break;
+    case request_action::stop_waiting:
+        r.group_hook::unlink();
+        break;
     case request_action::refuse_not_run:
         end_with(r, queue_refusal(r));
         break;
     case request_action::refuse_as_told:
-        end_with(r, *r.m_refusal);
+        end_with(r, as_known(r, *r.m_refusal));
         break;
     case request_action::refuse_unknown:
         end_with(r, doubt_refusal(r));
@@ -135,6 +151,9 @@
     need.m_session = arrived.m_session;
     need.m_max_age = arrived.m_statement.m_max_age;
     need.m_primary_only = !stands_alone(arrived);
+    const duration patience = arrived.m_context.m_workspace->m_lag_wait;
+    if (need.m_session && patience > duration::zero())
+        need.m_replica_until = monotonic_clock::now() + patience;
     return need;
 }
 
@@ -151,6 +170,17 @@
         r.m_transaction = &begin_transaction(r.m_pool, r);
 }
 
+// Such a read stands aside: in the queue it would hold up others of its
+// workspace that can run now.
+bool waits_for_replica(const request& r)
+{
+    if (!r.m_need.m_session || !stands_alone(r.m_arrived))
+        return false;
+    const route chosen = choose_endpoint(endpoint_views(r.m_group), r.m_need,
+                                         monotonic_clock::now());
+    return chosen.m_outcome == route_outcome::wait_state;
+}
+
 pool_group& group_of(pool_state& p, const pool_request& arrived)
 {
     const auto group =
@@ -183,7 +213,10 @@
         p.m_requests.emplace(exchange, std::move(made));
         r.m_deadline.start_once(until(r.m_arrived.m_deadline));
         enqueue_request(r);
-        dispatch(group);
+        if (waits_for_replica(r))
+            fire(r, request_event::parked);
+        else
+            dispatch(group);
     }
     catch (const refused& r)
     {
@@ -198,6 +231,18 @@
         fire(*found->second, request_event::abandoned);
 }
 
+void wake_reads(pool_group& g)
+{
+    for (auto next = g.m_catching_up.begin(); next != g.m_catching_up.end();)
+    {
+        request& r = *next++;
+        if (waits_for_replica(r))
+            continue;
+        r.m_need.m_replica_until.reset();
+        fire(r, request_event::woken);
+    }
+}
+
 bool stands_alone(const pool_request& r) noexcept
 {
     return r.m_operation == request_operation::statement &&
@@ -234,7 +279,7 @@
         if (is_confirmed(views, position))
             fire(r, request_event::confirmed);
         else if (is_superseded(views, position))
-            fire(r, request_event::superseded);
+            settle_superseded(r);
     }
 }
 
