--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -8,9 +8,11 @@
 #include <vector>
 
 #include <daemon/daemon_tls.hpp>
+#include <decide/rate_share.hpp>
 #include <decide/settings_view.hpp>
 #include <decide/standing.hpp>
 #include <model/refusal.hpp>
+#include <model/share_kind.hpp>
 #include <model/statement.hpp>
 #include <report/metric.hpp>
 #include <task/mailbox.hpp>
@@ -78,10 +80,58 @@
     std::vector<std::string> m_secrets;
 };
 
-/// control → front: how many daemons share the rates.
-struct fleet_changed
+/// control → front, pool: what this daemon may use of the fleet's limits.
+struct right_changed
 {
-    std::size_t m_members = 1;
+    share_right m_right;
+};
+
+enum class share_holder : std::uint8_t
+{
+    front,
+    pool,
+};
+
+/// front, pool → control: an epoch's shares are kept to.
+struct right_applied
+{
+    share_holder m_holder = share_holder::front;
+    std::uint64_t m_epoch = 0;
+};
+
+/// front, pool → control: ask a peer for a part of its share.
+struct loan_wanted
+{
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    std::string m_lender;
+    loan_ask m_ask;
+};
+
+/// control → front, pool: what that peer gave; nothing if no answer came.
+struct loan_arrived
+{
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    std::string m_lender;
+    rate_loan m_loan;
+    time_point m_asked_at{};
+};
+
+/// control → front, pool: a peer asks for a part of this daemon's share.
+struct loan_asked
+{
+    exchange_id m_exchange;
+    share_kind m_kind = share_kind::rate;
+    std::string m_resource;
+    loan_ask m_ask;
+};
+
+/// front, pool → control: what that peer gets.
+struct loan_given
+{
+    exchange_id m_exchange;
+    rate_loan m_loan;
 };
 
 /// control → front, admin: until when the daemon may serve, unless told anew.
@@ -202,16 +252,18 @@
 
 using front_message =
     std::variant<request_outcome, settings_changed, session_secrets,
-                 fleet_changed, standing_changed, transaction_ended,
-                 tls_changed, drain_begun, work_cut, stop_wanted, dump_wanted,
-                 metrics_wanted>;
+                 right_changed, loan_asked, loan_arrived, standing_changed,
+                 transaction_ended, tls_changed, drain_begun, work_cut,
+                 stop_wanted, dump_wanted, metrics_wanted>;
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed,
-                 members_changed, lease_answer, drain_begun, work_cut,
-                 stop_wanted, dump_wanted, metrics_wanted>;
-using control_message = std::variant<settings_taken, life_changed, lease_wanted,
-                                     lease_released, tls_changed, drain_begun,
-                                     stop_wanted, dump_wanted, metrics_wanted>;
+                 members_changed, lease_answer, right_changed, loan_asked,
+                 loan_arrived, drain_begun, work_cut, stop_wanted, dump_wanted,
+                 metrics_wanted>;
+using control_message =
+    std::variant<right_applied, loan_wanted, loan_given, settings_taken,
+                 life_changed, lease_wanted, lease_released, tls_changed,
+                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
 using admin_message =
     std::variant<state_dump, task_metrics, settings_changed, task_drained,
                  standing_changed, drain_begun, stop_wanted>;
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -45,6 +45,11 @@
                 "the platform's service doesn't answer"},
     event_entry{event_id::platform_back, event_level::info, "platform_back",
                 "the platform's service answers again"},
+    event_entry{event_id::fleet_epoch_followed, event_level::info,
+                "fleet_epoch_followed",
+                "shares are worked out from another list of members"},
+    event_entry{event_id::fleet_epoch_refused, event_level::error,
+                "fleet_epoch_refused", "the object fleet/epoch can't be read"},
     event_entry{event_id::settings_reverted, event_level::error,
                 "settings_reverted",
                 "the platform answers from an older copy of its store, which "
