--- /dev/null
+++ b/Tests/decide/routing_test.cpp
@@ -0,0 +1,99 @@
+#include <array>
+
+#include <catch2/catch.hpp>
+#include <decide/routing.hpp>
+
+using namespace bluebellspoke;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr time_point now{std::chrono::hours(1)};
+
+endpoint_view view_of(endpoint_role role, term_number fence, log_position at)
+{
+    endpoint_view v;
+    v.m_state = endpoint_state{role, fence, at, at, milliseconds(0), now};
+    v.m_admits = true;
+    v.m_slots = 1;
+    return v;
+}
+
+}
+
+SCENARIO("A session's read finds its place")
+{
+    std::array<endpoint_view, 3> group{
+        view_of(endpoint_role::primary, 2, {2, 10}),
+        view_of(endpoint_role::replica, 2, {2, 10}),
+        view_of(endpoint_role::replica, 2, {2, 8})};
+    routing_need need;
+
+    SECTION("a replica that is past its mark serves it")
+    {
+        need.m_session = log_position{2, 10};
+        REQUIRE(choose_endpoint(group, need, now).m_index == 1);
+    }
+    SECTION("with no mark it goes to the primary")
+    {
+        REQUIRE(choose_endpoint(group, need, now).m_index == 0);
+    }
+    SECTION("a mark of the term before holds, whatever its offset")
+    {
+        need.m_session = log_position{1, 5000};
+        REQUIRE(choose_endpoint(group, need, now).m_index != 0);
+        group[1] = view_of(endpoint_role::replica, 2, {1, 4999});
+        group[2].m_admits = false;
+        REQUIRE(choose_endpoint(group, need, now).m_index == 0);
+    }
+    SECTION("a mark of a later term keeps it from a replaced primary")
+    {
+        need.m_session = log_position{3, 1};
+        REQUIRE(choose_endpoint(group, need, now).m_outcome ==
+                route_outcome::none);
+    }
+    SECTION("a mark that no replica has reached")
+    {
+        need.m_session = log_position{2, 11};
+        SECTION("sends it to the primary at once")
+        {
+            REQUIRE(choose_endpoint(group, need, now).m_index == 0);
+        }
+        SECTION("or lets it wait for a replica, as long as it was told")
+        {
+            need.m_replica_until = now + milliseconds(50);
+            REQUIRE(choose_endpoint(group, need, now).m_outcome ==
+                    route_outcome::wait_state);
+            const route late =
+                choose_endpoint(group, need, now + milliseconds(50));
+            REQUIRE(late.m_outcome == route_outcome::run);
+            REQUIRE(late.m_index == 0);
+        }
+    }
+}
+
+SCENARIO("A read accepts data of a stated age")
+{
+    std::array<endpoint_view, 3> group{
+        view_of(endpoint_role::primary, 2, {2, 10}),
+        view_of(endpoint_role::replica, 2, {2, 10}),
+        view_of(endpoint_role::replica, 2, {2, 8})};
+    routing_need need;
+    need.m_max_age = milliseconds(100);
+
+    SECTION("a replica serves it while its measured age allows")
+    {
+        REQUIRE(choose_endpoint(group, need, now).m_index != 0);
+    }
+    SECTION("a primary serves it only while a majority is in its term")
+    {
+        group[1].m_admits = group[2].m_admits = false;
+        REQUIRE(choose_endpoint(group, need, now).m_outcome ==
+                route_outcome::run);
+        const time_point later = now + milliseconds(101);
+        group[0].m_state->m_asked_at = later;
+        REQUIRE(choose_endpoint(group, need, later).m_outcome ==
+                route_outcome::none);
+    }
+}
