--- a/Source/daemon/control_relay.cpp
+++ b/Source/daemon/control_relay.cpp
@@ -39,8 +39,6 @@
     if (!c.m_vms_known && !m.m_vms.empty())
     {
         note_vms(c, to_vms(m.m_vms));
-        c.m_members = m.m_vms.size();
-        c.m_boxes.m_front.post(fleet_changed{c.m_members});
     }
     if (c.m_secrets.empty() && !m.m_secrets.empty())
     {
@@ -89,13 +87,16 @@
 
 peer_status status_of(const control_state& c)
 {
+    std::set<std::string> refused = c.m_refused;
+    if (c.m_unresolved)
+        refused.insert(*c.m_unresolved);
     return {c.m_daemon.m_name,
             c.m_daemon.m_zone,
             c.m_version,
             std::min(c.m_front_version, c.m_pool_version),
             std::string(to_string(c.m_standing)),
             c.m_life,
-            {c.m_refused.begin(), c.m_refused.end()},
+            {refused.begin(), refused.end()},
             to_string(c.m_daemon.m_admin_listen)};
 }
 
@@ -125,7 +126,7 @@
 {
     c.m_vms.assign(vms.begin(), vms.end());
     const bool first = !std::exchange(c.m_vms_known, true);
-    set_peers(c, vms);
+    follow_vms(c);
     if (first)
         beat_peers(c);
     for (const platform_vm& vm : vms)
--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -1,15 +1,14 @@
 #ifndef BLUEBELLSPOKE_DAEMON_FRONT_STATE_HPP
 #define BLUEBELLSPOKE_DAEMON_FRONT_STATE_HPP
 
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include <daemon/daemon_settings.hpp>
 #include <daemon/front_metrics.hpp>
+#include <daemon/front_shares.hpp>
 #include <daemon/messages.hpp>
-#include <decide/rate_bucket.hpp>
 #include <wire/http2_server.hpp>
 
 namespace bluebellspoke
@@ -26,9 +25,9 @@
     std::unique_ptr<http2_server> m_server;
     settings_view_ptr m_settings;
     std::vector<std::string> m_secrets;
-    std::size_t m_members = 1;
-    std::map<std::string, rate_bucket, std::less<>> m_buckets;
+    front_rates m_rates;
     bool m_draining = false;
+    timer m_tick; ///< While rates have something to do.
     front_counts m_counts{};
     bool m_zone_out = false; ///< This VM's own.
     time_point m_standing_until = time_point::min();
@@ -41,8 +40,6 @@
 void admit(front_state& f, arrived_request& arrived, request_context& context);
 /// Answers a request whose outcome the pool has sent.
 void answer_request(front_state& f, request_outcome& outcome);
-/// Fits the rate buckets to the settings and the number of daemons.
-void update_buckets(front_state& f);
 std::string describe_front(const front_state& f);
 
 // front_drain.cpp
