shares: Announce a daemon once there are shares to serve with

Cause: a daemon was ready before any epoch stood; an outage of the platform in that second left it without a share. A process that isn't a member yet borrows. Standing of settings goes by the VM list again: an epoch of one member vouched for itself.

--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -99,9 +99,7 @@
 
 void note_members(control_state& c)
 {
-    const std::size_t of_epoch = c.m_fleet.m_epoch.m_members.size();
-    c.m_members =
-        std::max<std::size_t>(of_epoch > 0 ? of_epoch : c.m_vms.size(), 1);
+    c.m_members = std::max<std::size_t>(c.m_vms.size(), 1);
 }
 
 // Loans that the process before this one gave may still run. Only an epoch
@@ -129,7 +127,6 @@
         {{"epoch", std::to_string(c.m_fleet.m_epoch.m_number)},
          {"members", std::to_string(c.m_fleet.m_epoch.m_members.size())}});
     note_joined(c);
-    note_members(c);
     refresh_peers(c);
     beat_soon(c);
 }
@@ -253,16 +250,32 @@
     fleet_state& f = c.m_fleet;
     update_settling(f.m_settling, f.m_epoch, sights_of(c),
                     monotonic_clock::now());
-    if (!f.m_joined_at)
-        return;
     share_right right;
     right.m_epoch = f.m_epoch;
     right.m_self = self_of(c);
     right.m_settled = f.m_settling.m_settled;
-    right.m_from = *f.m_joined_at;
+    // One that is not a member yet has no share, but may borrow.
+    right.m_from = f.m_joined_at.value_or(time_point::max());
+    for (const auto& [name, p] : c.m_peers)
+        right.m_peers.push_back(name);
     right.m_until = standing_until(epoch_standing_of(c).m_view);
     c.m_boxes.m_front.post(right_changed{right});
     c.m_boxes.m_pool.post(right_changed{std::move(right)});
+    announce_settings(c);
+}
+
+void announce_settings(control_state& c)
+{
+    const bool lenders = std::any_of(c.m_peers.begin(), c.m_peers.end(),
+                                     [](const auto& entry)
+                                     {
+                                         const auto& last = entry.second.m_last;
+                                         return last && last->m_epoch > 0;
+                                     });
+    if (!c.m_fleet.m_unannounced || (!c.m_fleet.m_joined_at && !lenders))
+        return;
+    c.m_boxes.m_admin.post(
+        settings_changed{std::exchange(c.m_fleet.m_unannounced, nullptr)});
 }
 
 std::uint64_t applied_epoch(const control_state& c)
--- a/Source/daemon/control_settings.cpp
+++ b/Source/daemon/control_settings.cpp
@@ -47,7 +47,8 @@
               {{"version", std::to_string(c.m_version)}});
     c.m_boxes.m_front.post(settings_changed{view});
     c.m_boxes.m_pool.post(settings_changed{view});
-    c.m_boxes.m_admin.post(settings_changed{view});
+    c.m_fleet.m_unannounced = view;
+    announce_settings(c);
 }
 
 // A node that can't be read keeps its last good value, so that one bad edit
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -47,6 +47,7 @@
     time_point m_started_at{};
     std::optional<time_point> m_joined_at; ///< Its shares begin then.
     std::optional<time_point> m_propose_at;
+    settings_view_ptr m_unannounced; ///< Settings that admin waits for.
 };
 
 /// A peer's answer, or nothing when none came in time.
@@ -154,6 +155,9 @@
 void read_epoch(control_state& c);
 /// Works out anew what this daemon may use, and tells the other tasks.
 void update_right(control_state& c);
+/// Tells the admin task that the daemon is configured, once there are shares
+/// to serve with: its own, or a peer's to borrow from.
+void announce_settings(control_state& c);
 /// A task keeps to the shares of an epoch.
 void note_applied(control_state& c, const right_applied& applied);
 /// The epoch that all tasks keep to.
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -50,6 +50,7 @@
                           {"platform_answers", c.m_platform_answers},
                           {"members", c.m_members},
                           {"epoch", c.m_fleet.m_epoch.m_number},
+                          {"epoch_members", c.m_fleet.m_epoch.m_members.size()},
                           {"epoch_applied", applied_epoch(c)},
                           {"epoch_settled", c.m_fleet.m_settling.m_settled},
                           {"peers", describe_peers(c)}}
--- a/Source/decide/share.cpp
+++ b/Source/decide/share.cpp
@@ -66,11 +66,9 @@
                                           std::string_view resource)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const fleet_member& m : right.m_epoch.m_members)
-        if (m.m_name != right.m_self.m_name)
-            ranked.emplace_back(
-                rank_of(resource, m.m_name, right.m_self.m_incarnation),
-                m.m_name);
+    for (const std::string& name : right.m_peers)
+        ranked.emplace_back(rank_of(resource, name, right.m_self.m_incarnation),
+                            name);
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> names;
     names.reserve(ranked.size());
--- a/Source/decide/share.hpp
+++ b/Source/decide/share.hpp
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <decide/fleet_epoch.hpp>
 
@@ -19,6 +20,7 @@
     bool m_settled = false; ///< Larger shares than the former epoch's hold.
     time_point m_from{};    ///< Not before: loans of the process before it.
     time_point m_until{};   ///< Not after: its standing ends.
+    std::vector<std::string> m_peers; ///< Who may be asked for loans.
 };
 
 /// One member's part of a limit. The parts of all members add up to the limit;
