shares: Let VMs that start together become members together

Cause: an outage a second after the start met an epoch of two members of three; with one of them replaced no majority was left and nobody had a share.

--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -21,6 +21,8 @@
 /// Members up to which each asks the platform at these periods; beyond it, the
 /// periods grow with the fleet and the platform's load stays the same.
 constexpr std::size_t members_at_full_pace = 100;
+/// How long a VM that was listed just now is waited for.
+constexpr milliseconds join_wait{1000};
 /// From one daemon that would propose a change of members to the next.
 constexpr milliseconds propose_spacing{200};
 
@@ -164,6 +166,18 @@
                      });
 }
 
+// VMs that start together become members together: an epoch of one or two has
+// no majority to lose one from.
+bool awaits_first_answer(const control_state& c, time_point now)
+{
+    return std::any_of(c.m_peers.begin(), c.m_peers.end(),
+                       [&](const auto& entry)
+                       {
+                           const peer& p = entry.second;
+                           return !p.m_last && now - p.m_since < join_wait;
+                       });
+}
+
 // One change at a time: shares are worked out from two epochs only.
 void consider_members(control_state& c, std::uint64_t present)
 {
@@ -172,6 +186,8 @@
     if (!settled || f.m_proposing || c.m_vms.empty())
         return;
     const time_point now = monotonic_clock::now();
+    if (awaits_first_answer(c, now))
+        return;
     auto next = propose_members(f.m_epoch, sights_of(c), now);
     if (!next)
     {
@@ -272,7 +288,9 @@
                                          const auto& last = entry.second.m_last;
                                          return last && last->m_epoch > 0;
                                      });
-    if (!c.m_fleet.m_unannounced || (!c.m_fleet.m_joined_at && !lenders))
+    // While the platform is away nobody can become a member.
+    const bool borrows = lenders && !c.m_fleet.m_platform_answers;
+    if (!c.m_fleet.m_unannounced || (!c.m_fleet.m_joined_at && !borrows))
         return;
     c.m_boxes.m_admin.post(
         settings_changed{std::exchange(c.m_fleet.m_unannounced, nullptr)});
