--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -223,6 +223,14 @@
     c.m_epoch_poll.start_once(paced(c, epoch_period));
 }
 
+void tell_members(control_state& c, std::span<const platform_vm> vms)
+{
+    members_changed m;
+    for (const platform_vm& vm : vms)
+        m.m_names.push_back(vm.m_name);
+    c.m_boxes.m_pool.post(std::move(m));
+}
+
 void on_vms(control_state& c, platform_result<std::vector<platform_vm>>& result)
 {
     c.m_vm_poll.start_once(paced(c, vm_period));
@@ -230,6 +238,7 @@
     if (vms == nullptr)
         return;
     note_vms(c, *vms);
+    tell_members(c, *vms);
 }
 
 }
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include <daemon/control_leases.hpp>
 #include <daemon/daemon_settings.hpp>
 #include <daemon/messages.hpp>
 #include <decide/fleet_epoch.hpp>
@@ -65,7 +66,8 @@
     /// Settings objects as they were last heard of, by name; the newest.
     std::map<std::string, platform_object, std::less<>> m_objects;
     std::set<std::string> m_refused; ///< Paths of nodes that can't be read.
-    settings_tree m_tree;            ///< The last good value of each node.
+    std::optional<std::string> m_unresolved; ///< Node that fits no tree.
+    settings_tree m_tree;         ///< The last good value of each node.
     std::uint64_t m_revision = 0; ///< Of the platform's store, as last heard.
     std::uint64_t m_version = 0;  ///< Of the settings, as last heard of.
     bool m_published = false;     ///< The other tasks have settings.
@@ -89,6 +91,7 @@
     std::uint64_t m_incarnation = 0; ///< Of this process.
     daemon_tls m_tls;
     std::map<std::string, peer, std::less<>> m_peers;
+    lease_keeper m_leases;
     fleet_state m_fleet;
     std::unique_ptr<http2_server> m_peer_server;
     timer m_heartbeat;
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -44,7 +44,7 @@
 {
     return nlohmann::json{{"settings_version", c.m_version},
                           {"settings_in_force", status_of(c).m_in_force},
-                          {"settings_refused", c.m_refused},
+                          {"settings_refused", status_of(c).m_refused},
                           {"standing", to_string(c.m_standing)},
                           {"platform_revision", c.m_revision},
                           {"platform_answers", c.m_platform_answers},
@@ -91,6 +91,14 @@
             {
                 c.m_life = std::move(m.m_state);
             },
+            [&](lease_wanted& m)
+            {
+                want_lease(c, m);
+            },
+            [&](lease_released& m)
+            {
+                release_lease(c, m);
+            },
             [&](tls_changed& m)
             {
                 use_tls(c, m.m_tls);
@@ -134,11 +142,13 @@
 control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
       m_platform(m_loop, daemon.m_platform),
-      m_incarnation(random_incarnation()), m_heartbeat(m_loop,
-                                                       [this]
-                                                       {
-                                                           beat_peers(*this);
-                                                       }),
+      m_incarnation(random_incarnation()),
+      m_leases{load_lease_chart(daemon.m_charts), {}, 1},
+      m_heartbeat(m_loop,
+                  [this]
+                  {
+                      beat_peers(*this);
+                  }),
       m_settings_tick(m_loop,
                       [this]
                       {
--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -13,6 +13,7 @@
 enum class request_state : std::uint8_t
 {
     queued,
+    parked,
     running,
     confirming,
     ended,
@@ -21,10 +22,11 @@
 enum class request_event : std::uint8_t
 {
     dispatched,
+    parked,
+    woken,
     answered,
     committed,
     confirmed,
-    superseded,
     retried,
     failed,
     expired,
@@ -35,7 +37,9 @@
 enum class request_action : std::uint8_t
 {
     deliver,
+    await_replica,
     await_majority,
+    stop_waiting,
     requeue,
     refuse_not_run,
     refuse_as_told,
@@ -69,16 +73,49 @@
     forget,
 };
 
+enum class group_state : std::uint8_t
+{
+    led,
+    suspected,
+    claiming,
+    fencing,
+    promoting,
+};
+
+enum class group_event : std::uint8_t
+{
+    missed,
+    found,
+    reshaped, ///< The group's endpoints were changed.
+    turn_came,
+    lease_granted,
+    lease_denied,
+    elected,
+    outbid,
+};
+
+enum class group_action : std::uint8_t
+{
+    await_turn,
+    claim_lease,
+    send_fences,
+    send_promote,
+    release_lease,
+};
+
 using request_chart = typed_chart<request_state, request_event, request_action>;
 using transaction_chart =
     typed_chart<transaction_state, transaction_event, transaction_action>;
 
+using group_chart = typed_chart<group_state, group_event, group_action>;
+
 /// The charts that the pool task interprets.
 struct pool_charts
 {
     connection_chart m_connection;
     request_chart m_request;
     transaction_chart m_transaction;
+    group_chart m_group;
     place_charts m_places;
 };
 
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -29,6 +29,14 @@
                 p.m_boxes.m_control.post(
                     settings_taken{false, p.m_settings->m_version});
             },
+            [&](members_changed& m)
+            {
+                p.m_members = std::move(m.m_names);
+            },
+            [&](lease_answer& m)
+            {
+                take_lease_answer(p, m);
+            },
             [&](right_changed& m)
             {
                 p.m_boxes.m_control.post(right_applied{
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -52,6 +52,7 @@
     const test_authority* m_authority = nullptr; ///< Absent: no TLS.
     std::vector<std::string> m_daemon_flags = {};     ///< Further ones.
     bool m_relays = false; ///< Put relays before the stand-ins.
+    std::vector<std::string> m_daemon_words{}; ///< More flags of daemons.
 };
 
 /// The whole system on loopback: a platform, one database group named "group"
@@ -71,6 +72,9 @@
 void start_daemon(daemon_node& d);
 void start_endpoint(endpoint_node& e);
 
+/// The settings node of the group.
+nlohmann::json group_node(const fleet& f);
+
 /// Runs bluebellspokectl against the fleet's platform.
 finished_program ctl(const fleet& f, std::vector<std::string> words);
 /// Writes a node of the settings tree; fails the test's set-up by throwing.
--- a/Tools/load/main.cpp
+++ b/Tools/load/main.cpp
@@ -6,6 +6,8 @@
 
 #include <load/direct_comparison.hpp>
 #include <load/load_player.hpp>
+#include <load/measures.hpp>
+#include <load/slopes.hpp>
 #include <options/options.hpp>
 
 namespace
@@ -57,7 +59,21 @@
         print(compare_with_direct(o));
         return 0;
     }
-    std::fputs("commands: play FILE, direct\n", stderr);
+    if (!words.empty() && words.size() <= 2 && words[0] == "measures")
+    {
+        const nlohmann::json measures =
+            run_measures(words.size() == 2 ? words[1] : std::string());
+        print(measures);
+        std::fputs(measures_table(measures).c_str(), stderr);
+        return 0;
+    }
+    if (!words.empty() && words.size() <= 2 && words[0] == "slopes")
+    {
+        print(run_slopes(words.size() == 2 ? words[1] : std::string()));
+        return 0;
+    }
+    std::fputs("commands: play FILE, direct, measures [NAME], slopes [NAME]\n",
+               stderr);
     return exit_usage;
 }
 
