--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -21,6 +21,8 @@
 /// Members up to which each asks the platform at these periods; beyond it, the
 /// periods grow with the fleet and the platform's load stays the same.
 constexpr std::size_t members_at_full_pace = 100;
+/// How long a VM that was listed just now is waited for.
+constexpr milliseconds join_wait{1000};
 /// From one daemon that would propose a change of members to the next.
 constexpr milliseconds propose_spacing{200};
 
@@ -99,9 +101,7 @@
 
 void note_members(control_state& c)
 {
-    const std::size_t of_epoch = c.m_fleet.m_epoch.m_members.size();
-    c.m_members =
-        std::max<std::size_t>(of_epoch > 0 ? of_epoch : c.m_vms.size(), 1);
+    c.m_members = std::max<std::size_t>(c.m_vms.size(), 1);
 }
 
 // Loans that the process before this one gave may still run. Only an epoch
@@ -129,7 +129,6 @@
         {{"epoch", std::to_string(c.m_fleet.m_epoch.m_number)},
          {"members", std::to_string(c.m_fleet.m_epoch.m_members.size())}});
     note_joined(c);
-    note_members(c);
     refresh_peers(c);
     beat_soon(c);
 }
@@ -167,6 +166,18 @@
                      });
 }
 
+// VMs that start together become members together: an epoch of one or two has
+// no majority to lose one from.
+bool awaits_first_answer(const control_state& c, time_point now)
+{
+    return std::any_of(c.m_peers.begin(), c.m_peers.end(),
+                       [&](const auto& entry)
+                       {
+                           const peer& p = entry.second;
+                           return !p.m_last && now - p.m_since < join_wait;
+                       });
+}
+
 // One change at a time: shares are worked out from two epochs only.
 void consider_members(control_state& c, std::uint64_t present)
 {
@@ -175,6 +186,8 @@
     if (!settled || f.m_proposing || c.m_vms.empty())
         return;
     const time_point now = monotonic_clock::now();
+    if (awaits_first_answer(c, now))
+        return;
     auto next = propose_members(f.m_epoch, sights_of(c), now);
     if (!next)
     {
@@ -262,16 +275,34 @@
     fleet_state& f = c.m_fleet;
     update_settling(f.m_settling, f.m_epoch, sights_of(c),
                     monotonic_clock::now());
-    if (!f.m_joined_at)
-        return;
     share_right right;
     right.m_epoch = f.m_epoch;
     right.m_self = self_of(c);
     right.m_settled = f.m_settling.m_settled;
-    right.m_from = *f.m_joined_at;
+    // One that is not a member yet has no share, but may borrow.
+    right.m_from = f.m_joined_at.value_or(time_point::max());
+    for (const auto& [name, p] : c.m_peers)
+        right.m_peers.push_back(name);
     right.m_until = standing_until(epoch_standing_of(c).m_view);
     c.m_boxes.m_front.post(right_changed{right});
     c.m_boxes.m_pool.post(right_changed{std::move(right)});
+    announce_settings(c);
+}
+
+void announce_settings(control_state& c)
+{
+    const bool lenders = std::any_of(c.m_peers.begin(), c.m_peers.end(),
+                                     [](const auto& entry)
+                                     {
+                                         const auto& last = entry.second.m_last;
+                                         return last && last->m_epoch > 0;
+                                     });
+    // While the platform is away nobody can become a member.
+    const bool borrows = lenders && !c.m_fleet.m_platform_answers;
+    if (!c.m_fleet.m_unannounced || (!c.m_fleet.m_joined_at && !borrows))
+        return;
+    c.m_boxes.m_admin.post(
+        settings_changed{std::exchange(c.m_fleet.m_unannounced, nullptr)});
 }
 
 std::uint64_t applied_epoch(const control_state& c)
