--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -141,6 +141,16 @@
                      });
 }
 
+// A list that doesn't name this daemon is from before its time: how many there
+// are can't be told from it, so no majority can be counted.
+std::size_t known_members(const control_state& c)
+{
+    for (const platform_vm& vm : c.m_vms)
+        if (vm.m_name == c.m_daemon.m_name)
+            return c.m_members;
+    return unknown_members;
+}
+
 }
 
 void start_peers(control_state& c)
@@ -183,7 +193,7 @@
                  std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
                  p.m_last->m_platform_answers});
     s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
-                c.m_vms_known ? c.m_members : unknown_members, s.m_witnesses};
+                known_members(c), s.m_witnesses};
     return s;
 }
 
--- a/Tests/decide/promotion_test.cpp
+++ b/Tests/decide/promotion_test.cpp
@@ -211,6 +211,7 @@
     SECTION("each group has one order of daemons")
     {
         std::vector<std::size_t> ranks;
+        ranks.reserve(daemons.size());
         for (const std::string& d : daemons)
             ranks.push_back(rendezvous_rank("group", d, daemons));
         std::sort(ranks.begin(), ranks.end());
