--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -49,8 +49,8 @@
     unsigned m_service_us = 0; ///< Of each statement.
     unsigned m_slots = 5;
     unsigned m_connections = 30;
-    const test_authority* m_authority = nullptr; ///< Absent: no TLS.
-    std::vector<std::string> m_daemon_flags = {};     ///< Further ones.
+    const test_authority* m_authority = nullptr;  ///< Absent: no TLS.
+    std::vector<std::string> m_daemon_flags = {}; ///< Further ones.
     bool m_relays = false; ///< Put relays before the stand-ins.
     std::vector<std::string> m_daemon_words{}; ///< More flags of daemons.
 };
