--- a/Source/daemon/control_relay.cpp
+++ b/Source/daemon/control_relay.cpp
@@ -39,8 +39,6 @@
     if (!c.m_vms_known && !m.m_vms.empty())
     {
         note_vms(c, to_vms(m.m_vms));
-        c.m_members = m.m_vms.size();
-        c.m_boxes.m_front.post(fleet_changed{c.m_members});
     }
     if (c.m_secrets.empty() && !m.m_secrets.empty())
     {
@@ -128,7 +126,7 @@
 {
     c.m_vms.assign(vms.begin(), vms.end());
     const bool first = !std::exchange(c.m_vms_known, true);
-    set_peers(c, vms);
+    follow_vms(c);
     if (first)
         beat_peers(c);
     for (const platform_vm& vm : vms)
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -37,6 +37,16 @@
             {
                 take_lease_answer(p, m);
             },
+            [&](right_changed& m)
+            {
+                p.m_boxes.m_control.post(right_applied{
+                    share_holder::pool, m.m_right.m_epoch.m_number});
+            },
+            [&](loan_asked& m)
+            {
+                p.m_boxes.m_control.post(loan_given{m.m_exchange, {}});
+            },
+            [&](loan_arrived&) {},
             [&](drain_begun&)
             {
                 p.m_draining = true;
