--- a/Tools/load/direct_comparison.cpp
+++ b/Tools/load/direct_comparison.cpp
@@ -157,6 +157,7 @@
     part.m_callers = std::max<std::size_t>(options.m_callers / tool_threads, 1);
     std::vector<way> parts(tool_threads);
     std::vector<std::thread> threads;
+    threads.reserve(tool_threads);
     for (way& own : parts)
         threads.emplace_back(
             [&]
