--- a/Source/daemon/front_shares.cpp
+++ b/Source/daemon/front_shares.cpp
@@ -90,7 +90,8 @@
     r.m_pause =
         std::clamp<duration>(2 * r.m_pause, ask_pause, longest_ask_pause);
     r.m_next_round = now + r.m_pause;
-    const bool wants = wanted_units(r.m_share, now) > 0;
+    const bool wants =
+        !f.m_daemon.m_even_shares && wanted_units(r.m_share, now) > 0;
     std::size_t asked = 0;
     for (const std::string& lender :
          lenders_in_order(*f.m_rates.m_right, r.m_share.m_workspace))
