shares: Give a new workspace its burst at once

Cause: every bucket began empty, since a process before this one may have spent the tokens. A workspace made while the fleet runs was therefore refused inside its burst: 429 in two stories and in an endpoint-removal test.

Ruled out: full buckets at every start, which would double the burst after a restart.

A workspace that is new to a tree the daemon already knew starts full.

--- a/Source/daemon/front_shares.cpp
+++ b/Source/daemon/front_shares.cpp
@@ -159,12 +159,18 @@
             return !f.m_settings->m_workspaces.contains(entry.first) &&
                    r.m_waiting.empty() && r.m_share.m_book.m_lent.empty();
         });
+    // Nobody has spent anything of a workspace that is new to the tree. One
+    // that the first settings bring may be older than this process.
+    const bool new_to_tree = std::exchange(f.m_rates.m_knows_tree, true);
     for (const auto& [name, workspace] : f.m_settings->m_workspaces)
     {
+        const bool fresh = new_to_tree && !f.m_rates.m_rates.contains(name);
         front_rate& r = rate_of(f, name, now);
         if (f.m_rates.m_right)
             set_right(r.m_share, *f.m_rates.m_right, now);
         set_rate(r.m_share, workspace.m_rate, workspace.m_burst, now);
+        if (fresh)
+            fill_bucket(r.m_share);
     }
 }
 
--- a/Source/daemon/front_shares.hpp
+++ b/Source/daemon/front_shares.hpp
@@ -42,6 +42,7 @@
     std::uint64_t m_first_loan = 1; ///< Differs after a restart.
     std::uint64_t m_applied = 0;    ///< Epoch told to the control task.
     bool m_ticking = false;
+    bool m_knows_tree = false; ///< Settings have come at least once.
 };
 
 /// Fits the shares to the settings in force.
--- a/Source/decide/rate_share.cpp
+++ b/Source/decide/rate_share.cpp
@@ -70,6 +70,11 @@
     fit_bucket(s, now);
 }
 
+void fill_bucket(rate_share& s)
+{
+    s.m_bucket.m_tokens = s.m_bucket.m_burst;
+}
+
 // A process that was paused finds that loans and rights have ended meanwhile.
 // The tokens due are counted stretch by stretch, as if it had run on.
 void settle(rate_share& s, time_point now)
--- a/Source/decide/rate_share.hpp
+++ b/Source/decide/rate_share.hpp
@@ -41,6 +41,10 @@
 void set_rate(rate_share& s, double rate, double burst, time_point now);
 void set_right(rate_share& s, const share_right& right, time_point now);
 
+/// Gives the share its whole burst; only for a workspace that is new to the
+/// settings tree, so that no daemon can have spent any of it.
+void fill_bucket(rate_share& s);
+
 /// Brings the bucket up to `now`, through every end of a loan or a right that
 /// has passed meanwhile.
 void settle(rate_share& s, time_point now);
