shares: Keep all daemons within an endpoint's connections

Cause: each daemon opened up to the endpoint's whole limit. Three daemons under load left an endpoint of twelve no room for a single question; a monitor that is refused takes the endpoint for dead and can set off a promotion.

Ruled out for now: connections as loans, since a loan costs the lender a close and the borrower 10 ms; docs/design/connections.md weighs it.

The limit, less a monitor for each member, is divided by the fleet's epoch. An epoch counts as applied when what is open fits it.

--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -238,6 +238,7 @@
                        });
     if (r != nullptr)
         take_for_request(*r, e, reply);
+    return_connections(e);
     dispatch(e.m_group);
 }
 
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -72,7 +72,9 @@
     }
     for (const auto& e : g.m_endpoints)
     {
-        e->m_connection_share = view.m_connections;
+        e->m_connection_limit = view.m_connections;
+        share_connections(*e);
+        return_connections(*e);
         e->m_slot_share = view.m_slots;
         update_admission(*e);
     }
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -17,6 +17,7 @@
 #include <decide/fair_queue.hpp>
 #include <decide/promotion.hpp>
 #include <decide/routing.hpp>
+#include <decide/share.hpp>
 #include <endpoint/pg_connection.hpp>
 
 namespace bluebellspoke
@@ -104,8 +105,9 @@
     endpoint_view m_view;
     endpoint_life m_life = endpoint_life::joining;
     time_point m_returned_at{};
-    std::uint32_t m_slot_share = 0; ///< When it has wholly returned.
-    std::uint32_t m_connection_share = 1;
+    std::uint32_t m_slot_share = 0;       ///< When it has wholly returned.
+    std::uint32_t m_connection_limit = 0; ///< The endpoint's, whole fleet.
+    std::uint32_t m_connection_share = 0; ///< This daemon's, for statements.
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
     bool m_reachable = false;
@@ -167,6 +169,8 @@
     mailboxes& m_boxes;
     loop m_loop;
     settings_view_ptr m_settings;
+    std::optional<share_right> m_right;
+    std::uint64_t m_applied_epoch = 0; ///< Told to the control task.
     std::map<std::string, std::unique_ptr<pool_group>, std::less<>> m_groups;
     std::map<exchange_id, std::unique_ptr<request>> m_requests;
     std::map<std::string, std::unique_ptr<transaction>, std::less<>>
@@ -190,6 +194,14 @@
 /// Tells the admin task, while draining, that nothing is left to finish.
 void report_if_drained(pool_state& p);
 
+// pool_shares.cpp
+/// Takes over what an epoch of the fleet gives this daemon.
+void take_right(pool_state& p, const share_right& right);
+/// Works out the endpoint's connections anew.
+void share_connections(pool_endpoint& e);
+/// Closes idle connections beyond the share; busy ones follow once idle.
+void return_connections(pool_endpoint& e);
+
 // pool_settings.cpp
 /// Fits groups and endpoints to the configuration in force.
 void apply_settings(pool_state& p, settings_view_ptr settings);
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -39,8 +39,7 @@
             },
             [&](right_changed& m)
             {
-                p.m_boxes.m_control.post(right_applied{
-                    share_holder::pool, m.m_right.m_epoch.m_number});
+                take_right(p, m.m_right);
             },
             [&](loan_asked& m)
             {
--- a/Tests/standin/endpoint_server.cpp
+++ b/Tests/standin/endpoint_server.cpp
@@ -398,6 +398,16 @@
     return result;
 }
 
+/// For tests: how many connections were refused beyond the limit.
+sql_result refused_row(const endpoint_server& s)
+{
+    sql_result result;
+    result.m_columns = {"refused"};
+    result.m_rows.push_back({number(s.m_refused)});
+    result.m_tag = "SELECT 1";
+    return result;
+}
+
 void require_term(const endpoint_server& s, std::uint64_t term)
 {
     if (!leads(s) || s.m_fence != term)
@@ -607,6 +617,8 @@
     endpoint_server& s = c.m_server;
     if (is_call(t, "bluebellspoke.state"))
         return state_row(s);
+    if (is_call(t, "standin.refused"))
+        return refused_row(s);
     if (is_call(t, "bluebellspoke.write"))
         return write(c, t);
     if (is_call(t, "bluebellspoke.check_term"))
@@ -801,6 +813,7 @@
     c.m_started = true;
     if (c.m_server.m_sessions.size() > c.m_server.m_options.m_connections)
     {
+        ++c.m_server.m_refused;
         append_error(c.m_out, "FATAL", "53300", "too many connections");
         send(c);
         c.m_closing = true;
--- a/Tests/standin/endpoint_server.hpp
+++ b/Tests/standin/endpoint_server.hpp
@@ -66,6 +66,7 @@
     std::list<position_wait> m_waits;
     std::deque<endpoint_session*> m_slot_queue;
     std::size_t m_running = 0;
+    std::uint64_t m_refused = 0; ///< Connections beyond the limit.
     std::unique_ptr<replica_link> m_upstream;
     std::list<std::unique_ptr<replica_link>> m_downstreams;
     std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> m_listener;
--- /dev/null
+++ b/Tests/whole/connection_limit_test.cpp
@@ -0,0 +1,86 @@
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <libpq-fe.h>
+#include <support/fleet.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+using nlohmann::json;
+
+namespace
+{
+
+struct pg_closer
+{
+    void operator()(PGconn* c) const
+    {
+        PQfinish(c);
+    }
+};
+
+/// Asks an endpoint stand-in how many connections it has refused; nothing when
+/// it has no room even for the question.
+std::string refused_connections(const endpoint_node& e)
+{
+    const std::string target = "hostaddr=" + e.m_address.m_host +
+                               " port=" + std::to_string(e.m_address.m_port) +
+                               " user=t dbname=t sslmode=disable";
+    const std::unique_ptr<PGconn, pg_closer> c(PQconnectdb(target.c_str()));
+    PGresult* rows = PQexec(c.get(), "select * from standin.refused()");
+    const std::string count =
+        PQntuples(rows) == 1 ? PQgetvalue(rows, 0, 0) : "";
+    PQclear(rows);
+    return count;
+}
+
+void send_many(const daemon_node& d, const session& s)
+{
+    caller c(d.m_callers);
+    const json read{{"statement", "select 1"}, {"max_age_ms", 60'000}};
+    constexpr std::size_t at_once = 40;
+    for (int round = 0; round < 3; ++round)
+        c.send_all(
+            std::vector<http2_request>(at_once, statement_request(s, read)));
+}
+
+}
+
+TEST_CASE("All daemons together stay within an endpoint's connections")
+{
+    GIVEN("three daemons before endpoints with room for twelve connections")
+    {
+        const fleet f({.m_daemons = 3,
+                       .m_service_us = 2'000,
+                       .m_slots = 12,
+                       .m_connections = 12});
+        put_node(f, "ward",
+                 {{"kind", "workspace"},
+                  {"service", "group"},
+                  {"rate", 100'000},
+                  {"burst", 100'000}});
+        const session clerk{grant_key(f, "ward", "clerk"), {}};
+
+        WHEN("each of them has more to do than connections")
+        {
+            std::vector<std::thread> senders;
+            for (const daemon_node& d : f.m_daemons)
+                senders.emplace_back(
+                    [&]
+                    {
+                        send_many(d, clerk);
+                    });
+            for (std::thread& sender : senders)
+                sender.join();
+
+            THEN("no endpoint had to refuse a connection")
+            {
+                for (const endpoint_node& e : f.m_endpoints)
+                    REQUIRE(refused_connections(e) == "0");
+            }
+        }
+    }
+}
