settings: Change a group's endpoints one at a time

Cause: acknowledgement and promotion count majorities by the settings that a daemon goes by. An edit that replaced two endpoints of three let an old majority and a new one pass each other by, and with them an acknowledged write.

Ruled out: a check in the daemon, which can't tell two good edits heard at once from one bad one.

bluebellspokectl refuses such an edit, and one made while a daemon that answers lacks the node's last version. The failover story that takes two away at once writes past the client now, as what it tests is the daemon.

--- a/Source/ctl/ctl_error.cpp
+++ b/Source/ctl/ctl_error.cpp
@@ -27,6 +27,14 @@
                 "platform_older_copy",
                 "nothing was changed; the platform answers from an older copy "
                 "of its store than the daemons know, have that mended first"},
+    fault_entry{ctl_fault::endpoints_change_too_large, exit_code::refused,
+                "endpoints_change_too_large",
+                "nothing was changed; add or remove one endpoint, wait until "
+                "that is in force, then the next"},
+    fault_entry{ctl_fault::earlier_change_pending, exit_code::refused,
+                "earlier_change_pending",
+                "nothing was changed; 'status' shows who lacks the node's "
+                "last version; edit again when all have it"},
     fault_entry{ctl_fault::unknown_node, exit_code::usage, "unknown_node",
                 "'show' lists the nodes there are"},
     fault_entry{ctl_fault::unknown_key, exit_code::usage, "unknown_key",
--- a/Source/ctl/ctl_error.hpp
+++ b/Source/ctl/ctl_error.hpp
@@ -28,6 +28,8 @@
     edit_conflict,
     settings_refused,
     platform_older_copy,
+    endpoints_change_too_large,
+    earlier_change_pending,
     unknown_node,
     unknown_key,
     unknown_endpoint,
--- a/Source/ctl/settings_edit.cpp
+++ b/Source/ctl/settings_edit.cpp
@@ -8,6 +8,7 @@
 
 #include <ctl/settings_history.hpp>
 #include <decide/acceptance.hpp>
+#include <decide/endpoints_change.hpp>
 #include <decide/settings_view.hpp>
 #include <platform/settings_codec.hpp>
 
@@ -138,6 +139,25 @@
     }
 }
 
+// Daemons count majorities by the version they go by. Two versions in use at
+// once may differ by one endpoint and no more.
+void check_endpoints(std::span<const fleet_member> fleet,
+                     const settings_edit& edit, const settings_node& before,
+                     const node_settings& after)
+{
+    const endpoints_change change =
+        judge_change(before.m_own.m_endpoints, after.m_endpoints);
+    if (change == endpoints_change::too_large)
+        throw ctl_error(ctl_fault::endpoints_change_too_large,
+                        "/" + edit.m_path);
+    if (change == endpoints_change::none)
+        return;
+    for (const fleet_member& m : fleet)
+        if (m.m_status && m.m_status->m_in_force < before.m_version)
+            throw ctl_error(ctl_fault::earlier_change_pending,
+                            "/" + edit.m_path + ": " + m.m_vm.m_name);
+}
+
 }
 
 stored_tree read_tree(operator_session& s)
@@ -181,6 +201,7 @@
     if (before.m_own.m_kind != node_kind::removed)
         after = before.m_own;
     edit.m_change(after);
+    check_endpoints(fleet, edit, before, after);
     const std::string value = encode_node(after);
     tree.m_nodes[edit.m_path].m_own = decode_node(edit.m_path, value);
     resolve(tree.m_nodes, tree.m_revision);
--- /dev/null
+++ b/Source/decide/endpoints_change.cpp
@@ -0,0 +1,42 @@
+#include <decide/endpoints_change.hpp>
+
+#include <algorithm>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+std::size_t count_missing(std::span<const endpoint_setting> wanted,
+                          std::span<const endpoint_setting> present)
+{
+    const auto missing = std::count_if(
+        wanted.begin(), wanted.end(),
+        [&](const endpoint_setting& w)
+        {
+            return std::none_of(present.begin(), present.end(),
+                                [&](const endpoint_setting& p)
+                                {
+                                    return p.m_name == w.m_name &&
+                                           p.m_address == w.m_address;
+                                });
+        });
+    return static_cast<std::size_t>(missing);
+}
+
+}
+
+endpoints_change judge_change(std::span<const endpoint_setting> before,
+                              std::span<const endpoint_setting> after)
+{
+    if (before.empty() || after.empty())
+        return endpoints_change::none;
+    const std::size_t changes =
+        count_missing(before, after) + count_missing(after, before);
+    if (changes == 0)
+        return endpoints_change::none;
+    return changes == 1 ? endpoints_change::safe : endpoints_change::too_large;
+}
+
+}
--- /dev/null
+++ b/Tests/decide/endpoints_change_test.cpp
@@ -0,0 +1,58 @@
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <decide/endpoints_change.hpp>
+
+using namespace bluebellspoke;
+
+namespace
+{
+
+std::vector<endpoint_setting> endpoints(const std::string& names)
+{
+    std::vector<endpoint_setting> made;
+    for (const char name : names)
+        made.push_back({std::string(1, name),
+                        "127.0.0.1:70" + std::to_string(name), "zone-1",
+                        false});
+    return made;
+}
+
+}
+
+TEST_CASE("Majorities before and after a change meet")
+{
+    const std::vector<endpoint_setting> group = endpoints("abc");
+
+    SECTION("one endpoint joins or leaves")
+    {
+        REQUIRE(judge_change(group, endpoints("abcd")) ==
+                endpoints_change::safe);
+        REQUIRE(judge_change(group, endpoints("ab")) == endpoints_change::safe);
+    }
+    SECTION("two leave, or one takes another's place")
+    {
+        REQUIRE(judge_change(group, endpoints("a")) ==
+                endpoints_change::too_large);
+        REQUIRE(judge_change(group, endpoints("abd")) ==
+                endpoints_change::too_large);
+    }
+    SECTION("an endpoint moves to another address, which is another log")
+    {
+        std::vector<endpoint_setting> moved = group;
+        moved[0].m_address = "127.0.0.1:7000";
+        REQUIRE(judge_change(group, moved) == endpoints_change::too_large);
+    }
+    SECTION("what else is said of them changes no majority")
+    {
+        std::vector<endpoint_setting> leaving = group;
+        leaving[0].m_leaving = true;
+        REQUIRE(judge_change(group, leaving) == endpoints_change::none);
+    }
+    SECTION("a group begins and ends")
+    {
+        REQUIRE(judge_change({}, group) == endpoints_change::none);
+        REQUIRE(judge_change(group, {}) == endpoints_change::none);
+    }
+}
--- a/Tests/failover/doubt_test.cpp
+++ b/Tests/failover/doubt_test.cpp
@@ -176,7 +176,7 @@
                         {{"name", kept.m_name},
                          {"address", to_string(kept.m_address)},
                          {"zone", kept.m_zone}}};
-                    put_node(w.m_fleet, "group", node);
+                    put_node_unchecked(w.m_fleet, "group", node);
                 });
             const std::vector<reply> replies = clerk.send_all(std::move(reads));
             edit.join();
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -226,6 +226,23 @@
         throw spawn_error();
 }
 
+void put_node_unchecked(const fleet& f, const std::string& path,
+                        const json& node)
+{
+    caller c(f.m_platform_address);
+    const std::string object = "/v1/objects/settings/" + path;
+    const json present = c.send({"GET", object, {}, {}}).json();
+    const std::uint64_t version =
+        present.is_object() ? present.value("version", std::uint64_t{0}) : 0;
+    const reply written =
+        c.send({"PUT",
+                object + "?if_version=" + std::to_string(version),
+                {},
+                node.dump()});
+    if (written.m_status != 200)
+        throw spawn_error();
+}
+
 std::string grant_key(const fleet& f, const std::string& workspace,
                       const std::string& id)
 {
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -79,6 +79,10 @@
 /// Writes a node of the settings tree; fails the test's set-up by throwing.
 void put_node(const fleet& f, const std::string& path,
               const nlohmann::json& node);
+/// Writes a node straight into the platform, unchecked, as no operator's
+/// client would.
+void put_node_unchecked(const fleet& f, const std::string& path,
+                        const nlohmann::json& node);
 /// Grants a key and returns it.
 std::string grant_key(const fleet& f, const std::string& workspace,
                       const std::string& id);
