--- a/Tests/whole/connection_limit_test.cpp
+++ b/Tests/whole/connection_limit_test.cpp
@@ -31,8 +31,7 @@
                                " user=t dbname=t sslmode=disable";
     const std::unique_ptr<PGconn, pg_closer> c(PQconnectdb(target.c_str()));
     PGresult* rows = PQexec(c.get(), "select * from standin.refused()");
-    const std::string count =
-        PQntuples(rows) == 1 ? PQgetvalue(rows, 0, 0) : "";
+    std::string count = PQntuples(rows) == 1 ? PQgetvalue(rows, 0, 0) : "";
     PQclear(rows);
     return count;
 }
--- /dev/null
+++ b/Tests/wire/exchange_test.cpp
@@ -0,0 +1,155 @@
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <wire/http2_client.hpp>
+#include <wire/http2_server.hpp>
+
+using namespace bluebellspoke;
+
+namespace
+{
+
+constexpr std::chrono::seconds long_enough{20};
+
+/// A server that answers what its path says, and notes the rest.
+struct talker
+{
+    explicit talker(loop& l) : m_loop(l)
+    {
+        http2_server_handlers handlers;
+        handlers.m_on_request = [this](arrived_request& arrived)
+        {
+            take(arrived);
+        };
+        handlers.m_on_abandoned = [this](exchange_id exchange)
+        {
+            m_abandoned.push_back(exchange);
+            stop(m_loop);
+        };
+        handlers.m_on_disconnect = [](connection_id) {};
+        http2_server_limits limits;
+        limits.m_body_bytes = 1000;
+        m_server = std::make_unique<http2_server>(l, address{"127.0.0.1", 0},
+                                                  limits, std::move(handlers));
+    }
+
+    void take(arrived_request& arrived)
+    {
+        m_arrived.push_back(arrived.m_exchange);
+        const http2_request& request = arrived.m_request;
+        if (arrived.m_oversized)
+            m_server->respond(arrived.m_exchange, {413, {}, {}});
+        else if (request.m_path == "/echo")
+            m_server->respond(arrived.m_exchange,
+                              {200, request.m_headers, request.m_body});
+        else if (request.m_path == "/hang-up")
+            m_server->disconnect(arrived.m_exchange.m_connection);
+        else if (request.m_path == "/late")
+            stop(m_loop);
+    }
+
+    loop& m_loop;
+    std::unique_ptr<http2_server> m_server;
+    std::vector<exchange_id> m_arrived;
+    std::vector<exchange_id> m_abandoned;
+};
+
+http2_result ask(loop& l, http2_client& client, const std::string& path,
+                 const std::string& body = {}, duration limit = long_enough)
+{
+    std::optional<http2_result> kept;
+    client.send({"POST", path, {{"x-name", "a"}}, body}, limit,
+                [&](http2_result& result)
+                {
+                    kept = std::move(result);
+                    stop(l);
+                });
+    while (!kept)
+        run(l);
+    return std::move(*kept);
+}
+
+int status_of(const http2_result& result)
+{
+    const auto* response = std::get_if<http2_response>(&result);
+    return response == nullptr ? 0 : response->m_status;
+}
+
+bool failed_as(const http2_result& result, http2_failure failure)
+{
+    const auto* f = std::get_if<http2_failure>(&result);
+    return f != nullptr && *f == failure;
+}
+
+}
+
+TEST_CASE("Requests and responses find each other")
+{
+    loop l = make_loop();
+    talker server(l);
+    http2_client client(l, server.m_server->local());
+
+    SECTION("headers and body arrive whole")
+    {
+        const http2_result result = ask(l, client, "/echo", "found bear");
+        const auto& response = std::get<http2_response>(result);
+        REQUIRE(response.m_status == 200);
+        REQUIRE(response.m_body == "found bear");
+        REQUIRE(find_header(response.m_headers, "x-name") == "a");
+    }
+    SECTION("a body past the limit is dropped and told")
+    {
+        REQUIRE(status_of(ask(l, client, "/echo", std::string(1001, 'x'))) ==
+                413);
+        REQUIRE(status_of(ask(l, client, "/echo", std::string(1000, 'x'))) ==
+                200);
+    }
+    SECTION("an answer comes once, and to nobody but its own request")
+    {
+        REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+        const exchange_id answered = server.m_arrived.front();
+        REQUIRE_FALSE(server.m_server->respond(answered, {200, {}, "late"}));
+        ask(l, client, "/hang-up");
+        REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+        REQUIRE(server.m_arrived.back().m_connection != answered.m_connection);
+        REQUIRE_FALSE(server.m_server->respond(answered, {200, {}, "late"}));
+    }
+}
+
+TEST_CASE("Each way to get no response has a name")
+{
+    loop l = make_loop();
+    auto server = std::make_unique<talker>(l);
+    const address where = server->m_server->local();
+    http2_client client(l, where);
+
+    SECTION("nobody listens: it was not sent")
+    {
+        server.reset();
+        REQUIRE(failed_as(ask(l, client, "/echo"), http2_failure::not_sent));
+    }
+    SECTION("the connection ends: it may have been taken")
+    {
+        REQUIRE(failed_as(ask(l, client, "/hang-up"),
+                          http2_failure::connection_lost));
+
+        SECTION("and the next request opens another")
+        {
+            REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+        }
+    }
+    SECTION("the time is over: the server hears that nobody waits")
+    {
+        REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+        const http2_result result =
+            ask(l, client, "/silent", {}, std::chrono::milliseconds(1));
+        REQUIRE(failed_as(result, http2_failure::timed_out));
+        while (server->m_abandoned.empty())
+            run(l);
+        REQUIRE(server->m_abandoned.front() == server->m_arrived.back());
+        REQUIRE(server->m_server->open_exchanges() == 0);
+    }
+}
