scenario: Give each daemon the connections its transactions need

Cause: transactions_not_mixed failed since connections are divided: of the endpoint's eight, two are monitors' and one is an order's, so one daemon's part was two or three, and the third transaction waited out its time limit and was refused, as not run, which is true.

Ruled out: dividing without the monitors, which is the fault that the division mends. That a daemon can't borrow connections is in docs/design/connections.md.

With eleven, each has four: three transactions and the read beside them. What the story demands is unchanged.

--- a/Tests/scenario/transactions_not_mixed.lua
+++ b/Tests/scenario/transactions_not_mixed.lua
@@ -1,7 +1,8 @@
 -- Statements of different transactions are never mixed on one connection.
 seeds = 2
 
-start { daemons = 2, slots = 4, connections = 8 }
+-- Four connections for each daemon: three transactions and a read.
+start { daemons = 2, slots = 4, connections = 11 }
 local clerk = open_workspace("ward", { rate = 5000, burst = 5000 })
 
 local function insert_in(transaction, row)
