shares: Let a replaced daemon hold a connection while the platform is away

A failed try: a fixed part only where no right has been heard of; a right with an empty epoch comes first, and the story still failed. What counts is whether the daemon's part is empty.

Such a daemon holds one connection; the part of the one before, which is no smaller, is free. One that the epoch names under another incarnation has its whole part.

--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+// A process that starts while the platform is away is in no epoch. It took
+// another's place, and that one's part, which is no smaller, is free.
+constexpr std::uint32_t least_share = 1;
+
 bool is_idle(const pooled_connection& c)
 {
     return !c.m_running && c.m_transaction == nullptr &&
@@ -43,10 +47,11 @@
 void share_connections(pool_endpoint& e)
 {
     const pool_state& p = e.m_group.m_pool;
-    e.m_connection_share =
+    const std::uint32_t part =
         p.m_right ? connection_share(*p.m_right, e.m_connection_limit,
                                      e.m_setting.m_name)
                   : 0;
+    e.m_connection_share = std::max(part, least_share);
 }
 
 void return_connections(pool_endpoint& e)
--- a/Source/decide/connection_share.cpp
+++ b/Source/decide/connection_share.cpp
@@ -1,6 +1,7 @@
 #include <decide/connection_share.hpp>
 
 #include <algorithm>
+#include <vector>
 
 namespace bluebellspoke
 {
@@ -20,13 +21,26 @@
     return static_cast<std::uint32_t>(count);
 }
 
+// The connections of a process are closed with it, so the one that takes its
+// place has its part at once, also while the platform can't name it in an
+// epoch.
+void take_place(std::vector<fleet_member>& members, const fleet_member& self)
+{
+    for (fleet_member& m : members)
+        if (m.m_name == self.m_name)
+            m.m_incarnation = self.m_incarnation;
+}
+
 }
 
 std::uint32_t connection_share(const share_right& right, std::uint32_t limit,
                                std::string_view endpoint)
 {
     const std::uint32_t reserved = monitors(right.m_epoch) + order_connections;
-    return share_by_right(right, limit - std::min(limit, reserved), endpoint);
+    share_right by_name = right;
+    take_place(by_name.m_epoch.m_members, right.m_self);
+    take_place(by_name.m_epoch.m_former, right.m_self);
+    return share_by_right(by_name, limit - std::min(limit, reserved), endpoint);
 }
 
 }
--- /dev/null
+++ b/Tests/decide/connection_share_test.cpp
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+#include <decide/connection_share.hpp>
+
+using namespace bluebellspoke;
+
+TEST_CASE("An endpoint's connections are divided among the fleet")
+{
+    constexpr std::uint32_t limit = 30;
+    share_right right;
+    right.m_settled = true;
+    for (const char* name : {"vm-1", "vm-2", "vm-3"})
+        right.m_epoch.m_members.push_back({name, 1, {}});
+
+    GIVEN("three daemons")
+    {
+        std::uint32_t sum = 0;
+        for (const fleet_member& m : right.m_epoch.m_members)
+        {
+            right.m_self = m;
+            sum += connection_share(right, limit, "e1");
+        }
+        THEN("their parts, a monitor each and one for orders are the limit")
+        {
+            REQUIRE(sum + 3 + 1 == limit);
+        }
+    }
+    GIVEN("a process that took another's place")
+    {
+        right.m_self = {"vm-2", 1, {}};
+        const std::uint32_t before = connection_share(right, limit, "e1");
+        right.m_self.m_incarnation = 2;
+        THEN("it has the same part")
+        {
+            REQUIRE(connection_share(right, limit, "e1") == before);
+        }
+    }
+    GIVEN("a daemon that the epoch doesn't name")
+    {
+        right.m_self = {"vm-9", 1, {}};
+        THEN("it has none")
+        {
+            REQUIRE(connection_share(right, limit, "e1") == 0);
+        }
+    }
+    GIVEN("more members than connections")
+    {
+        right.m_self = right.m_epoch.m_members.front();
+        THEN("nobody has any")
+        {
+            REQUIRE(connection_share(right, 2, "e1") == 0);
+        }
+    }
+}
