tests: Tell apart what a lost primary allows from what it forbids

An answer that was under way before the cut may still lengthen a standing that the front task saw end, so refused and not ready need not hold at the first refusal. Ruled out: readiness lagging the front, both get the end of the standing in the same message. The story now waits for both and then requires both twenty times over, which is stricter than one look.

The ward has one connection to the primary; the second write of the pair may find it taken, waits for a connection that a frozen endpoint never completes, was never handed over, and runs once on the new primary. That is allowed. The story now opens two connections first, so that both writes are handed over and the check stands as it was; the allowed case is a story of its own.

--- a/Tests/failover/doubt_test.cpp
+++ b/Tests/failover/doubt_test.cpp
@@ -18,6 +18,14 @@
     return body;
 }
 
+// A transaction keeps the first connection, so the read opens another.
+void open_two_connections(caller& c, session& s)
+{
+    const std::string id = c.send(begin_request(s)).json().at("transaction");
+    REQUIRE(run_statement(c, s, find_bear("box-0")).m_status == 200);
+    REQUIRE(c.send(end_request(s, id, "rollback")).m_status == 200);
+}
+
 std::size_t bears_in(caller& c, session& s, const std::string& box)
 {
     return run_statement(c, s, find_bear(box)).json().at("rows").size();
@@ -37,6 +45,7 @@
 
         WHEN("writes reach a primary that was just frozen")
         {
+            open_two_connections(clerk, w.m_clerk);
             json named = insert_bear("box-1", "r-1");
             json unnamed = insert_bear("box-2", "");
             std::vector<http2_request> both;
@@ -88,6 +97,37 @@
                 REQUIRE(replies[1].outcome() == "outcome_unknown");
             }
         }
+        WHEN("a write finds no connection to a primary that was just frozen")
+        {
+            const std::string id =
+                clerk.send(begin_request(w.m_clerk)).json().at("transaction");
+            primary.m_process->send_signal(SIGSTOP);
+            const reply waited =
+                run_statement(clerk, w.m_clerk, insert_bear("box-3", ""));
+
+            THEN("it was never handed over, and runs at most once elsewhere")
+            {
+                CAPTURE(waited.m_body);
+                const bool ran = waited.m_status == 200;
+                const bool not_run = waited.outcome() == "not_run";
+                REQUIRE(
+                    (ran || not_run || waited.outcome() == "outcome_unknown"));
+                REQUIRE(eventually(
+                    [&]
+                    {
+                        return run_statement(other, w.m_clerk,
+                                             find_bear("box-3"))
+                                   .m_status == 200;
+                    },
+                    failover_target));
+                const std::size_t found = bears_in(other, w.m_clerk, "box-3");
+                REQUIRE(found <= 1);
+                if (ran)
+                    REQUIRE(found == 1);
+                if (not_run)
+                    REQUIRE(found == 0);
+            }
+        }
     }
 }
 
--- a/Tests/failover/platform_away_test.cpp
+++ b/Tests/failover/platform_away_test.cpp
@@ -58,6 +58,8 @@
             sleeper.m_process->send_signal(SIGSTOP);
             REQUIRE(write_gap(clerk, w.m_clerk, "box-2") < failover_target);
             const auto primary = primary_seen_by(awake);
+            CAPTURE(dump_of(awake).dump());
+            REQUIRE(primary.has_value());
             sleeper.m_process->send_signal(SIGCONT);
 
             THEN("it changes nothing when it wakes")
@@ -68,6 +70,7 @@
                         return primary_seen_by(sleeper) == primary;
                     },
                     failover_target));
+                CAPTURE(dump_of(awake).dump(), dump_of(sleeper).dump());
                 REQUIRE(primary_seen_by(awake) == primary);
                 caller late(sleeper.m_callers);
                 REQUIRE(run_statement(late, w.m_clerk, find_bear("box-1"))
--- a/Tests/operators/standing_test.cpp
+++ b/Tests/operators/standing_test.cpp
@@ -17,6 +17,11 @@
     return true;
 }
 
+bool is_ready(const ward& w, std::size_t daemon)
+{
+    return admin_get(w.m_fleet.m_daemons[daemon], "/ready").m_status == 200;
+}
+
 bool is_refused(const reply& r)
 {
     const bool typed =
@@ -83,12 +88,18 @@
 
         THEN("it refuses, and says that nothing ran")
         {
+            // What was on its way before the cut may still lengthen its
+            // standing after a first refusal.
             REQUIRE(eventually(
                 [&]
                 {
-                    return is_refused(read_through(w, 0));
+                    return is_refused(read_through(w, 0)) && !is_ready(w, 0);
                 }));
-            REQUIRE(admin_get(f.m_daemons[0], "/ready").m_status == 503);
+            for (int i = 0; i < 20; ++i)
+            {
+                REQUIRE(is_refused(read_through(w, 0)));
+                REQUIRE_FALSE(is_ready(w, 0));
+            }
 
             AND_WHEN("it is joined again")
             {
