--- a/Tests/scenario/leaving_endpoint.lua
+++ b/Tests/scenario/leaving_endpoint.lua
@@ -82,3 +82,50 @@
     end)
     expect_no_new_work()
 end)
+
+section("a daemon is frozen while it happens", function()
+    freeze "vm-1"
+    set_leaving(true)
+    process.pause(limits.leaving)
+    thaw "vm-1"
+    -- Until it knows that its settings are current it refuses.
+    local served = 0
+    eventually(function()
+        marks = marks + 1
+        local mark = "mark-" .. marks .. "-end"
+        local said = send("vm-1", { key = clerk.key }, marked_read(mark))
+        expect(said.status == 200 or said.error == "configuration_stale",
+            describe(said))
+        expect(not process.seen(leaving, mark), "work reached " .. leaving)
+        served = served + (said.status == 200 and 1 or 0)
+        return served >= 30
+    end)
+end)
+
+section("the platform is slow, or loses the answer", function()
+    platform(pick { "slow", "lose_answers" }, 200)
+    local node = { kind = "service", endpoints = process.group_endpoints() }
+    for _, endpoint in ipairs(node.endpoints) do
+        endpoint.leaving = endpoint.name == leaving
+    end
+    process.ctl("put", "group", json_text(node))
+    platform "up"
+    expect_no_new_work()
+end)
+
+section("operators race each other's edits", function()
+    local words = {}
+    for i = 1, 6 do
+        local node = { kind = "service", endpoints = process.group_endpoints() }
+        for _, endpoint in ipairs(node.endpoints) do
+            endpoint.leaving = endpoint.name == leaving
+        end
+        words[i] = { "put", "group", json_text(node) }
+    end
+    local won = 0
+    for _, done in ipairs(process.race(words)) do
+        won = won + (done.code == 0 and 1 or 0)
+    end
+    expect(won > 0, "no edit was taken")
+    expect_no_new_work()
+end)
