standin: Keep an endpoint's fence, term and log across a restart

A killed endpoint that was started again came back as a fresh primary of term 1 with an empty log, which no real endpoint does (ENDPOINTS.md, 1 and 4), so no story could restart one. It is not synced to a disk: a killed process loses nothing that the kernel has, and machines are not stood in for.

--- a/Tests/scenario/language/processes.lua
+++ b/Tests/scenario/language/processes.lua
@@ -282,3 +282,55 @@
         parameters = { mark }, max_age_ms = 600000,
     }
 end
+
+-- An endpoint as a daemon knows it: role, fence and received, which is term
+-- and offset; an empty table while the daemon hears nothing of it.
+function endpoint_at(vm, name)
+    local dump = process.admin(vm, "/dump")
+    local group = dump.body and dump.body.tasks.pool.groups.group
+    return group and group[tonumber(name:match("%d+"))] or {}
+end
+
+-- The endpoint that leads as a daemon knows it, and its term.
+function primary_at(vm)
+    local dump = process.admin(vm, "/dump")
+    local leader, term = nil, 0
+    for i, e in ipairs(dump.body and dump.body.tasks.pool.groups.group or {}) do
+        if (e.fence or 0) > term then
+            leader, term = nil, e.fence
+        end
+        if e.role == "primary" and e.fence == term then
+            leader = "e" .. i
+        end
+    end
+    return leader, term
+end
+
+-- Waits within the target until a daemon knows a primary of a later term;
+-- returns its name and term.
+function await_promotion(vm, old_term)
+    local leader, term
+    eventually(function()
+        leader, term = primary_at(vm)
+        return leader and term > old_term
+    end, limits.failover, vm .. " knows no new primary")
+    return leader, term
+end
+
+-- Waits until an endpoint follows the group's primary and has what that had
+-- when first asked; the primary may go on writing.
+function await_following(vm, name)
+    local goal = { 0, 0 }
+    eventually(function()
+        local leader, term = primary_at(vm)
+        if not leader or leader == name then
+            return false
+        end
+        if goal[1] < term then
+            goal = endpoint_at(vm, leader).received or goal
+        end
+        local e = endpoint_at(vm, name)
+        return e.role == "replica" and e.fence == term and goal[1] == term
+            and e.received[1] == term and e.received[2] >= goal[2]
+    end, limits.failover, name .. " doesn't follow")
+end
--- a/Tests/standin/endpoint_replication.cpp
+++ b/Tests/standin/endpoint_replication.cpp
@@ -16,27 +16,6 @@
 
 constexpr milliseconds follow_retry{100};
 
-json to_json(const log_entry& entry)
-{
-    json changes = json::array();
-    for (const sql_change& c : entry.m_changes)
-        changes.push_back(
-            {static_cast<int>(c.m_kind), c.m_table, c.m_key, c.m_value});
-    return {{"term", entry.m_term}, {"changes", std::move(changes)}};
-}
-
-log_entry to_entry(const json& line)
-{
-    log_entry entry;
-    entry.m_term = line.at("term").get<std::uint64_t>();
-    for (const json& c : line.at("changes"))
-        entry.m_changes.push_back(
-            {static_cast<sql_change::kind>(c.at(0).get<int>()),
-             c.at(1).get<std::string>(), c.at(2).get<std::string>(),
-             c.at(3).get<std::string>()});
-    return entry;
-}
-
 void send_line(replica_link& link, const json& line)
 {
     const std::string text = line.dump() + "\n";
@@ -117,9 +96,15 @@
     }
 }
 
-void append_entry(endpoint_server& s, log_entry entry)
+void keep_entry(endpoint_server& s, log_entry entry)
 {
+    record_entry(s, entry);
     s.m_log.push_back(std::move(entry));
+}
+
+void append_entry(endpoint_server& s, log_entry entry)
+{
+    keep_entry(s, std::move(entry));
     ship_all(s);
     wake_waits(s);
 }
@@ -131,6 +116,7 @@
 {
     if (length >= s.m_log.size())
         return;
+    record_truncation(s, length);
     s.m_log.resize(length);
     s.m_data = {};
     for (const log_entry& entry : s.m_log)
--- a/Tests/standin/endpoint_server.cpp
+++ b/Tests/standin/endpoint_server.cpp
@@ -165,6 +165,19 @@
     s.m_sessions.push_back(std::move(made));
 }
 
+// The first start: as the flags say.
+void begin_anew(endpoint_server& s)
+{
+    if (s.m_options.m_follow)
+        follow(s, s.m_fence, to_string(*s.m_options.m_follow));
+    else
+    {
+        s.m_primary = true;
+        append_entry(s, {s.m_fence, {}});
+    }
+    record_place(s);
+}
+
 }
 
 endpoint_server::endpoint_server(loop& l, endpoint_options options)
@@ -184,13 +197,10 @@
     if (!m_listener)
         throw loop_error();
     m_local = local_address(evconnlistener_get_fd(m_listener.get()));
-    if (m_options.m_follow)
-        follow(*this, m_fence, to_string(*m_options.m_follow));
-    else
-    {
-        m_primary = true;
-        append_entry(*this, {m_fence, {}});
-    }
+    if (m_options.m_folder.empty() || !open_journal(*this, m_options.m_folder))
+        begin_anew(*this);
+    else if (!m_following.empty())
+        follow(*this, m_fence, m_following);
     m_heartbeat.start_periodic(heartbeat_period);
 }
 
--- a/Tests/standin/endpoint_server.hpp
+++ b/Tests/standin/endpoint_server.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <deque>
+#include <filesystem>
 #include <list>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 
 #include <model/address.hpp>
 #include <model/clock.hpp>
+#include <standin/endpoint_journal.hpp>
 #include <standin/sql_store.hpp>
 #include <task/loop.hpp>
 #include <wire/http2_transport.hpp>
@@ -30,6 +32,7 @@
     std::size_t m_slots = 5;
     std::size_t m_connections = 30;
     std::optional<address> m_follow; ///< Absent: starts as primary of term 1.
+    std::filesystem::path m_folder;  ///< Empty: a restart loses everything.
 };
 
 struct endpoint_session;
@@ -55,6 +58,7 @@
 
     loop& m_loop;
     endpoint_options m_options;
+    endpoint_journal m_journal;
     std::vector<log_entry> m_log; ///< Offset n is entry n - 1.
     sql_data m_data;
     bool m_primary = false;
--- a/Tests/standin/endpoint_session.hpp
+++ b/Tests/standin/endpoint_session.hpp
@@ -83,6 +83,8 @@
 // endpoint_replication.cpp
 /// Sends what the log has and a replica lacks.
 void ship_all(endpoint_server& s);
+/// Adds an entry to the log.
+void keep_entry(endpoint_server& s, log_entry entry);
 /// Adds an entry to the log, ships it, and wakes who waits for it.
 void append_entry(endpoint_server& s, log_entry entry);
 /// Ends the waits that the log or the fence has reached.
--- a/Tests/standin/endpoint_standin.cpp
+++ b/Tests/standin/endpoint_standin.cpp
@@ -25,6 +25,9 @@
                     1, 10'000},
         option_spec{"connections", option_type::count, "30", "connections", "",
                     1, 100'000},
+        option_spec{"folder", option_type::text, "none",
+                    "keeps its fence, term and log across a restart", "", 0,
+                    0},
     };
     try
     {
@@ -42,6 +45,8 @@
         o.m_connections = values.count("connections");
         if (values.text("follow") != "none")
             o.m_follow = parse_address(values.text("follow"));
+        if (values.text("folder") != "none")
+            o.m_folder = values.text("folder");
         loop l = make_loop();
         const standin::endpoint_server server(l, std::move(o));
         std::printf("%s\n", to_string(server.m_local).c_str());
--- a/Tests/standin/endpoint_statements.cpp
+++ b/Tests/standin/endpoint_statements.cpp
@@ -90,6 +90,7 @@
         s.m_candidate = candidate;
         s.m_primary = false;
         s.m_upstream.reset();
+        record_place(s);
         wake_waits(s);
     }
     sql_result result = state_row(s);
@@ -107,6 +108,7 @@
         s.m_primary = true;
         s.m_upstream.reset();
         append_entry(s, {term, {}});
+        record_place(s);
     }
     return state_row(s);
 }
@@ -119,6 +121,7 @@
     s.m_primary = false;
     s.m_fence = term;
     follow(s, term, upstream);
+    record_place(s);
     wake_waits(s);
     return state_row(s);
 }
@@ -181,7 +184,7 @@
         apply(data, changes.back());
     }
     if (!c.m_view)
-        c.m_server.m_log.push_back({term, std::move(changes)});
+        keep_entry(s, {term, std::move(changes)});
     else
         std::move(changes.begin(), changes.end(),
                   std::back_inserter(c.m_changes));
@@ -221,7 +224,7 @@
         }
         log_entry entry{s.m_fence, c.m_changes};
         apply(s.m_data, entry);
-        s.m_log.push_back(std::move(entry));
+        keep_entry(s, std::move(entry));
     }
     end_transaction(c);
     ship_all(s);
--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <filesystem>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -45,6 +46,8 @@
     e.m_name = "e" + std::to_string(index + 1);
     e.m_zone = zone_name(o, index);
     e.m_address = free_address();
+    const std::filesystem::path folder = f.m_kept.m_path / e.m_name;
+    std::filesystem::create_directory(folder);
     e.m_command = {TEST_ENDPOINT,
                    "--listen",
                    to_string(e.m_address),
@@ -55,7 +58,9 @@
                    "--service-us",
                    std::to_string(o.m_service_us),
                    "--lag-ms",
-                   std::to_string(o.m_lag_ms)};
+                   std::to_string(o.m_lag_ms),
+                   "--folder",
+                   folder.native()};
     if (index > 0)
     {
         e.m_command.emplace_back("--follow");
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -61,6 +61,7 @@
     explicit fleet(const fleet_options& options);
 
     fleet_options m_options;
+    scratch_folder m_kept; ///< What endpoints keep across a restart.
     address m_platform_address;
     std::unique_ptr<child_process> m_platform;
     std::vector<endpoint_node> m_endpoints;
