scenario: Lose the primary in every way, alone and beside another failure

Stories with real processes: the primary is killed, cut off, cut one way or the other, frozen, or leaves with writes under way, alone (primary_lost), while the platform is away, slow or loses answers (primary_lost_platform), and while a daemon is killed or frozen (primary_lost_daemon). Writes go on within 7 s, every recorded answer is held against the rows, and what comes back follows. The failovers of no_write_lost moved there: the same ways and writers, more of them, and the return of the old primary is checked too.

--- a/Tests/scenario/no_write_lost.lua
+++ b/Tests/scenario/no_write_lost.lua
@@ -1,4 +1,5 @@
--- No acknowledged write is lost or doubled.
+-- No acknowledged write is lost or doubled while the primary stays; the stories
+-- primary_lost* tell what becomes of them when it is lost.
 seeds = 2
 
 start { daemons = 3, lag_ms = pick { 0, 20 } }
@@ -89,47 +90,3 @@
         process.pause(300)
     end)
 end)
-
--- The writers go on until the group has a primary again.
-local function write_through_failover(hurt, mend)
-    write_while(function()
-        hurt()
-        eventually(function()
-            return send(pick(vms), { key = clerk.key },
-                insert("after", "failover", "after-failover"), 1500).status
-                == 200
-        end, limits.settled, "no daemon takes writes again")
-        if mend then
-            mend()
-        end
-        process.pause(500)
-    end)
-end
-
-section("the primary is killed", function()
-    write_through_failover(function() kill("e1") end)
-end)
-
-section("the primary is cut off and comes back", function()
-    local way = pick { "daemons <-> e1", "daemons -> e1", "e1 -> daemons" }
-    write_through_failover(function() cut(way) end, heal)
-end)
-
-section("the primary is frozen and comes back", function()
-    write_through_failover(function() freeze("e1") end,
-        function() thaw("e1") end)
-end)
-
-section("two at once: the primary is cut, a daemon is killed", function()
-    write_through_failover(function()
-        cut "daemons <-> e1"
-        kill("vm-3")
-    end, heal)
-end)
-
-section("two at once: the primary is killed, the platform is down", function()
-    write_through_failover(function()
-        platform(pick { "down", "silent" })
-        kill("e1")
-    end)
-end)
--- /dev/null
+++ b/Tests/scenario/primary_lost_platform.lua
@@ -0,0 +1,9 @@
+-- The primary is lost and the platform has troubles at the same time: writes go on
+-- within the target, none that was acknowledged is lost or doubled, none that
+-- was refused as not run has run, and what comes back follows.
+seeds = #platform_troubles
+
+start { daemons = 3, lag_ms = pick { 0, 20, 150 } }
+local clerk = open_workspace("ward", { rate = 10000, burst = 10000 })
+
+tell_primary_lost_beside(platform_troubles, clerk)
--- a/Tests/scenario/test_scenario.cpp
+++ b/Tests/scenario/test_scenario.cpp
@@ -31,7 +31,7 @@
     host.set("scenario", {{"story", story},
                           {"seed", values.count("seed")},
                           {"section", values.text("section")}});
-    for (const char* file : {"sections", "processes", "decisions"})
+    for (const char* file : {"sections", "processes", "failover", "decisions"})
         host.run(std::string(TEST_FOLDER "/language/") + file + ".lua");
     return host.run(TEST_FOLDER "/language/run.lua").get<int>();
 }
--- a/Tests/standin/endpoint_standin.cpp
+++ b/Tests/standin/endpoint_standin.cpp
@@ -26,8 +26,7 @@
         option_spec{"connections", option_type::count, "30", "connections", "",
                     1, 100'000},
         option_spec{"folder", option_type::text, "none",
-                    "keeps its fence, term and log across a restart", "", 0,
-                    0},
+                    "keeps its fence, term and log across a restart", "", 0, 0},
     };
     try
     {
