scenario: Tell sessions across a change of primary

replaced_primary gains sessions: each stands where its write was confirmed or where its primary stood when last asked, which a new term may never hold, and reads through any daemon, late views and cut answers included.

--- a/Tests/scenario/replaced_primary.lua
+++ b/Tests/scenario/replaced_primary.lua
@@ -1,11 +1,12 @@
--- No write is acknowledged by a primary that has been replaced, and no
--- acknowledged write is lost by a promotion: the decisions of acknowledgement
--- and election alone, against fake endpoints that keep what docs/ENDPOINTS.md
+-- No write is acknowledged by a primary that has been replaced, no acknowledged
+-- write is lost by a promotion, and each session sees its own across terms: the
+-- decisions of acknowledgement, election and routing alone, against fake endpoints that keep what docs/ENDPOINTS.md
 -- says, with answers that are late, cuts, freezes and racing daemons.
 seeds = 300
 
 local size = pick { 3, 3, 5 }
 local endpoints, daemons, acknowledged = {}, {}, {}
+local sessions = {} -- Each with the write that it must see, and its position.
 local now, next_id = 0, 0
 
 for i = 1, size do
@@ -95,11 +96,24 @@
     poll(d, k)
 end
 
+-- A session stands where its write was confirmed, or where its primary stood
+-- when it was last asked, which a new term may never hold.
+local function open_session(d, id, position)
+    local k = decide.find_primary(d.views)
+    local seen = k and d.views[k].state.received
+    if seen and seen.term == position.term and draw(2) == 1 then
+        position = { term = seen.term,
+            offset = math.max(seen.offset, position.offset) }
+    end
+    sessions[#sessions + 1] = { id = id, position = position }
+end
+
 local function acknowledge(d)
     for id, position in pairs(d.pending) do
         if decide.is_confirmed(d.views, position) then
             d.pending[id] = nil
             acknowledged[id] = true
+            open_session(d, id, position)
             local highest
             for _, e in ipairs(endpoints) do
                 if e.role == "primary"
@@ -120,6 +134,33 @@
     end
 end
 
+-- A session reads through any daemon; the state that comes with the answer is
+-- looked at again.
+local function read(d)
+    local s = #sessions > 0 and pick(sessions)
+    if not s then
+        return
+    end
+    local need = { session = s.position }
+    local chosen = decide.choose_endpoint(d.views, need, now)
+    local e = endpoints[chosen.endpoint]
+    if chosen.outcome ~= "run" or e.cut then
+        return
+    end
+    poll(d, chosen.endpoint)
+    local at_answer = { d.views[chosen.endpoint] }
+    if decide.choose_endpoint(at_answer, need, now).outcome ~= "run" then
+        return
+    end
+    for _, entry in ipairs(e.log) do
+        if entry.id == s.id then
+            return
+        end
+    end
+    expect(false, "a session of term " .. s.position.term
+        .. " did not see its write " .. s.id)
+end
+
 local function begin_election(d)
     local highest = d.tried
     for _, v in ipairs(d.views) do
@@ -199,6 +240,7 @@
     if d.frozen then
         return
     end
+    read(d)
     local what = draw(12)
     if what <= 4 then
         poll(d, draw(size))
@@ -248,4 +290,9 @@
     end
     expect(leader, "nobody leads")
     holds_all_acknowledged(endpoints[leader].log)
+    for _, s in ipairs(sessions) do
+        local chosen = decide.choose_endpoint(d.views,
+            { session = s.position }, now)
+        expect_equal(chosen.outcome, "run", "a session's read")
+    end
 end)
