--- a/Tests/scenario/language/processes.lua
+++ b/Tests/scenario/language/processes.lua
@@ -229,9 +229,10 @@
 -- Checks a background writer's record against the rows that there are at the
 -- end: none lost, none doubled, none that "not run" denied.
 function check_record(vm, session, table_name, record)
-    local counts = { acknowledged = 0, not_run = 0, unknown = 0 }
+    local counts = { acknowledged = 0, not_run = 0, unknown = 0, cut = 0 }
     for _, one in ipairs(record) do
         counts[one.fate] = counts[one.fate] + 1
+        counts.cut = counts.cut + (one.cut and 1 or 0)
         local asked = {
             statement = "select count(*) from " .. table_name
                 .. " where key = $1",
--- a/Tests/scenario/process_verbs.cpp
+++ b/Tests/scenario/process_verbs.cpp
@@ -333,7 +333,8 @@
             {{"row", one.m_row},
              {"fate", fates.at(static_cast<std::size_t>(one.m_fate))},
              {"stale", one.m_stale},
-             {"mixed", one.m_mixed}});
+             {"mixed", one.m_mixed},
+             {"cut", one.m_cut}});
     w.m_writers.erase(writer);
     return record;
 }
--- a/Tests/support/background_writer.cpp
+++ b/Tests/support/background_writer.cpp
@@ -129,6 +129,8 @@
             end_one(s);
         return;
     }
+    written.m_cut =
+        written.m_cut || r.m_failure == http2_failure::connection_lost;
     // Once an attempt was left unknown, a later "not run" is of that attempt
     // alone.
     const bool none_ran =
@@ -171,7 +173,7 @@
 {
     const std::size_t index = m_record.size();
     m_record.push_back({m_options.m_table + "-" + std::to_string(index),
-                        write_fate::waiting, false, false});
+                        write_fate::waiting, false, false, false});
     ++m_under_way;
     send_write(*this, index, 0);
 }
--- a/Tests/support/background_writer.hpp
+++ b/Tests/support/background_writer.hpp
@@ -38,6 +38,7 @@
     write_fate m_fate = write_fate::waiting;
     bool m_stale = false; ///< Read back in its session, and not seen.
     bool m_mixed = false; ///< Read back, and another row's value came.
+    bool m_cut = false;   ///< Its connection ended before the answer.
 };
 
 /// Writes rows at a steady pace, whatever becomes of those before, and records
