load: Count the instructions a statement costs in a daemon

Scripts/instructions runs a daemon under callgrind for 1000 and for 5000 reads of 64 callers and gives the slope, by task and function, so that the start cancels. It counts what other work on the machine can't disturb; the kernel's own instructions aren't in it, so system calls are counted beside.

The fixture of the tests can start daemons under another program for this.

--- a/Tests/support/fleet.cpp
+++ b/Tests/support/fleet.cpp
@@ -105,6 +105,8 @@
                    to_string(d.m_peers),
                    "--admin-listen",
                    to_string(d.m_admin)};
+    const auto& runner = f.m_options.m_daemon_runner;
+    d.m_command.insert(d.m_command.begin(), runner.begin(), runner.end());
     const auto& flags = f.m_options.m_daemon_flags;
     d.m_command.insert(d.m_command.end(), flags.begin(), flags.end());
     if (f.m_options.m_authority != nullptr)
--- a/Tests/support/fleet.hpp
+++ b/Tests/support/fleet.hpp
@@ -52,6 +52,8 @@
     const test_authority* m_authority = nullptr;  ///< Absent: no TLS.
     std::vector<std::string> m_daemon_flags = {}; ///< Further ones.
     bool m_relays = false; ///< Put relays before the stand-ins.
+    /// A program that runs the daemons, as a profiler does, and its words.
+    std::vector<std::string> m_daemon_runner = {};
 };
 
 /// The whole system on loopback: a platform, one database group named "group"
--- a/Tools/load/direct_comparison.cpp
+++ b/Tools/load/direct_comparison.cpp
@@ -6,6 +6,7 @@
 
 #include <endpoint/endpoint_sql.hpp>
 #include <endpoint/pg_connection.hpp>
+#include <load/plain_read.hpp>
 #include <support/fleet.hpp>
 
 namespace bluebellspoke::load
@@ -18,7 +19,6 @@
 using std::chrono::microseconds;
 
 constexpr std::size_t tool_threads = 4;
-constexpr const char* plain_read = "select value from bears where key = 'a'";
 
 /// What one way of asking gave.
 struct way
@@ -193,26 +193,6 @@
             {"p99_us", quantile(w.m_times, 0.99)}};
 }
 
-http2_request proxied_read(const support::fleet& f)
-{
-    support::put_node(f, "load",
-                      {{"kind", "workspace"},
-                       {"service", "group"},
-                       {"rate", 1'000'000},
-                       {"burst", 1'000'000}});
-    const support::session s{support::grant_key(f, "load", "load"), {}};
-    http2_request request =
-        support::statement_request(s, {{"statement", plain_read}});
-    support::caller c(f.m_daemons.front().m_callers);
-    if (!support::eventually(
-            [&]
-            {
-                return c.send(request).m_status == 200;
-            }))
-        throw support::spawn_error();
-    return request;
-}
-
 }
 
 json compare_with_direct(const comparison_options& options)
@@ -226,7 +206,7 @@
     o.m_service_us = options.m_service_us;
     o.m_daemon_flags = options.m_daemon_flags;
     const support::fleet f(o);
-    const http2_request request = proxied_read(f);
+    const http2_request request = make_proxied_read(f);
     way direct;
     way proxy;
     for (unsigned round = 0; round < options.m_rounds; ++round)
--- a/Tools/load/main.cpp
+++ b/Tools/load/main.cpp
@@ -5,6 +5,7 @@
 #include <span>
 
 #include <load/direct_comparison.hpp>
+#include <load/instructions.hpp>
 #include <load/load_player.hpp>
 #include <load/measures.hpp>
 #include <load/slopes.hpp>
@@ -26,6 +27,8 @@
                 1, 600},
     option_spec{"service-us", option_type::count, "0",
                 "one statement's time at the endpoint", "us", 0, 1'000'000},
+    option_spec{"profiles", option_type::text, "none",
+                "folder for the profiles that instructions takes", "", 0, 0},
     option_spec{"plot", option_type::text, "none", "file for an SVG plot", "",
                 0, 0},
 };
@@ -59,6 +62,15 @@
         print(compare_with_direct(o));
         return 0;
     }
+    if (words.size() == 1 && words[0] == "instructions")
+    {
+        instruction_options o;
+        o.m_callers = values.count("callers");
+        if (values.text("profiles") != "none")
+            o.m_keep = values.text("profiles");
+        print(count_instructions(o));
+        return 0;
+    }
     if (!words.empty() && words.size() <= 2 && words[0] == "measures")
     {
         const nlohmann::json measures =
@@ -72,7 +84,8 @@
         print(run_slopes(words.size() == 2 ? words[1] : std::string()));
         return 0;
     }
-    std::fputs("commands: play FILE, direct, measures [NAME], slopes [NAME]\n",
+    std::fputs("commands: play FILE, direct, instructions, measures [NAME], "
+               "slopes [NAME]\n",
                stderr);
     return exit_usage;
 }
