session tokens: Keep the keyed HMAC of each secret

The keyed state is now made when the secrets arrive and begun anew for each token; opening a token gains the same. A failure of the library is an exception, where it was an all-zero tag before.

Ruled out: remembering the last token of a workspace, which helps only between two writes.

--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -103,8 +103,8 @@
         find_header(request.m_headers, session_header);
     if (token.empty())
         return std::nullopt;
-    const auto position =
-        open_session(token, workspace.m_name, workspace.m_service, f.m_secrets);
+    const auto position = open_session(token, workspace.m_name,
+                                       workspace.m_service, f.m_session_keys);
     if (!position)
         throw refused(refusal::foreign_session);
     return position;
@@ -128,7 +128,7 @@
         position = std::max(position, *outcome.m_session);
     const workspace_view& workspace = *outcome.m_context.m_workspace;
     return seal_session({workspace.m_name, workspace.m_service, position},
-                        f.m_secrets.front());
+                        f.m_session_keys);
 }
 
 http2_response encode_outcome(const front_state& f,
@@ -168,7 +168,8 @@
         throw refused(refusal::body_too_large);
     // The time decides, not the last message: the control task may be late.
     const time_point now = monotonic_clock::now();
-    if (!f.m_settings || f.m_secrets.empty() || now > f.m_standing_until)
+    if (!f.m_settings || f.m_session_keys.m_newest_first.empty() ||
+        now > f.m_standing_until)
         throw refused(refusal::configuration_stale);
     requested r = parse_request(arrived.m_request);
     // What belongs to a transaction under way is let through to its end.
--- a/Source/daemon/front_state.hpp
+++ b/Source/daemon/front_state.hpp
@@ -9,6 +9,7 @@
 #include <daemon/front_metrics.hpp>
 #include <daemon/front_shares.hpp>
 #include <daemon/messages.hpp>
+#include <decide/session_token.hpp>
 #include <wire/http2_server.hpp>
 
 namespace bluebellspoke
@@ -24,7 +25,7 @@
     loop m_loop;
     std::unique_ptr<http2_server> m_server;
     settings_view_ptr m_settings;
-    std::vector<std::string> m_secrets;
+    session_keys m_session_keys{{}};
     front_rates m_rates;
     bool m_draining = false;
     timer m_tick; ///< While rates have something to do.
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -51,7 +51,7 @@
             },
             [&](session_secrets& m)
             {
-                f.m_secrets = std::move(m.m_secrets);
+                f.m_session_keys = session_keys(m.m_secrets);
             },
             [&](tls_changed& m)
             {
--- a/Source/decide/session_token.cpp
+++ b/Source/decide/session_token.cpp
@@ -4,11 +4,10 @@
 #include <charconv>
 #include <cstdint>
 
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
-
-#include <decide/sha256_algorithm.hpp>
+#include <openssl/params.h>
 
 namespace bluebellspoke
 {
@@ -26,8 +25,13 @@
 void append_hex(std::string& out, std::uint64_t value)
 {
     constexpr unsigned bits_per_digit = 4;
-    for (std::size_t i = number_digits; i-- > 0;)
-        out.push_back(hex_digits[value >> (i * bits_per_digit) & 0xfU]);
+    std::array<char, number_digits> digits{};
+    for (auto digit = digits.rbegin(); digit != digits.rend(); ++digit)
+    {
+        *digit = hex_digits[value & 0xfU];
+        value >>= bits_per_digit;
+    }
+    out.append(digits.data(), digits.size());
 }
 
 std::optional<std::uint64_t> read_hex(std::string_view text)
@@ -40,26 +44,60 @@
     return value;
 }
 
+void append_hex(std::string& out, std::span<const unsigned char> bytes)
+{
+    for (const unsigned char byte : bytes)
+    {
+        out.push_back(hex_digits[byte >> 4U]);
+        out.push_back(hex_digits[byte & 0xfU]);
+    }
+}
+
+// Looked up once, and hashing its pads once a secret: both cost more than the
+// token's own bytes.
+mac_context_ptr make_mac_context(std::string_view secret)
+{
+    EVP_MAC* algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    mac_context_ptr context(EVP_MAC_CTX_new(algorithm));
+    EVP_MAC_free(algorithm);
+    if (!context)
+        throw session_key_error();
+    std::string digest = "SHA256";
+    const std::array parameters{
+        OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(),
+                                         digest.size()),
+        OSSL_PARAM_construct_end()};
+    if (EVP_MAC_init(context.get(),
+                     reinterpret_cast<const unsigned char*>(secret.data()),
+                     secret.size(), parameters.data()) != 1)
+        throw session_key_error();
+    return context;
+}
+
 // The lengths go in first, so that no two pairs of names sign alike.
 std::string tag_of(std::string_view body, std::string_view workspace,
-                   std::string_view group, std::string_view secret)
+                   std::string_view group, EVP_MAC_CTX* key)
 {
     std::string signed_text;
+    signed_text.reserve(2 * number_digits + workspace.size() + group.size() +
+                        body.size());
     append_hex(signed_text, workspace.size());
     append_hex(signed_text, group.size());
     signed_text.append(workspace).append(group).append(body);
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned length = 0;
-    HMAC(sha256_algorithm(), secret.data(), static_cast<int>(secret.size()),
-         reinterpret_cast<const unsigned char*>(signed_text.data()),
-         signed_text.size(), digest.data(), &length);
+    std::size_t length = 0;
+    // Without a key it starts anew with the one it has.
+    const bool done =
+        EVP_MAC_init(key, nullptr, 0, nullptr) == 1 &&
+        EVP_MAC_update(
+            key, reinterpret_cast<const unsigned char*>(signed_text.data()),
+            signed_text.size()) == 1 &&
+        EVP_MAC_final(key, digest.data(), &length, digest.size()) == 1;
+    if (!done)
+        throw session_key_error();
     std::string tag;
     tag.reserve(tag_digits);
-    for (std::size_t i = 0; i < tag_bytes; ++i)
-    {
-        tag.push_back(hex_digits[digest[i] >> 4U]);
-        tag.push_back(hex_digits[digest[i] & 0xfU]);
-    }
+    append_hex(tag, std::span(digest).first(tag_bytes));
     return tag;
 }
 
@@ -71,28 +109,47 @@
 
 }
 
-std::string seal_session(const session_mark& mark, std::string_view secret)
+const char* session_key_error::what() const noexcept
+{
+    return "session tokens can't be signed";
+}
+
+session_keys::session_keys(std::span<const std::string> secrets)
+{
+    m_newest_first.reserve(secrets.size());
+    for (const std::string& secret : secrets)
+        m_newest_first.push_back(make_mac_context(secret));
+}
+
+std::string seal_session(const session_mark& mark, const session_keys& keys)
 {
     std::string token;
     token.reserve(token_digits);
     append_hex(token, mark.m_position.m_term);
     append_hex(token, mark.m_position.m_offset);
-    token.append(tag_of(token, mark.m_workspace, mark.m_group, secret));
+    token.append(tag_of(token, mark.m_workspace, mark.m_group,
+                        keys.m_newest_first.front().get()));
     return token;
 }
 
+std::string seal_session(const session_mark& mark, std::string_view secret)
+{
+    const std::array secrets{std::string(secret)};
+    return seal_session(mark, session_keys(secrets));
+}
+
 std::optional<log_position> open_session(std::string_view token,
                                          std::string_view workspace,
                                          std::string_view group,
-                                         std::span<const std::string> secrets)
+                                         const session_keys& keys)
 {
     if (token.size() != token_digits)
         return std::nullopt;
     const std::string_view body = token.substr(0, 2 * number_digits);
     const std::string_view tag = token.substr(2 * number_digits);
-    for (const std::string& secret : secrets)
+    for (const mac_context_ptr& key : keys.m_newest_first)
     {
-        if (!same(tag, tag_of(body, workspace, group, secret)))
+        if (!same(tag, tag_of(body, workspace, group, key.get())))
             continue;
         const auto term = read_hex(body.substr(0, number_digits));
         const auto offset = read_hex(body.substr(number_digits));
@@ -103,4 +160,12 @@
     return std::nullopt;
 }
 
+std::optional<log_position> open_session(std::string_view token,
+                                         std::string_view workspace,
+                                         std::string_view group,
+                                         std::span<const std::string> secrets)
+{
+    return open_session(token, workspace, group, session_keys(secrets));
+}
+
 }
