wire: Write and read a server's sockets without a buffer between

An answer went into the stream's buffer, whose write event came and went with it: two epoll_ctl and a turn of the loop before the write; a request was read after an ioctl that asked for its length. In the clear, the server now sends at once what the socket takes and reads into a buffer of its own; TLS, and whatever the socket doesn't take, go by the stream as before. A client does the same once it is connected, and not sooner: until then, nothing sent means not_sent. Answers to several requests of one connection still go out together, at the end of the loop's turn.

--- a/Source/wire/http2_client.cpp
+++ b/Source/wire/http2_client.cpp
@@ -83,6 +83,7 @@
     const http2_failure reason = s.m_connected ? http2_failure::connection_lost
                                                : http2_failure::not_sent;
     s.m_connected = false;
+    s.m_transport.m_direct = false;
     s.m_connect_limit.cancel();
     s.m_transport.m_session.reset();
     s.m_transport.m_stream.reset();
@@ -195,6 +196,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0)
     {
         s.m_connected = true;
+        s.m_transport.m_direct = is_in_the_clear(stream);
         s.m_connect_limit.cancel();
         set_no_delay(bufferevent_getfd(stream));
         return;
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -1,6 +1,9 @@
 #include <wire/http2_server.hpp>
 
 #include <array>
+#include <cerrno>
+#include <iterator>
+#include <span>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -41,12 +44,16 @@
     http2_body m_body;
 };
 
-struct connection
+using unsent_hook =
+    intrusive::list_base_hook<intrusive::link_mode<intrusive::auto_unlink>>;
+
+struct connection : unsent_hook
 {
     http2_server::state* m_server = nullptr;
     connection_id m_id = 0;
     std::size_t m_slot = 0;
     http2_transport m_transport;
+    event_ptr m_input; ///< In the clear; TLS reads by its stream.
     intrusive::list<server_stream, intrusive::constant_time_size<false>>
         m_streams;
     bool m_doomed = false;
@@ -87,6 +94,11 @@
     std::size_t m_open_exchanges = 0;
     std::unique_ptr<timer> m_sweep; ///< Ends retiring connections.
     tls_context_ptr m_tls;
+    /// Connections with answers that this turn of the loop still gathers.
+    intrusive::list<connection, intrusive::base_hook<unsent_hook>,
+                    intrusive::constant_time_size<false>>
+        m_unsent;
+    event_ptr m_turn_end;
 };
 
 namespace
@@ -152,6 +164,37 @@
         drop_connection(c);
 }
 
+void send_unsent(evutil_socket_t, short, void* user)
+{
+    auto& s = *static_cast<server_state*>(user);
+    while (!s.m_unsent.empty())
+    {
+        connection& c = s.m_unsent.front();
+        s.m_unsent.pop_front();
+        pump_or_drop(c);
+    }
+}
+
+bool has_several_streams(const connection& c)
+{
+    return !c.m_streams.empty() &&
+           std::next(c.m_streams.begin()) != c.m_streams.end();
+}
+
+// A caller that waits for one answer gets it at once. Those of a connection
+// with several requests go out together at the end of the loop's turn.
+void send_answer(connection& c)
+{
+    if (!has_several_streams(c))
+    {
+        pump_or_drop(c);
+        return;
+    }
+    if (!c.unsent_hook::is_linked())
+        c.m_server->m_unsent.push_back(c);
+    event_active(c.m_server->m_turn_end.get(), EV_TIMEOUT, 0);
+}
+
 constexpr std::chrono::milliseconds sweep_period{50};
 
 // The notice lets requests that were on their way still arrive. Once none is
@@ -322,6 +365,37 @@
         drop_connection(c);
 }
 
+// Read here, input needs no buffer of the stream and no call that asks for its
+// length first.
+void on_input(evutil_socket_t descriptor, short, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    constexpr std::size_t most_at_once = 16384;
+    std::array<std::uint8_t, most_at_once> bytes;
+    const ssize_t count =
+        recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    if (count <= 0)
+    {
+        drop_connection(c);
+        return;
+    }
+    if (!feed(c.m_transport,
+              std::span(bytes).first(static_cast<std::size_t>(count))))
+        c.m_doomed = true;
+    pump_or_drop(c);
+}
+
+void watch_input(connection& c, int descriptor)
+{
+    c.m_input.reset(event_new(c.m_server->m_loop.m_base.get(), descriptor,
+                              EV_READ | EV_PERSIST, on_input, &c));
+    if (!c.m_input)
+        throw loop_error();
+    event_add(c.m_input.get(), nullptr);
+}
+
 std::size_t take_slot(server_state& s)
 {
     if (s.m_free.empty())
@@ -357,8 +431,13 @@
         make_http2_session(http2_side::server, s.m_callbacks.get(), &c,
                            s.m_limits.m_streams_per_connection);
     bufferevent* stream = c.m_transport.m_stream.get();
+    c.m_transport.m_direct = is_in_the_clear(stream);
     bufferevent_setcb(stream, on_readable, on_flushed, on_socket_event, &c);
-    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    if (c.m_transport.m_direct)
+        watch_input(c, descriptor);
+    else
+        bufferevent_enable(stream, EV_READ);
+    bufferevent_enable(stream, EV_WRITE);
     s.m_slots[slot].m_connection = std::move(made);
     ++s.m_open_connections;
     pump_or_drop(c);
@@ -374,9 +453,25 @@
 http2_server::http2_server(loop& l, const address& listen,
                            http2_server_limits limits,
                            http2_server_handlers handlers)
-    : m_state(std::make_unique<state>(state{
-          l, limits, std::move(handlers), {}, {}, {}, {}, {}, 0, 0, {}, {}}))
-{
+    : m_state(std::make_unique<state>(state{l,
+                                            limits,
+                                            std::move(handlers),
+                                            {},
+                                            {},
+                                            {},
+                                            {},
+                                            {},
+                                            0,
+                                            0,
+                                            {},
+                                            {},
+                                            {},
+                                            {}}))
+{
+    m_state->m_turn_end.reset(
+        event_new(l.m_base.get(), -1, 0, send_unsent, m_state.get()));
+    if (!m_state->m_turn_end)
+        throw loop_error();
     m_state->m_sweep = std::make_unique<timer>(l,
                                                [this]
                                                {
@@ -427,7 +522,7 @@
     nghttp2_submit_response(c->m_transport.m_session.get(), exchange.m_stream,
                             fields.data(), fields.size(),
                             has_body ? &provider : nullptr);
-    pump_or_drop(*c);
+    send_answer(*c);
     return true;
 }
 
--- a/Source/wire/http2_transport.cpp
+++ b/Source/wire/http2_transport.cpp
@@ -20,6 +20,7 @@
 constexpr int stream_options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
 constexpr std::uint32_t connection_window_bytes = 4U << 20U;
 constexpr std::uint32_t stream_window_bytes = 1U << 20U;
+constexpr std::size_t gathered_bytes = 4096;
 
 nghttp2_nv to_field(const std::pair<std::string, std::string>& header)
 {
@@ -49,6 +50,55 @@
     return static_cast<ssize_t>(count);
 }
 
+// What the socket doesn't take now, the stream sends later; it also reports a
+// socket that is broken. A write event for each answer, as the stream alone
+// needs, costs three more system calls.
+void write_out(http2_transport& t, std::span<const std::uint8_t> bytes)
+{
+    evbuffer* output = bufferevent_get_output(t.m_stream.get());
+    if (t.m_direct && evbuffer_get_length(output) == 0)
+    {
+        const ssize_t sent =
+            send(bufferevent_getfd(t.m_stream.get()), bytes.data(),
+                 bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent > 0)
+            bytes = bytes.subspan(static_cast<std::size_t>(sent));
+    }
+    if (!bytes.empty())
+        evbuffer_add(output, bytes.data(), bytes.size());
+}
+
+/// Gathers frames, so that an answer's headers and body go out in one piece.
+struct outgoing
+{
+    // The bytes stay as they are: clearing them would cost more than the rest.
+    explicit outgoing(http2_transport& t) : m_transport(t) {}
+
+    http2_transport& m_transport;
+    std::size_t m_used = 0;
+    std::array<std::uint8_t, gathered_bytes> m_bytes;
+
+    void flush()
+    {
+        if (m_used > 0)
+            write_out(m_transport, std::span(m_bytes).first(m_used));
+        m_used = 0;
+    }
+
+    void append(std::span<const std::uint8_t> frame)
+    {
+        if (frame.size() > m_bytes.size() - m_used)
+            flush();
+        if (frame.size() > m_bytes.size())
+        {
+            write_out(m_transport, frame);
+            return;
+        }
+        std::memcpy(m_bytes.data() + m_used, frame.data(), frame.size());
+        m_used += frame.size();
+    }
+};
+
 }
 
 const char* http2_error::what() const noexcept
@@ -100,6 +150,11 @@
     return stream;
 }
 
+bool is_in_the_clear(bufferevent* stream) noexcept
+{
+    return bufferevent_openssl_get_ssl(stream) == nullptr;
+}
+
 http2_callbacks_ptr make_http2_callbacks()
 {
     nghttp2_session_callbacks* callbacks = nullptr;
@@ -133,31 +188,31 @@
     return result;
 }
 
-bool feed(http2_transport& t)
+bool feed(http2_transport& t, std::span<const std::uint8_t> bytes)
 {
-    evbuffer* input = bufferevent_get_input(t.m_stream.get());
     t.m_feeding = true;
-    bool sound = true;
-    while (sound && evbuffer_get_length(input) > 0)
-    {
-        const std::size_t length = evbuffer_get_contiguous_space(input);
-        const std::uint8_t* bytes =
-            evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
-        const ssize_t taken =
-            nghttp2_session_mem_recv(t.m_session.get(), bytes, length);
-        sound = taken >= 0;
-        if (sound)
-            evbuffer_drain(input, static_cast<std::size_t>(taken));
-    }
+    const ssize_t taken =
+        nghttp2_session_mem_recv(t.m_session.get(), bytes.data(), bytes.size());
     t.m_feeding = false;
-    return pump(t) && sound;
+    return pump(t) && taken >= 0;
+}
+
+bool feed(http2_transport& t)
+{
+    evbuffer* input = bufferevent_get_input(t.m_stream.get());
+    const std::size_t length = evbuffer_get_length(input);
+    const std::uint8_t* bytes =
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+    const bool sound = feed(t, std::span(bytes, length));
+    evbuffer_drain(input, length);
+    return sound;
 }
 
 bool pump(http2_transport& t)
 {
     if (t.m_feeding)
         return true;
-    evbuffer* output = bufferevent_get_output(t.m_stream.get());
+    outgoing out(t);
     for (;;)
     {
         const std::uint8_t* bytes = nullptr;
@@ -167,8 +222,9 @@
             return false;
         if (length == 0)
             break;
-        evbuffer_add(output, bytes, static_cast<std::size_t>(length));
+        out.append({bytes, static_cast<std::size_t>(length)});
     }
+    out.flush();
     return nghttp2_session_want_read(t.m_session.get()) != 0 ||
            nghttp2_session_want_write(t.m_session.get()) != 0;
 }
--- a/Source/wire/http2_transport.hpp
+++ b/Source/wire/http2_transport.hpp
@@ -3,6 +3,7 @@
 
 #include <exception>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     bufferevent_ptr m_stream;
     http2_session_ptr m_session;
     bool m_feeding = false;
+    /// Connected and in the clear: the socket may be written at once.
+    bool m_direct = false;
 };
 
 /// A body on its way out, as a data provider reads it.
@@ -70,6 +73,9 @@
 bufferevent_ptr make_client_stream(loop& l, const std::string& host,
                                    const tls_context_ptr& tls);
 
+/// True unless the stream speaks TLS.
+bool is_in_the_clear(bufferevent* stream) noexcept;
+
 /// Throws http2_error.
 http2_session_ptr make_http2_session(http2_side side,
                                      nghttp2_session_callbacks* callbacks,
@@ -78,6 +84,7 @@
 
 /// Passes what has arrived to the session. Returns false when it is broken.
 bool feed(http2_transport& t);
+bool feed(http2_transport& t, std::span<const std::uint8_t> bytes);
 /// Passes what the session wants sent to the socket, unless feed() is under
 /// way, which ends by doing so. Returns false when the connection is over.
 bool pump(http2_transport& t);
