front: Read a statement without a JSON tree

The tree's maps and values were made only to be walked once and freed. The statement is now filled by the library's event parser. What is taken and refused stays the same, but for two bodies that no client means: of two bad fields the first in the text is named, not the first by the alphabet, and a field given twice is refused when either is bad. A body that is no JSON is still told apart from one with a bad field. The test grew by the cases that the tree had answered by itself.

--- a/Source/front/statement_codec.cpp
+++ b/Source/front/statement_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -15,7 +16,7 @@
 using nlohmann::json;
 
 constexpr std::size_t max_request_id_bytes = 128;
-constexpr std::uint64_t max_milliseconds = 600'000;
+constexpr std::int64_t max_milliseconds = 600'000;
 
 [[noreturn]] void malformed(std::string_view field)
 {
@@ -23,74 +24,161 @@
                   std::string(field));
 }
 
-sql_value to_value(const json& value)
+bool read_text(std::string& out, sql_value& value)
 {
-    if (value.is_null())
-        return std::monostate();
-    if (value.is_boolean())
-        return value.get<bool>();
-    if (value.is_number_unsigned() &&
-        value.get<std::uint64_t>() >
-            static_cast<std::uint64_t>(
-                std::numeric_limits<std::int64_t>::max()))
-        malformed("parameters");
-    if (value.is_number_integer())
-        return value.get<std::int64_t>();
-    if (value.is_number_float())
-        return value.get<double>();
-    if (value.is_string())
-        return value.get<std::string>();
-    malformed("parameters");
+    auto* text = std::get_if<std::string>(&value);
+    if (text != nullptr)
+        out = std::move(*text);
+    return text != nullptr;
 }
 
-const std::string& text_of(const json& value, std::string_view field)
+bool read_milliseconds(duration& out, const sql_value& value)
 {
-    if (!value.is_string())
-        malformed(field);
-    return value.get_ref<const std::string&>();
+    const auto* number = std::get_if<std::int64_t>(&value);
+    if (number == nullptr || *number < 0 || *number > max_milliseconds)
+        return false;
+    out = std::chrono::milliseconds(*number);
+    return true;
 }
 
-duration milliseconds_of(const json& value, std::string_view field)
+bool read_kind(statement_kind& out, const sql_value& value)
 {
-    if (!value.is_number_unsigned() ||
-        value.get<std::uint64_t>() > max_milliseconds)
-        malformed(field);
-    return std::chrono::milliseconds(value.get<std::uint64_t>());
+    const auto* text = std::get_if<std::string>(&value);
+    if (text == nullptr || (*text != "read" && *text != "write"))
+        return false;
+    out = *text == "read" ? statement_kind::read : statement_kind::write;
+    return true;
 }
 
-statement_kind kind_of(const json& value)
+bool read_truth(bool& out, const sql_value& value)
 {
-    const std::string& text = text_of(value, "kind");
-    if (text == "read")
-        return statement_kind::read;
-    if (text == "write")
-        return statement_kind::write;
-    malformed("kind");
+    const auto* truth = std::get_if<bool>(&value);
+    if (truth != nullptr)
+        out = *truth;
+    return truth != nullptr;
 }
 
-void read_field(statement& s, const std::string& field, const json& value)
+/// Returns false when there is no such field or it takes no such value.
+bool read_field(statement& s, std::string_view field, sql_value& value)
 {
     if (field == "statement")
-        s.m_text = text_of(value, field);
-    else if (field == "kind")
-        s.m_kind = kind_of(value);
-    else if (field == "request_id")
-        s.m_request_id = text_of(value, field);
-    else if (field == "transaction")
-        s.m_transaction = text_of(value, field);
-    else if (field == "repeatable" && value.is_boolean())
-        s.m_repeatable = value.get<bool>();
-    else if (field == "max_age_ms")
-        s.m_max_age = milliseconds_of(value, field);
-    else if (field == "time_limit_ms")
-        s.m_time_limit = milliseconds_of(value, field);
-    else if (field == "parameters" && value.is_array())
-        for (const json& parameter : value)
-            s.m_parameters.push_back(to_value(parameter));
-    else
-        malformed(field);
+        return read_text(s.m_text, value);
+    if (field == "kind")
+        return read_kind(s.m_kind, value);
+    if (field == "request_id")
+        return read_text(s.m_request_id, value);
+    if (field == "transaction")
+        return read_text(s.m_transaction, value);
+    if (field == "repeatable")
+        return read_truth(s.m_repeatable, value);
+    if (field == "max_age_ms")
+        return read_milliseconds(s.m_max_age.emplace(), value);
+    if (field == "time_limit_ms")
+        return read_milliseconds(s.m_time_limit, value);
+    return false;
 }
 
+// A statement is filled while its JSON is read, without a tree of it between.
+// The library calls the functions by these names; each returns true to go on,
+// so that a body that is no JSON is told apart from one with a bad field.
+struct statement_reader
+{
+    static constexpr std::size_t field_depth = 1;
+    static constexpr std::size_t parameter_depth = 2;
+
+    statement m_statement;
+    std::string m_field;
+    std::optional<std::string> m_fault; ///< The first bad field.
+    std::size_t m_depth = 0;
+
+    void blame(std::string_view field)
+    {
+        if (!m_fault)
+            m_fault = field;
+    }
+
+    bool take(sql_value value)
+    {
+        if (m_depth == 0)
+            blame("body");
+        else if (m_depth == field_depth &&
+                 !read_field(m_statement, m_field, value))
+            blame(m_field);
+        else if (m_depth == parameter_depth)
+            m_statement.m_parameters.push_back(std::move(value));
+        return true;
+    }
+
+    bool null()
+    {
+        return take(std::monostate());
+    }
+    bool boolean(bool value)
+    {
+        return take(value);
+    }
+    bool number_integer(std::int64_t value)
+    {
+        return take(value);
+    }
+    bool number_unsigned(std::uint64_t value)
+    {
+        take(static_cast<std::int64_t>(value));
+        if (!std::in_range<std::int64_t>(value))
+            blame(m_field);
+        return true;
+    }
+    bool number_float(double value, const std::string&)
+    {
+        return take(value);
+    }
+    bool string(std::string& value)
+    {
+        return take(std::move(value));
+    }
+    bool binary(json::binary_t&)
+    {
+        return false;
+    }
+    bool start_object(std::size_t)
+    {
+        if (m_depth++ > 0)
+            blame(m_field);
+        return true;
+    }
+    bool key(std::string& name)
+    {
+        if (m_depth == field_depth)
+            m_field = std::move(name);
+        return true;
+    }
+    bool end_object()
+    {
+        --m_depth;
+        return true;
+    }
+    bool start_array(std::size_t)
+    {
+        if (m_depth == 0)
+            blame("body");
+        else if (m_depth > field_depth || m_field != "parameters")
+            blame(m_field);
+        m_statement.m_parameters.clear();
+        ++m_depth;
+        return true;
+    }
+    bool end_array()
+    {
+        --m_depth;
+        return true;
+    }
+    static bool parse_error(std::size_t, const std::string&,
+                            const nlohmann::detail::exception&)
+    {
+        return false;
+    }
+};
+
 bool is_plain(char c)
 {
     constexpr char first_printable = 0x20;
@@ -141,17 +229,17 @@
 
 statement decode_statement(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
-    if (!body.is_object())
+    statement_reader reader;
+    if (!json::sax_parse(text, &reader))
         malformed("body");
-    statement s;
-    for (const auto& [field, value] : body.items())
-        read_field(s, field, value);
+    if (reader.m_fault)
+        malformed(*reader.m_fault);
+    statement& s = reader.m_statement;
     if (s.m_text.empty())
         malformed("statement");
     if (s.m_request_id.size() > max_request_id_bytes)
         malformed("request_id");
-    return s;
+    return std::move(s);
 }
 
 std::string encode_answer(const answer& a)
--- a/Tests/front/statement_codec_test.cpp
+++ b/Tests/front/statement_codec_test.cpp
@@ -49,8 +49,43 @@
         REQUIRE(decode_statement(R"({"statement": "select 1"})").m_kind ==
                 statement_kind::read);
     }
+    SECTION("its parameters whatever they hold")
+    {
+        const statement s = decode_statement(
+            R"({"parameters": ["kind", "]"], "parameters": ["\u00e9", 2],
+                "statement": "s"})");
+        REQUIRE(s.m_parameters.size() == 2);
+        REQUIRE(std::get<std::string>(s.m_parameters[0]) == "\xc3\xa9");
+    }
     SECTION("and what is wrong with it is named")
     {
+        REQUIRE(refused_field("") == "body");
+        REQUIRE(refused_field("7") == "body");
+        REQUIRE(refused_field("18446744073709551615") == "body");
+        REQUIRE(refused_field("null") == "body");
+        REQUIRE(refused_field(R"(["statement", "s"])") == "body");
+        REQUIRE(refused_field(R"({"colour": "red", "statement": )") == "body");
+        REQUIRE(refused_field(R"({"statement": "s"} more)") == "body");
+        REQUIRE(refused_field(R"({"statement": {"kind": "read"}})") ==
+                "statement");
+        REQUIRE(refused_field(R"({"kind": ["read"], "statement": "s"})") ==
+                "kind");
+        REQUIRE(
+            refused_field(
+                R"({"statement": "s", "parameters": [{"kind": "both"}]})") ==
+            "parameters");
+        REQUIRE(refused_field(R"({"statement": "s", "parameters": "none"})") ==
+                "parameters");
+        REQUIRE(
+            refused_field(
+                R"({"statement": "s", "parameters": [9223372036854775808]})") ==
+            "parameters");
+        REQUIRE(refused_field(R"({"statement": "s", "max_age_ms": 600001})") ==
+                "max_age_ms");
+        REQUIRE(refused_field(R"({"statement": "s", "time_limit_ms": 1.5})") ==
+                "time_limit_ms");
+        REQUIRE(refused_field(R"({"statement": "s", "repeatable": 1})") ==
+                "repeatable");
         REQUIRE(refused_field("{") == "body");
         REQUIRE(refused_field("[]") == "body");
         REQUIRE(refused_field("{}") == "statement");
