queue: Run nothing that can't end before its deadline

With every queue full, all that is served has waited nearly to its deadline; it then ended too late, cost its slot and its connection, and was outcome_unknown. Now a request whose turn comes with less time left than the quickest of late needed is refused as deadline_exceeded, not_run, and the expected wait is held against the time left less the mean of that.

--- a/Source/daemon/pool_admission.cpp
+++ b/Source/daemon/pool_admission.cpp
@@ -22,6 +22,11 @@
     return waiting;
 }
 
+time_needed& needed_by(pool_group& g, const pool_request& r)
+{
+    return g.m_needed[static_cast<std::size_t>(r.m_statement.m_kind)];
+}
+
 }
 
 // Without a flow of its own for each workspace, the queue keeps the order of
@@ -45,9 +50,10 @@
         return;
     const time_point now = monotonic_clock::now();
     const queue_flow_key key = flow_key(g.m_pool, r);
-    const queue_arrival arrival{
-        key.m_name, key.m_weight, waiting_in_all(g, key.m_name),
-        r.m_context.m_workspace->m_queue_limit, r.m_deadline - now};
+    const queue_arrival arrival{key.m_name, key.m_weight,
+                                waiting_in_all(g, key.m_name),
+                                r.m_context.m_workspace->m_queue_limit,
+                                r.m_deadline - now - needed_by(g, r).m_mean};
     switch (judge_arrival(queue_for(g, r), arrival, now))
     {
     case queue_verdict::admit:
@@ -59,4 +65,22 @@
     }
 }
 
+// Under lasting overload all that is served has waited nearly to its deadline.
+// To run what can't end in time would waste the slot, and leave its outcome
+// unknown.
+bool comes_too_late(const request& r)
+{
+    const pool_request& arrived = r.m_arrived;
+    if (r.m_pool.m_daemon.m_queue_unbounded || ends_sooner_when_run(arrived))
+        return false;
+    return is_hopeless(needed_by(r.m_group, arrived),
+                       arrived.m_deadline - monotonic_clock::now());
+}
+
+void note_served(request& r)
+{
+    note_served(needed_by(r.m_group, r.m_arrived),
+                monotonic_clock::now() - r.m_handed_over_at);
+}
+
 }
--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -146,9 +146,15 @@
                   });
     if (item == nullptr)
         return false;
-    note_turn(*item, monotonic_clock::now());
-    dequeue(queue, *item);
-    hand_over(static_cast<request&>(*item), *chosen);
+    auto& r = static_cast<request&>(*item);
+    if (comes_too_late(r))
+    {
+        fire(r, request_event::expired);
+        return true;
+    }
+    note_turn(r, monotonic_clock::now());
+    dequeue(queue, r);
+    hand_over(r, *chosen);
     return true;
 }
 
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -105,6 +105,7 @@
     {
     case request_action::deliver:
         count_answer(r.m_pool.m_counts, r);
+        note_served(r);
         end_with(r, std::move(r.m_answer));
         break;
     case request_action::await_replica:
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -80,6 +80,8 @@
     }
     if (reshaped)
         reshape(g);
+    for (fair_queue& queue : g.m_queues)
+        forget_idle(queue);
     dispatch(g);
 }
 
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -18,6 +18,7 @@
 #include <decide/promotion.hpp>
 #include <decide/routing.hpp>
 #include <decide/share.hpp>
+#include <decide/time_needed.hpp>
 #include <endpoint/pg_connection.hpp>
 
 namespace bluebellspoke
@@ -152,6 +153,7 @@
     /// Reads and writes queue apart, by statement_kind: a write that waits for
     /// the primary holds up no read.
     std::array<fair_queue, 2> m_queues;
+    std::array<time_needed, 2> m_needed; ///< By statement_kind.
     confirming_list m_confirming;
     confirming_list m_catching_up; ///< Reads that wait for a replica.
     bool m_dispatching = false;
@@ -249,6 +251,10 @@
 fair_queue& queue_for(pool_group& g, const pool_request& r);
 /// Throws refused when the request would wait in vain.
 void check_queue(pool_group& g, const pool_request& r);
+/// True when the request's turn has come too late for an answer in time.
+bool comes_too_late(const request& r);
+/// Keeps what comes_too_late() goes by.
+void note_served(request& r);
 
 // pool_dispatch.cpp
 /// Hands over every queued request that has its turn and its place.
--- a/Source/decide/service_rate.cpp
+++ b/Source/decide/service_rate.cpp
@@ -1,7 +1,6 @@
 #include <decide/service_rate.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace bluebellspoke
 {
@@ -14,14 +13,6 @@
     return std::chrono::duration<double>(d).count();
 }
 
-// Two standard deviations above the count: what is judged by this rate must not
-// be refused because a window happened to be a poor one.
-double upper_rate(std::uint32_t turns, duration passed)
-{
-    constexpr double deviations = 2;
-    return (turns + deviations * std::sqrt(turns)) / seconds(passed);
-}
-
 void open_window(service_rate& r, time_point since)
 {
     r.m_since = since;
@@ -36,7 +27,7 @@
     const duration passed = r.m_last_turn - *r.m_since;
     if (passed < least_rate_window || r.m_turns < least_turns)
         return;
-    r.m_measured[r.m_next] = {upper_rate(r.m_turns, passed), r.m_last_turn};
+    r.m_measured[r.m_next] = {r.m_turns / seconds(passed), r.m_last_turn};
     r.m_next = (r.m_next + 1) % r.m_measured.size();
 }
 
--- a/Source/decide/service_rate.hpp
+++ b/Source/decide/service_rate.hpp
@@ -24,7 +24,7 @@
 
 struct measured_rate
 {
-    double m_rate = 0; ///< Turns a second, at most.
+    double m_rate = 0; ///< Turns a second.
     time_point m_measured_at{};
 };
 
--- a/Tools/load/measures.cpp
+++ b/Tools/load/measures.cpp
@@ -1,5 +1,6 @@
 #include <load/measures.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <fstream>
@@ -72,6 +73,34 @@
     return percent * static_cast<double>(count) / static_cast<double>(w.m_sent);
 }
 
+double overdrawer_served_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    return percent * served_share(r.m_workspaces.front());
+}
+
+double median_time_to_refusal(const load_result& r)
+{
+    std::vector<double> times;
+    for (const sample& s : r.m_workspaces.front().m_samples)
+        if (!s.m_served)
+            times.push_back(s.m_ended - s.m_intended);
+    if (times.empty())
+        return 0;
+    const auto middle =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+double worst_of_the_others_percent(const load_result& r)
+{
+    constexpr double percent = 100;
+    load_result others = r;
+    others.m_workspaces.erase(others.m_workspaces.begin());
+    return percent * served_share(worst_served(others));
+}
+
 double served_percent(const load_result& r)
 {
     constexpr double percent = 100;
@@ -85,6 +114,11 @@
     {"at":4,"do":"kill_endpoint","index":1},
     {"at":8,"do":"start_endpoint","index":1}]})";
 
+const std::vector<variant> overload_variants{
+    {"refused on arrival", "{}"},
+    {"every request waits",
+     R"({"fleet":{"daemon_flags":["--queue-unbounded"]}})"}};
+
 const std::vector<measure>& all_measures()
 {
     static const std::vector<measure> measures{
@@ -119,6 +153,15 @@
          {{"fair queue", "{}"},
           {"first come, first served",
            R"({"fleet":{"daemon_flags":["--queue-by-arrival"]}})"}}},
+        {"overload_refusal", "measure_overload.json",
+         "median time to a refusal, ms", median_time_to_refusal,
+         overload_variants},
+        {"overload_served", "measure_overload.json",
+         "served of the workspace that overdraws, %", overdrawer_served_percent,
+         overload_variants},
+        {"overload_others", "measure_overload.json",
+         "served of the worst-served other, %", worst_of_the_others_percent,
+         overload_variants},
         {"one_proxy",
          "measure_one_proxy.json",
          "refusals inside the rate, %",
