promotion: Replace a primary that is cut from its replicas only

Cause: daemons reached such a primary, so it was never suspected, and no write was confirmed ever again.

An endpoint's state now tells for how long a replica has received nothing (silent_ms). When those that aren't cut are no majority for 1 s, and the others can elect one of them, they do. A replica that receives nothing is first told again to follow, which also mends one whose promoter died before it told anyone.

Ruled out as evidence: positions that stand still and ages, which look the same under a lag of 3 s or while idle; waiting writes, which one daemon knows only of itself.

The stand-in gains silent_ms and a cut of its replication by SIGUSR1, healed by SIGUSR2.

--- a/Source/daemon/pool_promotion.cpp
+++ b/Source/daemon/pool_promotion.cpp
@@ -1,5 +1,6 @@
 #include <daemon/pool_state.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -254,6 +255,7 @@
                                          {"endpoint", e.m_setting.m_name},
                                          {"primary", leader.m_setting.m_name},
                                          {"term", std::to_string(term)}});
+    e.m_refollowed_at = monotonic_clock::now();
     send_order(e, follow_query(term, leader.m_setting.m_address),
                [&e, term](pg_reply& reply)
                {
@@ -282,13 +284,29 @@
     return !e.m_order || now - e.m_order->m_sent_at >= order_patience;
 }
 
+// An order while the endpoint is still connecting would only set it back.
+void add_deaf(pool_group& g, std::span<const voter> voters, std::size_t leader,
+              time_point now, std::vector<std::size_t>& strays)
+{
+    for (const std::size_t i : find_deaf(voters, leader, now))
+    {
+        const bool due =
+            now - g.m_endpoints[i]->m_refollowed_at >= refollow_period;
+        const bool known =
+            std::find(strays.begin(), strays.end(), i) != strays.end();
+        if (due && !known)
+            strays.push_back(i);
+    }
+}
+
 void gather_strays(pool_group& g, std::span<const voter> voters, time_point now)
 {
     const std::size_t leader = *find_leader(voters);
     const term_number term = voters[leader].m_state->m_fence;
     const bool promoted_here = g.m_watch.m_promoted_term == term;
     const duration delay = promoted_here ? duration::zero() : own_delay(g);
-    const auto strays = find_strays(voters, leader, told_terms(g, term));
+    auto strays = find_strays(voters, leader, told_terms(g, term));
+    add_deaf(g, voters, leader, now, strays);
     std::vector<bool> is_stray(voters.size(), false);
     for (const std::size_t i : strays)
     {
@@ -301,6 +319,28 @@
             g.m_endpoints[i]->m_stray_since.reset();
 }
 
+// The votes of a majority without it are enough; its own log may be the
+// longest, by entries that nobody else holds.
+void pass_over_starved(const primary_watch& w, std::span<voter> voters)
+{
+    if (w.m_starved)
+        voters[*w.m_starved].m_eligible = false;
+}
+
+bool note_starved(pool_group& g, std::span<const voter> voters, time_point now)
+{
+    primary_watch& w = g.m_watch;
+    note_feeding(w.m_feeding, voters, now);
+    if (!is_starved(w.m_feeding, voters, now))
+        return false;
+    const std::size_t leader = *find_leader(voters);
+    if (std::exchange(w.m_starved, leader) != leader)
+        log_event(event_id::primary_starved,
+                  {{"group", g.m_name},
+                   {"endpoint", g.m_endpoints[leader]->m_setting.m_name}});
+    return true;
+}
+
 }
 
 void watch_primary(pool_group& g)
@@ -309,16 +349,19 @@
         return;
     g.m_watch.m_tick.start_once(tick_period);
     const time_point now = monotonic_clock::now();
-    const std::vector<voter> voters = voters_of(g);
+    std::vector<voter> voters = voters_of(g);
     const leadership judged = judge_leadership(voters, now);
-    if (judged == leadership::led)
+    const bool starved = note_starved(g, voters, now);
+    if (judged == leadership::led && !starved)
     {
+        g.m_watch.m_starved.reset();
         fire(g, group_event::found);
         gather_strays(g, voters, now);
         return;
     }
     if (judged != leadership::unknown)
         fire(g, group_event::missed);
+    pass_over_starved(g.m_watch, voters);
     go_on(g, voters, now);
 }
 
@@ -340,6 +383,7 @@
 
 void reshape(pool_group& g)
 {
+    g.m_watch.m_starved.reset();
     fire(g, group_event::reshaped);
     watch_primary(g);
 }
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -15,6 +15,7 @@
 #include <daemon/pool_charts.hpp>
 #include <daemon/pool_metrics.hpp>
 #include <decide/fair_queue.hpp>
+#include <decide/feeding.hpp>
 #include <decide/promotion.hpp>
 #include <decide/routing.hpp>
 #include <decide/share.hpp>
@@ -117,6 +118,7 @@
     time_point m_fresh_until{};  ///< What its reads saw when it was last fed.
     term_number m_told_term = 0; ///< In which it obeyed a follow order.
     std::optional<time_point> m_stray_since;
+    time_point m_refollowed_at{};            ///< Ordered anew, as it was cut.
     std::unique_ptr<endpoint_order> m_order; ///< Under way.
     timer m_silence;   ///< The monitor's question has waited too long.
     timer m_poll;      ///< Asks for the state again.
@@ -130,6 +132,9 @@
 
     group_state m_state;
     election m_election;
+    feeding m_feeding;
+    /// The leader that is to be replaced, as its replicas are cut from it.
+    std::optional<std::size_t> m_starved;
     std::size_t m_winner = 0;
     term_number m_last_term = 0;     ///< Tried by this daemon.
     term_number m_promoted_term = 0; ///< Of its last promotion.
--- a/Source/endpoint/endpoint_sql.cpp
+++ b/Source/endpoint/endpoint_sql.cpp
@@ -27,6 +27,12 @@
         .front()[static_cast<std::size_t>(found - table.m_columns.begin())];
 }
 
+bool has_column(const result_table& table, std::string_view column)
+{
+    return std::find(table.m_columns.begin(), table.m_columns.end(), column) !=
+           table.m_columns.end();
+}
+
 std::uint64_t number(const result_table& table, std::string_view column)
 {
     const std::optional<std::string>& text = cell(table, column);
@@ -136,6 +142,8 @@
                         number(table, "replayed")};
     if (cell(table, "age_ms"))
         state.m_age = std::chrono::milliseconds(number(table, "age_ms"));
+    if (has_column(table, "silent_ms") && cell(table, "silent_ms"))
+        state.m_silent = std::chrono::milliseconds(number(table, "silent_ms"));
     state.m_asked_at = asked_at;
     return state;
 }
--- a/Source/model/endpoint_state.hpp
+++ b/Source/model/endpoint_state.hpp
@@ -27,6 +27,9 @@
     std::optional<duration> m_age;
     /// When the question was sent: the answer is at least this fresh.
     time_point m_asked_at{};
+    /// For how long a replica has received nothing from the primary that it
+    /// follows, not even a heartbeat; absent when unknown.
+    std::optional<duration> m_silent = std::nullopt;
 };
 
 }
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -75,6 +75,10 @@
                 "promotion_ordered", "this daemon orders a new primary"},
     event_entry{event_id::follow_ordered, event_level::info, "follow_ordered",
                 "this daemon orders an endpoint to follow the primary"},
+    event_entry{event_id::primary_starved, event_level::warning,
+                "primary_starved",
+                "a group's primary is to be replaced, as most of its replicas "
+                "receive nothing from it"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Tests/standin/endpoint_replication.cpp
+++ b/Tests/standin/endpoint_replication.cpp
@@ -45,6 +45,8 @@
 
 void ship(endpoint_server& s, replica_link& link)
 {
+    if (s.m_replication_cut)
+        return;
     for (; link.m_sent < s.m_log.size(); ++link.m_sent)
         send_line(link, {{"entry", to_json(s.m_log[link.m_sent])}});
 }
@@ -176,6 +178,9 @@
     auto& link = *static_cast<replica_link*>(user);
     evbuffer* in = bufferevent_get_input(stream);
     std::size_t length = 0;
+    if (link.m_server.m_replication_cut)
+        return;
+    link.m_server.m_upstream_heard_at = monotonic_clock::now();
     while (char* text = evbuffer_readln(in, &length, EVBUFFER_EOL_LF))
     {
         link.m_arrived.emplace_back(monotonic_clock::now(),
@@ -219,6 +224,10 @@
 
 void follow(endpoint_server& s, std::uint64_t term, const std::string& upstream)
 {
+    const bool again = s.m_upstream && s.m_upstream->m_term == term &&
+                       s.m_following == upstream;
+    if (!again)
+        s.m_upstream_heard_at = monotonic_clock::now();
     s.m_following = upstream;
     s.m_upstream = std::make_unique<replica_link>(s);
     replica_link& link = *s.m_upstream;
@@ -251,6 +260,8 @@
 {
     auto& link = *static_cast<replica_link*>(user);
     std::size_t length = 0;
+    if (link.m_server.m_replication_cut)
+        return;
     char* text = evbuffer_readln(bufferevent_get_input(stream), &length,
                                  EVBUFFER_EOL_LF);
     if (text == nullptr)
@@ -288,10 +299,24 @@
     if (leads(s))
         s.m_fresh_at = monotonic_clock::now();
     for (const auto& link : s.m_downstreams)
-        if (leads(s))
+        if (leads(s) && !s.m_replication_cut)
             send_line(*link, json::object());
 }
 
+void cut_replication(endpoint_server& s)
+{
+    s.m_replication_cut = true;
+}
+
+// Replicas begin anew, as connections that a partition broke would.
+void heal_replication(endpoint_server& s)
+{
+    s.m_replication_cut = false;
+    s.m_downstreams.clear();
+    if (s.m_upstream)
+        follow(s, s.m_upstream->m_term, std::string(s.m_following));
+}
+
 std::uint64_t last_term(const endpoint_server& s)
 {
     return s.m_log.empty() ? 0 : s.m_log.back().m_term;
--- a/Tests/standin/endpoint_server.hpp
+++ b/Tests/standin/endpoint_server.hpp
@@ -61,7 +61,9 @@
     std::uint64_t m_fence = 1;
     std::string m_candidate; ///< Whom it voted for at m_fence.
     std::string m_following;
-    time_point m_fresh_at{}; ///< What it shows is as of then.
+    time_point m_fresh_at{};          ///< What it shows is as of then.
+    time_point m_upstream_heard_at{}; ///< Or since it follows, or is fenced.
+    bool m_replication_cut = false;   ///< It neither ships nor receives.
     std::list<std::unique_ptr<endpoint_session>> m_sessions;
     std::list<position_wait> m_waits;
     std::deque<endpoint_session*> m_slot_queue;
--- a/Tests/standin/endpoint_session.hpp
+++ b/Tests/standin/endpoint_session.hpp
@@ -94,6 +94,9 @@
 void begin_downstream(endpoint_session& c);
 /// Tells the replicas that nothing is new, so that they know their age.
 void beat(endpoint_server& s);
+/// Parts the endpoint from all others, though callers still reach it.
+void cut_replication(endpoint_server& s);
+void heal_replication(endpoint_server& s);
 
 // endpoint_statements.cpp
 /// Hands what the session has to say to its socket.
--- a/Tests/standin/endpoint_standin.cpp
+++ b/Tests/standin/endpoint_standin.cpp
@@ -5,6 +5,7 @@
 
 #include <options/options.hpp>
 #include <standin/endpoint_server.hpp>
+#include <standin/replication_signals.hpp>
 
 int main(int argc, char** argv)
 {
@@ -43,9 +44,10 @@
         if (values.text("follow") != "none")
             o.m_follow = parse_address(values.text("follow"));
         loop l = make_loop();
-        const standin::endpoint_server server(l, std::move(o));
+        standin::endpoint_server server(l, std::move(o));
         std::printf("%s\n", to_string(server.m_local).c_str());
         std::fflush(stdout);
+        const standin::replication_signals signals(l, server);
         run(l);
     }
     catch (const std::exception& e)
--- a/Tests/standin/endpoint_statements.cpp
+++ b/Tests/standin/endpoint_statements.cpp
@@ -43,6 +43,15 @@
     return std::to_string(value);
 }
 
+std::optional<std::string> silence(const endpoint_server& s)
+{
+    if (s.m_primary)
+        return std::nullopt;
+    const auto silent = std::chrono::floor<milliseconds>(
+        monotonic_clock::now() - s.m_upstream_heard_at);
+    return std::to_string(silent.count());
+}
+
 sql_result state_row(const endpoint_server& s)
 {
     const std::string term = number(last_term(s));
@@ -52,12 +61,13 @@
     sql_result result;
     result.m_columns = {"role",     "fence",         "received_term",
                         "received", "replayed_term", "replayed",
-                        "age_ms"};
+                        "age_ms",   "silent_ms"};
     result.m_rows.push_back(
         {s.m_primary ? "primary" : "replica", number(s.m_fence), term, offset,
          term, offset,
          leads(s) ? std::string("0")
-                  : std::to_string(std::max<std::int64_t>(age.count(), 0))});
+                  : std::to_string(std::max<std::int64_t>(age.count(), 0)),
+         silence(s)});
     result.m_tag = "SELECT 1";
     return result;
 }
@@ -90,6 +100,7 @@
         s.m_candidate = candidate;
         s.m_primary = false;
         s.m_upstream.reset();
+        s.m_upstream_heard_at = monotonic_clock::now();
         wake_waits(s);
     }
     sql_result result = state_row(s);
