shares: Give a connection without a right only in an outage

Cause: every empty part was raised to one connection, also for a daemon that the epoch doesn't name and for a fleet of more members than connections, so the sum could pass an endpoint's limit. It was meant for a process that took another's place while the platform is away.

The decision names that case now: no epoch is known, and the platform was asked and didn't answer. The share by name no longer copies the whole right, and idle connections are looked through after a reply only when more is open than the share.

--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -41,6 +41,7 @@
     /// newer than m_epoch.
     time_point m_confirmed_at{};
     bool m_platform_answers = false;
+    bool m_platform_away = false; ///< It was asked and didn't answer.
     bool m_reading = false;
     bool m_proposing = false;
     settling m_settling;
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -238,7 +238,8 @@
                        });
     if (r != nullptr)
         take_for_request(*r, e, reply);
-    return_connections(e);
+    if (!fits_share(e))
+        return_connections(e);
     dispatch(e.m_group);
 }
 
--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -10,21 +10,12 @@
 namespace
 {
 
-// A process that starts while the platform is away is in no epoch. It took
-// another's place, and that one's part, which is no smaller, is free.
-constexpr std::uint32_t least_share = 1;
-
 bool is_idle(const pooled_connection& c)
 {
     return !c.m_running && c.m_transaction == nullptr &&
            c.m_pg->state() == connection_state::idle;
 }
 
-bool fits(const pool_endpoint& e)
-{
-    return e.m_connections.size() <= e.m_connection_share;
-}
-
 // The daemon's part of an epoch is applied when what is open fits it.
 void report_applied(pool_state& p)
 {
@@ -34,7 +25,7 @@
         if (!std::all_of(group->m_endpoints.begin(), group->m_endpoints.end(),
                          [](const auto& e)
                          {
-                             return fits(*e);
+                             return fits_share(*e);
                          }))
             return;
     p.m_applied_epoch = p.m_right->m_epoch.m_number;
@@ -44,19 +35,23 @@
 
 }
 
+bool fits_share(const pool_endpoint& e)
+{
+    return e.m_connections.size() <= e.m_connection_share;
+}
+
 void share_connections(pool_endpoint& e)
 {
     const pool_state& p = e.m_group.m_pool;
-    const std::uint32_t part =
+    e.m_connection_share =
         p.m_right ? connection_share(*p.m_right, e.m_connection_limit,
                                      e.m_setting.m_name)
                   : 0;
-    e.m_connection_share = std::max(part, least_share);
 }
 
 void return_connections(pool_endpoint& e)
 {
-    while (!fits(e))
+    while (!fits_share(e))
     {
         const auto idle =
             std::find_if(e.m_connections.begin(), e.m_connections.end(),
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -199,6 +199,8 @@
 void take_right(pool_state& p, const share_right& right);
 /// Works out the endpoint's connections anew.
 void share_connections(pool_endpoint& e);
+/// True when no more is open than the share.
+bool fits_share(const pool_endpoint& e);
 /// Closes idle connections beyond the share; busy ones follow once idle.
 void return_connections(pool_endpoint& e);
 
--- a/Source/decide/connection_share.cpp
+++ b/Source/decide/connection_share.cpp
@@ -1,7 +1,7 @@
 #include <decide/connection_share.hpp>
 
 #include <algorithm>
-#include <vector>
+#include <span>
 
 namespace bluebellspoke
 {
@@ -10,6 +10,7 @@
 {
 
 constexpr std::uint32_t order_connections = 1;
+constexpr std::uint32_t outage_share = 1;
 
 // Until an epoch is settled, members of the former one hold monitors too.
 std::uint32_t monitors(const fleet_epoch& e)
@@ -24,11 +25,19 @@
 // The connections of a process are closed with it, so the one that takes its
 // place has its part at once, also while the platform can't name it in an
 // epoch.
-void take_place(std::vector<fleet_member>& members, const fleet_member& self)
+std::uint32_t part_by_name(std::uint32_t limit,
+                           std::span<const fleet_member> members,
+                           std::string_view name, std::string_view endpoint)
 {
-    for (fleet_member& m : members)
-        if (m.m_name == self.m_name)
-            m.m_incarnation = self.m_incarnation;
+    const fleet_member* mine = find_member(members, name);
+    return mine == nullptr ? 0 : divide_limit(limit, members, *mine, endpoint);
+}
+
+// A process that starts while the platform is away can't know the epoch. It
+// took another's place, whose part has room for one.
+bool replaces_in_outage(const share_right& right)
+{
+    return right.m_epoch.m_number == 0 && right.m_platform_away;
 }
 
 }
@@ -36,11 +45,17 @@
 std::uint32_t connection_share(const share_right& right, std::uint32_t limit,
                                std::string_view endpoint)
 {
-    const std::uint32_t reserved = monitors(right.m_epoch) + order_connections;
-    share_right by_name = right;
-    take_place(by_name.m_epoch.m_members, right.m_self);
-    take_place(by_name.m_epoch.m_former, right.m_self);
-    return share_by_right(by_name, limit - std::min(limit, reserved), endpoint);
+    if (replaces_in_outage(right))
+        return std::min(limit, outage_share);
+    const fleet_epoch& epoch = right.m_epoch;
+    const std::string_view name = right.m_self.m_name;
+    const std::uint32_t reserved = monitors(epoch) + order_connections;
+    const std::uint32_t rest = limit - std::min(limit, reserved);
+    const std::uint32_t part =
+        part_by_name(rest, epoch.m_members, name, endpoint);
+    if (right.m_settled)
+        return part;
+    return std::min(part, part_by_name(rest, epoch.m_former, name, endpoint));
 }
 
 }
