support: Give a child none of the test's sockets

A test's relay that closed its side of a connection went on being woken for it, at a whole core: the daemons that were started after it held the same socket, so it was never closed, and the endpoint behind it never learnt that its replica's link had ended. Close-on-exec on each socket was ruled out, for libevent opens those itself. A child now starts with the three standard descriptors alone.

--- a/Tests/scenario/language/failover.lua
+++ b/Tests/scenario/language/failover.lua
@@ -19,6 +19,19 @@
     { name = "is frozen",
         lose = function() freeze("e1") end,
         mend = function() thaw("e1") end },
+    -- Writes that it took were answered to nobody, and its replicas have them.
+    { name = "loses its connections and is killed",
+        lose = function()
+            for _ = 1, 4 do
+                cut(one_way[2])
+                process.pause(40 + draw(40))
+                drop("e1")
+                heal("e1")
+                process.pause(150)
+            end
+            kill("e1")
+        end,
+        mend = function() start("e1") end },
     -- It stays alive, with writes under way, when it is replaced.
     { name = "leaves",
         lose = function()
--- a/Tests/scenario/process_verbs.cpp
+++ b/Tests/scenario/process_verbs.cpp
@@ -97,6 +97,7 @@
     options.m_service_us = o.value("service_us", options.m_service_us);
     options.m_slots = o.value("slots", options.m_slots);
     options.m_connections = o.value("connections", options.m_connections);
+    options.m_daemon_flags = o.value("daemon_flags", options.m_daemon_flags);
     options.m_relays = true;
     w.m_fleet = std::make_unique<support::fleet>(options);
     return nullptr;
--- a/Tests/support/child_process.cpp
+++ b/Tests/support/child_process.cpp
@@ -29,6 +29,9 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors,
                                      O_WRONLY | O_CREAT | O_APPEND,
                                      owner_may_write);
+    // A relay's socket that a child also holds isn't closed when the relay
+    // closes it: its far side never learns, and the loop goes on being woken.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char*> arguments;
     for (const std::string& word : command)
         arguments.push_back(const_cast<char*>(word.c_str()));
