endpoint: Look at a statement's characters more cheaply

Binding looked at the character before and asked the locale at every character, and rows grew one cell at a time. Most characters begin no quote or comment, and an answer's size is known.

--- a/Source/decide/session_token.cpp
+++ b/Source/decide/session_token.cpp
@@ -46,10 +46,12 @@
 
 void append_hex(std::string& out, std::span<const unsigned char> bytes)
 {
+    std::size_t at = out.size();
+    out.resize(at + 2 * bytes.size());
     for (const unsigned char byte : bytes)
     {
-        out.push_back(hex_digits[byte >> 4U]);
-        out.push_back(hex_digits[byte & 0xfU]);
+        out[at++] = hex_digits[byte >> 4U];
+        out[at++] = hex_digits[byte & 0xfU];
     }
 }
 
--- a/Source/endpoint/pg_connection.cpp
+++ b/Source/endpoint/pg_connection.cpp
@@ -24,11 +24,14 @@
     result_table table;
     const int columns = PQnfields(result);
     const int rows = PQntuples(result);
+    table.m_columns.reserve(static_cast<std::size_t>(columns));
     for (int c = 0; c < columns; ++c)
         table.m_columns.emplace_back(PQfname(result, c));
+    table.m_rows.reserve(static_cast<std::size_t>(rows));
     for (int r = 0; r < rows; ++r)
     {
         auto& row = table.m_rows.emplace_back();
+        row.reserve(static_cast<std::size_t>(columns));
         for (int c = 0; c < columns; ++c)
         {
             if (PQgetisnull(result, r, c) != 0)
--- a/Source/endpoint/statement_text.cpp
+++ b/Source/endpoint/statement_text.cpp
@@ -39,6 +39,11 @@
            static_cast<unsigned char>(c) >= 0x80;
 }
 
+bool is_blank(char c)
+{
+    return std::isspace(static_cast<unsigned char>(c)) != 0;
+}
+
 bool is_digit(char c)
 {
     return c >= '0' && c <= '9';
@@ -104,11 +109,31 @@
     return close + tag.size();
 }
 
+bool may_begin_opaque(char c)
+{
+    switch (c)
+    {
+    case '\'':
+    case '"':
+    case 'e':
+    case 'E':
+    case '-':
+    case '/':
+    case '$':
+        return true;
+    default:
+        return false;
+    }
+}
+
 /// The length of a quote or comment at the start, or 0 when there is none.
 std::size_t opaque_length(const scanner& s)
 {
     const std::string_view rest = s.rest();
     const char c = rest.front();
+    // Most characters begin nothing; they need no look at the one before.
+    if (!may_begin_opaque(c))
+        return 0;
     const bool in_word = s.m_at > 0 && is_word(s.m_text[s.m_at - 1]);
     if (c == '\'' || c == '"')
         return quoted_length(rest);
@@ -241,11 +266,10 @@
     {
         const std::string_view rest = s.rest();
         const char c = rest.front();
-        const bool blank = std::isspace(static_cast<unsigned char>(c)) != 0;
         const std::size_t opaque = opaque_length(s);
         const bool comment =
             opaque > 0 && (rest.starts_with("--") || rest.starts_with("/*"));
-        if (ended && !blank && !comment)
+        if (ended && !comment && !is_blank(c))
             refuse("one statement at a time");
         if (comment)
         {
