--- a/Tests/wire/exchange_test.cpp
+++ b/Tests/wire/exchange_test.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::chrono::seconds long_enough{20};
+constexpr std::size_t large_bytes = 3U << 20U; ///< More than a socket takes.
 
 /// A server that answers what its path says, and notes the rest.
 struct talker
@@ -45,6 +46,9 @@
         else if (request.m_path == "/echo")
             m_server->respond(arrived.m_exchange,
                               {200, request.m_headers, request.m_body});
+        else if (request.m_path == "/large")
+            m_server->respond(arrived.m_exchange,
+                              {200, {}, std::string(large_bytes, 'b')});
         else if (request.m_path == "/hang-up")
             m_server->disconnect(arrived.m_exchange.m_connection);
         else if (request.m_path == "/late")
@@ -107,6 +111,33 @@
         REQUIRE(status_of(ask(l, client, "/echo", std::string(1000, 'x'))) ==
                 200);
     }
+    SECTION("an answer that the socket can't take at once comes whole")
+    {
+        const http2_result result = ask(l, client, "/large");
+        const auto& response = std::get<http2_response>(result);
+        REQUIRE(response.m_body == std::string(large_bytes, 'b'));
+    }
+    SECTION("answers given together come each to its own request")
+    {
+        std::vector<std::string> bodies(3);
+        std::size_t left = bodies.size();
+        for (std::string& body : bodies)
+            client.send({"POST", "/late", {}, {}}, long_enough,
+                        [&](http2_result& result)
+                        {
+                            body = std::get<http2_response>(result).m_body;
+                            if (--left == 0)
+                                stop(l);
+                        });
+        while (server.m_arrived.size() < bodies.size())
+            run(l);
+        for (std::size_t i = bodies.size(); i-- > 0;)
+            REQUIRE(server.m_server->respond(server.m_arrived[i],
+                                             {200, {}, std::to_string(i)}));
+        while (left > 0)
+            run(l);
+        REQUIRE(bodies == std::vector<std::string>{"0", "1", "2"});
+    }
     SECTION("an answer comes once, and to nobody but its own request")
     {
         REQUIRE(status_of(ask(l, client, "/echo")) == 200);
