load: Give the processor time a statement takes beside the ratio

The time that the front and the pool run for a statement swings less, and says which of them is the bound.

--- a/Tools/load/direct_comparison.cpp
+++ b/Tools/load/direct_comparison.cpp
@@ -7,6 +7,7 @@
 #include <endpoint/endpoint_sql.hpp>
 #include <endpoint/pg_connection.hpp>
 #include <load/plain_read.hpp>
+#include <load/process_usage.hpp>
 #include <support/fleet.hpp>
 
 namespace bluebellspoke::load
@@ -193,6 +194,28 @@
             {"p99_us", quantile(w.m_times, 0.99)}};
 }
 
+/// Processor time of the daemon's two tasks that a statement passes, seconds.
+struct task_usage
+{
+    double m_front = 0;
+    double m_pool = 0;
+};
+
+task_usage usage_of(const support::fleet& f)
+{
+    const pid_t process = f.m_daemons.front().m_process->id();
+    return {processor_seconds(process, "front"),
+            processor_seconds(process, "pool")};
+}
+
+json per_statement(const task_usage& usage, const way& w)
+{
+    constexpr double us_per_second = 1e6;
+    const auto statements = static_cast<double>(w.m_times.size());
+    return {{"front_us", us_per_second * usage.m_front / statements},
+            {"pool_us", us_per_second * usage.m_pool / statements}};
+}
+
 }
 
 json compare_with_direct(const comparison_options& options)
@@ -209,6 +232,7 @@
     const http2_request request = make_proxied_read(f);
     way direct;
     way proxy;
+    task_usage usage;
     for (unsigned round = 0; round < options.m_rounds; ++round)
     {
         run_in_threads(direct, options,
@@ -216,17 +240,22 @@
                        {
                            run_direct(w, f, part);
                        });
+        const task_usage before = usage_of(f);
         run_in_threads(proxy, options,
                        [&](way& w, const comparison_options& part)
                        {
                            run_proxy(w, f, part, request);
                        });
+        const task_usage after = usage_of(f);
+        usage.m_front += after.m_front - before.m_front;
+        usage.m_pool += after.m_pool - before.m_pool;
     }
     const json direct_json = to_json(direct);
     const json proxy_json = to_json(proxy);
     return {{"callers", options.m_callers},
             {"direct", direct_json},
             {"through_daemon", proxy_json},
+            {"processor_per_statement", per_statement(usage, proxy)},
             {"throughput_ratio", per_second(proxy) / per_second(direct)},
             {"median_added_us",
              quantile(proxy.m_times, 0.5) - quantile(direct.m_times, 0.5)}};
--- a/Tools/load/direct_comparison.hpp
+++ b/Tools/load/direct_comparison.hpp
@@ -19,7 +19,8 @@
 };
 
 /// Reads straight at an endpoint stand-in, and the same through a daemon:
-/// statements a second and latency quantiles of each, and their ratios.
+/// statements a second and latency quantiles of each, their ratios, and what a
+/// statement costs the daemon's tasks in processor time.
 nlohmann::json compare_with_direct(const comparison_options& options);
 
 }
