--- a/Source/decide/session_token.cpp
+++ b/Source/decide/session_token.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <charconv>
 #include <cstdint>
-#include <iterator>
 
 #include <boost/algorithm/hex.hpp>
 #include <openssl/core_names.h>
@@ -88,10 +87,9 @@
         EVP_MAC_final(key, digest.data(), &length, digest.size()) == 1;
     if (!done)
         throw session_key_error();
-    std::string tag;
-    tag.reserve(tag_digits);
+    std::string tag(tag_digits, '0');
     boost::algorithm::hex_lower(digest.begin(), digest.begin() + tag_bytes,
-                                std::back_inserter(tag));
+                                tag.begin());
     return tag;
 }
 
