retries: Give each group a budget for what is repeated by itself

A statement that may be repeated was retried up to twice whatever the group's state, and one that met the wrong term without limit, so a group that fails was asked up to three times as much. Now a group's first attempts earn a tenth of a retry each, up to 1000, over a floor of 20 that comes back by one a second. Without budget the refusal is the one that a statement gets which may not be repeated: it says not_run or outcome_unknown as known.

Each daemon's retries are paid by its own first attempts, so over the fleet they add up to the same fraction without a message.

--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -116,6 +116,8 @@
     r.m_term = term_for(r, c);
     ++r.m_attempts;
     r.m_handed_over_at = monotonic_clock::now();
+    if (r.m_attempts == 1)
+        note_first_attempt(r.m_group.m_retries, r.m_handed_over_at);
     c.m_request = &r;
     c.m_running = true;
     ++c.m_endpoint.m_view.m_running;
--- a/Source/daemon/pool_metrics.cpp
+++ b/Source/daemon/pool_metrics.cpp
@@ -133,6 +133,8 @@
                   p.m_counts.m_confirm_time);
     add_value(families, metric_id::retries, {},
               to_number(p.m_counts.m_retries));
+    add_value(families, metric_id::retries_refused, {},
+              to_number(p.m_counts.m_retries_refused));
     add_value(families, metric_id::last_write, {}, write_age(p.m_counts));
     collect_requests(families, p);
     collect_endpoints(families, p);
--- a/Source/daemon/pool_metrics.hpp
+++ b/Source/daemon/pool_metrics.hpp
@@ -23,6 +23,7 @@
     std::array<latency_histogram, 2> m_endpoint_time;
     latency_histogram m_confirm_time;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_retries_refused = 0;    ///< By a group's budget.
     std::optional<time_point> m_last_write; ///< Acknowledged.
 };
 
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -36,6 +36,14 @@
            r.m_attempts < most_attempts;
 }
 
+bool pay_for_retry(request& r)
+{
+    const bool paid = take_retry(r.m_group.m_retries, monotonic_clock::now());
+    if (!paid)
+        ++r.m_pool.m_counts.m_retries_refused;
+    return paid;
+}
+
 // Whatever is refused later, the first attempt may have taken effect.
 void retry_in_doubt(request& r)
 {
@@ -50,7 +58,7 @@
     const bool uncommitted =
         !stands_alone(r.m_arrived) &&
         r.m_arrived.m_operation != request_operation::commit;
-    if (may_retry(r))
+    if (may_retry(r) && pay_for_retry(r))
         retry_in_doubt(r);
     else
         fail(r, refusal::endpoint_lost,
@@ -60,7 +68,7 @@
 // It was committed, or nearly, by a primary that has been replaced since.
 void take_superseded(request& r)
 {
-    if (may_retry(r))
+    if (may_retry(r) && pay_for_retry(r))
         retry_in_doubt(r);
     else
         fail(r, refusal::not_confirmed, fate::outcome_unknown);
@@ -81,7 +89,7 @@
     const bool wrong_term = error.m_sqlstate == wrong_term_sqlstate;
     if (wrong_term)
         distrust(e);
-    if (wrong_term && stands_alone(r.m_arrived))
+    if (wrong_term && stands_alone(r.m_arrived) && pay_for_retry(r))
     {
         // Nothing ran there, so another try is safe whatever the statement.
         fire(r, request_event::retried);
@@ -132,7 +140,7 @@
 void take_stale(request& r, pool_endpoint& e)
 {
     distrust(e);
-    if (may_retry(r))
+    if (may_retry(r) && pay_for_retry(r))
         fire(r, request_event::retried);
     else
         fail(r, refusal::no_endpoint, fate::not_run);
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -16,6 +16,7 @@
 #include <daemon/pool_metrics.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/promotion.hpp>
+#include <decide/retry_budget.hpp>
 #include <decide/routing.hpp>
 #include <decide/share.hpp>
 #include <decide/time_needed.hpp>
@@ -154,6 +155,7 @@
     /// the primary holds up no read.
     std::array<fair_queue, 2> m_queues;
     std::array<time_needed, 2> m_needed; ///< By statement_kind.
+    retry_budget m_retries;
     confirming_list m_confirming;
     confirming_list m_catching_up; ///< Reads that wait for a replica.
     bool m_dispatching = false;
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -29,6 +29,7 @@
     endpoint_time,
     confirm_time,
     retries,
+    retries_refused,
     last_write,
     queued_requests,
     endpoint_state,
