shares: Keep one copy of a daemon's right for all workspaces

Each workspace's rate share held a copy of the whole fleet epoch, and went through all members at each loan and each renewal of standing. The right is now one immutable counted object a task, and a share works its units out anew only when the limit, the epoch, the incarnation or the settling changes.

Tests/shares is unchanged.

--- a/Source/daemon/front_shares.cpp
+++ b/Source/daemon/front_shares.cpp
@@ -36,8 +36,10 @@
 
 bool has_right(const front_state& f, time_point now)
 {
-    const auto& right = f.m_rates.m_right;
-    return right && now >= right->m_from && now < right->m_until;
+    if (!f.m_rates.m_right)
+        return false;
+    const share_right& right = f.m_rates.m_right->m_right;
+    return now >= right.m_from && now < right.m_until;
 }
 
 refusal code_now(const front_state& f, time_point now)
@@ -94,7 +96,7 @@
         !f.m_daemon.m_even_shares && wanted_units(r.m_share, now) > 0;
     std::size_t asked = 0;
     for (const std::string& lender :
-         lenders_in_order(*f.m_rates.m_right, r.m_share.m_workspace))
+         lenders_in_order(f.m_rates.m_right->m_right, r.m_share.m_workspace))
     {
         const bool more = wants && asked < asked_at_once;
         if (!more && !is_involved(r, lender))
@@ -110,12 +112,15 @@
 void report_applied(front_state& f)
 {
     front_rates& rates = f.m_rates;
-    if (!rates.m_right || rates.m_applied == rates.m_right->m_epoch.m_number)
+    if (!rates.m_right)
+        return;
+    const std::uint64_t epoch = rates.m_right->m_right.m_epoch.m_number;
+    if (rates.m_applied == epoch)
         return;
     for (const auto& [name, r] : rates.m_rates)
         if (!keeps_to_right(r.m_share))
             return;
-    rates.m_applied = rates.m_right->m_epoch.m_number;
+    rates.m_applied = epoch;
     f.m_boxes.m_control.post(
         right_applied{share_holder::front, rates.m_applied});
 }
@@ -167,7 +172,7 @@
         const bool fresh = new_to_tree && !f.m_rates.m_rates.contains(name);
         front_rate& r = rate_of(f, name, now);
         if (f.m_rates.m_right)
-            set_right(r.m_share, *f.m_rates.m_right, now);
+            set_right(r.m_share, f.m_rates.m_right, now);
         set_rate(r.m_share, workspace.m_rate, workspace.m_burst, now);
         if (fresh)
             fill_bucket(r.m_share);
@@ -177,10 +182,10 @@
 void take_right(front_state& f, const share_right& right)
 {
     const time_point now = monotonic_clock::now();
-    f.m_rates.m_right = right;
+    f.m_rates.m_right = share(right);
     for (auto& [name, r] : f.m_rates.m_rates)
     {
-        set_right(r.m_share, right, now);
+        set_right(r.m_share, f.m_rates.m_right, now);
         admit_waiting(f, r, now);
     }
     report_applied(f);
--- a/Source/daemon/front_shares.hpp
+++ b/Source/daemon/front_shares.hpp
@@ -3,7 +3,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 
 #include <nlohmann/json_fwd.hpp>
@@ -37,7 +36,7 @@
 /// The rates of all workspaces, and the right that their shares rest on.
 struct front_rates
 {
-    std::optional<share_right> m_right;
+    shared_right_ptr m_right; ///< Null: none yet.
     std::map<std::string, front_rate, std::less<>> m_rates;
     std::uint64_t m_first_loan = 1; ///< Differs after a restart.
     std::uint64_t m_applied = 0;    ///< Epoch told to the control task.
--- a/Source/decide/rate_share.cpp
+++ b/Source/decide/rate_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bluebellspoke
 {
@@ -19,7 +20,10 @@
 
 std::uint32_t base_at(const rate_share& s, time_point when)
 {
-    return share_now(s.m_right, s.m_burst, s.m_workspace, when);
+    if (!s.m_right)
+        return 0;
+    const share_right& r = s.m_right->m_right;
+    return when >= r.m_from && when < r.m_until ? s.m_by_right : 0;
 }
 
 void fit_bucket(rate_share& s, time_point when)
@@ -33,13 +37,25 @@
 time_point next_change(const rate_share& s, time_point after)
 {
     time_point next = next_expiry(s.m_book);
-    if (s.m_right.m_from > after)
-        next = std::min(next, s.m_right.m_from);
-    if (s.m_right.m_until > after)
-        next = std::min(next, s.m_right.m_until);
+    if (!s.m_right)
+        return next;
+    const share_right& r = s.m_right->m_right;
+    if (r.m_from > after)
+        next = std::min(next, r.m_from);
+    if (r.m_until > after)
+        next = std::min(next, r.m_until);
     return next;
 }
 
+// Goes through all members, so it is done when the limit or the members change
+// and not with each loan or renewed standing.
+void divide(rate_share& s)
+{
+    s.m_by_right =
+        s.m_right ? share_by_right(s.m_right->m_right, s.m_burst, s.m_workspace)
+                  : 0;
+}
+
 }
 
 rate_share make_rate_share(std::string_view workspace, std::uint64_t first_id,
@@ -59,17 +75,29 @@
 {
     settle(s, now);
     s.m_rate = rate;
-    s.m_burst = static_cast<std::uint32_t>(std::max(std::floor(burst), 1.0));
+    const auto units =
+        static_cast<std::uint32_t>(std::max(std::floor(burst), 1.0));
+    if (std::exchange(s.m_burst, units) != units)
+        divide(s);
     fit_bucket(s, now);
 }
 
-void set_right(rate_share& s, const share_right& right, time_point now)
+void set_right(rate_share& s, shared_right_ptr right, time_point now)
 {
     settle(s, now);
-    s.m_right = right;
+    const bool alike =
+        s.m_right && divides_alike(s.m_right->m_right, right->m_right);
+    s.m_right = std::move(right);
+    if (!alike)
+        divide(s);
     fit_bucket(s, now);
 }
 
+void set_right(rate_share& s, const share_right& right, time_point now)
+{
+    set_right(s, share(right), now);
+}
+
 void fill_bucket(rate_share& s)
 {
     s.m_bucket.m_tokens = s.m_bucket.m_burst;
@@ -180,9 +208,7 @@
 
 bool keeps_to_right(const rate_share& s)
 {
-    const std::uint32_t by_right =
-        share_by_right(s.m_right, s.m_burst, s.m_workspace);
-    return count_units(s.m_book.m_lent) <= by_right;
+    return count_units(s.m_book.m_lent) <= s.m_by_right;
 }
 
 }
--- a/Source/decide/rate_share.hpp
+++ b/Source/decide/rate_share.hpp
@@ -19,9 +19,10 @@
 struct rate_share
 {
     std::string m_workspace;
-    double m_rate = 0;         ///< Of the whole fleet, tokens a second.
-    std::uint32_t m_burst = 0; ///< Of the whole fleet, units.
-    share_right m_right;
+    double m_rate = 0;            ///< Of the whole fleet, tokens a second.
+    std::uint32_t m_burst = 0;    ///< Of the whole fleet, units.
+    shared_right_ptr m_right;     ///< Null: none yet.
+    std::uint32_t m_by_right = 0; ///< Units, while the right lasts.
     share_book m_book;
     rate_bucket m_bucket;
     double m_recent = 0; ///< Arrivals, each fading with demand_memory.
@@ -39,6 +40,7 @@
                            time_point now);
 /// Fits the share to the settings in force.
 void set_rate(rate_share& s, double rate, double burst, time_point now);
+void set_right(rate_share& s, shared_right_ptr right, time_point now);
 void set_right(rate_share& s, const share_right& right, time_point now);
 
 /// Gives the share its whole burst; only for a workspace that is new to the
--- a/Source/decide/share.cpp
+++ b/Source/decide/share.cpp
@@ -21,6 +21,18 @@
 
 }
 
+shared_right_ptr share(share_right right)
+{
+    return shared_right_ptr(new shared_right(std::move(right)));
+}
+
+// An epoch's number stands for its members.
+bool divides_alike(const share_right& a, const share_right& b)
+{
+    return a.m_epoch.m_number == b.m_epoch.m_number && a.m_self == b.m_self &&
+           a.m_settled == b.m_settled;
+}
+
 std::uint32_t divide_limit(std::uint32_t limit,
                            std::span<const fleet_member> members,
                            const fleet_member& self, std::string_view resource)
--- a/Source/decide/share.hpp
+++ b/Source/decide/share.hpp
@@ -5,8 +5,12 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include <decide/fleet_epoch.hpp>
 
 namespace bluebellspoke
@@ -23,6 +27,21 @@
     std::vector<std::string> m_peers; ///< Who may be asked for loans.
 };
 
+/// One immutable copy for all resources that a task divides by it.
+struct shared_right
+    : boost::intrusive_ref_counter<shared_right, boost::thread_unsafe_counter>
+{
+    explicit shared_right(share_right right) : m_right(std::move(right)) {}
+
+    const share_right m_right;
+};
+
+using shared_right_ptr = boost::intrusive_ptr<const shared_right>;
+
+shared_right_ptr share(share_right right);
+/// True when both give the same shares, whatever the time.
+bool divides_alike(const share_right& a, const share_right& b);
+
 /// One member's part of a limit. The parts of all members add up to the limit;
 /// which members get the remainder differs by resource.
 std::uint32_t divide_limit(std::uint32_t limit,
