--- a/Tests/queue/early_refusal_test.cpp
+++ b/Tests/queue/early_refusal_test.cpp
@@ -72,6 +72,11 @@
                         {"bus-depot", 1, 200, 0s, 1h, 700ms},
                         {"ward-1", 1, 5}};
         const fake_result result = play(plan, seed);
+        THEN("no slot stands idle for a refusal")
+        {
+            for (const auto& [workspace, counts] : result)
+                REQUIRE(counts.m_idle == 0);
+        }
         THEN("the ward notices nothing")
         {
             REQUIRE(result.at("ward-1").m_served == result.at("ward-1").m_sent);
--- a/Tools/load/measures.cpp
+++ b/Tools/load/measures.cpp
@@ -101,6 +101,13 @@
     return percent * served_share(worst_served(others));
 }
 
+double first_to_second_served(const load_result& r)
+{
+    const auto& w = r.m_workspaces;
+    return static_cast<double>(w[0].m_served) /
+           static_cast<double>(w[1].m_served);
+}
+
 double served_percent(const load_result& r)
 {
     constexpr double percent = 100;
@@ -162,6 +169,13 @@
         {"overload_others", "measure_overload.json",
          "served of the worst-served other, %", worst_of_the_others_percent,
          overload_variants},
+        {"fleet_fairness",
+         "measure_fleet_fairness.json",
+         "served through one daemon to served through four, ratio",
+         first_to_second_served,
+         {{"fair queue at each daemon", "{}"},
+          {"first come, first served",
+           R"({"fleet":{"daemon_flags":["--queue-by-arrival"]}})"}}},
         {"one_proxy",
          "measure_one_proxy.json",
          "refusals inside the rate, %",
