--- a/Source/daemon/pool_admission.cpp
+++ b/Source/daemon/pool_admission.cpp
@@ -22,9 +22,12 @@
     return waiting;
 }
 
-time_needed& needed_by(pool_group& g, const pool_request& r)
+// Only statements of one kind are alike: a begin takes no majority's time.
+time_needed needed_by(const pool_group& g, const pool_request& r)
 {
-    return g.m_needed[static_cast<std::size_t>(r.m_statement.m_kind)];
+    return stands_alone(r)
+               ? g.m_needed[static_cast<std::size_t>(r.m_statement.m_kind)]
+               : time_needed();
 }
 
 }
@@ -71,7 +74,7 @@
 bool comes_too_late(const request& r)
 {
     const pool_request& arrived = r.m_arrived;
-    if (r.m_pool.m_daemon.m_queue_unbounded || ends_sooner_when_run(arrived))
+    if (r.m_pool.m_daemon.m_queue_unbounded)
         return false;
     return is_hopeless(needed_by(r.m_group, arrived),
                        arrived.m_deadline - monotonic_clock::now());
@@ -79,7 +82,10 @@
 
 void note_served(request& r)
 {
-    note_served(needed_by(r.m_group, r.m_arrived),
+    if (!stands_alone(r.m_arrived))
+        return;
+    const auto kind = static_cast<std::size_t>(r.m_arrived.m_statement.m_kind);
+    note_served(r.m_group.m_needed[kind],
                 monotonic_clock::now() - r.m_handed_over_at);
 }
 
--- a/Tests/decide/settings_view_test.cpp
+++ b/Tests/decide/settings_view_test.cpp
@@ -87,6 +87,15 @@
         tree["haneul/ward"].m_own.m_rate = 10;
         REQUIRE(resolve(tree, 4)->m_workspaces.at("haneul/ward").m_rate == 10);
     }
+    SECTION("the bound of a queue is inherited, and held to its range")
+    {
+        tree["haneul"].m_own.m_queue_limit = 50;
+        REQUIRE(
+            resolve(tree, 4)->m_workspaces.at("haneul/ward").m_queue_limit ==
+            50);
+        tree["haneul"].m_own.m_queue_limit = 0;
+        REQUIRE(fault_of(tree) == settings_fault::out_of_range);
+    }
     SECTION("what nobody says comes from the defaults")
     {
         REQUIRE(resolve(tree, 4)->m_workspaces.at("haneul/ward").m_burst ==
