drain: Leave promotions to the others and give leases back

Cause: a daemon that was told to go went on claiming leases until it stopped. A claim on its way at that moment took effect afterwards and kept the others from promoting until it lapsed.

From leaving on it begins no promotion while there are other daemons, brings an election that it has begun to its end, and stops only when each release was answered or timed out. A claim given up on its way is waited for, or read back, and then released; so it is after any lost duel.

Ruled out: a last turn instead of none, which claims up to the end.

--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::seconds cut_limit{2};
 constexpr std::size_t dumping_tasks = 3;  // front, pool, control
 constexpr std::size_t counting_tasks = 3; // front, pool, control
-constexpr std::size_t draining_tasks = 2; // front, pool
+constexpr std::size_t draining_tasks = 3; // front, pool, control
 
 struct evhttp_deleter
 {
@@ -90,6 +90,7 @@
     {
     case daemon_action::begin_grace:
         log_event(event_id::daemon_draining);
+        a.m_boxes.m_pool.post(leave_begun());
         a.m_grace.start_once(to_microseconds(a.m_daemon.m_drain_grace));
         break;
     case daemon_action::begin_drain:
--- a/Source/daemon/control_charts.cpp
+++ b/Source/daemon/control_charts.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> lease_states{"absent", "reading",
-                                                       "writing", "held"};
+constexpr std::array<std::string_view, 6> lease_states{
+    "absent", "reading", "writing", "withdrawing", "checking", "held"};
 constexpr std::array<std::string_view, 7> lease_events{
     "wanted", "free", "own", "taken", "written", "unanswered", "released"};
 constexpr std::array<std::string_view, 6> lease_actions{
--- a/Source/daemon/control_charts.hpp
+++ b/Source/daemon/control_charts.hpp
@@ -14,6 +14,8 @@
     absent,
     reading,
     writing,
+    withdrawing,
+    checking,
     held,
 };
 
--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -227,7 +227,8 @@
 {
     members_changed m;
     for (const platform_vm& vm : vms)
-        m.m_names.push_back(vm.m_name);
+        if (vm.m_state != vm_state::leaving)
+            m.m_names.push_back(vm.m_name);
     c.m_boxes.m_pool.post(std::move(m));
 }
 
--- a/Source/daemon/control_leases.cpp
+++ b/Source/daemon/control_leases.cpp
@@ -1,5 +1,6 @@
 #include <daemon/control_leases.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 #include <daemon/control_state.hpp>
@@ -103,9 +104,14 @@
 void write_release(control_state& c, const std::string& group)
 {
     const group_claim& claim = c.m_leases.m_claims[group];
+    ++c.m_leases.m_releasing;
     c.m_platform.put(lease_object_name(group), encode_lease({}),
                      claim.m_version, call_limit,
-                     [](platform_result<platform_object>&) {});
+                     [&c](platform_result<platform_object>&)
+                     {
+                         --c.m_leases.m_releasing;
+                         report_if_drained(c);
+                     });
 }
 
 void act(control_state& c, const std::string& group, lease_action action)
@@ -141,6 +147,13 @@
                             {
                                 act(c, group, action);
                             });
+    report_if_drained(c);
+}
+
+bool is_unsettled(const group_claim& claim)
+{
+    return claim.m_state == lease_state::withdrawing ||
+           claim.m_state == lease_state::checking;
 }
 
 }
@@ -160,4 +173,16 @@
     fire(c, m.m_group, lease_event::released);
 }
 
+void report_if_drained(control_state& c)
+{
+    const lease_keeper& k = c.m_leases;
+    const bool unsettled = std::any_of(k.m_claims.begin(), k.m_claims.end(),
+                                       [](const auto& entry)
+                                       {
+                                           return is_unsettled(entry.second);
+                                       });
+    if (c.m_draining && k.m_given_up && k.m_releasing == 0 && !unsettled)
+        c.m_boxes.m_admin.post(task_drained{"control"});
+}
+
 }
--- a/Source/daemon/control_leases.hpp
+++ b/Source/daemon/control_leases.hpp
@@ -31,11 +31,15 @@
     lease_chart m_chart;
     std::map<std::string, group_claim, std::less<>> m_claims;
     std::uint64_t m_next_claim = 1;
+    std::size_t m_releasing = 0; ///< Releases without an answer yet.
+    bool m_given_up = false;     ///< The pool wants no lease any more.
 };
 
 /// Asks the platform for the right to promote; a lease_answer follows.
 void want_lease(control_state& c, const lease_wanted& m);
 void release_lease(control_state& c, const lease_released& m);
+/// Tells the admin task, while draining, that every lease was given up.
+void report_if_drained(control_state& c);
 
 }
 
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -99,6 +99,11 @@
             {
                 release_lease(c, m);
             },
+            [&](leases_given_up&)
+            {
+                c.m_leases.m_given_up = true;
+                report_if_drained(c);
+            },
             [&](tls_changed& m)
             {
                 use_tls(c, m.m_tls);
@@ -118,6 +123,7 @@
             [&](drain_begun&)
             {
                 c.m_draining = true;
+                report_if_drained(c);
             },
             [&](stop_wanted&)
             {
@@ -142,8 +148,9 @@
 control_state::control_state(const daemon_settings& daemon, mailboxes& boxes)
     : m_daemon(daemon), m_boxes(boxes), m_loop(make_loop()),
       m_platform(m_loop, daemon.m_platform),
-      m_incarnation(random_incarnation()),
-      m_leases{load_lease_chart(daemon.m_charts), {}, 1},
+      m_incarnation(random_incarnation()), m_leases{load_lease_chart(
+                                                        daemon.m_charts),
+                                                    {}},
       m_heartbeat(m_loop,
                   [this]
                   {
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -196,6 +196,16 @@
     daemon_tls m_tls;
 };
 
+/// admin → pool: the daemon is to leave; others look after the groups.
+struct leave_begun
+{
+};
+
+/// pool → control: no group of mine needs a lease any more.
+struct leases_given_up
+{
+};
+
 /// main → every task: finish what is under way and take no more.
 struct drain_begun
 {
@@ -244,7 +254,7 @@
     metric_families m_families;
 };
 
-/// front, pool → admin: no request of mine is left.
+/// front, pool, control → admin: nothing of mine is left to finish.
 struct task_drained
 {
     std::string m_task;
@@ -258,12 +268,13 @@
 using pool_message =
     std::variant<pool_request, request_abandoned, settings_changed,
                  members_changed, lease_answer, right_changed, loan_asked,
-                 loan_arrived, drain_begun, work_cut, stop_wanted, dump_wanted,
-                 metrics_wanted>;
+                 loan_arrived, leave_begun, drain_begun, work_cut, stop_wanted,
+                 dump_wanted, metrics_wanted>;
 using control_message =
     std::variant<right_applied, loan_wanted, loan_given, settings_taken,
-                 life_changed, lease_wanted, lease_released, tls_changed,
-                 drain_begun, stop_wanted, dump_wanted, metrics_wanted>;
+                 life_changed, lease_wanted, lease_released, leases_given_up,
+                 tls_changed, drain_begun, stop_wanted, dump_wanted,
+                 metrics_wanted>;
 using admin_message =
     std::variant<state_dump, task_metrics, settings_changed, task_drained,
                  standing_changed, drain_begun, stop_wanted>;
--- a/Source/daemon/pool_charts.cpp
+++ b/Source/daemon/pool_charts.cpp
@@ -26,17 +26,22 @@
 constexpr std::array<std::string_view, 3> transaction_actions{
     "release_connection", "drop_connection", "forget"};
 
-constexpr std::array<std::string_view, 5> group_states{
-    "led", "suspected", "claiming", "fencing", "promoting"};
-constexpr std::array<std::string_view, 8> group_events{
-    "missed",        "found",        "reshaped", "turn_came",
-    "lease_granted", "lease_denied", "elected",  "outbid"};
+constexpr std::array<std::string_view, 6> group_states{
+    "led", "suspected", "claiming", "fencing", "promoting", "yielded"};
+constexpr std::array<std::string_view, 10> group_events{
+    "missed",       "found",   "reshaped", "turn_came", "lease_granted",
+    "lease_denied", "elected", "outbid",   "leaving",   "alone"};
 constexpr std::array<std::string_view, 5> group_actions{
     "await_turn", "claim_lease", "send_fences", "send_promote",
     "release_lease"};
 
 }
 
+std::string_view to_string(group_state state) noexcept
+{
+    return group_states[static_cast<std::size_t>(state)];
+}
+
 pool_charts load_pool_charts(const std::filesystem::path& folder)
 {
     return {load_connection_chart(folder),
--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -80,6 +80,7 @@
     claiming,
     fencing,
     promoting,
+    yielded,
 };
 
 enum class group_event : std::uint8_t
@@ -92,6 +93,8 @@
     lease_denied,
     elected,
     outbid,
+    leaving, ///< This daemon is shutting down.
+    alone,   ///< There is no other daemon any more.
 };
 
 enum class group_action : std::uint8_t
@@ -119,6 +122,8 @@
     place_charts m_places;
 };
 
+std::string_view to_string(group_state state) noexcept;
+
 /// Throws chart_error.
 pool_charts load_pool_charts(const std::filesystem::path& folder);
 
--- a/Source/daemon/pool_promotion.cpp
+++ b/Source/daemon/pool_promotion.cpp
@@ -50,6 +50,11 @@
         rendezvous_rank(g.m_name, p.m_daemon.m_name, p.m_members));
 }
 
+bool may_begin(const pool_state& p)
+{
+    return may_promote(p.m_leaving, p.m_daemon.m_name, p.m_members);
+}
+
 bool still_in(const pool_group& g, term_number term, group_state state)
 {
     return g.m_watch.m_state == state && g.m_watch.m_election.m_term == term;
@@ -198,6 +203,7 @@
     if (g.m_watch.m_state != before)
         g.m_watch.m_entered_at = monotonic_clock::now();
     report(g, event);
+    report_if_drained(g.m_pool);
 }
 
 // ---- what each state waits for
@@ -227,8 +233,14 @@
     {
     case group_state::led:
         break;
+    case group_state::yielded:
+        if (may_begin(g.m_pool))
+            fire(g, group_event::alone);
+        break;
     case group_state::suspected:
-        if (now >= w.m_turn_at)
+        if (!may_begin(g.m_pool))
+            fire(g, group_event::leaving);
+        else if (now >= w.m_turn_at)
             fire(g, group_event::turn_came);
         break;
     case group_state::claiming:
@@ -381,6 +393,26 @@
                                                  : group_event::lease_granted);
 }
 
+void yield_groups(pool_state& p)
+{
+    p.m_leaving = true;
+    if (may_begin(p))
+        return;
+    for (const auto& [name, group] : p.m_groups)
+        fire(*group, group_event::leaving);
+}
+
+bool is_promoting(const pool_state& p)
+{
+    return std::any_of(p.m_groups.begin(), p.m_groups.end(),
+                       [](const auto& entry)
+                       {
+                           const group_state s = entry.second->m_watch.m_state;
+                           return s == group_state::fencing ||
+                                  s == group_state::promoting;
+                       });
+}
+
 void reshape(pool_group& g)
 {
     g.m_watch.m_starved.reset();
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -133,6 +133,9 @@
             endpoints.push_back(describe_endpoint(*e));
         groups[name] = std::move(endpoints);
     }
+    nlohmann::json watches = nlohmann::json::object();
+    for (const auto& [name, group] : p.m_groups)
+        watches[name] = to_string(group->m_watch.m_state);
     nlohmann::json zones = nlohmann::json::object();
     for (const auto& [name, state] : p.m_zones)
         zones[name] = to_string(state);
@@ -141,6 +144,7 @@
         {"requests", p.m_requests.size()},
         {"transactions", p.m_transactions.size()},
         {"zones", std::move(zones)},
+        {"watches", std::move(watches)},
         {"groups", std::move(groups)}}
         .dump();
 }
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -183,6 +183,7 @@
     std::map<std::string, zone_life, std::less<>> m_zones;
     std::uint64_t m_next_transaction = 1;
     pool_counts m_counts;
+    bool m_leaving = false; ///< Begins no promotion any more.
     bool m_draining = false;
     std::vector<std::string> m_members; ///< Names of the fleet's daemons.
     std::string m_candidate;            ///< Name and incarnation of this one.
@@ -277,6 +278,10 @@
 /// Looks after a group's primary, and again after a period.
 void watch_primary(pool_group& g);
 void take_lease_answer(pool_state& p, const lease_answer& m);
+/// Leaves every group to the other daemons, if there are any.
+void yield_groups(pool_state& p);
+/// True while a promotion that this daemon began is under way.
+bool is_promoting(const pool_state& p);
 /// The group's endpoints are others than before.
 void reshape(pool_group& g);
 
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -46,6 +46,10 @@
                 p.m_boxes.m_control.post(loan_given{m.m_exchange, {}});
             },
             [&](loan_arrived&) {},
+            [&](leave_begun&)
+            {
+                yield_groups(p);
+            },
             [&](drain_begun&)
             {
                 p.m_draining = true;
@@ -77,8 +81,12 @@
 
 void report_if_drained(pool_state& p)
 {
-    if (p.m_draining && p.m_requests.empty() && p.m_transactions.empty())
-        p.m_boxes.m_admin.post(task_drained{"pool"});
+    const bool busy =
+        !p.m_requests.empty() || !p.m_transactions.empty() || is_promoting(p);
+    if (!p.m_draining || busy)
+        return;
+    p.m_boxes.m_control.post(leases_given_up());
+    p.m_boxes.m_admin.post(task_drained{"pool"});
 }
 
 void run_pool_task(const daemon_settings& settings, const pool_charts& charts,
--- a/Source/decide/promotion.cpp
+++ b/Source/decide/promotion.cpp
@@ -209,6 +209,16 @@
     return first_turn + turn_step * std::min(rank, last_turn);
 }
 
+bool may_promote(bool leaving, std::string_view daemon,
+                 std::span<const std::string> daemons)
+{
+    return !leaving || std::all_of(daemons.begin(), daemons.end(),
+                                   [&](const std::string& other)
+                                   {
+                                       return other == daemon;
+                                   });
+}
+
 std::vector<std::size_t> find_strays(std::span<const voter> voters,
                                      std::size_t leader,
                                      std::span<const term_number> told_terms)
--- a/Source/decide/promotion.hpp
+++ b/Source/decide/promotion.hpp
@@ -96,6 +96,10 @@
 /// How long a daemon of this rank waits before it acts.
 duration turn_delay(std::size_t rank) noexcept;
 
+/// False for a daemon that is shutting down while there are others.
+bool may_promote(bool leaving, std::string_view daemon,
+                 std::span<const std::string> daemons);
+
 /// The endpoints that have to be told to follow the leader: those fenced
 /// below its term, and those that `told_terms` says were not told of it yet.
 std::vector<std::size_t> find_strays(std::span<const voter> voters,
--- a/Tests/decide/promotion_test.cpp
+++ b/Tests/decide/promotion_test.cpp
@@ -217,6 +217,14 @@
         std::sort(ranks.begin(), ranks.end());
         REQUIRE(ranks == std::vector<std::size_t>{0, 1, 2});
     }
+    SECTION("a daemon that is shutting down leaves it to others, if any")
+    {
+        REQUIRE(may_promote(false, "vm-1", daemons));
+        REQUIRE_FALSE(may_promote(true, "vm-1", daemons));
+        const std::vector<std::string> itself{"vm-1"};
+        REQUIRE(may_promote(true, "vm-1", itself));
+        REQUIRE(may_promote(true, "vm-1", {}));
+    }
     SECTION("an endpoint fenced below the leader's term has to follow")
     {
         std::vector<voter> group = group_of_three(start);
