transactions: Begin on the new primary when the old one refuses the term

Cause: a begin that met a fenced or replaced primary (BB001) was refused as no_primary, though nothing had run and nothing had been handed over.

It now goes back to the queue with a transaction of its own anew and runs on the next primary within its limit.

Ruled out: the same for a begin whose connection was lost. The order in which the connection's end and the request's answer arrive would have to be told apart for it.

--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -73,6 +73,19 @@
     hasten_poll(e);
 }
 
+// Nothing ran before the term was checked, so another try is safe whatever the
+// statement. A begin's first transaction went with its refusal.
+bool try_elsewhere(request& r)
+{
+    const bool begins = r.m_arrived.m_operation == request_operation::begin;
+    if (!begins && !stands_alone(r.m_arrived))
+        return false;
+    if (begins)
+        r.m_transaction = &begin_transaction(r.m_pool, r);
+    fire(r, request_event::retried);
+    return true;
+}
+
 // The endpoint rolled the statement back, so an error means that it did not
 // run; only a commit's error leaves that open.
 void take_error(request& r, pool_endpoint& e, const pg_error& error)
@@ -81,12 +94,8 @@
     const bool wrong_term = error.m_sqlstate == wrong_term_sqlstate;
     if (wrong_term)
         distrust(e);
-    if (wrong_term && stands_alone(r.m_arrived))
-    {
-        // Nothing ran there, so another try is safe whatever the statement.
-        fire(r, request_event::retried);
+    if (wrong_term && try_elsewhere(r))
         return;
-    }
     fail(r, wrong_term ? refusal::no_primary : refusal::endpoint_error,
          commits ? fate::outcome_unknown : fate::not_run,
          error.m_sqlstate + ": " + error.m_message);
