standing: Count a majority of the fleet's epoch as well as of the list

Cause: the majority that witnesses an outage of the platform was counted by the list of VMs alone. A list that names a daemon but omits others gave too small a number; two daemons that it named alone witnessed for each other while the rest could accept changes without them.

A majority of each is needed now: of the list, of the fleet's epoch, and of the former one until the newer is settled; only its own members count.

Ruled out: the larger of the two numbers with every peer counted, as peers outside of the epoch would fill it; the epoch alone, as one that is listed and not yet a member would have no part.

--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -183,15 +183,50 @@
     answer_peer(c, given.m_exchange, loan_message(given.m_loan));
 }
 
+namespace
+{
+
+peer_witness witness_of(const peer& p)
+{
+    return {p.m_asked_at, p.m_last->m_settings_version,
+            std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
+            p.m_last->m_platform_answers};
+}
+
+// By name: a process that took a member's place has its settings from members.
+witnessed_standing standing_among(const control_state& c,
+                                  std::span<const fleet_member> members)
+{
+    witnessed_standing s;
+    for (const auto& [name, p] : c.m_peers)
+        if (p.m_last && find_member(members, name) != nullptr)
+            s.m_witnesses.push_back(witness_of(p));
+    const bool is_member = find_member(members, c.m_daemon.m_name) != nullptr;
+    s.m_view = {c.m_version,          c.m_platform_confirmed_at,
+                c.m_platform_answers, members.size(),
+                s.m_witnesses,        is_member};
+    return s;
+}
+
+}
+
+std::vector<witnessed_standing> member_standings_of(const control_state& c)
+{
+    const fleet_epoch& e = c.m_fleet.m_epoch;
+    std::vector<witnessed_standing> standings;
+    if (!e.m_members.empty())
+        standings.push_back(standing_among(c, e.m_members));
+    if (!c.m_fleet.m_settling.m_settled && !e.m_former.empty())
+        standings.push_back(standing_among(c, e.m_former));
+    return standings;
+}
+
 witnessed_standing standing_of(const control_state& c)
 {
     witnessed_standing s;
     for (const auto& [name, p] : c.m_peers)
         if (p.m_last)
-            s.m_witnesses.push_back(
-                {p.m_asked_at, p.m_last->m_settings_version,
-                 std::chrono::milliseconds(p.m_last->m_confirmed_age_ms),
-                 p.m_last->m_platform_answers});
+            s.m_witnesses.push_back(witness_of(p));
     s.m_view = {c.m_version, c.m_platform_confirmed_at, c.m_platform_answers,
                 known_members(c), s.m_witnesses};
     return s;
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -145,6 +145,9 @@
     standing_view m_view;
 };
 witnessed_standing standing_of(const control_state& c);
+/// The same by the members of the fleet's epoch, and of the one before it until
+/// the epoch is settled.
+std::vector<witnessed_standing> member_standings_of(const control_state& c);
 /// Keeps connections to just these VMs' daemons.
 void set_peers(control_state& c, std::span<const platform_vm> vms);
 void send_to_peer(control_state& c, std::string_view name,
--- a/Source/decide/standing.cpp
+++ b/Source/decide/standing.cpp
@@ -23,7 +23,7 @@
                                  !w.m_platform_answers &&
                                  w.m_version <= view.m_version;
                       });
-    return static_cast<std::size_t>(peers) + 1;
+    return static_cast<std::size_t>(peers) + (view.m_is_member ? 1 : 0);
 }
 
 }
@@ -42,7 +42,7 @@
     const time_point confirmed = confirmed_at(view) + standing_bound;
     if (view.m_platform_answers)
         return confirmed;
-    const std::size_t needed = view.m_members / 2;
+    const std::size_t needed = view.m_members / 2 + (view.m_is_member ? 0 : 1);
     if (needed == 0)
         return time_point::max();
     // The majority lasts as long as the oldest of the newest few witnesses.
@@ -56,6 +56,33 @@
     return std::max(confirmed, asked[needed - 1] + standing_bound);
 }
 
+// A confirmation is good whoever gave it; it takes no majority.
+time_point standing_until(std::span<const standing_view> views)
+{
+    time_point confirmed = time_point::min();
+    time_point witnessed = time_point::max();
+    for (const standing_view& view : views)
+    {
+        confirmed = std::max(confirmed, confirmed_at(view) + standing_bound);
+        witnessed = std::min(witnessed, standing_until(view));
+    }
+    return std::max(confirmed, witnessed);
+}
+
+standing judge_standing(std::span<const standing_view> views, time_point now)
+{
+    standing weakest = standing::witnessed;
+    for (const standing_view& view : views)
+    {
+        const standing s = judge_standing(view, now);
+        if (s == standing::confirmed)
+            return s;
+        if (s == standing::lapsed)
+            weakest = s;
+    }
+    return views.empty() ? standing::lapsed : weakest;
+}
+
 std::string_view to_string(standing s) noexcept
 {
     switch (s)
--- a/Source/decide/standing.hpp
+++ b/Source/decide/standing.hpp
@@ -34,6 +34,7 @@
     bool m_platform_answers = true;
     std::size_t m_members = 1; ///< Of the fleet, with this one.
     std::span<const peer_witness> m_peers;
+    bool m_is_member = true; ///< This daemon itself.
 };
 
 enum class standing : std::uint8_t
@@ -48,6 +49,12 @@
 
 /// The time up to which what the daemon knows now gives it standing.
 time_point standing_until(const standing_view& view);
+
+/// The same for several lists of members, one of which may be short: witnessed
+/// only by a majority of each.
+time_point standing_until(std::span<const standing_view> views);
+standing judge_standing(std::span<const standing_view> views, time_point now);
+
 std::string_view to_string(standing s) noexcept;
 
 /// Whether a daemon still has the right to serve. docs/design/standing.md
--- a/Tests/operators/standing_test.cpp
+++ b/Tests/operators/standing_test.cpp
@@ -131,6 +131,66 @@
     }
 }
 
+TEST_CASE("The platform's list of VMs omits most of the fleet")
+{
+    ward w({.m_daemons = 5, .m_relays = true});
+    fleet& f = w.m_fleet;
+    REQUIRE(eventually(
+        [&]
+        {
+            return dump_of(f.m_daemons[0]).at("control").at("epoch_members") ==
+                       5 &&
+                   dump_of(f.m_daemons[1]).at("control").at("epoch_members") ==
+                       5;
+        }));
+    nlohmann::json vms = vm_list(f);
+    vms.erase(vms.begin() + 2, vms.end());
+    set_vms(f, vms);
+    REQUIRE(eventually(
+        [&]
+        {
+            return dump_of(f.m_daemons[0]).at("control").at("members") == 2 &&
+                   dump_of(f.m_daemons[1]).at("control").at("members") == 2;
+        }));
+
+    WHEN("the two that it names are cut off from all others")
+    {
+        set_platform_fault(f, {{"mode", "down"}});
+        for (const std::size_t other : {2U, 3U, 4U})
+            f.m_daemons[other].m_process->send_signal(SIGSTOP);
+
+        THEN("they don't witness for each other alone")
+        {
+            // The end of a standing is told before it is judged anew.
+            REQUIRE(eventually(
+                [&]
+                {
+                    return standing_of(f.m_daemons[0]) == "lapsed" &&
+                           standing_of(f.m_daemons[1]) == "lapsed";
+                }));
+            for (int i = 0; i < 20; ++i)
+            {
+                REQUIRE(is_refused(read_through(w, 0)));
+                REQUIRE(is_refused(read_through(w, 1)));
+            }
+
+            AND_WHEN("a third is back")
+            {
+                f.m_daemons[2].m_process->send_signal(SIGCONT);
+                THEN("three of five are a majority and serve")
+                {
+                    REQUIRE(eventually(
+                        [&]
+                        {
+                            return standing_of(f.m_daemons[0]) == "witnessed" &&
+                                   read_through(w, 0).m_status == 200;
+                        }));
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("An older copy of the platform's store brings nothing back")
 {
     ward w({.m_daemons = 3, .m_zones = 2, .m_relays = true});
--- a/Tests/settings/progress_test.cpp
+++ b/Tests/settings/progress_test.cpp
@@ -97,6 +97,47 @@
     }
 }
 
+TEST_CASE("A list of members that is too short gives no standing")
+{
+    const time_point start{1000s};
+    const std::array fellow{peer_witness{start, 7, 10s, false}};
+    // The list names two, the fleet's epoch five.
+    const standing_view listed{7, start - 10s, false, 2, fellow};
+    standing_view members{7, start - 10s, false, 5, fellow};
+
+    SECTION("two of five are no majority")
+    {
+        const std::array views{listed, members};
+        REQUIRE(judge_standing(listed, start) == standing::witnessed);
+        REQUIRE(judge_standing(views, start) == standing::lapsed);
+        REQUIRE(standing_until(views) < start);
+    }
+    SECTION("three are, while all three have been asked in time")
+    {
+        const std::array fellows{peer_witness{start, 7, 10s, false},
+                                 peer_witness{start + 1s, 7, 10s, false}};
+        members.m_peers = fellows;
+        const std::array views{listed, members};
+        REQUIRE(judge_standing(views, start) == standing::witnessed);
+        REQUIRE(standing_until(views) == start + standing_bound);
+    }
+    SECTION("one that isn't a member doesn't count itself")
+    {
+        members.m_members = 3;
+        members.m_is_member = false;
+        const std::array views{listed, members};
+        REQUIRE(judge_standing(views, start) == standing::lapsed);
+    }
+    SECTION("a peer that was confirmed in time is enough")
+    {
+        const std::array confirmed{peer_witness{start, 7, 1s, true}};
+        members.m_peers = confirmed;
+        const std::array views{listed, members};
+        REQUIRE(judge_standing(views, start) == standing::confirmed);
+        REQUIRE(standing_until(views) == start - 1s + standing_bound);
+    }
+}
+
 TEST_CASE("What returns gets its work little by little")
 {
     REQUIRE(returning_slots(10, 0s) == 1);
