promotion: Let a paused daemon begin again with its turn

Cause, by reading: a daemon that was paused while it claimed a lease and wakes hears its endpoints one after the other. After the first, a replica at the new fence, it hears no majority and sees no leader there. It went on nevertheless: its claim was older than the 600 ms after which it does without an answer, or the answer waited in its mailbox, so it fenced at the new fence plus one and deposed the primary of the daemon that was awake. This fits "it changes nothing when it wakes", which failed once in 16 runs; no trace of that run was kept, so it is not shown to be that run's cause.

A daemon that hears no majority now takes no first step, one that did not look after a group for 500 ms begins with its turn, and a lease that lapsed before its answer was read counts as denied.

--- a/Source/daemon/pool_promotion.cpp
+++ b/Source/daemon/pool_promotion.cpp
@@ -225,9 +225,14 @@
     fire(g, group_event::elected);
 }
 
-void go_on(pool_group& g, std::span<const voter> voters, time_point now)
+void go_on(pool_group& g, std::span<const voter> voters, leadership judged,
+           time_point now)
 {
     const primary_watch& w = g.m_watch;
+    const bool begun = w.m_state == group_state::fencing ||
+                       w.m_state == group_state::promoting;
+    if (judged == leadership::unknown && !begun)
+        return;
     const duration in_state = now - w.m_entered_at;
     switch (w.m_state)
     {
@@ -339,6 +344,16 @@
         voters[*w.m_starved].m_eligible = false;
 }
 
+// Half of the endpoints may have answered since, and the new primary not: the
+// highest fence then seems to lead nobody, and a claim from before the pause
+// would depose it. So the turn is waited for anew.
+void forget_after_pause(pool_group& g, time_point now)
+{
+    const time_point before = std::exchange(g.m_watch.m_watched_at, now);
+    if (now > before && now - before > pause_bound)
+        fire(g, group_event::reshaped);
+}
+
 bool note_starved(pool_group& g, std::span<const voter> voters, time_point now)
 {
     primary_watch& w = g.m_watch;
@@ -361,6 +376,7 @@
         return;
     g.m_watch.m_tick.start_once(tick_period);
     const time_point now = monotonic_clock::now();
+    forget_after_pause(g, now);
     std::vector<voter> voters = voters_of(g);
     const leadership judged = judge_leadership(voters, now);
     const bool starved = note_starved(g, voters, now);
@@ -374,7 +390,7 @@
     if (judged != leadership::unknown)
         fire(g, group_event::missed);
     pass_over_starved(g.m_watch, voters);
-    go_on(g, voters, now);
+    go_on(g, voters, judged, now);
 }
 
 void take_lease_answer(pool_state& p, const lease_answer& m)
@@ -387,10 +403,14 @@
                          g.m_watch.m_ticket == m.m_ticket;
     if (!current)
         return;
-    if (m.m_verdict == lease_verdict::granted)
+    const time_point now = monotonic_clock::now();
+    forget_after_pause(g, now);
+    const bool granted = m.m_verdict == lease_verdict::granted;
+    if (granted)
         g.m_watch.m_lease_until = m.m_until;
-    fire(g, m.m_verdict == lease_verdict::denied ? group_event::lease_denied
-                                                 : group_event::lease_granted);
+    const bool lapsed = granted && now >= m.m_until;
+    const bool denied = m.m_verdict == lease_verdict::denied || lapsed;
+    fire(g, denied ? group_event::lease_denied : group_event::lease_granted);
 }
 
 void yield_groups(pool_state& p)
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -141,7 +141,8 @@
     std::uint64_t m_ticket = 0;      ///< Of the lease last asked for.
     /// End of the lease; absent: this daemon acts without one.
     std::optional<time_point> m_lease_until;
-    time_point m_entered_at{}; ///< The present state.
+    time_point m_entered_at{};                   ///< The present state.
+    time_point m_watched_at = time_point::max(); ///< Last; max: never.
     time_point m_turn_at{};
     timer m_tick;
 };
--- a/Source/decide/promotion.hpp
+++ b/Source/decide/promotion.hpp
@@ -96,6 +96,10 @@
 /// How long a daemon of this rank waits before it acts.
 duration turn_delay(std::size_t rank) noexcept;
 
+/// A daemon that has not looked after a group for this long was paused: what
+/// it knows and meant to do is out of date.
+inline constexpr std::chrono::milliseconds pause_bound{500};
+
 /// False for a daemon that is shutting down while there are others.
 bool may_promote(bool leaving, std::string_view daemon,
                  std::span<const std::string> daemons);
