--- a/Source/daemon/pool_charts.hpp
+++ b/Source/daemon/pool_charts.hpp
@@ -81,6 +81,7 @@
     asking,
     fencing,
     promoting,
+    yielded,
 };
 
 enum class group_event : std::uint8_t
@@ -94,6 +95,8 @@
     still_missed,
     elected,
     outbid,
+    leaving, ///< This daemon is shutting down.
+    alone,   ///< There is no other daemon any more.
 };
 
 enum class group_action : std::uint8_t
@@ -122,6 +125,8 @@
     place_charts m_places;
 };
 
+std::string_view to_string(group_state state) noexcept;
+
 /// Throws chart_error.
 pool_charts load_pool_charts(const std::filesystem::path& folder);
 
--- a/Source/daemon/pool_promotion.cpp
+++ b/Source/daemon/pool_promotion.cpp
@@ -49,6 +49,11 @@
         rendezvous_rank(g.m_name, p.m_daemon.m_name, p.m_members));
 }
 
+bool may_begin(const pool_state& p)
+{
+    return may_promote(p.m_leaving, p.m_daemon.m_name, p.m_members);
+}
+
 bool still_in(const pool_group& g, term_number term, group_state state)
 {
     return g.m_watch.m_state == state && g.m_watch.m_election.m_term == term;
@@ -201,6 +206,7 @@
     if (g.m_watch.m_state != before)
         g.m_watch.m_entered_at = monotonic_clock::now();
     report(g, event);
+    report_if_drained(g.m_pool);
 }
 
 // ---- what each state waits for
@@ -222,16 +228,27 @@
     fire(g, group_event::elected);
 }
 
-void go_on(pool_group& g, std::span<const voter> voters, time_point now)
+void go_on(pool_group& g, std::span<const voter> voters, leadership judged,
+           time_point now)
 {
     const primary_watch& w = g.m_watch;
+    const bool begun = w.m_state == group_state::fencing ||
+                       w.m_state == group_state::promoting;
+    if (judged == leadership::unknown && !begun)
+        return;
     const duration in_state = now - w.m_entered_at;
     switch (w.m_state)
     {
     case group_state::led:
         break;
+    case group_state::yielded:
+        if (may_begin(g.m_pool))
+            fire(g, group_event::alone);
+        break;
     case group_state::suspected:
-        if (now >= w.m_turn_at)
+        if (!may_begin(g.m_pool))
+            fire(g, group_event::leaving);
+        else if (now >= w.m_turn_at)
             fire(g, group_event::turn_came);
         break;
     case group_state::claiming:
@@ -336,6 +353,16 @@
         voters[*w.m_starved].m_eligible = false;
 }
 
+// Half of the endpoints may have answered since, and the new primary not: the
+// highest fence then seems to lead nobody, and a claim from before the pause
+// would depose it. So the turn is waited for anew.
+void forget_after_pause(pool_group& g, time_point now)
+{
+    const time_point before = std::exchange(g.m_watch.m_watched_at, now);
+    if (now > before && now - before > pause_bound)
+        fire(g, group_event::reshaped);
+}
+
 bool note_starved(pool_group& g, std::span<const voter> voters, time_point now)
 {
     primary_watch& w = g.m_watch;
@@ -372,6 +399,7 @@
         return;
     g.m_watch.m_tick.start_once(pace_of(g).m_judge);
     const time_point now = monotonic_clock::now();
+    forget_after_pause(g, now);
     std::vector<voter> voters = voters_of(g);
     const leadership judged = judge_leadership(voters, now);
     const bool starved = note_starved(g, voters, now);
@@ -385,7 +413,7 @@
     if (judged != leadership::unknown)
         fire(g, group_event::missed);
     pass_over_starved(g.m_watch, voters);
-    go_on(g, voters, now);
+    go_on(g, voters, judged, now);
 }
 
 void take_lease_answer(pool_state& p, const lease_answer& m)
@@ -398,10 +426,34 @@
                          g.m_watch.m_ticket == m.m_ticket;
     if (!current)
         return;
-    if (m.m_verdict == lease_verdict::granted)
+    const time_point now = monotonic_clock::now();
+    forget_after_pause(g, now);
+    const bool granted = m.m_verdict == lease_verdict::granted;
+    if (granted)
         g.m_watch.m_lease_until = m.m_until;
-    fire(g, m.m_verdict == lease_verdict::denied ? group_event::lease_denied
-                                                 : group_event::lease_granted);
+    const bool lapsed = granted && now >= m.m_until;
+    const bool denied = m.m_verdict == lease_verdict::denied || lapsed;
+    fire(g, denied ? group_event::lease_denied : group_event::lease_granted);
+}
+
+void yield_groups(pool_state& p)
+{
+    p.m_leaving = true;
+    if (may_begin(p))
+        return;
+    for (const auto& [name, group] : p.m_groups)
+        fire(*group, group_event::leaving);
+}
+
+bool is_promoting(const pool_state& p)
+{
+    return std::any_of(p.m_groups.begin(), p.m_groups.end(),
+                       [](const auto& entry)
+                       {
+                           const group_state s = entry.second->m_watch.m_state;
+                           return s == group_state::fencing ||
+                                  s == group_state::promoting;
+                       });
 }
 
 void reshape(pool_group& g)
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -144,7 +144,8 @@
     std::uint64_t m_ticket = 0;      ///< Of the lease last asked for.
     /// End of the lease; absent: this daemon acts without one.
     std::optional<time_point> m_lease_until;
-    time_point m_entered_at{}; ///< The present state.
+    time_point m_entered_at{};                   ///< The present state.
+    time_point m_watched_at = time_point::max(); ///< Last; max: never.
     time_point m_turn_at{};
     time_point m_asked_at{}; ///< For what to begin an election on.
     timer m_tick;
@@ -190,6 +191,7 @@
     std::map<std::string, zone_life, std::less<>> m_zones;
     std::uint64_t m_next_transaction = 1;
     pool_counts m_counts;
+    bool m_leaving = false; ///< Begins no promotion any more.
     bool m_draining = false;
     std::vector<std::string> m_members; ///< Names of the fleet's daemons.
     std::string m_candidate;            ///< Name and incarnation of this one.
@@ -306,6 +308,10 @@
 /// Looks after a group's primary, and again after a period.
 void watch_primary(pool_group& g);
 void take_lease_answer(pool_state& p, const lease_answer& m);
+/// Leaves every group to the other daemons, if there are any.
+void yield_groups(pool_state& p);
+/// True while a promotion that this daemon began is under way.
+bool is_promoting(const pool_state& p);
 /// The group's endpoints are others than before.
 void reshape(pool_group& g);
 
