shares: Lend connections to where the transactions are

Cause: each daemon had an even, fixed part of an endpoint's connections; one whose callers held more transactions than its part refused them although others had connections to spare.

decide/connection_book lends them with the loans that rates have. What differs: a connection in use can't be stopped by time alone. So the lender gives only what isn't open (it yields idle ones, and counts a close as open for 50 ms), it renews as long as it is asked to and its share covers it, and it counts a loan 2.2 s longer than the borrower: 0.2 s in which busy connections are closed, and 2 s after which the endpoint itself ends a silent session (idle_session_timeout), which holds for a paused process too. One connection is never lent: the next request needs no loan, and a process that takes the place has it at once.

A daemon whose monitor isn't counted by all takes a connection for it out of what it borrows.

--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -116,6 +116,7 @@
         return;
     const bool fresh =
         find_member(f.m_epoch.m_former, c.m_daemon.m_name) == nullptr;
+    f.m_new_name = fresh;
     f.m_joined_at =
         f.m_started_at + (fresh ? duration::zero() : loan_term + loan_margin);
 }
@@ -206,7 +207,6 @@
     c.m_fleet.m_reading = false;
     const auto* object = std::get_if<platform_object>(&result);
     c.m_fleet.m_platform_answers = object != nullptr;
-    c.m_fleet.m_platform_away = object == nullptr;
     try
     {
         if (object != nullptr && take_epoch(c, *object))
@@ -280,7 +280,7 @@
     right.m_epoch = f.m_epoch;
     right.m_self = self_of(c);
     right.m_settled = f.m_settling.m_settled;
-    right.m_platform_away = f.m_platform_away;
+    right.m_new_name = f.m_new_name;
     // One that is not a member yet has no share, but may borrow.
     right.m_from = f.m_joined_at.value_or(time_point::max());
     for (const auto& [name, p] : c.m_peers)
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -41,12 +41,12 @@
     /// newer than m_epoch.
     time_point m_confirmed_at{};
     bool m_platform_answers = false;
-    bool m_platform_away = false; ///< It was asked and didn't answer.
     bool m_reading = false;
     bool m_proposing = false;
     settling m_settling;
     std::array<std::uint64_t, 2> m_applied{}; ///< By share_holder.
     time_point m_started_at{};
+    bool m_new_name = false; ///< No process before it was a member.
     std::optional<time_point> m_joined_at; ///< Its shares begin then.
     std::optional<time_point> m_propose_at;
     settings_view_ptr m_unannounced; ///< Settings that admin waits for.
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -1,12 +1,12 @@
 #include <daemon/front_state.hpp>
 
 #include <algorithm>
-#include <random>
 #include <string_view>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include <daemon/loan_number.hpp>
 #include <decide/access.hpp>
 #include <decide/session_token.hpp>
 #include <front/statement_codec.hpp>
@@ -78,14 +78,6 @@
     return r;
 }
 
-// A lender's numbers never come again after a restart, so that a loan of the
-// process before is not taken for one of this.
-std::uint64_t random_loan_number()
-{
-    std::random_device source;
-    return std::uniform_int_distribution<std::uint64_t>(1, 1ULL << 62U)(source);
-}
-
 access_grant check_access(const front_state& f, const requested& r,
                           const http2_request& request)
 {
--- a/Source/daemon/pool_endpoints.cpp
+++ b/Source/daemon/pool_endpoints.cpp
@@ -106,6 +106,7 @@
     pool_state& p = e.m_group.m_pool;
     p.m_closed_connections.push_back(std::move(*found));
     e.m_connections.erase(found);
+    e.m_closed_at.push_back(monotonic_clock::now());
     p.m_reaper.start_once(std::chrono::microseconds::zero());
     if (t != nullptr)
         fire(*t, transaction_event::lost);
@@ -124,6 +125,7 @@
 {
     pg_target target;
     target.m_address = parse_address(e.m_setting.m_address);
+    target.m_silence_bound = silence_bound;
     return target;
 }
 
@@ -147,6 +149,8 @@
 void start_monitor(pool_endpoint& e)
 {
     pool_state& p = e.m_group.m_pool;
+    if (e.m_monitor || !may_monitor(e.m_book, monotonic_clock::now()))
+        return;
     pg_handlers handlers;
     handlers.m_on_ready = [&e]
     {
@@ -193,11 +197,14 @@
 
 bool open_connection(pool_endpoint& e)
 {
-    if (e.m_connections.size() >= e.m_connection_share)
+    if (count_open(e) >= usable_connections(e.m_book, monotonic_clock::now()))
+    {
+        note_shortage(e);
         return false;
+    }
     pool_state& p = e.m_group.m_pool;
-    auto made = std::make_unique<pooled_connection>(
-        pooled_connection{e, nullptr, nullptr, nullptr, false});
+    auto made = std::make_unique<pooled_connection>(pooled_connection{
+        e, nullptr, nullptr, nullptr, false, monotonic_clock::now()});
     pooled_connection& c = *made;
     pg_handlers handlers;
     handlers.m_on_ready = [&e]
--- /dev/null
+++ b/Source/daemon/pool_loans.cpp
@@ -0,0 +1,162 @@
+#include <daemon/pool_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::size_t asked_at_once = 8; ///< Peers in one round.
+
+bool has_loan_of(const connection_book& b, std::string_view lender)
+{
+    const auto& loans = b.m_book.m_borrowed;
+    return std::any_of(loans.begin(), loans.end(),
+                       [&](const loan& l)
+                       {
+                           return l.m_peer == lender;
+                       });
+}
+
+// A daemon that may hold no monitor can't do without a loan.
+bool may_want(const pool_endpoint& e, time_point now)
+{
+    return wanted_connections(e.m_book, now) > 0 &&
+           !(e.m_group.m_pool.m_daemon.m_even_shares && e.m_book.m_named);
+}
+
+void ask_round(pool_endpoint& e, time_point now)
+{
+    pool_state& p = e.m_group.m_pool;
+    const connection_book& b = e.m_book;
+    if (!p.m_right || now < e.m_next_round || !needs_peers(b, now))
+        return;
+    e.m_round_pause =
+        std::clamp<duration>(2 * e.m_round_pause, ask_pause, longest_ask_pause);
+    e.m_next_round = now + e.m_round_pause;
+    const bool wants = may_want(e, now);
+    std::size_t asked = 0;
+    for (const std::string& lender : lenders_in_order(*p.m_right, b.m_endpoint))
+    {
+        const bool more = wants && asked < asked_at_once;
+        if (!more && !has_loan_of(b, lender))
+            continue;
+        ++asked;
+        p.m_boxes.m_control.post(
+            loan_wanted{share_kind::connections, b.m_endpoint, lender,
+                        make_ask(b, p.m_daemon.m_name, lender, now)});
+    }
+}
+
+pool_endpoint* find_endpoint(const pool_state& p, std::string_view resource)
+{
+    for (const auto& [name, group] : p.m_groups)
+        for (const auto& e : group->m_endpoints)
+            if (e->m_book.m_endpoint == resource)
+                return e.get();
+    return nullptr;
+}
+
+void forget_closed(pool_endpoint& e, time_point now)
+{
+    std::erase_if(e.m_closed_at,
+                  [&](time_point closed_at)
+                  {
+                      return now - closed_at >= close_time;
+                  });
+}
+
+void tend_endpoint(pool_endpoint& e, time_point now)
+{
+    forget_closed(e, now);
+    return_connections(e);
+    note_use(e.m_book, use_of(e), now);
+    ask_round(e, now);
+}
+
+// When the endpoint is to be looked at again.
+time_point next_look(const pool_endpoint& e, time_point now)
+{
+    const bool at_work = e.m_short || needs_peers(e.m_book, now) ||
+                         now < e.m_book.m_yield_until || !fits_share(e);
+    return at_work ? now + ask_pause : next_change(e.m_book, now);
+}
+
+void look_again(pool_state& p, time_point now)
+{
+    time_point next = time_point::max();
+    for (const auto& [name, group] : p.m_groups)
+        for (const auto& e : group->m_endpoints)
+            next = std::min(next, next_look(*e, now));
+    if (next == time_point::max())
+        return;
+    const duration left = std::max<duration>(next - now, ask_pause);
+    p.m_loan_tick.start_once(
+        std::chrono::duration_cast<std::chrono::microseconds>(left));
+}
+
+}
+
+void note_shortage(pool_endpoint& e)
+{
+    const time_point now = monotonic_clock::now();
+    const bool first = !std::exchange(e.m_short, true);
+    if (first)
+        e.m_group.m_pool.m_loan_tick.start_once(ask_pause);
+    else if (now < e.m_next_round)
+        return;
+    note_use(e.m_book, use_of(e), now);
+    ask_round(e, now);
+}
+
+void lend_to_peer(pool_state& p, const loan_asked& asked)
+{
+    rate_loan given;
+    if (pool_endpoint* e = find_endpoint(p, asked.m_resource))
+    {
+        const time_point now = monotonic_clock::now();
+        const connection_use use = use_of(*e);
+        note_use(e->m_book, use, now);
+        given.m_units = lend_connections(e->m_book, asked.m_ask, use, now);
+        return_connections(*e);
+        p.m_loan_tick.start_once(ask_pause);
+    }
+    p.m_boxes.m_control.post(loan_given{asked.m_exchange, std::move(given)});
+}
+
+void take_loan(pool_state& p, const loan_arrived& arrived)
+{
+    pool_endpoint* e = find_endpoint(p, arrived.m_resource);
+    if (e == nullptr)
+        return;
+    const std::uint32_t gained =
+        take_connections(e->m_book, arrived.m_lender, arrived.m_loan.m_units,
+                         arrived.m_asked_at, monotonic_clock::now());
+    if (gained == 0)
+        return;
+    e->m_round_pause = {};
+    start_monitor(*e);
+    dispatch(e->m_group);
+}
+
+void tend_loans(pool_state& p)
+{
+    const time_point now = monotonic_clock::now();
+    for (const auto& [name, group] : p.m_groups)
+    {
+        for (const auto& e : group->m_endpoints)
+        {
+            settle(e->m_book, now);
+            e->m_short = false;
+        }
+        dispatch(*group);
+        for (const auto& e : group->m_endpoints)
+            tend_endpoint(*e, now);
+    }
+    look_again(p, now);
+}
+
+}
--- a/Source/daemon/pool_metrics.cpp
+++ b/Source/daemon/pool_metrics.cpp
@@ -83,6 +83,24 @@
               to_number(connections));
 }
 
+void collect_shares(metric_families& families, const pool_state& p)
+{
+    constexpr std::array<std::string_view, 3> parts{"by_right", "lent",
+                                                    "borrowed"};
+    std::array<std::uint64_t, parts.size()> units{};
+    for (const auto& [name, group] : p.m_groups)
+        for (const auto& e : group->m_endpoints)
+        {
+            const share_book& b = e->m_book.m_book;
+            units[0] += b.m_base;
+            units[1] += count_units(b.m_lent);
+            units[2] += count_units(b.m_borrowed);
+        }
+    for (std::size_t i = 0; i < parts.size(); ++i)
+        add_value(families, metric_id::connection_share, {&parts[i], 1},
+                  to_number(units[i]));
+}
+
 double write_age(const pool_counts& counts)
 {
     constexpr double none = -1;
@@ -136,6 +154,7 @@
     add_value(families, metric_id::last_write, {}, write_age(p.m_counts));
     collect_requests(families, p);
     collect_endpoints(families, p);
+    collect_shares(families, p);
     return families;
 }
 
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -16,6 +16,7 @@
 {
     c.m_request = nullptr;
     c.m_running = false;
+    c.m_heard_at = monotonic_clock::now();
     --c.m_endpoint.m_view.m_running;
 }
 
--- a/Source/daemon/pool_settings.cpp
+++ b/Source/daemon/pool_settings.cpp
@@ -24,7 +24,6 @@
 void add_endpoint(pool_group& g, const endpoint_setting& setting)
 {
     g.m_endpoints.push_back(std::make_unique<pool_endpoint>(g, setting));
-    start_monitor(*g.m_endpoints.back());
 }
 
 /// Returns true when any was removed.
@@ -75,6 +74,7 @@
         e->m_connection_limit = view.m_connections;
         share_connections(*e);
         return_connections(*e);
+        start_monitor(*e);
         e->m_slot_share = view.m_slots;
         update_admission(*e);
     }
@@ -85,14 +85,18 @@
 
 nlohmann::json describe_endpoint(const pool_endpoint& e)
 {
-    nlohmann::json out{{"name", e.m_setting.m_name},
-                       {"zone", e.m_setting.m_zone},
-                       {"state", to_string(e.m_life)},
-                       {"reachable", e.m_reachable},
-                       {"admits", e.m_view.m_admits},
-                       {"running", e.m_view.m_running},
-                       {"slots", e.m_view.m_slots},
-                       {"connections", e.m_connections.size()}};
+    nlohmann::json out{
+        {"name", e.m_setting.m_name},
+        {"zone", e.m_setting.m_zone},
+        {"state", to_string(e.m_life)},
+        {"reachable", e.m_reachable},
+        {"admits", e.m_view.m_admits},
+        {"running", e.m_view.m_running},
+        {"slots", e.m_view.m_slots},
+        {"connections", e.m_connections.size()},
+        {"connections_by_right", e.m_book.m_book.m_base},
+        {"connections_lent", count_units(e.m_book.m_book.m_lent)},
+        {"connections_borrowed", count_units(e.m_book.m_book.m_borrowed)}};
     if (!e.m_view.m_state)
         return out;
     const endpoint_state& s = *e.m_view.m_state;
@@ -119,6 +123,7 @@
     for (auto& [name, group] : p.m_groups)
         if (!p.m_settings->m_groups.contains(name))
             apply_group(*group, group_view());
+    tend_loans(p);
     move_zones(p);
     end_withdrawn_keys(p);
 }
--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <decide/connection_share.hpp>
+#include <report/event.hpp>
 
 namespace bluebellspoke
 {
@@ -16,53 +16,107 @@
            c.m_pg->state() == connection_state::idle;
 }
 
-// The daemon's part of an epoch is applied when what is open fits it.
+bool is_busy(const pooled_connection& c)
+{
+    return c.m_running || c.m_transaction != nullptr;
+}
+
+bool keeps_to_epoch(pool_group& g, time_point now)
+{
+    // Every endpoint is asked: each takes its smaller part into force.
+    bool keeps = true;
+    for (const auto& e : g.m_endpoints)
+        keeps = keeps_to_right(e->m_book, use_of(*e), now) && keeps;
+    return keeps;
+}
+
+pooled_connection* find_idle(const pool_endpoint& e)
+{
+    for (const auto& c : e.m_connections)
+        if (is_idle(*c))
+            return c.get();
+    return nullptr;
+}
+
+// The lender counts on it: what was lent is free by then.
+void drop_withdrawn(pool_endpoint& e, time_point now)
+{
+    while (!e.m_connections.empty() &&
+           e.m_connections.size() > most_connections(e.m_book, now))
+    {
+        log_event(
+            event_id::connection_withdrawn,
+            {{"group", e.m_group.m_name}, {"endpoint", e.m_setting.m_name}});
+        e.m_connections.back()->m_pg->close();
+    }
+}
+
+}
+
 void report_applied(pool_state& p)
 {
     if (!p.m_right || p.m_applied_epoch == p.m_right->m_epoch.m_number)
         return;
+    const time_point now = monotonic_clock::now();
     for (const auto& [name, group] : p.m_groups)
-        if (!std::all_of(group->m_endpoints.begin(), group->m_endpoints.end(),
-                         [](const auto& e)
-                         {
-                             return fits_share(*e);
-                         }))
+        if (!keeps_to_epoch(*group, now))
             return;
     p.m_applied_epoch = p.m_right->m_epoch.m_number;
     p.m_boxes.m_control.post(
         right_applied{share_holder::pool, p.m_applied_epoch});
 }
 
+std::uint32_t count_open(const pool_endpoint& e)
+{
+    const time_point now = monotonic_clock::now();
+    auto open = static_cast<std::uint32_t>(e.m_connections.size());
+    for (const time_point closed_at : e.m_closed_at)
+        open += now - closed_at < close_time ? 1 : 0;
+    return open;
+}
+
+connection_use use_of(const pool_endpoint& e)
+{
+    connection_use use;
+    use.m_open = count_open(e);
+    for (const auto& c : e.m_connections)
+        use.m_busy += is_busy(*c) ? 1 : 0;
+    if (!e.m_short)
+        return use;
+    for (const fair_queue& queue : e.m_group.m_queues)
+        for (const auto& [workspace, flow] : queue.m_flows)
+            use.m_waiting += static_cast<std::uint32_t>(flow.m_items.size());
+    return use;
 }
 
 bool fits_share(const pool_endpoint& e)
 {
-    return e.m_connections.size() <= e.m_connection_share;
+    return e.m_connections.size() <=
+           usable_connections(e.m_book, monotonic_clock::now());
 }
 
 void share_connections(pool_endpoint& e)
 {
     const pool_state& p = e.m_group.m_pool;
-    e.m_connection_share =
-        p.m_right ? connection_share(*p.m_right, e.m_connection_limit,
-                                     e.m_setting.m_name)
-                  : 0;
+    if (p.m_right)
+        set_connections(e.m_book, *p.m_right, e.m_connection_limit,
+                        monotonic_clock::now());
 }
 
 void return_connections(pool_endpoint& e)
 {
+    const time_point now = monotonic_clock::now();
+    settle(e.m_book, now);
     while (!fits_share(e))
     {
-        const auto idle =
-            std::find_if(e.m_connections.begin(), e.m_connections.end(),
-                         [](const auto& c)
-                         {
-                             return is_idle(*c);
-                         });
-        if (idle == e.m_connections.end())
-            return;
-        (*idle)->m_pg->close();
+        pooled_connection* idle = find_idle(e);
+        if (idle == nullptr)
+            break;
+        idle->m_pg->close();
     }
+    drop_withdrawn(e, now);
+    if (e.m_monitor && !may_monitor(e.m_book, now))
+        e.m_monitor->close();
     report_applied(e.m_group.m_pool);
 }
 
@@ -74,10 +128,10 @@
         {
             share_connections(*e);
             return_connections(*e);
+            start_monitor(*e);
         }
     report_applied(p);
-    for (const auto& [name, group] : p.m_groups)
-        dispatch(*group);
+    tend_loans(p);
 }
 
 }
--- a/Source/daemon/pool_state.cpp
+++ b/Source/daemon/pool_state.cpp
@@ -3,6 +3,8 @@
 #include <random>
 #include <utility>
 
+#include <daemon/loan_number.hpp>
+
 namespace bluebellspoke
 {
 
@@ -35,7 +37,17 @@
                     [this]
                     {
                         step_returns(*this);
-                    })
+                    }),
+      m_first_loan(random_loan_number()), m_loan_tick(m_loop,
+                                                      [this]
+                                                      {
+                                                          tend_loans(*this);
+                                                      }),
+      m_silence_tick(m_loop,
+                     [this]
+                     {
+                         break_silence(*this);
+                     })
 {
 }
 
@@ -55,6 +67,8 @@
 
 pool_endpoint::pool_endpoint(pool_group& g, endpoint_setting setting)
     : m_group(g), m_setting(std::move(setting)),
+      m_book(make_connection_book(g.m_name + "/" + m_setting.m_name,
+                                  g.m_pool.m_first_loan)),
       m_silence(g.m_pool.m_loop,
                 [this]
                 {
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -14,6 +14,7 @@
 #include <daemon/messages.hpp>
 #include <daemon/pool_charts.hpp>
 #include <daemon/pool_metrics.hpp>
+#include <decide/connection_book.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/promotion.hpp>
 #include <decide/routing.hpp>
@@ -68,6 +69,7 @@
     request* m_request = nullptr;         ///< Null: idle, or given up on.
     transaction* m_transaction = nullptr; ///< It belongs to, if any.
     bool m_running = false;               ///< Takes a slot.
+    time_point m_heard_at{};              ///< When it last had an answer.
 };
 
 /// A caller's transaction, held between its requests.
@@ -107,7 +109,11 @@
     time_point m_returned_at{};
     std::uint32_t m_slot_share = 0;       ///< When it has wholly returned.
     std::uint32_t m_connection_limit = 0; ///< The endpoint's, whole fleet.
-    std::uint32_t m_connection_share = 0; ///< This daemon's, for statements.
+    connection_book m_book;               ///< This daemon's part of them.
+    bool m_short = false;      ///< A request found no connection lately.
+    time_point m_next_round{}; ///< Of asking peers for connections.
+    duration m_round_pause{};
+    std::vector<time_point> m_closed_at; ///< Connections, of late.
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
     bool m_reachable = false;
@@ -187,7 +193,10 @@
     std::vector<std::unique_ptr<endpoint_order>> m_closed_orders;
     std::vector<std::unique_ptr<pool_endpoint>> m_closed_endpoints;
     timer m_reaper;
-    timer m_return_step; ///< While a place goes out or returns.
+    timer m_return_step;            ///< While a place goes out or returns.
+    std::uint64_t m_first_loan = 1; ///< Differs after a restart.
+    timer m_loan_tick;              ///< While connections are lent or wanted.
+    timer m_silence_tick;
 };
 
 // pool_task.cpp
@@ -201,8 +210,27 @@
 void share_connections(pool_endpoint& e);
 /// True when no more is open than the share.
 bool fits_share(const pool_endpoint& e);
-/// Closes idle connections beyond the share; busy ones follow once idle.
+/// Closes idle connections beyond the share; busy ones follow once idle, or
+/// when the time that they have for it is over.
 void return_connections(pool_endpoint& e);
+/// Connections for statements, those included whose close is on its way.
+std::uint32_t count_open(const pool_endpoint& e);
+connection_use use_of(const pool_endpoint& e);
+/// Tells the control task once all that is open fits the newest epoch.
+void report_applied(pool_state& p);
+
+// pool_loans.cpp
+/// A request found no connection: asks peers for some of theirs.
+void note_shortage(pool_endpoint& e);
+void lend_to_peer(pool_state& p, const loan_asked& asked);
+void take_loan(pool_state& p, const loan_arrived& arrived);
+/// Brings every endpoint's connections up to now; again while there is need.
+void tend_loans(pool_state& p);
+
+// pool_silence.cpp
+/// Lets the endpoints hear of connections that have been silent for a while,
+/// so that they don't end them; and again after a period.
+void break_silence(pool_state& p);
 
 // pool_settings.cpp
 /// Fits groups and endpoints to the configuration in force.
@@ -254,6 +282,7 @@
 void settle_superseded(request& r);
 
 // pool_endpoints.cpp
+/// Unless there is one, or this daemon has no connection for it.
 void start_monitor(pool_endpoint& e);
 /// Records a newer state and lets requests that waited for it go on.
 void learn_state(pool_endpoint& e, const endpoint_state& state);
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -43,9 +43,12 @@
             },
             [&](loan_asked& m)
             {
-                p.m_boxes.m_control.post(loan_given{m.m_exchange, {}});
+                lend_to_peer(p, m);
+            },
+            [&](loan_arrived& m)
+            {
+                take_loan(p, m);
             },
-            [&](loan_arrived&) {},
             [&](drain_begun&)
             {
                 p.m_draining = true;
@@ -90,6 +93,7 @@
                         {
                             on_message(p, message);
                         });
+    break_silence(p);
     run(p.m_loop);
 }
 
--- a/Source/decide/connection_share.cpp
+++ b/Source/decide/connection_share.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr std::uint32_t order_connections = 1;
-constexpr std::uint32_t outage_share = 1;
 
 // Until an epoch is settled, members of the former one hold monitors too.
 std::uint32_t monitors(const fleet_epoch& e)
@@ -33,20 +32,11 @@
     return mine == nullptr ? 0 : divide_limit(limit, members, *mine, endpoint);
 }
 
-// A process that starts while the platform is away can't know the epoch. It
-// took another's place, whose part has room for one.
-bool replaces_in_outage(const share_right& right)
-{
-    return right.m_epoch.m_number == 0 && right.m_platform_away;
-}
-
 }
 
 std::uint32_t connection_share(const share_right& right, std::uint32_t limit,
                                std::string_view endpoint)
 {
-    if (replaces_in_outage(right))
-        return std::min(limit, outage_share);
     const fleet_epoch& epoch = right.m_epoch;
     const std::string_view name = right.m_self.m_name;
     const std::uint32_t reserved = monitors(epoch) + order_connections;
--- a/Source/decide/loan.cpp
+++ b/Source/decide/loan.cpp
@@ -34,16 +34,31 @@
 // A daemon that is poorer for its demand than the borrower wants its own back.
 bool may_renew(const share_book& b, const loan_ask& ask, double own_demand)
 {
-    if (own_demand <= 0)
+    if (b.m_always_renews || own_demand <= 0)
         return true;
     const double own_after = held_units(b) + 1.0;
     return own_after * ask.m_demand >= ask.m_held * own_demand;
 }
 
-loan lent_to(const loan_ask& ask, std::uint64_t id, std::uint32_t units,
-             time_point now)
+time_point lent_until(const share_book& b, time_point now)
 {
-    return {id, ask.m_peer, units, now + loan_term + loan_margin, {}};
+    return now + loan_term + loan_margin + b.m_grace;
+}
+
+loan lent_to(const share_book& b, const loan_ask& ask, std::uint64_t id,
+             std::uint32_t units, time_point now)
+{
+    return {id, ask.m_peer, units, lent_until(b, now), {}};
+}
+
+// A share that has become smaller than what is lent lets the newest loans end.
+bool fits_right(const share_book& b, const loan& l)
+{
+    std::uint32_t units = 0;
+    for (const loan& other : b.m_lent)
+        if (other.m_id <= l.m_id)
+            units += other.m_units;
+    return units <= b.m_base;
 }
 
 // Units that the borrower no longer has may be on their way to others, who use
@@ -53,7 +68,7 @@
     loan passed = l;
     passed.m_units = l.m_units - units;
     l.m_units = units;
-    l.m_expires = now + loan_term + loan_margin;
+    l.m_expires = lent_until(b, now);
     if (passed.m_units > 0)
         b.m_lent.push_back(std::move(passed)); // `l` may dangle from here.
 }
@@ -64,7 +79,7 @@
     for (const loan_part& kept : ask.m_renews)
     {
         loan* l = find_loan(b.m_lent, ask.m_peer, kept.m_id);
-        if (l == nullptr)
+        if (l == nullptr || (b.m_always_renews && !fits_right(b, *l)))
             continue;
         const std::uint32_t units = std::min(l->m_units, kept.m_units);
         renew_one(b, *l, units, now);
@@ -99,7 +114,7 @@
             continue;
         l->m_units -= claim.m_units;
         const std::uint64_t id = b.m_next_id++;
-        b.m_lent.push_back(lent_to(ask, id, claim.m_units, now));
+        b.m_lent.push_back(lent_to(b, ask, id, claim.m_units, now));
         answer.m_claimed.push_back({claim, id});
     }
 }
@@ -139,8 +154,8 @@
 
 std::uint32_t lendable(const share_book& b) noexcept
 {
-    const std::uint32_t lent = count_units(b.m_lent);
-    return b.m_base > lent ? b.m_base - lent : 0;
+    const std::uint32_t bound = count_units(b.m_lent) + b.m_kept;
+    return b.m_base > bound ? b.m_base - bound : 0;
 }
 
 void lend(share_book& b, const loan_ask& ask, loan_answer& answer,
@@ -150,7 +165,7 @@
         return;
     answer.m_id = b.m_next_id++;
     answer.m_units = units;
-    b.m_lent.push_back(lent_to(ask, answer.m_id, units, now));
+    b.m_lent.push_back(lent_to(b, ask, answer.m_id, units, now));
 }
 
 }
--- a/Source/decide/loan.hpp
+++ b/Source/decide/loan.hpp
@@ -42,6 +42,12 @@
     std::vector<loan> m_lent;
     std::vector<loan> m_borrowed;
     std::uint64_t m_next_id = 1;
+    std::uint32_t m_kept = 0; ///< Units by right that are never lent.
+    /// What a borrower may take to stop using units whose time is over.
+    duration m_grace{};
+    /// Units in use can't be stopped at once: the lender renews them as long as
+    /// it is asked to, and asks for them when it needs them.
+    bool m_always_renews = false;
 };
 
 /// Units of the loan of a number: given back, or kept.
--- a/Source/decide/share.hpp
+++ b/Source/decide/share.hpp
@@ -17,11 +17,10 @@
 {
     fleet_epoch m_epoch;
     fleet_member m_self;
-    bool m_settled = false; ///< Larger shares than the former epoch's hold.
-    /// The platform doesn't answer.
-    bool m_platform_away = false;
-    time_point m_from{};  ///< Not before: loans of the process before it.
-    time_point m_until{}; ///< Not after: its standing ends.
+    bool m_settled = false;  ///< Larger shares than the former epoch's hold.
+    bool m_new_name = false; ///< No process before it was a member.
+    time_point m_from{};     ///< Not before: loans of the process before it.
+    time_point m_until{};    ///< Not after: its standing ends.
     std::vector<std::string> m_peers; ///< Who may be asked for loans.
 };
 
--- a/Source/endpoint/pg_connection.cpp
+++ b/Source/endpoint/pg_connection.cpp
@@ -46,6 +46,15 @@
     return table;
 }
 
+// A process that is paused or cut off can't close its connections; the endpoint
+// does.
+std::string silence_options(std::chrono::milliseconds bound)
+{
+    const std::string ms = std::to_string(bound.count());
+    return "-c idle_session_timeout=" + ms +
+           " -c idle_in_transaction_session_timeout=" + ms;
+}
+
 pg_error to_error(const PGresult* result)
 {
     const char* state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
@@ -86,15 +95,18 @@
 void pg_connection::open()
 {
     const std::string port = std::to_string(m_target.m_address.m_port);
-    const std::array<const char*, 8> keywords{
-        "hostaddr",         "port", "user", "dbname", "sslmode", "gssencmode",
-        "application_name", nullptr};
-    const std::array<const char*, 8> values{m_target.m_address.m_host.c_str(),
+    const std::string options = silence_options(m_target.m_silence_bound);
+    const std::array<const char*, 9> keywords{
+        "hostaddr", "port",       "user",    "dbname",
+        "sslmode",  "gssencmode", "options", "application_name",
+        nullptr};
+    const std::array<const char*, 9> values{m_target.m_address.m_host.c_str(),
                                             port.c_str(),
                                             m_target.m_user.c_str(),
                                             m_target.m_database.c_str(),
                                             "disable",
                                             "disable",
+                                            options.c_str(),
                                             "bluebellspoke",
                                             nullptr};
     m_connection.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
--- a/Source/endpoint/pg_connection.hpp
+++ b/Source/endpoint/pg_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_ENDPOINT_PG_CONNECTION_HPP
 #define BLUEBELLSPOKE_ENDPOINT_PG_CONNECTION_HPP
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,8 @@
     address m_address;
     std::string m_user = "bluebellspoke";
     std::string m_database = "bluebellspoke";
+    /// The endpoint ends the connection when it has been idle for longer.
+    std::chrono::milliseconds m_silence_bound{2000};
 };
 
 struct pg_handlers
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -75,6 +75,10 @@
                 "promotion_ordered", "this daemon orders a new primary"},
     event_entry{event_id::follow_ordered, event_level::info, "follow_ordered",
                 "this daemon orders an endpoint to follow the primary"},
+    event_entry{event_id::connection_withdrawn, event_level::warning,
+                "connection_withdrawn",
+                "a connection was closed under a statement or transaction "
+                "because its loan, or the daemon's right, is over"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -36,6 +36,7 @@
     election_lost = 3013,
     promotion_ordered = 3014,
     follow_ordered = 3015,
+    connection_withdrawn = 3016,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -34,6 +34,7 @@
     endpoint_state,
     endpoint_running,
     endpoint_connections,
+    connection_share,
     settings_version,
     fleet_members,
     platform_answers,
--- /dev/null
+++ b/Tests/shares/fake_connections.cpp
@@ -0,0 +1,235 @@
+#include <algorithm>
+
+#include <shares/fake_fleet.hpp>
+
+namespace bluebellspoke::shares
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t order_connections = 1;
+/// A close takes this long to the endpoint at most, and the daemon counts the
+/// connection as open for longer.
+constexpr milliseconds longest_close{20};
+constexpr milliseconds touch_period{500};
+
+duration some_time(fake_fleet& f, milliseconds least, milliseconds most)
+{
+    return milliseconds(std::uniform_int_distribution<int>(
+        static_cast<int>(least.count()),
+        static_cast<int>(most.count()))(f.m_random));
+}
+
+std::vector<fake_session*> sessions_of(fake_fleet& f, std::size_t daemon)
+{
+    std::vector<fake_session*> own;
+    for (fake_session& s : f.m_endpoint.m_sessions)
+        if (s.m_owner == daemon && !s.m_closes_at &&
+            s.m_incarnation == f.m_daemons[daemon].m_self.m_incarnation)
+            own.push_back(&s);
+    return own;
+}
+
+void close(fake_fleet& f, fake_session& s)
+{
+    s.m_closes_at = f.m_now + some_time(f, milliseconds(0), longest_close);
+    f.m_daemons[s.m_owner].m_pool.m_closed_at.push_back(f.m_now);
+}
+
+void fit_sessions(fake_fleet& f, std::size_t daemon)
+{
+    const connection_book& b = f.m_daemons[daemon].m_pool.m_book;
+    std::vector<fake_session*> own = sessions_of(f, daemon);
+    std::size_t open = own.size();
+    for (fake_session* s : own)
+        if (!s->m_busy_until && open > usable_connections(b, f.m_now))
+        {
+            close(f, *s);
+            --open;
+        }
+    for (fake_session* s : own)
+        if (!s->m_closes_at && open > most_connections(b, f.m_now))
+        {
+            ++f.m_endpoint.m_cut;
+            close(f, *s);
+            --open;
+        }
+}
+
+void use_sessions(fake_fleet& f, std::size_t daemon)
+{
+    fake_pool& pool = f.m_daemons[daemon].m_pool;
+    for (fake_session* s : sessions_of(f, daemon))
+    {
+        if (f.m_now - s->m_heard_at >= touch_period)
+            s->m_heard_at = f.m_now;
+        if (s->m_busy_until && *s->m_busy_until <= f.m_now)
+        {
+            s->m_busy_until.reset();
+            s->m_heard_at = f.m_now;
+            ++f.m_endpoint.m_served;
+        }
+        if (pool.m_waiting > 0 && !s->m_busy_until)
+        {
+            --pool.m_waiting;
+            s->m_heard_at = f.m_now;
+            s->m_busy_until =
+                f.m_now + some_time(f, milliseconds(20), milliseconds(400));
+        }
+    }
+}
+
+void open_more(fake_fleet& f, std::size_t daemon)
+{
+    fake_daemon& d = f.m_daemons[daemon];
+    const connection_book& b = d.m_pool.m_book;
+    if (d.m_pool.m_waiting == 0 ||
+        use_of(f, daemon).m_open >= usable_connections(b, f.m_now))
+        return;
+    f.m_endpoint.m_sessions.push_back(
+        {daemon, d.m_self.m_incarnation, f.m_now, {}, {}});
+}
+
+void ask_round(fake_fleet& f, std::size_t from)
+{
+    fake_pool& pool = f.m_daemons[from].m_pool;
+    if (f.m_now < pool.m_next_round || !needs_peers(pool.m_book, f.m_now))
+        return;
+    pool.m_round_pause = std::clamp<duration>(2 * pool.m_round_pause, ask_pause,
+                                              longest_ask_pause);
+    pool.m_next_round = f.m_now + pool.m_round_pause;
+    for (std::size_t to = 0; to < f.m_daemons.size(); ++to)
+    {
+        if (to == from)
+            continue;
+        const std::string lender = f.m_daemons[to].m_self.m_name;
+        const loan_ask ask = make_ask(
+            pool.m_book, f.m_daemons[from].m_self.m_name, lender, f.m_now);
+        ask_other(
+            f, from, to,
+            [ask, to](fake_fleet& all, fake_daemon& d)
+            {
+                return lend_connections(d.m_pool.m_book, ask, use_of(all, to),
+                                        all.m_now);
+            },
+            [lender](fake_fleet& all, fake_daemon& d, const loan_answer& answer,
+                     time_point asked_at)
+            {
+                if (take_connections(d.m_pool.m_book, lender, answer, asked_at,
+                                     all.m_now) > 0)
+                    d.m_pool.m_round_pause = {};
+            });
+    }
+}
+
+}
+
+void share_endpoint(fake_fleet& f, std::uint32_t limit)
+{
+    f.m_endpoint.m_limit = limit;
+}
+
+connection_use use_of(const fake_fleet& f, std::size_t daemon)
+{
+    const fake_daemon& d = f.m_daemons[daemon];
+    connection_use use;
+    for (const fake_session& s : f.m_endpoint.m_sessions)
+    {
+        if (s.m_owner != daemon || s.m_closes_at ||
+            s.m_incarnation != d.m_self.m_incarnation)
+            continue;
+        ++use.m_open;
+        if (s.m_busy_until)
+            ++use.m_busy;
+    }
+    use.m_open += static_cast<std::uint32_t>(d.m_pool.m_closed_at.size());
+    use.m_waiting = static_cast<std::uint32_t>(d.m_pool.m_waiting);
+    return use;
+}
+
+void tend_pool(fake_fleet& f, std::size_t daemon)
+{
+    fake_pool& pool = f.m_daemons[daemon].m_pool;
+    std::erase_if(pool.m_closed_at,
+                  [&](time_point at)
+                  {
+                      return f.m_now - at >= close_time;
+                  });
+    settle(pool.m_book, f.m_now);
+    fit_sessions(f, daemon);
+    use_sessions(f, daemon);
+    fit_sessions(f, daemon);
+    open_more(f, daemon);
+    pool.m_monitor = may_monitor(pool.m_book, f.m_now);
+    pool.m_monitor_heard_at = f.m_now;
+    note_use(pool.m_book, use_of(f, daemon), f.m_now);
+    ask_round(f, daemon);
+}
+
+void tend_endpoint(fake_fleet& f)
+{
+    fake_endpoint& e = f.m_endpoint;
+    std::erase_if(e.m_sessions,
+                  [&](const fake_session& s)
+                  {
+                      return (s.m_closes_at && *s.m_closes_at <= f.m_now) ||
+                             f.m_now - s.m_heard_at >= silence_bound;
+                  });
+    auto open = static_cast<std::uint32_t>(e.m_sessions.size());
+    for (fake_daemon& d : f.m_daemons)
+    {
+        if (f.m_now - d.m_pool.m_monitor_heard_at >= silence_bound)
+            d.m_pool.m_monitor = false;
+        open += d.m_pool.m_monitor ? 1 : 0;
+    }
+    if (open + 1 > e.m_limit && e.m_limit && e.m_most_open <= e.m_limit)
+    {
+        fprintf(stderr, "OVER %u at %ld\n", open + 1,
+                (long)(f.m_now.time_since_epoch().count() / 1000000));
+        for (std::size_t i = 0; i < f.m_daemons.size(); ++i)
+        {
+            auto& d = f.m_daemons[i];
+            auto& b = d.m_pool.m_book;
+            std::size_t n = 0;
+            for (auto& s : e.m_sessions)
+                n += s.m_owner == i;
+            fprintf(stderr,
+                    "%s.%lu run%d paused%ld cut%ld listed%d epoch%lu/%lu "
+                    "settled%d applied%lu n%zu mon%d named%d byright%u "
+                    "inforce%u base%u from%ld until%ld started%ld ",
+                    d.m_self.m_name.c_str(), d.m_self.m_incarnation, runs(f, d),
+                    (long)((d.m_paused_until - f.m_now).count() / 1000000),
+                    (long)((d.m_cut_until - f.m_now).count() / 1000000),
+                    d.m_listed, d.m_epoch.m_number, d.m_epoch.m_members.size(),
+                    d.m_settling.m_settled, d.m_applied, n, d.m_pool.m_monitor,
+                    b.m_named, b.m_by_right, b.m_in_force, b.m_book.m_base,
+                    (long)((b.m_from - f.m_now).count() / 1000000),
+                    (long)((b.m_until - f.m_now).count() / 1000000),
+                    (long)((d.m_started_at - f.m_now).count() / 1000000));
+            for (auto& l : b.m_book.m_lent)
+                fprintf(stderr, "lent(%s %u %ld) ", l.m_peer.c_str(), l.m_units,
+                        (long)((l.m_expires - f.m_now).count() / 1000000));
+            for (auto& l : b.m_book.m_borrowed)
+                fprintf(stderr, "borr(%s %u %ld %s) ", l.m_peer.c_str(),
+                        l.m_units,
+                        (long)((l.m_expires - f.m_now).count() / 1000000),
+                        l.m_passed_by.c_str());
+            for (auto& l : b.m_ending)
+                fprintf(stderr, "end(%u %ld)", l.m_units,
+                        (long)((l.m_drop_at - f.m_now).count() / 1000000));
+            fprintf(stderr, "\n");
+        }
+    }
+    e.m_most_open = std::max(e.m_most_open, open + order_connections);
+}
+
+void offer_transaction(fake_fleet& f, std::size_t daemon)
+{
+    if (runs(f, f.m_daemons[daemon]))
+        ++f.m_daemons[daemon].m_pool.m_waiting;
+}
+
+}
--- a/Tests/shares/fake_fleet.cpp
+++ b/Tests/shares/fake_fleet.cpp
@@ -12,11 +12,6 @@
 
 constexpr milliseconds beat_period{500};
 
-bool runs(const fake_fleet& f, const fake_daemon& d)
-{
-    return d.m_alive && f.m_now >= d.m_paused_until;
-}
-
 bool lost(fake_fleet& f)
 {
     return std::bernoulli_distribution(f.m_faults.m_loss)(f.m_random);
@@ -57,8 +52,11 @@
 standing_view view_of(const fake_daemon& d, std::vector<peer_witness>& out)
 {
     for (const auto& [name, w] : d.m_witnesses)
-        if (find_member(d.m_epoch.m_members, name) != nullptr)
+    {
+        const fleet_member* m = find_member(d.m_epoch.m_members, name);
+        if (m != nullptr && *m == d.m_sights.at(name).m_member)
             out.push_back(w);
+    }
     return {d.m_epoch.m_number, d.m_confirmed_at, d.m_platform_answers,
             std::max<std::size_t>(d.m_epoch.m_members.size(), 1), out};
 }
@@ -87,6 +85,16 @@
     return sights;
 }
 
+bool apply_connections(fake_fleet& f, fake_daemon& d, const share_right& right)
+{
+    if (f.m_endpoint.m_limit == 0)
+        return true;
+    const auto index = static_cast<std::size_t>(&d - f.m_daemons.data());
+    connection_book& b = d.m_pool.m_book;
+    set_connections(b, right, f.m_endpoint.m_limit, f.m_now);
+    return keeps_to_right(b, use_of(f, index), f.m_now);
+}
+
 void apply_right(fake_fleet& f, fake_daemon& d)
 {
     update_settling(d.m_settling, d.m_epoch, sights_of(f, d), f.m_now);
@@ -95,10 +103,17 @@
     right.m_epoch = d.m_epoch;
     right.m_self = d.m_self;
     right.m_settled = d.m_settling.m_settled;
-    right.m_from = d.m_started_at + loan_term + loan_margin;
+    const fleet_member* mine =
+        find_member(d.m_epoch.m_members, d.m_self.m_name);
+    if (mine != nullptr && mine->m_incarnation == d.m_self.m_incarnation)
+        d.m_joined = true;
+    right.m_from = d.m_joined ? d.m_started_at + loan_term + loan_margin
+                              : time_point::max();
     right.m_until = standing_until(view_of(d, witnesses));
+    right.m_new_name = d.m_new_name;
     set_right(d.m_share, right, f.m_now);
-    if (keeps_to_right(d.m_share))
+    const bool fits = apply_connections(f, d, right);
+    if (fits && keeps_to_right(d.m_share))
         d.m_applied = d.m_epoch.m_number;
 }
 
@@ -220,6 +235,7 @@
     d.m_started_at = f.m_now;
     d.m_share = make_rate_share("ward", 1, f.m_now);
     set_rate(d.m_share, f.m_rate, f.m_burst, f.m_now);
+    d.m_pool.m_book = make_connection_book("e1", d.m_self.m_incarnation << 32);
 }
 
 void admit_waiting(fake_fleet& f, fake_daemon& d)
@@ -262,6 +278,23 @@
     }
 }
 
+bool runs(const fake_fleet& f, const fake_daemon& d)
+{
+    return d.m_alive && f.m_now >= d.m_paused_until;
+}
+
+void ask_other(fake_fleet& f, std::size_t from, std::size_t to,
+               fake_question question, fake_answer take)
+{
+    exchange(
+        f, from, to,
+        [question = std::move(question)](fake_fleet& all, std::size_t there)
+        {
+            return question(all, all.m_daemons[there]);
+        },
+        std::move(take));
+}
+
 void step(fake_fleet& f)
 {
     f.m_now += fake_step;
@@ -281,7 +314,10 @@
             beat(f, i);
         ask_round(f, i);
         admit_waiting(f, f.m_daemons[i]);
+        if (f.m_endpoint.m_limit > 0)
+            tend_pool(f, i);
     }
+    tend_endpoint(f);
     f.m_most_held = std::max(f.m_most_held, held_by_all(f));
 }
 
@@ -300,6 +336,12 @@
     const fleet_member self = f.m_daemons[daemon].m_self;
     f.m_daemons[daemon] = {};
     f.m_daemons[daemon].m_self = self;
+    f.m_daemons[daemon].m_new_name = false;
+    std::erase_if(f.m_endpoint.m_sessions,
+                  [&](const fake_session& s)
+                  {
+                      return s.m_owner == daemon;
+                  });
     start(f, f.m_daemons[daemon]);
 }
 
--- a/Tests/shares/fake_fleet.hpp
+++ b/Tests/shares/fake_fleet.hpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <vector>
 
+#include <decide/connection_book.hpp>
 #include <decide/rate_share.hpp>
 
 namespace bluebellspoke::shares
@@ -22,6 +23,38 @@
     bool m_platform_up = true;
 };
 
+/// A connection for statements, as the endpoint sees it.
+struct fake_session
+{
+    std::size_t m_owner = 0;
+    std::uint64_t m_incarnation = 0;
+    time_point m_heard_at{};
+    std::optional<time_point> m_busy_until;
+    std::optional<time_point> m_closes_at; ///< The close is on its way.
+};
+
+/// What all daemons together have open at one endpoint.
+struct fake_endpoint
+{
+    std::uint32_t m_limit = 0; ///< 0: daemons share no connections.
+    std::vector<fake_session> m_sessions;
+    std::uint32_t m_most_open = 0; ///< Monitors and an order included.
+    std::size_t m_cut = 0;         ///< Transactions closed under way.
+    std::size_t m_served = 0;
+};
+
+/// What a daemon does with the endpoint.
+struct fake_pool
+{
+    connection_book m_book;
+    std::vector<time_point> m_closed_at; ///< Lately.
+    bool m_monitor = false;
+    time_point m_monitor_heard_at{};
+    std::size_t m_waiting = 0; ///< Transactions that found no connection.
+    time_point m_next_round{};
+    duration m_round_pause{};
+};
+
 /// One daemon's decisions on shares, without sockets.
 struct fake_daemon
 {
@@ -42,6 +75,9 @@
     time_point m_next_round{};
     duration m_round_pause{};
     std::deque<time_point> m_waiting; ///< Arrivals that wait for a loan.
+    bool m_new_name = true;           ///< No process before it was a member.
+    bool m_joined = false;            ///< An epoch has named this process.
+    fake_pool m_pool;
 };
 
 /// Daemons on a logical clock that share one workspace's rate.
@@ -64,10 +100,31 @@
     std::size_t m_over_limit = 0;  ///< Admissions that the limit forbids.
     std::uint32_t m_most_held = 0; ///< Units, by all daemons together.
     std::uint64_t m_next_incarnation = 1;
+    fake_endpoint m_endpoint;
 };
 
 inline constexpr std::chrono::milliseconds fake_step{5};
 
+/// Asks another daemon and takes its answer, if both get through.
+using fake_question = std::function<loan_answer(fake_fleet&, fake_daemon&)>;
+using fake_answer = std::function<void(
+    fake_fleet&, fake_daemon&, const loan_answer&, time_point asked_at)>;
+void ask_other(fake_fleet& f, std::size_t from, std::size_t to,
+               fake_question question, fake_answer take);
+/// True while the process is there and not paused.
+bool runs(const fake_fleet& f, const fake_daemon& d);
+
+// fake_connections.cpp
+/// Gives the daemons an endpoint to share.
+void share_endpoint(fake_fleet& f, std::uint32_t limit);
+/// One step of a daemon's pool.
+void tend_pool(fake_fleet& f, std::size_t daemon);
+/// One step of the endpoint, and the count of what is open there.
+void tend_endpoint(fake_fleet& f);
+/// A transaction for the daemon; it waits until it has a connection.
+void offer_transaction(fake_fleet& f, std::size_t daemon);
+connection_use use_of(const fake_fleet& f, std::size_t daemon);
+
 /// Moves time on by one step.
 void step(fake_fleet& f);
 /// Offers one statement to a daemon; it may wait for a loan.
--- a/Tests/standin/endpoint_server.cpp
+++ b/Tests/standin/endpoint_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <cstring>
 
 #include <standin/endpoint_session.hpp>
@@ -36,6 +37,17 @@
     give_slots(s);
 }
 
+// Of the start-up options only this one counts here.
+milliseconds silence_bound_of(std::string_view startup)
+{
+    constexpr std::string_view name = "idle_session_timeout=";
+    const std::size_t at = startup.find(name);
+    if (at == std::string_view::npos)
+        return milliseconds(0);
+    return milliseconds(
+        std::strtol(startup.substr(at + name.size()).data(), nullptr, 10));
+}
+
 void start_session(endpoint_session& c)
 {
     c.m_started = true;
@@ -49,6 +61,7 @@
     }
     append_startup_answer(c.m_out);
     send(c);
+    note_idle(c);
 }
 
 // Returns false when more bytes are needed.
@@ -64,7 +77,9 @@
     const std::uint32_t code = read_u32(view.substr(4));
     if (evbuffer_get_length(in) < length)
         return false;
-    evbuffer_drain(in, length);
+    std::string startup(length, '\0');
+    evbuffer_remove(in, startup.data(), length);
+    c.m_silence_bound = silence_bound_of(startup);
     if (code == ssl_request || code == gss_request)
     {
         bufferevent_write(c.m_stream.get(), "N", 1);
@@ -109,6 +124,7 @@
     for (std::string& statement : split_statements(body))
         c.m_statements.push_back(std::move(statement));
     c.m_busy = true;
+    c.m_silence.cancel();
     run_next(c);
     return true;
 }
@@ -167,6 +183,11 @@
 
 }
 
+void end_silent(endpoint_session& c)
+{
+    close_session(c);
+}
+
 endpoint_server::endpoint_server(loop& l, endpoint_options options)
     : m_loop(l), m_options(std::move(options)),
       m_listener(nullptr, evconnlistener_free), m_heartbeat(l,
--- a/Tests/standin/endpoint_session.hpp
+++ b/Tests/standin/endpoint_session.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_STANDIN_ENDPOINT_SESSION_HPP
 #define BLUEBELLSPOKE_STANDIN_ENDPOINT_SESSION_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -19,6 +20,11 @@
 /// The first byte of a replication connection.
 inline constexpr char replication_mark = 'R';
 
+struct endpoint_session;
+
+/// Ends a session that has been idle for too long.
+void end_silent(endpoint_session& c);
+
 /// One caller's connection.
 struct endpoint_session
 {
@@ -27,7 +33,12 @@
                                [this]
                                {
                                    m_elapsed();
-                               })
+                               }),
+          m_silence(s.m_loop,
+                    [this]
+                    {
+                        end_silent(*this);
+                    })
     {
     }
 
@@ -47,6 +58,8 @@
     std::string m_out;
     timer m_timer;
     sigc::slot<void()> m_elapsed;
+    std::chrono::milliseconds m_silence_bound{}; ///< 0: none.
+    timer m_silence;                             ///< While it is idle.
 };
 
 /// A replication connection; JSON lines after one mark byte.
@@ -96,6 +109,8 @@
 void beat(endpoint_server& s);
 
 // endpoint_statements.cpp
+/// From now on the session is silent.
+void note_idle(endpoint_session& c);
 /// Hands what the session has to say to its socket.
 void send(endpoint_session& c);
 /// Goes on with the session's query string, and ends it.
--- a/Tests/standin/endpoint_statements.cpp
+++ b/Tests/standin/endpoint_statements.cpp
@@ -15,6 +15,12 @@
 
 }
 
+void note_idle(endpoint_session& c)
+{
+    if (c.m_silence_bound > milliseconds::zero())
+        c.m_silence.start_once(c.m_silence_bound);
+}
+
 void send(endpoint_session& c)
 {
     bufferevent_write(c.m_stream.get(), c.m_out.data(), c.m_out.size());
@@ -323,6 +329,7 @@
     c.m_busy = false;
     append_ready(c.m_out, status_of(c));
     send(c);
+    note_idle(c);
 }
 
 void run_now(endpoint_session& c, const std::vector<sql_token>& t,
