pool: Let open transactions go ahead of those that wait to begin

Cause: a commit queued behind its workspace's begins. When all connections were in transactions, the begin at the head waited for a connection that only the commits behind it could free: nothing moved until deadlines passed.

Ruled out: a flow of its own for each transaction, as flows are never forgotten. What belongs to an open transaction has a queue of its own, dispatched first.

--- a/Source/daemon/daemon_settings.cpp
+++ b/Source/daemon/daemon_settings.cpp
@@ -56,7 +56,7 @@
                 "served",
                 "", 0, 0},
     option_spec{"even-shares", option_type::flag, "",
-                "for experiments: rates are split evenly and never lent", "", 0,
+                "for experiments: shares are split evenly and never lent", "", 0,
                 0},
     option_spec{"check", option_type::flag, "",
                 "check settings and charts, then end", "", 0, 0},
--- a/Source/daemon/daemon_settings.hpp
+++ b/Source/daemon/daemon_settings.hpp
@@ -30,7 +30,7 @@
     tls_files m_platform_tls;  ///< The platform; no authorities: off.
     bool m_reads_at_primary = false; ///< No read runs at a replica.
     bool m_queue_by_arrival = false; ///< Workspaces share one queue.
-    bool m_even_shares = false;      ///< Rates are never lent.
+    bool m_even_shares = false;      ///< Shares are never lent.
     bool m_check_only = false;
 };
 
--- a/Source/daemon/pool_requests.cpp
+++ b/Source/daemon/pool_requests.cpp
@@ -82,11 +82,20 @@
                    fate::outcome_unknown);
 }
 
+std::size_t queue_index(const request& r)
+{
+    constexpr std::size_t inside_transaction = 0;
+    constexpr std::size_t first_kind = 1;
+    const bool inside = r.m_transaction != nullptr &&
+                        r.m_arrived.m_operation != request_operation::begin;
+    return inside ? inside_transaction
+                  : first_kind + static_cast<std::size_t>(r.m_need.m_kind);
+}
+
 void enqueue_request(request& r)
 {
     const workspace_view& workspace = *r.m_arrived.m_context.m_workspace;
-    fair_queue& queue =
-        r.m_group.m_queues[static_cast<std::size_t>(r.m_need.m_kind)];
+    fair_queue& queue = r.m_group.m_queues[queue_index(r)];
     // Without a flow of its own for each workspace, the queue keeps the order
     // of arrival.
     if (r.m_pool.m_daemon.m_queue_by_arrival)
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -157,7 +157,9 @@
     std::vector<std::unique_ptr<pool_endpoint>> m_endpoints;
     /// Reads and writes queue apart, by statement_kind: a write that waits for
     /// the primary holds up no read.
-    std::array<fair_queue, 2> m_queues;
+    /// What belongs to an open transaction goes first, apart from both: behind
+    /// a begin that waits for a connection, no commit could free one.
+    std::array<fair_queue, 3> m_queues;
     confirming_list m_confirming;
     confirming_list m_catching_up; ///< Reads that wait for a replica.
     bool m_dispatching = false;
--- a/Tests/whole/connection_loans_test.cpp
+++ b/Tests/whole/connection_loans_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -46,6 +47,13 @@
     return committed;
 }
 
+/// Requests in the daemon's pool.
+std::size_t requests_in(const daemon_node& d)
+{
+    const json dump = dump_of(d);
+    return dump.is_object() ? dump.value("/pool/requests"_json_pointer, 0U) : 0;
+}
+
 bool nobody_was_refused(const fleet& f)
 {
     for (const endpoint_node& e : f.m_endpoints)
@@ -88,6 +96,29 @@
                     CHECK(nobody_was_refused(f));
                 }
             }
+            AND_WHEN("more begin than there are connections left")
+            {
+                begun late;
+                std::thread waiting(
+                    [&]
+                    {
+                        caller c(f.m_daemons[0].m_callers);
+                        late = begin_all(c, clerk, lendable / 2);
+                    });
+                const bool queued = eventually(
+                    [&]
+                    {
+                        return requests_in(f.m_daemons[0]) >= lendable / 2;
+                    });
+                const std::size_t committed = commit_all(first, clerk, all);
+                waiting.join();
+                THEN("the commits go ahead of them and free connections")
+                {
+                    CHECK(queued);
+                    CHECK(committed == all.m_ids.size());
+                    CHECK(late.m_refusals == std::vector<std::string>());
+                }
+            }
             AND_WHEN("that daemon is paused with them")
             {
                 f.m_daemons[0].m_process->send_signal(SIGSTOP);
--- a/Tools/load/experiment.cpp
+++ b/Tools/load/experiment.cpp
@@ -51,6 +51,8 @@
     out.m_to = w.value("to", out.m_to);
     if (w.contains("max_age_ms"))
         out.m_max_age_ms = w.at("max_age_ms").get<unsigned>();
+    if (w.contains("transaction_ms"))
+        out.m_transaction_ms = w.at("transaction_ms").get<unsigned>();
     if (w.contains("daemon"))
         out.m_daemon = w.at("daemon").get<std::size_t>();
     if (out.m_sessions == 0)
--- a/Tools/load/experiment.hpp
+++ b/Tools/load/experiment.hpp
@@ -26,6 +26,9 @@
     double m_load = 10;                   ///< Requests that arrive, on average.
     double m_writes = 0;                  ///< Share of them.
     std::optional<unsigned> m_max_age_ms; ///< Reads accept data this old.
+    /// Each arrival is a transaction that is open for this long; absent: a
+    /// statement of its own.
+    std::optional<unsigned> m_transaction_ms;
     std::size_t m_sessions = 16;
     std::optional<std::size_t> m_daemon; ///< All go there; else in turn.
     double m_from = 0;                   ///< Seconds.
--- a/Tools/load/load_player.cpp
+++ b/Tools/load/load_player.cpp
@@ -20,6 +20,18 @@
 constexpr std::string_view session_header = "x-bluebellspoke-session";
 constexpr std::chrono::milliseconds late{5};
 
+/// A transaction that was begun and is open until its timer ends it.
+struct open_transaction
+{
+    open_transaction(loop& l, sigc::slot<void()> elapsed)
+        : m_end(l, std::move(elapsed))
+    {
+    }
+
+    std::string m_id;
+    timer m_end;
+};
+
 struct player
 {
     const experiment& m_experiment;
@@ -33,6 +45,7 @@
     time_point m_start{};
     load_result m_result;
     timer m_wake;
+    std::vector<std::unique_ptr<open_transaction>> m_transactions;
 };
 
 json body_of(const experiment& e, const arrival& a)
@@ -119,19 +132,74 @@
         ++(replica ? w.m_at_replica : w.m_at_primary);
 }
 
-void send(player& p, const arrival& a, std::size_t daemon, bool first)
+void send_to(player& p, const arrival& a, std::size_t daemon,
+             http2_request request, http2_done done)
 {
     constexpr std::chrono::seconds slack{2};
-    const support::session& session = p.m_sessions[a.m_workspace][a.m_session];
     const std::size_t client =
         daemon * connections_per_daemon + a.m_session % connections_per_daemon;
     p.m_clients[client]->send(
-        support::statement_request(session, body_of(p.m_experiment, a)),
+        std::move(request),
         std::chrono::milliseconds(p.m_experiment.m_time_limit_ms) + slack,
-        [&p, a, daemon, first](http2_result& result)
+        std::move(done));
+}
+
+void commit(player& p, const arrival& a, std::size_t daemon,
+            const std::string& id)
+{
+    const support::session& session = p.m_sessions[a.m_workspace][a.m_session];
+    send_to(p, a, daemon, support::end_request(session, id, "commit"),
+            [&p, a, daemon](http2_result& result)
+            {
+                take_result(p, a, daemon, false, result);
+            });
+}
+
+void hold_transaction(player& p, const arrival& a, std::size_t daemon,
+                      std::string id)
+{
+    const workspace_load& w = p.m_experiment.m_workspaces[a.m_workspace];
+    const std::size_t index = p.m_transactions.size();
+    p.m_transactions.push_back(std::make_unique<open_transaction>(
+        p.m_loop,
+        [&p, a, daemon, index]
         {
-            take_result(p, a, daemon, first, result);
-        });
+            commit(p, a, daemon, p.m_transactions[index]->m_id);
+        }));
+    p.m_transactions.back()->m_id = std::move(id);
+    p.m_transactions.back()->m_end.start_once(
+        std::chrono::milliseconds(*w.m_transaction_ms));
+}
+
+void begin(player& p, const arrival& a, std::size_t daemon)
+{
+    const support::session& session = p.m_sessions[a.m_workspace][a.m_session];
+    send_to(p, a, daemon, support::begin_request(session),
+            [&p, a, daemon](http2_result& result)
+            {
+                const auto* r = std::get_if<http2_response>(&result);
+                if (r == nullptr || r->m_status != 200)
+                    take_result(p, a, daemon, false, result);
+                else
+                    hold_transaction(p, a, daemon,
+                                     json::parse(r->m_body).at("transaction"));
+            });
+}
+
+void send(player& p, const arrival& a, std::size_t daemon, bool first)
+{
+    if (p.m_experiment.m_workspaces[a.m_workspace].m_transaction_ms)
+    {
+        begin(p, a, daemon);
+        return;
+    }
+    const support::session& session = p.m_sessions[a.m_workspace][a.m_session];
+    send_to(p, a, daemon,
+            support::statement_request(session, body_of(p.m_experiment, a)),
+            [&p, a, daemon, first](http2_result& result)
+            {
+                take_result(p, a, daemon, first, result);
+            });
 }
 
 // Open loop: what is due goes out whether or not earlier answers have come.
@@ -278,7 +346,8 @@
                    [&p]
                    {
                        send_due(p);
-                   })};
+                   }),
+             {}};
     p.m_result.m_experiment = e.m_name;
     p.m_result.m_seconds = e.m_seconds;
     open_sessions(p);
