--- a/Source/daemon/daemon_settings.cpp
+++ b/Source/daemon/daemon_settings.cpp
@@ -56,8 +56,8 @@
                 "served",
                 "", 0, 0},
     option_spec{"even-shares", option_type::flag, "",
-                "for experiments: shares are split evenly and never lent", "", 0,
-                0},
+                "for experiments: shares are split evenly and never lent", "",
+                0, 0},
     option_spec{"check", option_type::flag, "",
                 "check settings and charts, then end", "", 0, 0},
 };
--- a/Tests/whole/connection_loans_test.cpp
+++ b/Tests/whole/connection_loans_test.cpp
@@ -83,7 +83,7 @@
             const begun all = begin_all(first, clerk, lendable);
             THEN("all are served, by connections of all daemons")
             {
-                CHECK(all.m_refusals == std::vector<std::string>());
+                CHECK(all.m_refusals.empty());
                 CHECK(nobody_was_refused(f));
             }
             AND_WHEN("they end, and another daemon's callers open as many")
@@ -92,7 +92,7 @@
                 const begun others = begin_all(second, clerk, lendable);
                 THEN("those are served as well")
                 {
-                    CHECK(others.m_refusals == std::vector<std::string>());
+                    CHECK(others.m_refusals.empty());
                     CHECK(nobody_was_refused(f));
                 }
             }
@@ -116,7 +116,7 @@
                 {
                     CHECK(queued);
                     CHECK(committed == all.m_ids.size());
-                    CHECK(late.m_refusals == std::vector<std::string>());
+                    CHECK(late.m_refusals.empty());
                 }
             }
             AND_WHEN("that daemon is paused with them")
