--- a/Source/daemon/daemon_settings.hpp
+++ b/Source/daemon/daemon_settings.hpp
@@ -31,7 +31,7 @@
     bool m_reads_at_primary = false; ///< No read runs at a replica.
     bool m_queue_by_arrival = false; ///< Workspaces share one queue.
     bool m_queue_unbounded = false;  ///< Nothing is refused on arrival.
-    bool m_even_shares = false;      ///< Rates are never lent.
+    bool m_even_shares = false;      ///< Shares are never lent.
     bool m_check_only = false;
 };
 
--- a/Source/daemon/pool_admission.cpp
+++ b/Source/daemon/pool_admission.cpp
@@ -44,7 +44,11 @@
 
 fair_queue& queue_for(pool_group& g, const pool_request& r)
 {
-    return g.m_queues[static_cast<std::size_t>(r.m_statement.m_kind)];
+    constexpr std::size_t inside_transaction = 0;
+    constexpr std::size_t first_kind = 1;
+    const auto kind = static_cast<std::size_t>(r.m_statement.m_kind);
+    return g.m_queues[ends_sooner_when_run(r) ? inside_transaction
+                                              : first_kind + kind];
 }
 
 void check_queue(pool_group& g, const pool_request& r)
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -79,6 +79,10 @@
                 "primary_starved",
                 "a group's primary is to be replaced, as most of its replicas "
                 "receive nothing from it"},
+    event_entry{event_id::connection_withdrawn, event_level::warning,
+                "connection_withdrawn",
+                "a connection was closed under a statement or transaction "
+                "because its loan, or the daemon's right, is over"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -37,6 +37,7 @@
     promotion_ordered = 3014,
     follow_ordered = 3015,
     primary_starved = 3016,
+    connection_withdrawn = 3017,
 };
 
 enum class event_level : std::uint8_t
