acceptance: Count a majority of the fleet's epoch as well as of the list

Cause: daemons count a majority of the platform's list and one of the fleet's epoch before they witness an outage; the client that calls an edit in force went by the list alone. A list that omits members could make its majority miss the witnesses' one.

The client now asks the epoch's members too, and needs both majorities. Ruled out: a majority of the two lists' union alone, which need not meet a majority of the epoch.

Test: settings/acceptance_test, which first failed (three of five go by the edit, one of the epoch's three: it was accepted). The client's own fleet_member shared its name with the decisions' one in one program; it is daemon_status now.

Besides: what endpoints are told to follow moves out of pool_promotion into pool_follow, and the shares' tests hurt their fleet by one function.

--- a/Source/ctl/fleet_commands.cpp
+++ b/Source/ctl/fleet_commands.cpp
@@ -19,16 +19,18 @@
 constexpr int zone_width = 14;
 constexpr int state_width = 12;
 
-std::string list_state(const platform_vm& vm)
+std::string list_state(const daemon_status& m)
 {
-    return vm.m_state == vm_state::leaving ? "leaving" : "live";
+    if (!m.m_listed)
+        return "no";
+    return m.m_vm.m_state == vm_state::leaving ? "leaving" : "live";
 }
 
-ordered_json to_json(const fleet_member& m)
+ordered_json to_json(const daemon_status& m)
 {
     ordered_json out{{"name", m.m_vm.m_name},
                      {"zone", m.m_vm.m_zone},
-                     {"listed", list_state(m.m_vm)},
+                     {"listed", list_state(m)},
                      {"answers", m.m_status.has_value()}};
     if (!m.m_status)
         return out;
@@ -49,17 +51,17 @@
     out << cells.back() << "\n";
 }
 
-void print_member(std::ostream& out, const fleet_member& m)
+void print_member(std::ostream& out, const daemon_status& m)
 {
     const platform_vm& vm = m.m_vm;
     if (!m.m_status)
     {
-        print_row(
-            out, {vm.m_name, vm.m_zone, list_state(vm), "no answer", "-", "-"});
+        print_row(out,
+                  {vm.m_name, vm.m_zone, list_state(m), "no answer", "-", "-"});
         return;
     }
     const peer_status& s = *m.m_status;
-    print_row(out, {vm.m_name, vm.m_zone, list_state(vm), s.m_state,
+    print_row(out, {vm.m_name, vm.m_zone, list_state(m), s.m_state,
                     s.m_standing, std::to_string(s.m_in_force)});
     for (const std::string& node : s.m_refused)
         out << "  cannot take /" << node << "\n";
@@ -71,7 +73,7 @@
     result.m_json = ordered_json::array();
     std::ostringstream text;
     print_row(text, {"VM", "zone", "listed", "state", "standing", "in force"});
-    for (const fleet_member& m : ask_fleet(s))
+    for (const daemon_status& m : ask_fleet(s))
     {
         result.m_json.push_back(to_json(m));
         print_member(text, m);
--- a/Source/ctl/operator_session.cpp
+++ b/Source/ctl/operator_session.cpp
@@ -1,10 +1,12 @@
 #include <ctl/operator_session.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
 
 #include <peer/peer_codec.hpp>
+#include <platform/epoch_codec.hpp>
 
 namespace bluebellspoke
 {
@@ -89,6 +91,46 @@
         run(s.m_loop);
 }
 
+fleet_epoch read_fleet_epoch(operator_session& s)
+{
+    const platform_object object = get_object(s, epoch_object);
+    if (object.m_version == 0)
+        return {};
+    try
+    {
+        return decode_epoch(object.m_version, object.m_value);
+    }
+    catch (const epoch_error&)
+    {
+        // The daemons refuse it too, and count by the list alone.
+        return {};
+    }
+}
+
+// The list lags, and may omit daemons that still have standing.
+std::vector<daemon_status> known_daemons(operator_session& s)
+{
+    std::vector<daemon_status> daemons;
+    for (const platform_vm& vm : list_vms(s))
+        daemons.push_back({vm, true, false, std::nullopt});
+    for (const fleet_member& m : read_fleet_epoch(s).m_members)
+    {
+        const auto found = std::find_if(daemons.begin(), daemons.end(),
+                                        [&](const daemon_status& d)
+                                        {
+                                            return d.m_vm.m_name == m.m_name;
+                                        });
+        if (found != daemons.end())
+            found->m_in_epoch = true;
+        else
+            daemons.push_back({{m.m_name, m.m_address, "", vm_state::live},
+                               false,
+                               true,
+                               std::nullopt});
+    }
+    return daemons;
+}
+
 }
 
 operator_session::operator_session(const operator_settings& settings)
@@ -143,20 +185,18 @@
         });
 }
 
-std::vector<fleet_member> ask_fleet(operator_session& s)
+std::vector<daemon_status> ask_fleet(operator_session& s)
 {
-    const std::vector<platform_vm> vms = list_vms(s);
+    std::vector<daemon_status> members = known_daemons(s);
+    std::vector<platform_vm> vms;
+    for (const daemon_status& m : members)
+        vms.push_back(m.m_vm);
     daemon_round round;
     ask(s, round, vms, peer_status_wanted());
-    std::vector<fleet_member> members;
     for (std::size_t i = 0; i < vms.size(); ++i)
-    {
-        members.push_back({vms[i], std::nullopt});
-        if (!round.m_answers[i])
-            continue;
-        if (auto* status = std::get_if<peer_status>(&*round.m_answers[i]))
-            members.back().m_status = std::move(*status);
-    }
+        if (round.m_answers[i])
+            if (auto* status = std::get_if<peer_status>(&*round.m_answers[i]))
+                members[i].m_status = std::move(*status);
     return members;
 }
 
--- a/Source/ctl/operator_session.hpp
+++ b/Source/ctl/operator_session.hpp
@@ -35,10 +35,13 @@
     platform_client m_platform;
 };
 
-/// One VM of the platform's list and what its daemon says of itself.
-struct fleet_member
+/// One VM of the platform's list, or of the fleet's epoch, and what its daemon
+/// says of itself.
+struct daemon_status
 {
     platform_vm m_vm;
+    bool m_listed = false;               ///< By the platform.
+    bool m_in_epoch = false;             ///< Named by the fleet's epoch.
     std::optional<peer_status> m_status; ///< Absent: no answer.
 };
 
@@ -50,8 +53,9 @@
 platform_result<platform_object> try_put(operator_session& s,
                                          const platform_object& object,
                                          std::uint64_t if_version);
-/// Asks every VM's daemon at once how it stands.
-std::vector<fleet_member> ask_fleet(operator_session& s);
+/// Asks every VM's daemon at once how it stands, those too that only the
+/// fleet's epoch names.
+std::vector<daemon_status> ask_fleet(operator_session& s);
 /// Sends one message to a daemon. Absent: no answer in time.
 std::optional<peer_message> ask_daemon(operator_session& s,
                                        const platform_vm& vm,
--- a/Source/ctl/settings_edit.cpp
+++ b/Source/ctl/settings_edit.cpp
@@ -38,9 +38,10 @@
 
 // The daemons are asked before the platform: whatever they know by then, the
 // platform must know too.
-void check_current(std::span<const fleet_member> fleet, const stored_tree& tree)
+void check_current(std::span<const daemon_status> fleet,
+                   const stored_tree& tree)
 {
-    for (const fleet_member& m : fleet)
+    for (const daemon_status& m : fleet)
         if (m.m_status && m.m_status->m_known > tree.m_revision)
             throw ctl_error(
                 ctl_fault::platform_older_copy,
@@ -107,14 +108,15 @@
     throw ctl_error(ctl_fault::outcome_unknown, "writing " + name);
 }
 
-std::vector<member_report> to_reports(std::span<const fleet_member> fleet)
+std::vector<member_report> to_reports(std::span<const daemon_status> fleet)
 {
     std::vector<member_report> reports;
-    for (const fleet_member& m : fleet)
+    for (const daemon_status& m : fleet)
     {
         member_report r;
         r.m_name = m.m_vm.m_name;
         r.m_answered = m.m_status.has_value();
+        r.m_in_epoch = m.m_in_epoch;
         if (m.m_status)
         {
             r.m_known = m.m_status->m_known;
@@ -141,7 +143,7 @@
 
 // Daemons count majorities by the version they go by. Two versions in use at
 // once may differ by one endpoint and no more.
-void check_endpoints(std::span<const fleet_member> fleet,
+void check_endpoints(std::span<const daemon_status> fleet,
                      const settings_edit& edit, const settings_node& before,
                      const node_settings& after)
 {
@@ -152,7 +154,7 @@
                         "/" + edit.m_path);
     if (change == endpoints_change::none)
         return;
-    for (const fleet_member& m : fleet)
+    for (const daemon_status& m : fleet)
         if (m.m_status && m.m_status->m_in_force < before.m_version)
             throw ctl_error(ctl_fault::earlier_change_pending,
                             "/" + edit.m_path + ": " + m.m_vm.m_name);
@@ -189,7 +191,7 @@
 
 edit_outcome apply_edit(operator_session& s, const settings_edit& edit)
 {
-    const std::vector<fleet_member> fleet = ask_fleet(s);
+    const std::vector<daemon_status> fleet = ask_fleet(s);
     stored_tree tree = read_tree(s);
     check_current(fleet, tree);
     const settings_node before = tree.m_nodes[edit.m_path];
@@ -219,7 +221,7 @@
     const time_point end = monotonic_clock::now() + s.m_settings.m_wait;
     for (;;)
     {
-        const std::vector<fleet_member> fleet = ask_fleet(s);
+        const std::vector<daemon_status> fleet = ask_fleet(s);
         const std::vector<member_report> reports = to_reports(fleet);
         name_members(outcome, reports);
         const time_point now = monotonic_clock::now();
--- a/Source/daemon/pool_promotion.cpp
+++ b/Source/daemon/pool_promotion.cpp
@@ -16,7 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds lease_patience{600};
-constexpr milliseconds order_patience{1000};
 
 void fire(pool_group& g, group_event event);
 
@@ -42,13 +41,6 @@
     return voters;
 }
 
-duration own_delay(const pool_group& g)
-{
-    const pool_state& p = g.m_pool;
-    return turn_delay(
-        rendezvous_rank(g.m_name, p.m_daemon.m_name, p.m_members));
-}
-
 bool may_begin(const pool_state& p)
 {
     return may_promote(p.m_leaving, p.m_daemon.m_name, p.m_members);
@@ -59,8 +51,6 @@
     return g.m_watch.m_state == state && g.m_watch.m_election.m_term == term;
 }
 
-// ---- actions
-
 void await_turn(pool_group& g)
 {
     g.m_watch.m_turn_at = monotonic_clock::now() + own_delay(g);
@@ -209,8 +199,6 @@
     report_if_drained(g.m_pool);
 }
 
-// ---- what each state waits for
-
 void judge_votes(pool_group& g, std::span<const voter> voters, time_point now)
 {
     primary_watch& w = g.m_watch;
@@ -272,79 +260,6 @@
     }
 }
 
-// ---- endpoints that follow nobody, or an old primary
-
-void order_follow(pool_endpoint& e, const pool_endpoint& leader,
-                  term_number term)
-{
-    log_event(event_id::follow_ordered, {{"group", e.m_group.m_name},
-                                         {"endpoint", e.m_setting.m_name},
-                                         {"primary", leader.m_setting.m_name},
-                                         {"term", std::to_string(term)}});
-    e.m_refollowed_at = monotonic_clock::now();
-    send_order(e, follow_query(term, leader.m_setting.m_address),
-               [&e, term](pg_reply& reply)
-               {
-                   if (!reply.m_error)
-                       e.m_told_term = term;
-               });
-}
-
-std::vector<term_number> told_terms(const pool_group& g, term_number term)
-{
-    // The daemon that promoted tells everybody once; others only mend what
-    // they see fenced below the leader's term.
-    const bool promoted_here = g.m_watch.m_promoted_term == term;
-    std::vector<term_number> told;
-    for (const auto& e : g.m_endpoints)
-        told.push_back(promoted_here ? e->m_told_term : term);
-    return told;
-}
-
-bool may_order(pool_endpoint& e, time_point now, duration delay)
-{
-    if (!e.m_stray_since)
-        e.m_stray_since = now;
-    if (!e.m_reachable || now - *e.m_stray_since < delay)
-        return false;
-    return !e.m_order || now - e.m_order->m_sent_at >= order_patience;
-}
-
-// An order while the endpoint is still connecting would only set it back.
-void add_deaf(pool_group& g, std::span<const voter> voters, std::size_t leader,
-              time_point now, std::vector<std::size_t>& strays)
-{
-    for (const std::size_t i : find_deaf(voters, leader, now))
-    {
-        const bool due =
-            now - g.m_endpoints[i]->m_refollowed_at >= refollow_period;
-        const bool known =
-            std::find(strays.begin(), strays.end(), i) != strays.end();
-        if (due && !known)
-            strays.push_back(i);
-    }
-}
-
-void gather_strays(pool_group& g, std::span<const voter> voters, time_point now)
-{
-    const std::size_t leader = *find_leader(voters);
-    const term_number term = voters[leader].m_state->m_fence;
-    const bool promoted_here = g.m_watch.m_promoted_term == term;
-    const duration delay = promoted_here ? duration::zero() : own_delay(g);
-    auto strays = find_strays(voters, leader, told_terms(g, term));
-    add_deaf(g, voters, leader, now, strays);
-    std::vector<bool> is_stray(voters.size(), false);
-    for (const std::size_t i : strays)
-    {
-        is_stray[i] = true;
-        if (may_order(*g.m_endpoints[i], now, delay))
-            order_follow(*g.m_endpoints[i], *g.m_endpoints[leader], term);
-    }
-    for (std::size_t i = 0; i < voters.size(); ++i)
-        if (!is_stray[i])
-            g.m_endpoints[i]->m_stray_since.reset();
-}
-
 // The votes of a majority without it are enough; its own log may be the
 // longest, by entries that nobody else holds.
 void pass_over_starved(const primary_watch& w, std::span<voter> voters)
@@ -379,6 +294,13 @@
 
 }
 
+duration own_delay(const pool_group& g)
+{
+    const pool_state& p = g.m_pool;
+    return turn_delay(
+        rendezvous_rank(g.m_name, p.m_daemon.m_name, p.m_members));
+}
+
 watch_pace pace_of(const pool_group& g)
 {
     return pace_of_watch(monotonic_clock::now() - g.m_used_at,
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -331,7 +331,14 @@
 void send_order(pool_endpoint& e, std::string query, pg_done done);
 void drop_order(pool_endpoint& e);
 
+// pool_follow.cpp
+/// Tells endpoints that follow nobody, or an old primary, to follow the leader.
+void gather_strays(pool_group& g, std::span<const voter> voters,
+                   time_point now);
+
 // pool_promotion.cpp
+/// How long this daemon leaves what a group needs to the others.
+duration own_delay(const pool_group& g);
 /// How closely the group is watched now.
 watch_pace pace_of(const pool_group& g);
 /// A request came for the group.
--- a/Source/decide/acceptance.cpp
+++ b/Source/decide/acceptance.cpp
@@ -1,6 +1,7 @@
 #include <decide/acceptance.hpp>
 
 #include <algorithm>
+#include <cstddef>
 
 #include <decide/standing.hpp>
 
@@ -51,9 +52,21 @@
            report.m_in_force >= version;
 }
 
+// Standing counts both as well: a list that omits members would make the one
+// majority too small.
 bool has_majority(const acceptance_view& view) noexcept
 {
-    return count_in_force(view) > view.m_members.size() / 2;
+    std::size_t named = 0;
+    std::size_t named_in_force = 0;
+    for (const member_report& m : view.m_members)
+    {
+        if (!m.m_in_epoch)
+            continue;
+        ++named;
+        named_in_force += has_in_force(m, view.m_version) ? 1 : 0;
+    }
+    return count_in_force(view) > view.m_members.size() / 2 &&
+           (named == 0 || named_in_force > named / 2);
 }
 
 // Once a majority has it, nobody without it is witnessed any more, after the
--- a/Source/decide/acceptance.hpp
+++ b/Source/decide/acceptance.hpp
@@ -19,6 +19,7 @@
     std::uint64_t m_known = 0;    ///< Newest settings version it knows of.
     std::uint64_t m_in_force = 0; ///< Version that it goes by.
     bool m_refuses = false;       ///< Some node could not be taken.
+    bool m_in_epoch = false;      ///< The fleet's epoch names it.
 };
 
 struct acceptance_view
@@ -38,6 +39,7 @@
 
 /// True when the daemon goes by the version.
 bool has_in_force(const member_report& report, std::uint64_t version) noexcept;
+/// A majority of all, and of those that the fleet's epoch names, goes by it.
 bool has_majority(const acceptance_view& view) noexcept;
 /// Whether an edit holds for good. docs/design/configuration.md says why.
 acceptance judge_acceptance(const acceptance_view& view) noexcept;
--- a/Tests/settings/acceptance_test.cpp
+++ b/Tests/settings/acceptance_test.cpp
@@ -51,6 +51,22 @@
             REQUIRE(judge_acceptance(view) == acceptance::spreading);
         }
     }
+    SECTION("the list of VMs omits most of the fleet's epoch")
+    {
+        std::array named{member_report{"vm-1", true, 8, 8, false, true},
+                         member_report{"vm-2", false, 0, 0, false, true},
+                         member_report{"vm-3", false, 0, 0, false, true},
+                         member_report{"vm-4", true, 8, 8, false, false},
+                         member_report{"vm-5", true, 8, 8, false, false}};
+        const acceptance_view omitted{version, named, 1h};
+        REQUIRE(judge_acceptance(omitted) == acceptance::spreading);
+
+        SECTION("until a majority of the epoch goes by it")
+        {
+            named[1] = {"vm-2", true, 8, 8, false, true};
+            REQUIRE(judge_acceptance(omitted) == acceptance::accepted);
+        }
+    }
     SECTION("a daemon can't take it")
     {
         reports[0] = {"vm-1", true, 8, 7, true};
--- a/Tests/shares/connection_book_test.cpp
+++ b/Tests/shares/connection_book_test.cpp
@@ -36,36 +36,6 @@
     }
 }
 
-void hurt(fake_fleet& f)
-{
-    const auto chance = [&](double p)
-    {
-        return std::bernoulli_distribution(p)(f.m_random);
-    };
-    const auto someone = [&]
-    {
-        return std::uniform_int_distribution<std::size_t>(
-            0, f.m_daemons.size() - 1)(f.m_random);
-    };
-    const auto some_time = [&](int most_ms)
-    {
-        return milliseconds(
-            std::uniform_int_distribution<int>(50, most_ms)(f.m_random));
-    };
-    if (chance(0.3))
-        pause(f, someone(), some_time(15000));
-    if (chance(0.3))
-        cut(f, someone(), some_time(5000));
-    if (chance(0.2))
-        restart(f, someone());
-    if (chance(0.1) && f.m_daemons.size() < 12)
-        replace(f, someone());
-    if (chance(0.2))
-        f.m_faults.m_platform_up = !f.m_faults.m_platform_up;
-    f.m_faults.m_loss = chance(0.3) ? 0.3 : 0;
-    f.m_faults.m_delay = milliseconds(chance(0.2) ? 1500 : 5);
-}
-
 }
 
 SCENARIO("An endpoint's connections hold over all daemons together")
@@ -80,7 +50,7 @@
         {
             for (int i = 0; i < 60; ++i)
             {
-                hurt(f);
+                hurt(f, f.m_daemons.size() < 12 ? 0.1 : 0);
                 const auto busy = static_cast<std::size_t>(i / 3);
                 keep_busy(f, seconds(1), busy % f.m_daemons.size(), 2 * limit);
             }
--- a/Tests/shares/fake_fleet.cpp
+++ b/Tests/shares/fake_fleet.cpp
@@ -368,6 +368,36 @@
     f.m_daemons.push_back(std::move(made));
 }
 
+void hurt(fake_fleet& f, double replacements)
+{
+    const auto chance = [&](double p)
+    {
+        return std::bernoulli_distribution(p)(f.m_random);
+    };
+    const auto someone = [&]
+    {
+        return std::uniform_int_distribution<std::size_t>(
+            0, f.m_daemons.size() - 1)(f.m_random);
+    };
+    const auto some_time = [&](int most_ms)
+    {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<int>(50, most_ms)(f.m_random));
+    };
+    if (chance(0.3))
+        pause(f, someone(), some_time(15000));
+    if (chance(0.3))
+        cut(f, someone(), some_time(5000));
+    if (chance(0.2))
+        restart(f, someone());
+    if (chance(replacements))
+        replace(f, someone());
+    if (chance(0.2))
+        f.m_faults.m_platform_up = !f.m_faults.m_platform_up;
+    f.m_faults.m_loss = chance(0.3) ? 0.3 : 0;
+    f.m_faults.m_delay = std::chrono::milliseconds(chance(0.2) ? 1500 : 5);
+}
+
 std::uint32_t held_by_all(fake_fleet& f)
 {
     std::uint32_t units = 0;
--- a/Tests/shares/fake_fleet.hpp
+++ b/Tests/shares/fake_fleet.hpp
@@ -135,6 +135,9 @@
 void cut(fake_fleet& f, std::size_t daemon, duration length);
 /// Another VM takes the place of one that is cut off and runs on.
 void replace(fake_fleet& f, std::size_t daemon);
+/// Pauses, cuts, restarts, replaces, loses and delays by chance, for the
+/// second that follows. `replacements` is the chance of a replacement.
+void hurt(fake_fleet& f, double replacements);
 /// Units that all daemons together may use now.
 std::uint32_t held_by_all(fake_fleet& f);
 
--- a/Tests/shares/rate_share_test.cpp
+++ b/Tests/shares/rate_share_test.cpp
@@ -38,36 +38,6 @@
     return f.m_refused - before;
 }
 
-void hurt(fake_fleet& f)
-{
-    const auto chance = [&](double p)
-    {
-        return std::bernoulli_distribution(p)(f.m_random);
-    };
-    const auto someone = [&]
-    {
-        return std::uniform_int_distribution<std::size_t>(
-            0, f.m_daemons.size() - 1)(f.m_random);
-    };
-    const auto some_time = [&](int most_ms)
-    {
-        return milliseconds(
-            std::uniform_int_distribution<int>(50, most_ms)(f.m_random));
-    };
-    if (chance(0.3))
-        pause(f, someone(), some_time(15000));
-    if (chance(0.3))
-        cut(f, someone(), some_time(5000));
-    if (chance(0.2))
-        restart(f, someone());
-    if (chance(0.15))
-        replace(f, someone());
-    if (chance(0.2))
-        f.m_faults.m_platform_up = !f.m_faults.m_platform_up;
-    f.m_faults.m_loss = chance(0.3) ? 0.3 : 0;
-    f.m_faults.m_delay = milliseconds(chance(0.2) ? 1500 : 5);
-}
-
 }
 
 SCENARIO("A workspace's rate and burst hold over all daemons together")
@@ -81,7 +51,7 @@
         {
             for (int i = 0; i < 60; ++i)
             {
-                hurt(f);
+                hurt(f, 0.15);
                 std::vector<std::size_t> all(f.m_daemons.size());
                 std::iota(all.begin(), all.end(), 0U);
                 offer_for(f, seconds(1), 1.2 * rate, all);
