--- a/Tests/scenario/transactions_failover.lua
+++ b/Tests/scenario/transactions_failover.lua
@@ -125,3 +125,25 @@
         check_record("vm-2", clerk, "cubs", process.finish_writes("cubs"))
     end)
 end
+
+section("their daemon sleeps through the change of primary", function()
+    local list = {}
+    for i = 1, 3 do
+        list[i] = open_with_rows("vm-1")
+    end
+    freeze("vm-1")
+    local how = pick(lost_primary)
+    how.lose()
+    await_promotion("vm-2", 1)
+    thaw("vm-1")
+    for _, t in ipairs(list) do
+        end_by(t, pick { "commit", "rollback" })
+        expect(t.verb == "rollback" or t.said.status ~= 200,
+            "it began in a term that is over")
+    end
+    how.mend()
+    await_following("vm-1", "e1")
+    for _, t in ipairs(list) do
+        check_whole(t)
+    end
+end)
