--- a/Tests/ctl/edit_test.cpp
+++ b/Tests/ctl/edit_test.cpp
@@ -86,7 +86,7 @@
     {
         REQUIRE(run_words(s, {"put", "depot", R"({"rate":7})"}).m_code ==
                 exit_code::ok);
-        for (const fleet_member& m : ask_fleet(s))
+        for (const daemon_status& m : ask_fleet(s))
             REQUIRE(m.m_status->m_in_force == m.m_status->m_known);
     }
     SECTION("one sleeps: a majority has it and the sleeper's right has ended")
@@ -122,7 +122,7 @@
             }));
         THEN("the last good settings stay in force, and are named as such")
         {
-            const fleet_member m = ask_fleet(s)[0];
+            const daemon_status m = ask_fleet(s)[0];
             REQUIRE(m.m_status->m_in_force < m.m_status->m_known);
             REQUIRE(m.m_status->m_standing == "confirmed");
         }
