--- a/Source/ctl/operator_session.cpp
+++ b/Source/ctl/operator_session.cpp
@@ -189,6 +189,7 @@
 {
     std::vector<daemon_status> members = known_daemons(s);
     std::vector<platform_vm> vms;
+    vms.reserve(members.size());
     for (const daemon_status& m : members)
         vms.push_back(m.m_vm);
     daemon_round round;
