--- a/Source/daemon/pool_dispatch.cpp
+++ b/Source/daemon/pool_dispatch.cpp
@@ -9,15 +9,6 @@
 namespace
 {
 
-pooled_connection* find_idle(pool_endpoint& e)
-{
-    for (const auto& c : e.m_connections)
-        if (!c->m_running && c->m_transaction == nullptr &&
-            c->m_pg->state() == connection_state::idle)
-            return c.get();
-    return nullptr;
-}
-
 bool is_connecting(const pool_endpoint& e)
 {
     for (const auto& c : e.m_connections)
--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -30,14 +30,6 @@
     return keeps;
 }
 
-pooled_connection* find_idle(const pool_endpoint& e)
-{
-    for (const auto& c : e.m_connections)
-        if (is_idle(*c))
-            return c.get();
-    return nullptr;
-}
-
 // The lender counts on it: what was lent is free by then.
 void drop_withdrawn(pool_endpoint& e, time_point now)
 {
@@ -53,6 +45,14 @@
 
 }
 
+pooled_connection* find_idle(const pool_endpoint& e)
+{
+    for (const auto& c : e.m_connections)
+        if (is_idle(*c))
+            return c.get();
+    return nullptr;
+}
+
 void report_applied(pool_state& p)
 {
     if (!p.m_right || p.m_applied_epoch == p.m_right->m_epoch.m_number)
