shares: Report an epoch as applied after every endpoint has its part

Cause: closing what goes beyond a share also reported the epoch as applied, once for each endpoint. While a new right was being given to the endpoints one after the other, the first one's report looked at the others by their parts of the former right, which they fit; so an epoch was reported before the last endpoints had been asked whether they fit it. The fleet could then settle it, and a new member count on connections that were still open.

Ruled out: the epoch's number being taken too early (it is compared, not set), and the next report mending it (an epoch is reported once).

Closing no longer reports. Those who give all endpoints their parts do, once, at the end; a reply that lets a connection go does as before. The report goes through all endpoints, so a right costs one walk of them in place of one for each endpoint.

--- a/Source/daemon/pool_loans.cpp
+++ b/Source/daemon/pool_loans.cpp
@@ -156,6 +156,7 @@
         for (const auto& e : group->m_endpoints)
             tend_endpoint(*e, now);
     }
+    report_applied(p);
     look_again(p, now);
 }
 
--- a/Source/daemon/pool_replies.cpp
+++ b/Source/daemon/pool_replies.cpp
@@ -258,7 +258,10 @@
     if (r != nullptr)
         take_for_request(*r, e, reply);
     if (!fits_share(e))
+    {
         return_connections(e);
+        report_applied(e.m_group.m_pool);
+    }
     dispatch(e.m_group);
 }
 
--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -117,7 +117,6 @@
     drop_withdrawn(e, now);
     if (e.m_monitor && !may_monitor(e.m_book, now))
         e.m_monitor->close();
-    report_applied(e.m_group.m_pool);
 }
 
 void take_right(pool_state& p, const share_right& right)
@@ -130,7 +129,6 @@
             return_connections(*e);
             start_monitor(*e);
         }
-    report_applied(p);
     tend_loans(p);
 }
 
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -234,7 +234,8 @@
 /// Connections for statements, those included whose close is on its way.
 std::uint32_t count_open(const pool_endpoint& e);
 connection_use use_of(const pool_endpoint& e);
-/// Tells the control task once all that is open fits the newest epoch.
+/// Tells the control task once all that is open fits the newest epoch; only
+/// when every endpoint has been given its part of it.
 void report_applied(pool_state& p);
 
 // pool_loans.cpp
