pool: Say once when a connection is busy, and read the queues' lengths

Cause: three places spelled out when a connection is in use, and feeding had its own form of promotion's heard_within. What waits was counted by walking every queued request of every workspace, whenever a request found no connection, though the queues keep their length.

One is_busy and one heard_within serve all; the length is read. Ruled out: counting flows by their own length, which is a walk of the flows.

No figure of time was taken.

--- a/Source/daemon/pool_endpoints.cpp
+++ b/Source/daemon/pool_endpoints.cpp
@@ -71,7 +71,7 @@
 {
     std::vector<pg_connection*> running;
     for (const auto& c : e.m_connections)
-        if (c->m_running || c->m_transaction != nullptr)
+        if (is_busy(*c))
             running.push_back(c->m_pg.get());
     for (pg_connection* pg : running)
         pg->close();
--- a/Source/daemon/pool_shares.cpp
+++ b/Source/daemon/pool_shares.cpp
@@ -10,17 +10,6 @@
 namespace
 {
 
-bool is_idle(const pooled_connection& c)
-{
-    return !c.m_running && c.m_transaction == nullptr &&
-           c.m_pg->state() == connection_state::idle;
-}
-
-bool is_busy(const pooled_connection& c)
-{
-    return c.m_running || c.m_transaction != nullptr;
-}
-
 bool keeps_to_epoch(pool_group& g, time_point now)
 {
     // Every endpoint is asked: each takes its smaller part into force.
@@ -45,10 +34,15 @@
 
 }
 
+bool is_busy(const pooled_connection& c) noexcept
+{
+    return c.m_running || c.m_transaction != nullptr;
+}
+
 pooled_connection* find_idle(const pool_endpoint& e)
 {
     for (const auto& c : e.m_connections)
-        if (is_idle(*c))
+        if (!is_busy(*c) && c->m_pg->state() == connection_state::idle)
             return c.get();
     return nullptr;
 }
@@ -84,8 +78,7 @@
     if (!e.m_short)
         return use;
     for (const fair_queue& queue : e.m_group.m_queues)
-        for (const auto& [workspace, flow] : queue.m_flows)
-            use.m_waiting += static_cast<std::uint32_t>(flow.m_items.size());
+        use.m_waiting += static_cast<std::uint32_t>(queue.m_backlog);
     return use;
 }
 
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -226,7 +226,9 @@
 void share_connections(pool_endpoint& e);
 /// True when no more is open than the share.
 bool fits_share(const pool_endpoint& e);
-/// A connection that no statement or transaction has, or null.
+/// True while a statement or a transaction has the connection.
+bool is_busy(const pooled_connection& c) noexcept;
+/// A connection that is ready and that nothing has, or null.
 pooled_connection* find_idle(const pool_endpoint& e);
 /// Closes idle connections beyond the share; busy ones follow once idle, or
 /// when the time that they have for it is over.
--- a/Source/decide/feeding.cpp
+++ b/Source/decide/feeding.cpp
@@ -12,7 +12,7 @@
 
 bool heard(const voter& v, time_point now)
 {
-    return v.m_state && v.m_heard_at && now - *v.m_heard_at <= suspicion_time;
+    return v.m_state && heard_within(v, now, suspicion_time);
 }
 
 // Endpoints that aren't heard are no evidence: the daemon may be the one that
--- a/Source/decide/promotion.cpp
+++ b/Source/decide/promotion.cpp
@@ -13,11 +13,6 @@
 
 constexpr std::size_t last_turn = 8;
 
-bool heard_within(const voter& v, time_point now, duration limit)
-{
-    return v.m_heard_at && now - *v.m_heard_at <= limit;
-}
-
 // A replica that is still fed shows that the primary lives, though this daemon
 // can't reach it.
 bool is_fed(std::span<const voter> voters, std::size_t leader, time_point now)
@@ -103,6 +98,11 @@
 
 }
 
+bool heard_within(const voter& v, time_point now, duration limit) noexcept
+{
+    return v.m_heard_at && now - *v.m_heard_at <= limit;
+}
+
 term_number highest_fence(std::span<const voter> voters) noexcept
 {
     term_number highest = 0;
--- a/Source/decide/promotion.hpp
+++ b/Source/decide/promotion.hpp
@@ -47,6 +47,9 @@
     misplaced, ///< It leads where it should not, and others could.
 };
 
+/// True when a question of this long ago, or later, was answered.
+bool heard_within(const voter& v, time_point now, duration limit) noexcept;
+
 leadership judge_leadership(std::span<const voter> voters, time_point now);
 
 /// The primary at the highest fence that any endpoint told.
