control: Work out the right once for each answer of the platform

Cause: after the epoch was read, the right was worked out and sent to the front and the pool twice, alike, as only a failed read needed the second. The refusal of an unreadable epoch stood around all of it.

The refusal goes to where the epoch is decoded; the right is worked out once, before the members are considered, as that needs it. Ruled out: keeping the second alone, as considering members goes by the settling that the first brought up to date.

--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -134,14 +134,23 @@
     beat_soon(c);
 }
 
-// A lower version means that an old copy of the platform answered.
+// A lower version means that an old copy of the platform answered. Returns
+// false when the object isn't what stands now.
 bool take_epoch(control_state& c, const platform_object& object)
 {
     if (object.m_version != 0 && object.m_version < c.m_fleet.m_epoch.m_number)
         return false;
-    if (object.m_version > c.m_fleet.m_epoch.m_number)
-        follow_epoch(c, decode_epoch(object.m_version, object.m_value));
-    return true;
+    try
+    {
+        if (object.m_version > c.m_fleet.m_epoch.m_number)
+            follow_epoch(c, decode_epoch(object.m_version, object.m_value));
+        return true;
+    }
+    catch (const epoch_error&)
+    {
+        log_event(event_id::fleet_epoch_refused);
+        return false;
+    }
 }
 
 std::uint64_t rank_among_listed(const control_state& c)
@@ -207,20 +216,12 @@
     c.m_fleet.m_reading = false;
     const auto* object = std::get_if<platform_object>(&result);
     c.m_fleet.m_platform_answers = object != nullptr;
-    try
-    {
-        if (object != nullptr && take_epoch(c, *object))
-        {
-            c.m_fleet.m_confirmed_at = asked_at;
-            update_right(c);
-            consider_members(c, object->m_version);
-        }
-    }
-    catch (const epoch_error&)
-    {
-        log_event(event_id::fleet_epoch_refused);
-    }
+    const bool current = object != nullptr && take_epoch(c, *object);
+    if (current)
+        c.m_fleet.m_confirmed_at = asked_at;
     update_right(c);
+    if (current)
+        consider_members(c, object->m_version);
     c.m_epoch_poll.start_once(paced(c, epoch_period));
 }
 
