shares: Ask peers by one round for rates and for connections

decide/ask_round holds pace and choice, make_ask on a loan_need the ask, and the fakes use the real pace. The front kept a count of units gained between rounds only to shorten the next pause; it shortens it when they come, as the pool does, which gives the same next round.

Ruled out: one task for both kinds of asking, as each owns its books.

--- a/Source/daemon/front_shares.cpp
+++ b/Source/daemon/front_shares.cpp
@@ -15,7 +15,6 @@
 {
 
 constexpr std::size_t most_waiting = 256; ///< Requests of one workspace.
-constexpr std::size_t asked_at_once = 8;  ///< Peers in one round.
 
 void refuse(front_state& f, exchange_id exchange, std::string_view workspace,
             refusal code)
@@ -66,46 +65,19 @@
     }
 }
 
-bool needs_round(const front_rate& r, time_point now)
+void ask_peers(front_state& f, front_rate& r, time_point now)
 {
-    const bool keeps =
-        keeps_loans(r.m_share, now) && has_loans_to_keep(r.m_share.m_book, now);
-    return keeps || wanted_units(r.m_share, now) > 0;
-}
-
-bool is_involved(const front_rate& r, std::string_view lender)
-{
-    const auto& loans = r.m_share.m_book.m_borrowed;
-    return std::any_of(loans.begin(), loans.end(),
-                       [&](const loan& l)
-                       {
-                           return l.m_peer == lender;
-                       });
-}
-
-void ask_round(front_state& f, front_rate& r, time_point now)
-{
-    if (!f.m_rates.m_right || now < r.m_next_round || !needs_round(r, now))
+    const shared_right_ptr& right = f.m_rates.m_right;
+    const rate_share& s = r.m_share;
+    if (!right || !is_due(r.m_round, now) || !needs_peers(s, now))
         return;
-    if (std::exchange(r.m_gained, 0) > 0)
-        r.m_pause = {};
-    r.m_pause =
-        std::clamp<duration>(2 * r.m_pause, ask_pause, longest_ask_pause);
-    r.m_next_round = now + r.m_pause;
-    const bool wants =
-        !f.m_daemon.m_even_shares && wanted_units(r.m_share, now) > 0;
-    std::size_t asked = 0;
+    begin_round(r.m_round, now);
+    const bool wants = !f.m_daemon.m_even_shares && wanted_units(s, now) > 0;
     for (const std::string& lender :
-         lenders_in_order(f.m_rates.m_right->m_right, r.m_share.m_workspace))
-    {
-        const bool more = wants && asked < asked_at_once;
-        if (!more && !is_involved(r, lender))
-            continue;
-        ++asked;
+         lenders_to_ask(right->m_right, s.m_workspace, s.m_book, wants))
         f.m_boxes.m_control.post(
-            loan_wanted{share_kind::rate, r.m_share.m_workspace, lender,
-                        make_ask(r.m_share, f.m_daemon.m_name, lender, now)});
-    }
+            loan_wanted{share_kind::rate, s.m_workspace, lender,
+                        make_ask(s, f.m_daemon.m_name, lender, now)});
 }
 
 // An epoch is applied when nothing is lent beyond what it gives.
@@ -201,14 +173,14 @@
     if (r.m_waiting.empty() && admit_one(r.m_share, now))
     {
         hand_to_pool(f, std::move(request));
-        ask_round(f, r, now);
+        ask_peers(f, r, now);
         return;
     }
     const bool holds_all = held_units(r.m_share.m_book) >= r.m_share.m_burst;
     if (holds_all || r.m_waiting.size() >= most_waiting)
         throw refused(code_now(f, now));
     r.m_waiting.push_back({std::move(request), now});
-    ask_round(f, r, now);
+    ask_peers(f, r, now);
 }
 
 void forget_waiting(front_state& f, exchange_id exchange)
@@ -239,8 +211,9 @@
         return;
     const time_point now = monotonic_clock::now();
     front_rate& r = found->second;
-    r.m_gained += take_rate_loan(r.m_share, arrived.m_lender, arrived.m_loan,
-                                 arrived.m_asked_at, now);
+    if (take_rate_loan(r.m_share, arrived.m_lender, arrived.m_loan,
+                       arrived.m_asked_at, now) > 0)
+        r.m_round.m_pause = {};
     admit_waiting(f, r, now);
 }
 
@@ -252,7 +225,7 @@
     {
         settle(r.m_share, now);
         admit_waiting(f, r, now);
-        ask_round(f, r, now);
+        ask_peers(f, r, now);
         active = active || is_active(r, now);
     }
     report_applied(f);
--- a/Source/daemon/front_shares.hpp
+++ b/Source/daemon/front_shares.hpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <daemon/messages.hpp>
+#include <decide/ask_round.hpp>
 #include <decide/rate_share.hpp>
 #include <task/loop.hpp>
 
@@ -28,9 +29,7 @@
 {
     rate_share m_share;
     std::deque<waiting_request> m_waiting;
-    time_point m_next_round{}; ///< Of asking peers.
-    duration m_pause{};        ///< Between rounds.
-    std::uint32_t m_gained = 0;
+    ask_round m_round;
 };
 
 /// The rates of all workspaces, and the right that their shares rest on.
--- a/Source/daemon/pool_loans.cpp
+++ b/Source/daemon/pool_loans.cpp
@@ -9,18 +9,6 @@
 namespace
 {
 
-constexpr std::size_t asked_at_once = 8; ///< Peers in one round.
-
-bool has_loan_of(const connection_book& b, std::string_view lender)
-{
-    const auto& loans = b.m_book.m_borrowed;
-    return std::any_of(loans.begin(), loans.end(),
-                       [&](const loan& l)
-                       {
-                           return l.m_peer == lender;
-                       });
-}
-
 // A daemon that may hold no monitor can't do without a loan.
 bool may_want(const pool_endpoint& e, time_point now)
 {
@@ -28,27 +16,18 @@
            !(e.m_group.m_pool.m_daemon.m_even_shares && e.m_book.m_named);
 }
 
-void ask_round(pool_endpoint& e, time_point now)
+void ask_peers(pool_endpoint& e, time_point now)
 {
     pool_state& p = e.m_group.m_pool;
     const connection_book& b = e.m_book;
-    if (!p.m_right || now < e.m_next_round || !needs_peers(b, now))
+    if (!p.m_right || !is_due(e.m_round, now) || !needs_peers(b, now))
         return;
-    e.m_round_pause =
-        std::clamp<duration>(2 * e.m_round_pause, ask_pause, longest_ask_pause);
-    e.m_next_round = now + e.m_round_pause;
-    const bool wants = may_want(e, now);
-    std::size_t asked = 0;
-    for (const std::string& lender : lenders_in_order(*p.m_right, b.m_endpoint))
-    {
-        const bool more = wants && asked < asked_at_once;
-        if (!more && !has_loan_of(b, lender))
-            continue;
-        ++asked;
+    begin_round(e.m_round, now);
+    for (const std::string& lender :
+         lenders_to_ask(*p.m_right, b.m_endpoint, b.m_book, may_want(e, now)))
         p.m_boxes.m_control.post(
             loan_wanted{share_kind::connections, b.m_endpoint, lender,
                         make_ask(b, p.m_daemon.m_name, lender, now)});
-    }
 }
 
 pool_endpoint* find_endpoint(const pool_state& p, std::string_view resource)
@@ -74,7 +53,7 @@
     forget_closed(e, now);
     return_connections(e);
     note_use(e.m_book, use_of(e), now);
-    ask_round(e, now);
+    ask_peers(e, now);
 }
 
 // When the endpoint is to be looked at again.
@@ -106,10 +85,10 @@
     const bool first = !std::exchange(e.m_short, true);
     if (first)
         e.m_group.m_pool.m_loan_tick.start_once(ask_pause);
-    else if (now < e.m_next_round)
+    else if (!is_due(e.m_round, now))
         return;
     note_use(e.m_book, use_of(e), now);
-    ask_round(e, now);
+    ask_peers(e, now);
 }
 
 void lend_to_peer(pool_state& p, const loan_asked& asked)
@@ -137,7 +116,7 @@
                          arrived.m_asked_at, monotonic_clock::now());
     if (gained == 0)
         return;
-    e->m_round_pause = {};
+    e->m_round.m_pause = {};
     start_monitor(*e);
     dispatch(e->m_group);
 }
--- a/Source/daemon/pool_state.hpp
+++ b/Source/daemon/pool_state.hpp
@@ -14,6 +14,7 @@
 #include <daemon/messages.hpp>
 #include <daemon/pool_charts.hpp>
 #include <daemon/pool_metrics.hpp>
+#include <decide/ask_round.hpp>
 #include <decide/connection_book.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/feeding.hpp>
@@ -114,9 +115,8 @@
     std::uint32_t m_slot_share = 0;       ///< When it has wholly returned.
     std::uint32_t m_connection_limit = 0; ///< The endpoint's, whole fleet.
     connection_book m_book;               ///< This daemon's part of them.
-    bool m_short = false;      ///< A request found no connection lately.
-    time_point m_next_round{}; ///< Of asking peers for connections.
-    duration m_round_pause{};
+    bool m_short = false; ///< A request found no connection lately.
+    ask_round m_round;
     std::vector<time_point> m_closed_at; ///< Connections, of late.
     std::vector<std::unique_ptr<pooled_connection>> m_connections;
     std::unique_ptr<pg_connection> m_monitor;
--- a/Source/decide/connection_book.cpp
+++ b/Source/decide/connection_book.cpp
@@ -169,14 +169,10 @@
 loan_ask make_ask(const connection_book& b, std::string_view self,
                   std::string_view lender, time_point now)
 {
-    loan_ask ask;
-    ask.m_peer = self;
-    ask.m_wanted = wanted_connections(b, now);
-    ask.m_held = held_units(b.m_book);
-    ask.m_demand = demand_of(b, now);
-    if (keeps_loans(b, now))
-        ask_to_keep(ask, b.m_book, lender);
-    return ask;
+    const double demand = demand_of(b, now);
+    return make_ask(b.m_book,
+                    {wanted_connections(b, now), demand, keeps_loans(b, now)},
+                    self, lender);
 }
 
 loan_answer lend_connections(connection_book& b, const loan_ask& ask,
--- a/Source/decide/loan.cpp
+++ b/Source/decide/loan.cpp
@@ -295,6 +295,19 @@
     }
 }
 
+void ask_to_keep(loan_ask& ask, const share_book& b, std::string_view lender)
+{
+    for (const loan& l : b.m_borrowed)
+    {
+        if (l.m_peer != lender)
+            continue;
+        if (l.m_passed_by.empty())
+            ask.m_renews.push_back({l.m_id, l.m_units});
+        else
+            ask.m_claims.push_back({l.m_id, l.m_passed_by, l.m_units});
+    }
+}
+
 }
 
 std::uint32_t take_loan(share_book& b, std::string_view lender,
@@ -321,17 +334,17 @@
     return after > before ? after - before : 0;
 }
 
-void ask_to_keep(loan_ask& ask, const share_book& b, std::string_view lender)
+loan_ask make_ask(const share_book& b, const loan_need& need,
+                  std::string_view self, std::string_view lender)
 {
-    for (const loan& l : b.m_borrowed)
-    {
-        if (l.m_peer != lender)
-            continue;
-        if (l.m_passed_by.empty())
-            ask.m_renews.push_back({l.m_id, l.m_units});
-        else
-            ask.m_claims.push_back({l.m_id, l.m_passed_by, l.m_units});
-    }
+    loan_ask ask;
+    ask.m_peer = self;
+    ask.m_wanted = need.m_wanted;
+    ask.m_held = held_units(b);
+    ask.m_demand = need.m_demand;
+    if (need.m_keeps)
+        ask_to_keep(ask, b, lender);
+    return ask;
 }
 
 bool has_loans_to_keep(const share_book& b, time_point now) noexcept
--- a/Source/decide/loan.hpp
+++ b/Source/decide/loan.hpp
@@ -128,8 +128,18 @@
 std::uint32_t take_loan(share_book& b, std::string_view lender,
                         const loan_answer& answer, time_point asked_at,
                         time_point now);
-/// Adds what the daemon has from a lender and wants to keep.
-void ask_to_keep(loan_ask& ask, const share_book& b, std::string_view lender);
+
+/// Why a daemon asks its peers.
+struct loan_need
+{
+    std::uint32_t m_wanted = 0; ///< Units.
+    double m_demand = 0;        ///< As loan_ask::m_demand.
+    bool m_keeps = false;       ///< Wants to keep what it has borrowed.
+};
+
+/// What to ask one lender.
+loan_ask make_ask(const share_book& b, const loan_need& need,
+                  std::string_view self, std::string_view lender);
 /// True when a loan has used up half of its time, or the lender doesn't know
 /// of it yet.
 bool has_loans_to_keep(const share_book& b, time_point now) noexcept;
--- a/Source/decide/rate_share.cpp
+++ b/Source/decide/rate_share.cpp
@@ -157,17 +157,19 @@
     return s.m_recent > 0 && now - s.m_recent_at < keep_bound;
 }
 
+bool needs_peers(const rate_share& s, time_point now)
+{
+    const bool keeps = keeps_loans(s, now) && has_loans_to_keep(s.m_book, now);
+    return keeps || wanted_units(s, now) > 0;
+}
+
 loan_ask make_ask(const rate_share& s, std::string_view self,
                   std::string_view lender, time_point now)
 {
-    loan_ask ask;
-    ask.m_peer = self;
-    ask.m_wanted = wanted_units(s, now);
-    ask.m_held = held_units(s.m_book);
-    ask.m_demand = demand_of(s, now);
-    if (keeps_loans(s, now))
-        ask_to_keep(ask, s.m_book, lender);
-    return ask;
+    return make_ask(
+        s.m_book,
+        {wanted_units(s, now), demand_of(s, now), keeps_loans(s, now)}, self,
+        lender);
 }
 
 rate_loan lend_rate(rate_share& s, const loan_ask& ask, time_point now)
--- a/Source/decide/rate_share.hpp
+++ b/Source/decide/rate_share.hpp
@@ -61,6 +61,8 @@
 std::uint32_t wanted_units(const rate_share& s, time_point now);
 /// True when loans should be renewed rather than end.
 bool keeps_loans(const rate_share& s, time_point now);
+/// True when peers are to be asked, for a need or to keep what is borrowed.
+bool needs_peers(const rate_share& s, time_point now);
 /// What to ask one peer for.
 loan_ask make_ask(const rate_share& s, std::string_view self,
                   std::string_view lender, time_point now);
--- a/Tests/shares/fake_connections.cpp
+++ b/Tests/shares/fake_connections.cpp
@@ -93,14 +93,12 @@
         {daemon, d.m_self.m_incarnation, f.m_now, {}, {}});
 }
 
-void ask_round(fake_fleet& f, std::size_t from)
+void ask_peers(fake_fleet& f, std::size_t from)
 {
     fake_pool& pool = f.m_daemons[from].m_pool;
-    if (f.m_now < pool.m_next_round || !needs_peers(pool.m_book, f.m_now))
+    if (!is_due(pool.m_round, f.m_now) || !needs_peers(pool.m_book, f.m_now))
         return;
-    pool.m_round_pause = std::clamp<duration>(2 * pool.m_round_pause, ask_pause,
-                                              longest_ask_pause);
-    pool.m_next_round = f.m_now + pool.m_round_pause;
+    begin_round(pool.m_round, f.m_now);
     for (std::size_t to = 0; to < f.m_daemons.size(); ++to)
     {
         if (to == from)
@@ -120,7 +118,7 @@
             {
                 if (take_connections(d.m_pool.m_book, lender, answer, asked_at,
                                      all.m_now) > 0)
-                    d.m_pool.m_round_pause = {};
+                    d.m_pool.m_round.m_pause = {};
             });
     }
 }
@@ -166,7 +164,7 @@
     pool.m_monitor = may_monitor(pool.m_book, f.m_now);
     pool.m_monitor_heard_at = f.m_now;
     note_use(pool.m_book, use_of(f, daemon), f.m_now);
-    ask_round(f, daemon);
+    ask_peers(f, daemon);
 }
 
 void tend_endpoint(fake_fleet& f)
--- a/Tests/shares/fake_fleet.cpp
+++ b/Tests/shares/fake_fleet.cpp
@@ -195,17 +195,12 @@
                 });
 }
 
-void ask_round(fake_fleet& f, std::size_t from)
+void ask_peers(fake_fleet& f, std::size_t from)
 {
     fake_daemon& d = f.m_daemons[from];
-    const bool wants = wanted_units(d.m_share, f.m_now) > 0;
-    const bool renews = keeps_loans(d.m_share, f.m_now) &&
-                        has_loans_to_keep(d.m_share.m_book, f.m_now);
-    if (f.m_now < d.m_next_round || (!wants && !renews))
+    if (!is_due(d.m_round, f.m_now) || !needs_peers(d.m_share, f.m_now))
         return;
-    d.m_round_pause =
-        std::clamp<duration>(2 * d.m_round_pause, ask_pause, longest_ask_pause);
-    d.m_next_round = f.m_now + d.m_round_pause;
+    begin_round(d.m_round, f.m_now);
     for (std::size_t to = 0; to < f.m_daemons.size(); ++to)
     {
         if (to == from)
@@ -224,7 +219,7 @@
             {
                 if (take_rate_loan(asker.m_share, lender, answer, asked_at,
                                    all.m_now) > 0)
-                    asker.m_round_pause = {};
+                    asker.m_round.m_pause = {};
             });
     }
 }
@@ -312,7 +307,7 @@
             ask_platform(f, f.m_daemons[i]);
         if (is_due(f, i, beat_period))
             beat(f, i);
-        ask_round(f, i);
+        ask_peers(f, i);
         admit_waiting(f, f.m_daemons[i]);
         if (f.m_endpoint.m_limit > 0)
             tend_pool(f, i);
--- a/Tests/shares/fake_fleet.hpp
+++ b/Tests/shares/fake_fleet.hpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <vector>
 
+#include <decide/ask_round.hpp>
 #include <decide/connection_book.hpp>
 #include <decide/rate_share.hpp>
 
@@ -51,8 +52,7 @@
     bool m_monitor = false;
     time_point m_monitor_heard_at{};
     std::size_t m_waiting = 0; ///< Transactions that found no connection.
-    time_point m_next_round{};
-    duration m_round_pause{};
+    ask_round m_round;
 };
 
 /// One daemon's decisions on shares, without sockets.
@@ -72,8 +72,7 @@
     std::uint64_t m_applied = 0;
     settling m_settling;
     rate_share m_share;
-    time_point m_next_round{};
-    duration m_round_pause{};
+    ask_round m_round;
     std::deque<time_point> m_waiting; ///< Arrivals that wait for a loan.
     bool m_new_name = true;           ///< No process before it was a member.
     bool m_joined = false;            ///< An epoch has named this process.
