--- a/Source/ctl/access_commands.cpp
+++ b/Source/ctl/access_commands.cpp
@@ -8,7 +8,7 @@
 #include <openssl/rand.h>
 
 #include <decide/settings_view.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/node_text.cpp
+++ b/Source/ctl/node_text.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include <decide/settings_limits.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/operator_session.cpp
+++ b/Source/ctl/operator_session.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include <peer/peer_codec.hpp>
-#include <platform/epoch_codec.hpp>
+#include <store/epoch_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/operator_session.hpp
+++ b/Source/ctl/operator_session.hpp
@@ -10,7 +10,7 @@
 
 #include <ctl/ctl_error.hpp>
 #include <peer/peer_message.hpp>
-#include <platform/platform_client.hpp>
+#include <store/platform_client.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/settings_commands.cpp
+++ b/Source/ctl/settings_commands.cpp
@@ -4,7 +4,7 @@
 
 #include <ctl/node_text.hpp>
 #include <ctl/settings_history.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/settings_edit.cpp
+++ b/Source/ctl/settings_edit.cpp
@@ -10,7 +10,7 @@
 #include <decide/acceptance.hpp>
 #include <decide/endpoints_change.hpp>
 #include <decide/settings_view.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/ctl/settings_history.cpp
+++ b/Source/ctl/settings_history.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/admin_task.cpp
+++ b/Source/daemon/admin_task.cpp
@@ -13,7 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include <daemon/daemon_chart.hpp>
-#include <daemon/overloaded.hpp>
+#include <model/overloaded.hpp>
 #include <report/event.hpp>
 
 namespace bluebellspoke
--- a/Source/daemon/control_fleet.cpp
+++ b/Source/daemon/control_fleet.cpp
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <utility>
 
-#include <platform/epoch_codec.hpp>
 #include <report/event.hpp>
+#include <store/epoch_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/control_leases.cpp
+++ b/Source/daemon/control_leases.cpp
@@ -4,7 +4,7 @@
 #include <chrono>
 
 #include <daemon/control_state.hpp>
-#include <platform/lease_codec.hpp>
+#include <store/lease_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/control_peers.cpp
+++ b/Source/daemon/control_peers.cpp
@@ -4,8 +4,8 @@
 #include <limits>
 #include <utility>
 
-#include <daemon/overloaded.hpp>
-#include <peer/peer_codec.hpp>
+#include <model/overloaded.hpp>
+#include <peer/peer_call.hpp>
 
 namespace bluebellspoke
 {
@@ -13,13 +13,9 @@
 namespace
 {
 
-constexpr std::string_view peer_path = "/peer";
-constexpr std::chrono::seconds send_limit{1};
 constexpr std::chrono::milliseconds heartbeat_period{500};
 // No majority is one while nobody has said how many daemons there are.
 constexpr std::size_t unknown_members = std::numeric_limits<std::size_t>::max();
-constexpr int status_ok = 200;
-constexpr int status_malformed = 400;
 
 std::uint64_t age_ms(time_point since)
 {
@@ -68,10 +64,7 @@
 void answer_peer(control_state& c, exchange_id exchange,
                  const peer_message& message)
 {
-    http2_response response;
-    response.m_status = status_ok;
-    response.m_body = encode_peer_message(message);
-    c.m_peer_server->respond(exchange, std::move(response));
+    answer_peer(*c.m_peer_server, exchange, message);
 }
 
 /// Takes one message of a peer and sees to the answer.
@@ -112,17 +105,8 @@
 
 void on_request(control_state& c, arrived_request& arrived)
 {
-    try
-    {
-        take_peer_message(c, arrived.m_exchange,
-                          decode_peer_message(arrived.m_request.m_body));
-    }
-    catch (const peer_protocol_error&)
-    {
-        http2_response response;
-        response.m_status = status_malformed;
-        c.m_peer_server->respond(arrived.m_exchange, std::move(response));
-    }
+    if (const auto message = take_peer_request(*c.m_peer_server, arrived))
+        take_peer_message(c, arrived.m_exchange, *message);
 }
 
 void beat(control_state& c)
@@ -180,7 +164,7 @@
 
 void answer_loan(control_state& c, const loan_given& given)
 {
-    answer_peer(c, given.m_exchange, loan_message(given.m_loan));
+    answer_peer(c, given.m_exchange, to_message(given.m_loan));
 }
 
 namespace
@@ -267,24 +251,7 @@
         done(none);
         return;
     }
-    found->second.m_client->send(
-        {"POST", std::string(peer_path), {}, encode_peer_message(message)},
-        send_limit,
-        [done = std::move(done)](http2_result& result)
-        {
-            std::optional<peer_message> answer;
-            const auto* response = std::get_if<http2_response>(&result);
-            try
-            {
-                if (response != nullptr && response->m_status == status_ok)
-                    answer = decode_peer_message(response->m_body);
-            }
-            catch (const peer_protocol_error&)
-            {
-                answer.reset();
-            }
-            done(answer);
-        });
+    call_peer(*found->second.m_client, message, std::move(done));
 }
 
 }
--- a/Source/daemon/control_settings.cpp
+++ b/Source/daemon/control_settings.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include <decide/settings_progress.hpp>
-#include <platform/settings_codec.hpp>
 #include <report/event.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/control_state.hpp
+++ b/Source/daemon/control_state.hpp
@@ -16,8 +16,9 @@
 #include <decide/fleet_epoch.hpp>
 #include <decide/settings_tree.hpp>
 #include <decide/standing.hpp>
+#include <peer/peer_call.hpp>
 #include <peer/peer_message.hpp>
-#include <platform/platform_client.hpp>
+#include <store/platform_client.hpp>
 #include <wire/http2_server.hpp>
 
 namespace bluebellspoke
@@ -53,7 +54,6 @@
 };
 
 /// A peer's answer, or nothing when none came in time.
-using peer_done = sigc::slot<void(std::optional<peer_message>&)>;
 
 /// What the control task owns; nobody else touches it.
 struct control_state
@@ -178,8 +178,6 @@
 /// Takes a peer's question to the task that holds the share.
 void pass_loan_ask(control_state& c, exchange_id exchange,
                    const peer_loan_ask& ask);
-/// The answer to a peer's question.
-peer_message loan_message(const rate_loan& given);
 
 }
 
--- a/Source/daemon/control_task.cpp
+++ b/Source/daemon/control_task.cpp
@@ -4,7 +4,7 @@
 #include <random>
 
 #include <daemon/control_state.hpp>
-#include <daemon/overloaded.hpp>
+#include <model/overloaded.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <daemon/loan_number.hpp>
+#include <peer/loan_number.hpp>
 #include <decide/access.hpp>
 #include <decide/session_token.hpp>
 #include <front/statement_codec.hpp>
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include <daemon/front_state.hpp>
-#include <daemon/overloaded.hpp>
+#include <model/overloaded.hpp>
 #include <front/statement_codec.hpp>
 
 namespace bluebellspoke
--- a/Source/daemon/main/bluebellspoked.cpp
+++ b/Source/daemon/main/bluebellspoked.cpp
@@ -4,6 +4,7 @@
 
 #include <daemon/daemon.hpp>
 #include <daemon/daemon_settings.hpp>
+#include <platform/site_program.hpp>
 #include <report/event.hpp>
 
 namespace
@@ -22,6 +23,11 @@
     {
         const std::span<const char* const> arguments(
             argv, static_cast<std::size_t>(argc));
+        if (is_for_site(arguments, process_environment()))
+        {
+            run_on_site(arguments, process_environment());
+            return exit_ok;
+        }
         const daemon_settings settings =
             read_daemon_settings(arguments, process_environment());
         start_log(settings.m_name);
--- a/Source/daemon/messages.hpp
+++ b/Source/daemon/messages.hpp
@@ -14,6 +14,7 @@
 #include <model/refusal.hpp>
 #include <model/share_kind.hpp>
 #include <model/statement.hpp>
+#include <peer/loan_messages.hpp>
 #include <report/metric.hpp>
 #include <task/mailbox.hpp>
 #include <wire/http2_server.hpp>
@@ -99,41 +100,6 @@
     std::uint64_t m_epoch = 0;
 };
 
-/// front, pool → control: ask a peer for a part of its share.
-struct loan_wanted
-{
-    share_kind m_kind = share_kind::rate;
-    std::string m_resource;
-    std::string m_lender;
-    loan_ask m_ask;
-};
-
-/// control → front, pool: what that peer gave; nothing if no answer came.
-struct loan_arrived
-{
-    share_kind m_kind = share_kind::rate;
-    std::string m_resource;
-    std::string m_lender;
-    rate_loan m_loan;
-    time_point m_asked_at{};
-};
-
-/// control → front, pool: a peer asks for a part of this daemon's share.
-struct loan_asked
-{
-    exchange_id m_exchange;
-    share_kind m_kind = share_kind::rate;
-    std::string m_resource;
-    loan_ask m_ask;
-};
-
-/// front, pool → control: what that peer gets.
-struct loan_given
-{
-    exchange_id m_exchange;
-    rate_loan m_loan;
-};
-
 /// control → front, admin: until when the daemon may serve, unless told anew.
 struct standing_changed
 {
--- a/Source/daemon/pool_state.cpp
+++ b/Source/daemon/pool_state.cpp
@@ -3,7 +3,7 @@
 #include <random>
 #include <utility>
 
-#include <daemon/loan_number.hpp>
+#include <peer/loan_number.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <daemon/overloaded.hpp>
+#include <model/overloaded.hpp>
 #include <daemon/pool_state.hpp>
 
 namespace bluebellspoke
--- /dev/null
+++ b/Source/decide/duty_lease.cpp
@@ -0,0 +1,46 @@
+#include <decide/duty_lease.hpp>
+
+#include <utility>
+
+namespace bluebellspoke
+{
+
+duty_sighting note_duty(const std::optional<duty_sighting>& before,
+                        std::uint64_t revision, duty_record record,
+                        time_point now)
+{
+    // Answers that may be old can be older than the last.
+    if (before && revision <= before->m_revision)
+        return *before;
+    return {revision, std::move(record), now};
+}
+
+bool may_take_duty(const duty_sighting& seen, std::string_view self,
+                   std::uint64_t incarnation, time_point now)
+{
+    const duty_record& r = seen.m_record;
+    if (r.m_holder.empty())
+        return true;
+    // A process before this one on the same node has ended.
+    if (r.m_holder == self)
+        return r.m_incarnation != incarnation;
+    return now - seen.m_first_seen_at >= duty_lapse;
+}
+
+duty_record take_duty(const duty_record& before, std::string_view self,
+                      std::uint64_t incarnation)
+{
+    duty_record r = before;
+    r.m_holder = self;
+    r.m_incarnation = incarnation;
+    ++r.m_token;
+    ++r.m_renewals;
+    return r;
+}
+
+bool may_order(time_point renewed_at, time_point now) noexcept
+{
+    return renewed_at != time_point{} && now < renewed_at + duty_time;
+}
+
+}
--- /dev/null
+++ b/Source/decide/takeover.cpp
@@ -0,0 +1,91 @@
+#include <decide/takeover.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace bluebellspoke
+{
+
+std::string_view to_string(takeover_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case takeover_reason::silent:
+        return "silent";
+    case takeover_reason::starved:
+        return "starved";
+    case takeover_reason::leaving:
+        return "leaving";
+    case takeover_reason::missing:
+        return "missing";
+    case takeover_reason::none:
+        break;
+    }
+    return "none";
+}
+
+takeover_reason judge_primary(const primary_evidence& e, time_point now)
+{
+    if (e.m_known && e.m_leaving)
+        return takeover_reason::leaving;
+    if (now - e.m_last_sign >= primary_silence)
+        return e.m_known ? takeover_reason::silent : takeover_reason::missing;
+    if (e.m_stuck_since != time_point{} &&
+        now - e.m_stuck_since >= commit_silence)
+        return takeover_reason::starved;
+    return takeover_reason::none;
+}
+
+std::size_t touches_needed(std::size_t members,
+                           std::uint32_t sync_replicas) noexcept
+{
+    return members > sync_replicas ? members - sync_replicas : 1;
+}
+
+bool is_touched(const takeover_member& m, term_number term) noexcept
+{
+    if (!m.m_reachable || m.m_status.m_role != endpoint_role::replica)
+        return false;
+    return m.m_stepped_down || m.m_status.m_held >= term;
+}
+
+term_number next_term(std::span<const takeover_member> members) noexcept
+{
+    term_number newest = 0;
+    for (const takeover_member& m : members)
+        newest = std::max({newest, m.m_status.m_term, m.m_status.m_held,
+                           m.m_status.m_position.m_term});
+    return newest + 1;
+}
+
+std::optional<std::string>
+choose_successor(std::span<const takeover_member> members, term_number term,
+                 std::uint32_t sync_replicas)
+{
+    const std::size_t needed = touches_needed(members.size(), sync_replicas);
+    std::vector<const takeover_member*> touched;
+    for (const takeover_member& m : members)
+        if (is_touched(m, term))
+            touched.push_back(&m);
+    if (touched.size() < needed)
+        return std::nullopt;
+    // Any `needed` of the logs hold every acknowledged commit between them, so
+    // members that leave are passed over while enough others are left.
+    std::vector<const takeover_member*> staying;
+    std::ranges::copy_if(touched, std::back_inserter(staying),
+                         [](const takeover_member* m)
+                         {
+                             return !m->m_leaving;
+                         });
+    const auto& from = staying.size() >= needed ? staying : touched;
+    const auto best = std::ranges::max_element(
+        from,
+        [](const takeover_member* a, const takeover_member* b)
+        {
+            return std::pair(a->m_status.m_position, !a->m_leaving) <
+                   std::pair(b->m_status.m_position, !b->m_leaving);
+        });
+    return (*best)->m_id;
+}
+
+}
--- a/Source/endpoint/statement_text.cpp
+++ b/Source/endpoint/statement_text.cpp
@@ -164,14 +164,16 @@
         // In brackets: "-1" after a minus sign would begin a comment.
         std::string operator()(std::int64_t i) const
         {
-            return "(" + std::to_string(i) + ")";
+            std::string out(1, '(');
+            return out.append(std::to_string(i)).append(1, ')');
         }
         std::string operator()(double d) const
         {
             std::array<char, 64> digits{};
             const auto end =
                 std::to_chars(digits.data(), digits.data() + digits.size(), d);
-            return "(" + std::string(digits.data(), end.ptr) + ")";
+            std::string out(1, '(');
+            return out.append(digits.data(), end.ptr).append(1, ')');
         }
         std::string operator()(const std::string& s) const
         {
--- /dev/null
+++ b/Source/model/endpoint_status.hpp
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLSPOKE_MODEL_ENDPOINT_STATUS_HPP
+#define BLUEBELLSPOKE_MODEL_ENDPOINT_STATUS_HPP
+
+#include <cstdint>
+
+#include <model/log_position.hpp>
+
+namespace bluebellspoke
+{
+
+enum class endpoint_role : std::uint8_t
+{
+    primary,
+    replica,
+};
+
+/// An endpoint's account of itself.
+struct endpoint_status
+{
+    endpoint_role m_role = endpoint_role::replica;
+    term_number m_term = 0;
+    log_position m_position;
+    term_number m_held = 0; ///< Paused for this term; 0: it isn't.
+    std::uint64_t m_lag_ms = 0;
+    std::uint32_t m_busy = 0;
+    std::uint32_t m_connections = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/model/site.hpp
@@ -0,0 +1,126 @@
+#ifndef BLUEBELLSPOKE_MODEL_SITE_HPP
+#define BLUEBELLSPOKE_MODEL_SITE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <model/address.hpp>
+#include <model/clock.hpp>
+
+namespace bluebellspoke
+{
+
+/// What a database's reads may miss.
+enum class read_consistency : std::uint8_t
+{
+    primary,    ///< Nothing that was acknowledged before.
+    bounded,    ///< Commits younger than the route's bound.
+    own_writes, ///< As bounded, but for the session's own commits.
+};
+
+/// Names of regions; empty: any.
+using region_set = std::set<std::string, std::less<>>;
+
+/// How one database is reached.
+struct site_route
+{
+    std::string m_name;
+    std::string m_database;
+    std::string m_service;
+    read_consistency m_consistency = read_consistency::primary;
+    duration m_statement_timeout{};
+    duration m_latency_objective{}; ///< Of a whole operation.
+    duration m_staleness{};         ///< Zero for read_consistency::primary.
+    std::uint32_t m_priority = 0;   ///< 0 goes first.
+    bool m_public = false;          ///< Needs no key.
+    region_set m_regions;
+};
+
+/// A group of endpoints: a primary and its replicas.
+struct site_service
+{
+    std::string m_name;
+    std::uint32_t m_connections = 0;   ///< To one endpoint, of all callers.
+    std::uint32_t m_sync_replicas = 0; ///< That hold a commit when it is acked.
+};
+
+/// A workspace's limits over all VMs.
+struct site_workspace
+{
+    std::string m_name;
+    double m_rate = 0;         ///< Operations a second.
+    std::uint32_t m_burst = 0; ///< Operations.
+    region_set m_regions;
+};
+
+/// One accepted version of the configuration; never changed.
+struct site_config
+    : boost::intrusive_ref_counter<site_config, boost::thread_safe_counter>
+{
+    std::uint64_t m_version = 0;
+    std::map<std::string, site_route, std::less<>> m_routes; ///< By database.
+    std::map<std::string, site_service, std::less<>> m_services;
+    std::map<std::string, site_workspace, std::less<>> m_workspaces;
+    std::map<std::string, std::string, std::less<>> m_keys; ///< To workspaces.
+    duration m_transaction_idle{};                          ///< Zero: no limit.
+};
+
+using site_config_ptr = boost::intrusive_ptr<const site_config>;
+
+/// One endpoint as it registered itself.
+struct site_endpoint
+{
+    std::string m_id;
+    std::string m_service;
+    address m_address;
+    std::string m_zone;
+    std::uint32_t m_capacity = 0; ///< Statements that run at once.
+    bool m_draining = false;
+    bool m_says_primary = false;
+    std::uint64_t m_born_ms = 0; ///< Unix time of its process's start.
+
+    friend bool operator==(const site_endpoint&,
+                           const site_endpoint&) = default;
+};
+
+/// The endpoints of all services, and the zones that get no new work.
+struct endpoint_snapshot
+    : boost::intrusive_ref_counter<endpoint_snapshot,
+                                   boost::thread_safe_counter>
+{
+    std::map<std::string, site_endpoint, std::less<>> m_endpoints; ///< By id.
+    std::set<std::string, std::less<>> m_evacuated;
+};
+
+using endpoint_snapshot_ptr = boost::intrusive_ptr<const endpoint_snapshot>;
+
+/// What a process is told about itself and its surroundings.
+struct site_settings
+{
+    std::string m_name;
+    std::string m_zone;
+    std::string m_region;
+    std::map<std::string, std::string, std::less<>> m_region_of_zone;
+    address m_caller_listen;
+    address m_ready_listen;
+    address m_peer_listen;
+    address m_metrics_listen;
+    address m_store;
+    address m_orders;             ///< Where a promotion is ordered.
+    bool m_first_start = false;   ///< Of the whole deployment.
+    std::vector<address> m_seeds; ///< Peers to ask when the store is away.
+    duration m_stop_grace{};
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/peer/loan_messages.cpp
@@ -0,0 +1,84 @@
+#include <peer/loan_messages.hpp>
+
+#include <chrono>
+
+namespace bluebellspoke
+{
+
+using std::chrono::milliseconds;
+
+peer_message to_message(std::string_view self, const loan_wanted& wanted)
+{
+    peer_loan_ask m;
+    m.m_name = self;
+    m.m_kind = wanted.m_kind;
+    m.m_resource = wanted.m_resource;
+    m.m_wanted = wanted.m_ask.m_wanted;
+    m.m_held = wanted.m_ask.m_held;
+    m.m_demand = wanted.m_ask.m_demand;
+    for (const loan_part& p : wanted.m_ask.m_renews)
+        m.m_renews.push_back({p.m_id, p.m_units});
+    for (const loan_claim& p : wanted.m_ask.m_claims)
+        m.m_claims.push_back({p.m_id, p.m_passed_by, p.m_units});
+    return m;
+}
+
+loan_ask from_message(const peer_loan_ask& m)
+{
+    loan_ask ask;
+    ask.m_peer = m.m_name;
+    ask.m_wanted = m.m_wanted;
+    ask.m_held = m.m_held;
+    ask.m_demand = m.m_demand;
+    for (const peer_loan_part& p : m.m_renews)
+        ask.m_renews.push_back({p.m_id, p.m_units});
+    for (const peer_loan_claim& p : m.m_claims)
+        ask.m_claims.push_back({p.m_id, p.m_passed_by, p.m_units});
+    return ask;
+}
+
+rate_loan from_message(const peer_loan& m)
+{
+    rate_loan given;
+    given.m_tokens = m.m_tokens;
+    loan_answer& a = given.m_units;
+    a.m_id = m.m_id;
+    a.m_units = m.m_units;
+    for (const peer_loan_part& p : m.m_returned)
+        a.m_returned.push_back({p.m_id, p.m_units});
+    for (const peer_passed_loan& p : m.m_passed)
+        a.m_passed.push_back(
+            {p.m_lender, p.m_id, p.m_units, milliseconds(p.m_left_ms)});
+    for (const peer_loan_part& p : m.m_renewed)
+        a.m_renewed.push_back({p.m_id, p.m_units});
+    for (const peer_claimed_loan& p : m.m_claimed)
+        a.m_claimed.push_back(
+            {{p.m_claim.m_id, p.m_claim.m_passed_by, p.m_claim.m_units},
+             p.m_id});
+    return given;
+}
+
+peer_message to_message(const rate_loan& given)
+{
+    peer_loan m;
+    m.m_tokens = given.m_tokens;
+    const loan_answer& a = given.m_units;
+    m.m_id = a.m_id;
+    m.m_units = a.m_units;
+    for (const loan_part& p : a.m_returned)
+        m.m_returned.push_back({p.m_id, p.m_units});
+    for (const passed_loan& p : a.m_passed)
+        m.m_passed.push_back(
+            {p.m_lender, p.m_id, p.m_units,
+             static_cast<std::uint64_t>(
+                 std::chrono::floor<milliseconds>(p.m_left).count())});
+    for (const loan_part& p : a.m_renewed)
+        m.m_renewed.push_back({p.m_id, p.m_units});
+    for (const claimed_loan& p : a.m_claimed)
+        m.m_claimed.push_back(
+            {{p.m_claim.m_id, p.m_claim.m_passed_by, p.m_claim.m_units},
+             p.m_id});
+    return m;
+}
+
+}
--- a/Source/daemon/loan_number.cpp
+++ b/Source/peer/loan_number.cpp
@@ -1,4 +1,4 @@
-#include <daemon/loan_number.hpp>
+#include <peer/loan_number.hpp>
 
 #include <random>
 
--- /dev/null
+++ b/Source/peer/peer_call.cpp
@@ -0,0 +1,65 @@
+#include <peer/peer_call.hpp>
+
+#include <utility>
+
+#include <peer/peer_codec.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_malformed = 400;
+
+}
+
+void call_peer(http2_client& peer, const peer_message& message, peer_done done)
+{
+    peer.send(
+        {"POST", std::string(peer_path), {}, encode_peer_message(message)},
+        peer_limit,
+        [done = std::move(done)](http2_result& result)
+        {
+            std::optional<peer_message> answer;
+            const auto* response = std::get_if<http2_response>(&result);
+            try
+            {
+                if (response != nullptr && response->m_status == status_ok)
+                    answer = decode_peer_message(response->m_body);
+            }
+            catch (const peer_protocol_error&)
+            {
+                answer.reset();
+            }
+            done(answer);
+        });
+}
+
+void answer_peer(http2_server& server, exchange_id exchange,
+                 const peer_message& message)
+{
+    http2_response response;
+    response.m_status = status_ok;
+    response.m_body = encode_peer_message(message);
+    server.respond(exchange, std::move(response));
+}
+
+std::optional<peer_message> take_peer_request(http2_server& server,
+                                              const arrived_request& arrived)
+{
+    try
+    {
+        return decode_peer_message(arrived.m_request.m_body);
+    }
+    catch (const peer_protocol_error&)
+    {
+        http2_response response;
+        response.m_status = status_malformed;
+        server.respond(arrived.m_exchange, std::move(response));
+        return std::nullopt;
+    }
+}
+
+}
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -54,6 +54,25 @@
     }
 };
 
+// Goes to every peer each second, so its fields have no names.
+template <>
+struct format<peer_site_digest>
+{
+    static constexpr const char* tag = "site";
+
+    static json write(const peer_site_digest& m)
+    {
+        return json::array({m.m_name, m.m_address, m.m_zone, m.m_store_answers,
+                            m.m_store_revision, m.m_config_version});
+    }
+    static peer_site_digest read(const json& j)
+    {
+        return {j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
+                j.at(2).get<std::string>(),   j.at(3).get<bool>(),
+                j.at(4).get<std::uint64_t>(), j.at(5).get<std::uint64_t>()};
+    }
+};
+
 template <>
 struct format<peer_declined>
 {
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -31,6 +31,17 @@
     std::string m_zone;
 };
 
+/// What a process on a site knows of the store; answered by the receiver's.
+struct peer_site_digest
+{
+    std::string m_name;
+    std::string m_address; ///< Of the sender for its peers, IP:port.
+    std::string m_zone;
+    bool m_store_answers = false;
+    std::uint64_t m_store_revision = 0; ///< Up to which it has heard.
+    std::uint64_t m_config_version = 0;
+};
+
 /// The receiver doesn't know what was asked, or can't do it now.
 struct peer_declined
 {
@@ -147,7 +158,7 @@
 using peer_message =
     std::variant<peer_heartbeat, peer_declined, peer_settings_wanted,
                  peer_settings, peer_status_wanted, peer_status,
-                 peer_drain_wanted, peer_loan_ask, peer_loan>;
+                 peer_drain_wanted, peer_loan_ask, peer_loan, peer_site_digest>;
 
 }
 
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -39,6 +39,16 @@
     settings_version,
     fleet_members,
     platform_answers,
+    session_statements,
+    session_faults,
+    sessions_open,
+    endpoint_links_opened,
+    session_reads,
+    session_wait_time,
+    session_endpoint_time,
+    store_failures,
+    promotions,
+    duty_held,
 };
 
 enum class metric_type : std::uint8_t
--- /dev/null
+++ b/Source/session/failover_duty.cpp
@@ -0,0 +1,206 @@
+#include <session/failover_task_state.hpp>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+constexpr std::string_view duty_name = "failover";
+// Pause after a call that failed.
+constexpr std::chrono::milliseconds duty_retry{250};
+
+bool is_holder(const failover_task_state& t)
+{
+    return t.m_duty && t.m_duty->m_record.m_holder == t.m_settings.m_name &&
+           t.m_duty->m_record.m_incarnation == t.m_incarnation;
+}
+
+void tell_reports(failover_task_state& t, bool wanted)
+{
+    t.m_boxes.m_session.post(reports_wanted{wanted});
+}
+
+void lose_duty(failover_task_state& t, std::string_view cause)
+{
+    if (t.m_renewed_at == time_point{})
+        return;
+    t.m_renewed_at = {};
+    log_event(event_id::duty_lost, {{"cause", std::string(cause)}});
+    tell_reports(t, false);
+    note_duty_lost(t);
+}
+
+void gain_duty(failover_task_state& t, time_point sent_at)
+{
+    const bool had = t.m_renewed_at != time_point{};
+    t.m_renewed_at = std::max(t.m_renewed_at, sent_at);
+    if (had)
+        return;
+    log_event(event_id::duty_taken,
+              {{"token", std::to_string(t.m_duty->m_record.m_token)}});
+    tell_reports(t, true);
+    for (auto& [service, g] : t.m_groups)
+        g.m_report = {};
+    // What the holder before has ordered may still be under way.
+    for (const auto& [service, ordered] : t.m_duty->m_record.m_ordered)
+    {
+        failover_group& g = t.m_groups[service];
+        g.m_successor = ordered.m_endpoint;
+        g.m_may_be_under_way = true;
+    }
+}
+
+void see(failover_task_state& t, const stored_object& o)
+{
+    auto record = t.m_values.m_read_duty(o.m_value);
+    if (!record)
+    {
+        log_event(event_id::store_entry_unreadable,
+                  {{"kind", "duties"}, {"name", o.m_name}});
+        record.emplace();
+    }
+    t.m_duty =
+        note_duty(t.m_duty, o.m_revision, std::move(*record), boot_now());
+    if (!is_holder(t))
+        lose_duty(t, "another holder");
+}
+
+void write_duty(failover_task_state& t, const duty_record& record);
+
+// The record with what this process has decided.
+duty_record with_orders(const failover_task_state& t, duty_record record)
+{
+    record.m_ordered.clear();
+    for (const auto& [service, g] : t.m_groups)
+        if (!g.m_successor.empty())
+            record.m_ordered[service] = {g.m_successor, g.m_term};
+    return record;
+}
+
+void renew(failover_task_state& t)
+{
+    duty_record record = with_orders(t, t.m_duty->m_record);
+    ++record.m_renewals;
+    t.m_record_wanted = false;
+    write_duty(t, record);
+}
+
+void read_duty(failover_task_state& t, bool stale_ok)
+{
+    t.m_duty_call = true;
+    t.m_store.m_list(
+        stored_kind::duties, stale_ok,
+        [&t, stale_ok](store_answer& a)
+        {
+            t.m_duty_call = false;
+            const time_point now = boot_now();
+            t.m_duty_at = now + (a.m_failure ? duration(duty_retry)
+                                             : duration(duty_renewal));
+            if (a.m_failure)
+                return;
+            bool found = false;
+            for (const stored_change& c : a.m_changes)
+                if (c.m_object.m_name == duty_name)
+                {
+                    found = true;
+                    see(t, c.m_object);
+                }
+            if (!found && !t.m_duty)
+                t.m_duty = duty_sighting{0, {}, now};
+            if (t.m_stopping || is_holder(t) || !t.m_duty ||
+                !may_take_duty(*t.m_duty, t.m_settings.m_name, t.m_incarnation,
+                               now))
+                return;
+            // An older answer is no ground to take it.
+            if (stale_ok)
+                return read_duty(t, false);
+            write_duty(t, take_duty(t.m_duty->m_record, t.m_settings.m_name,
+                                    t.m_incarnation));
+        });
+}
+
+void write_duty(failover_task_state& t, const duty_record& record)
+{
+    t.m_duty_call = true;
+    const time_point sent_at = boot_now();
+    t.m_store.m_write(stored_kind::duties,
+                      {std::string(duty_name), t.m_duty->m_revision,
+                       t.m_values.m_write_duty(record)},
+                      [&t, sent_at](write_answer& a)
+                      {
+                          t.m_duty_call = false;
+                          const time_point now = boot_now();
+                          if (a.m_object)
+                              see(t, *a.m_object);
+                          if (a.m_failure)
+                          {
+                              // Whether it was done is read from the object.
+                              t.m_duty_at = now + duty_retry;
+                              t.m_record_wanted =
+                                  t.m_record_wanted || is_holder(t);
+                              if (a.m_failure != store_failure::unavailable)
+                                  read_duty(t, false);
+                              return;
+                          }
+                          t.m_duty_at = now + duty_renewal;
+                          if (!is_holder(t))
+                              return;
+                          gain_duty(t, sent_at);
+                          if (!t.m_record_wanted)
+                              note_recorded(t);
+                      });
+}
+
+}
+
+bool holds_duty(const failover_task_state& t, time_point now)
+{
+    return is_holder(t) && may_order(t.m_renewed_at, now);
+}
+
+void tend_duty(failover_task_state& t, time_point now)
+{
+    if (t.m_renewed_at != time_point{} && !may_order(t.m_renewed_at, now))
+        lose_duty(t, "not renewed");
+    if (t.m_duty_call || t.m_stopping)
+        return;
+    if (now < t.m_duty_at && !t.m_record_wanted)
+        return;
+    if (is_holder(t))
+        renew(t);
+    else
+        read_duty(t, true);
+}
+
+void record_orders(failover_task_state& t)
+{
+    t.m_record_wanted = true;
+    if (!t.m_duty_call)
+        tend_duty(t, boot_now());
+}
+
+void release_duty(failover_task_state& t)
+{
+    if (!is_holder(t) || t.m_duty_call)
+    {
+        t.m_boxes.m_life.post(stop_done{"failover"});
+        return;
+    }
+    duty_record record = with_orders(t, t.m_duty->m_record);
+    record.m_holder.clear();
+    ++record.m_renewals;
+    lose_duty(t, "stopping");
+    t.m_store.m_write(stored_kind::duties,
+                      {std::string(duty_name), t.m_duty->m_revision,
+                       t.m_values.m_write_duty(record)},
+                      [&t](write_answer&)
+                      {
+                          t.m_boxes.m_life.post(stop_done{"failover"});
+                      });
+}
+
+}
--- /dev/null
+++ b/Source/session/failover_groups.cpp
@@ -0,0 +1,505 @@
+#include <session/failover_task_state.hpp>
+
+#include <algorithm>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void run_action(failover_task_state& t, const std::string& service,
+                failover_group& g, takeover_action action);
+
+void fire(failover_task_state& t, const std::string& service, failover_group& g,
+          takeover_event event)
+{
+    t.m_charts.m_takeover.fire(g.m_state, event,
+                               [&](takeover_action action)
+                               {
+                                   run_action(t, service, g, action);
+                               });
+}
+
+bool is_leaving(const failover_task_state& t, const site_endpoint& e)
+{
+    return e.m_draining || t.m_endpoints->m_evacuated.contains(e.m_zone);
+}
+
+std::uint32_t sync_replicas(const failover_task_state& t,
+                            std::string_view service)
+{
+    const auto found = t.m_config->m_services.find(service);
+    return found == t.m_config->m_services.end()
+               ? 0
+               : found->second.m_sync_replicas;
+}
+
+std::string any_workspace(const failover_task_state& t)
+{
+    return t.m_config->m_workspaces.empty()
+               ? std::string()
+               : t.m_config->m_workspaces.begin()->first;
+}
+
+// Members of the takeover as the decision sees them; places whose endpoint is
+// gone count as members out of reach.
+std::vector<takeover_member> members_of(const failover_group& g)
+{
+    std::vector<takeover_member> members;
+    for (const touched_member& m : g.m_members)
+        members.push_back(m.m_member);
+    while (members.size() < g.m_places.size())
+        members.emplace_back();
+    return members;
+}
+
+std::unique_ptr<group_call> open_call(failover_task_state& t,
+                                      const site_endpoint& e)
+{
+    try
+    {
+        return std::make_unique<group_call>(t.m_loop, t.m_codec, e,
+                                            any_workspace(t));
+    }
+    catch (const loop_error& failure)
+    {
+        log_event(event_id::endpoint_unreachable,
+                  {{"endpoint", e.m_id}, {"failure", failure.what()}});
+        return {};
+    }
+}
+
+touched_member* find_member(failover_group& g, std::string_view id)
+{
+    const auto found = std::ranges::find_if(g.m_members,
+                                            [&](const touched_member& m)
+                                            {
+                                                return m.m_endpoint.m_id == id;
+                                            });
+    return found == g.m_members.end() ? nullptr : &*found;
+}
+
+void ask_member(failover_task_state& t, const std::string& service,
+                failover_group& g, touched_member& m, group_order order)
+{
+    if (m.m_asked)
+        return;
+    if (!m.m_call || !m.m_call->is_open())
+        m.m_call = open_call(t, m.m_endpoint);
+    if (!m.m_call)
+        return;
+    m.m_asked = true;
+    m.m_call->send(
+        order, g.m_term, order_limit,
+        [&t, service, order, id = m.m_endpoint.m_id,
+         term = g.m_term](const std::optional<endpoint_status>& status)
+        {
+            touched_member* const member = find_member(t.m_groups[service], id);
+            if (member == nullptr)
+                return;
+            member->m_asked = false;
+            member->m_member.m_reachable = status.has_value();
+            if (!status)
+                return;
+            member->m_member.m_status = *status;
+            if (order == group_order::step_down &&
+                status->m_role == endpoint_role::replica)
+                member->m_member.m_stepped_down = true;
+            if (member->m_touched_at == time_point{} &&
+                is_touched(member->m_member, term))
+                member->m_touched_at = boot_now();
+        });
+}
+
+// Asks each member for its status, and once that is known takes it out of the
+// old term.
+void touch(failover_task_state& t, const std::string& service,
+           failover_group& g)
+{
+    const std::vector<takeover_member> members = members_of(g);
+    const bool known = std::ranges::any_of(members,
+                                           [](const takeover_member& m)
+                                           {
+                                               return m.m_reachable;
+                                           });
+    if (known)
+        g.m_term = std::max(g.m_term, next_term(members));
+    for (touched_member& m : g.m_members)
+    {
+        const takeover_member& seen = m.m_member;
+        group_order order = group_order::status;
+        if (seen.m_reachable && !is_touched(seen, g.m_term))
+            order = seen.m_status.m_role == endpoint_role::primary
+                        ? group_order::step_down
+                        : group_order::pause;
+        ask_member(t, service, g, m, order);
+    }
+}
+
+void begin_takeover(failover_task_state& t, const std::string& service,
+                    failover_group& g, takeover_reason reason)
+{
+    g.m_reason = reason;
+    g.m_began_at = boot_now();
+    g.m_next_at = g.m_began_at;
+    g.m_term = g.m_report.m_term + 1;
+    g.m_old_primary = g.m_report.m_primary;
+    g.m_members.clear();
+    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
+        if (e.m_service == service)
+        {
+            touched_member m;
+            m.m_endpoint = e;
+            m.m_member.m_id = id;
+            m.m_member.m_leaving = is_leaving(t, e);
+            g.m_members.push_back(std::move(m));
+        }
+    log_event(event_id::takeover_begun,
+              {{"service", service},
+               {"reason", std::string(to_string(reason))},
+               {"primary", g.m_old_primary},
+               {"term", std::to_string(g.m_term)},
+               {"members", std::to_string(g.m_members.size())},
+               {"places", std::to_string(g.m_places.size())}});
+    fire(t, service, g, takeover_event::doubted);
+}
+
+// Somebody leads after all, by what the members say.
+bool is_led(const failover_group& g)
+{
+    return std::ranges::any_of(
+        g.m_members,
+        [&](const touched_member& m)
+        {
+            return m.m_member.m_reachable &&
+                   m.m_member.m_status.m_role == endpoint_role::primary &&
+                   m.m_member.m_status.m_term >= g.m_term;
+        });
+}
+
+// The primary that was missed answers here.
+const touched_member* find_living_primary(const failover_group& g)
+{
+    if (g.m_reason != takeover_reason::silent &&
+        g.m_reason != takeover_reason::missing)
+        return nullptr;
+    const auto found = std::ranges::find_if(
+        g.m_members,
+        [&](const touched_member& m)
+        {
+            return m.m_member.m_reachable &&
+                   m.m_member.m_status.m_role == endpoint_role::primary &&
+                   m.m_member.m_status.m_term >= g.m_report.m_term;
+        });
+    return found == g.m_members.end() ? nullptr : &*found;
+}
+
+void tend_touching(failover_task_state& t, const std::string& service,
+                   failover_group& g, time_point now)
+{
+    if (const touched_member* const lead = find_living_primary(g))
+    {
+        t.m_boxes.m_session.post(
+            primary_promoted{service, lead->m_endpoint.m_id,
+                             lead->m_member.m_status, boot_now()});
+        return fire(t, service, g, takeover_event::given_up);
+    }
+    const std::vector<takeover_member> members = members_of(g);
+    const auto successor =
+        choose_successor(members, g.m_term, sync_replicas(t, service));
+    // A moment for a member that is asked and may be further.
+    const bool waits =
+        now - g.m_began_at < order_limit &&
+        std::ranges::any_of(g.m_members,
+                            [&](const touched_member& m)
+                            {
+                                return m.m_touched_at == time_point{};
+                            });
+    if (successor && !waits)
+    {
+        // An order that may be under way is carried through first.
+        const touched_member* const before =
+            g.m_may_be_under_way ? find_member(g, g.m_successor) : nullptr;
+        if (before == nullptr || !is_touched(before->m_member, g.m_term))
+            g.m_successor = *successor;
+        return fire(t, service, g, takeover_event::touched);
+    }
+    if (now - g.m_began_at >= touch_limit && !g.m_may_be_under_way)
+        return fire(t, service, g, takeover_event::given_up);
+    if (now >= g.m_next_at)
+    {
+        g.m_next_at = now + round_pause;
+        touch(t, service, g);
+    }
+}
+
+// From the last touch that the decision rests on.
+time_point lease_end(const failover_group& g)
+{
+    time_point last{};
+    for (const touched_member& m : g.m_members)
+        last = std::max(last, m.m_touched_at);
+    return last + lease_time + lease_margin;
+}
+
+void tend_waiting(failover_task_state& t, const std::string& service,
+                  failover_group& g, time_point now)
+{
+    if (now >= lease_end(g) && holds_duty(t, now))
+        fire(t, service, g, takeover_event::lease_over);
+}
+
+void order(failover_task_state& t, const std::string& service,
+           failover_group& g)
+{
+    const time_point now = boot_now();
+    g.m_next_at = now + round_pause;
+    if (!holds_duty(t, now))
+        return;
+    g.m_may_be_under_way = true;
+    const std::uint64_t token = t.m_duty->m_record.m_token;
+    log_event(event_id::promotion_ordered, {{"service", service},
+                                            {"endpoint", g.m_successor},
+                                            {"term", std::to_string(g.m_term)},
+                                            {"token", std::to_string(token)}});
+    g.m_next_at = now + order_time + round_pause;
+    t.m_order({service, g.m_successor, t.m_settings.m_name, token},
+              [&t, service](order_outcome outcome)
+              {
+                  failover_group& there = t.m_groups[service];
+                  if (there.m_state != takeover_state::ordering)
+                      return;
+                  if (outcome == order_outcome::taken)
+                      return fire(t, service, there, takeover_event::ordered);
+                  if (outcome == order_outcome::not_running)
+                  {
+                      there.m_may_be_under_way = false;
+                      return fire(t, service, there,
+                                  takeover_event::impossible);
+                  }
+                  there.m_next_at = boot_now() + round_pause;
+              });
+}
+
+void confirm(failover_task_state& t, const std::string& service,
+             failover_group& g)
+{
+    for (touched_member& m : g.m_members)
+        if (m.m_endpoint.m_id == g.m_successor)
+            ask_member(t, service, g, m, group_order::status);
+}
+
+void tend_confirming(failover_task_state& t, const std::string& service,
+                     failover_group& g, time_point now)
+{
+    if (is_led(g))
+        return fire(t, service, g, takeover_event::leads);
+    if (now - g.m_began_at >= lead_limit)
+        return fire(t, service, g, takeover_event::unanswered);
+    if (now >= g.m_next_at)
+    {
+        g.m_next_at = now + failover_tick;
+        confirm(t, service, g);
+    }
+}
+
+void announce(failover_task_state& t, const std::string& service,
+              failover_group& g)
+{
+    const touched_member* const lead = find_member(g, g.m_successor);
+    if (lead == nullptr)
+        return;
+    ++t.m_promotions;
+    log_event(event_id::takeover_done,
+              {{"service", service},
+               {"endpoint", g.m_successor},
+               {"term", std::to_string(lead->m_member.m_status.m_term)}});
+    t.m_boxes.m_session.post(primary_promoted{
+        service, g.m_successor, lead->m_member.m_status, boot_now()});
+    if (g.m_old_primary != g.m_successor && !g.m_old_primary.empty())
+        g.m_step_down_until = boot_now() + step_down_span;
+}
+
+void resume_members(const std::string& service, failover_group& g)
+{
+    log_event(event_id::takeover_given_up,
+              {{"service", service}, {"term", std::to_string(g.m_term)}});
+    for (touched_member& m : g.m_members)
+        if (m.m_member.m_reachable &&
+            m.m_member.m_status.m_role == endpoint_role::replica && m.m_call &&
+            m.m_call->is_open())
+            m.m_call->send(group_order::resume, 0, order_limit,
+                           [](const std::optional<endpoint_status>&) {});
+}
+
+void let_go(failover_task_state& t, failover_group& g)
+{
+    g.m_next_at = boot_now() + given_up_pause;
+    if (!g.m_may_be_under_way || is_led(g))
+    {
+        g.m_may_be_under_way = false;
+        g.m_successor.clear();
+        if (holds_duty(t, boot_now()))
+            record_orders(t);
+    }
+    // The calls may be in the middle of telling this.
+    g.m_report.m_evidence.m_last_sign = boot_now();
+}
+
+void run_action(failover_task_state& t, const std::string& service,
+                failover_group& g, takeover_action action)
+{
+    switch (action)
+    {
+    case takeover_action::touch:
+        return touch(t, service, g);
+    case takeover_action::record:
+        return record_orders(t);
+    case takeover_action::resume:
+        return resume_members(service, g);
+    case takeover_action::wait:
+        return;
+    case takeover_action::order:
+        return order(t, service, g);
+    case takeover_action::confirm:
+        g.m_began_at = boot_now();
+        g.m_next_at = {};
+        return;
+    case takeover_action::announce:
+        return announce(t, service, g);
+    case takeover_action::let_go:
+        return let_go(t, g);
+    }
+}
+
+bool can_hand_over(const failover_task_state& t, std::string_view service)
+{
+    return std::ranges::any_of(t.m_endpoints->m_endpoints,
+                               [&](const auto& entry)
+                               {
+                                   return entry.second.m_service == service &&
+                                          !is_leaving(t, entry.second);
+                               });
+}
+
+void judge(failover_task_state& t, const std::string& service,
+           failover_group& g, time_point now)
+{
+    if (g.m_report.m_service.empty() || now < g.m_next_at)
+        return;
+    primary_evidence e = g.m_report.m_evidence;
+    const auto primary = t.m_endpoints->m_endpoints.find(g.m_report.m_primary);
+    e.m_leaving = primary != t.m_endpoints->m_endpoints.end() &&
+                  is_leaving(t, primary->second) && can_hand_over(t, service);
+    takeover_reason reason = judge_primary(e, now);
+    if (g.m_may_be_under_way && reason == takeover_reason::none && !e.m_known)
+        reason = takeover_reason::missing;
+    if (reason != takeover_reason::none)
+        begin_takeover(t, service, g, reason);
+}
+
+// A replaced primary that was out of reach still leads its term until it hears
+// of the next.
+void tend_step_down(failover_task_state& t, const std::string& service,
+                    failover_group& g, time_point now)
+{
+    if (now >= g.m_step_down_until)
+    {
+        g.m_step_down.reset();
+        return;
+    }
+    const auto old = t.m_endpoints->m_endpoints.find(g.m_old_primary);
+    if (now < g.m_next_at || g.m_step_down ||
+        old == t.m_endpoints->m_endpoints.end())
+        return;
+    g.m_next_at = now + given_up_pause;
+    g.m_step_down = open_call(t, old->second);
+    if (!g.m_step_down)
+        return;
+    g.m_step_down->send(
+        group_order::step_down, g.m_term, order_limit,
+        [&t, service](const std::optional<endpoint_status>& status)
+        {
+            failover_group& there = t.m_groups[service];
+            if (status)
+                there.m_step_down_until = {};
+            else
+                there.m_next_at = boot_now() + given_up_pause;
+        });
+}
+
+void tend_group(failover_task_state& t, const std::string& service,
+                failover_group& g, time_point now)
+{
+    switch (g.m_state)
+    {
+    case takeover_state::led:
+        if (g.m_step_down && !g.m_step_down->is_open())
+            g.m_step_down.reset();
+        tend_step_down(t, service, g, now);
+        return judge(t, service, g, now);
+    case takeover_state::touching:
+        return tend_touching(t, service, g, now);
+    case takeover_state::recording:
+        return;
+    case takeover_state::waiting:
+        return tend_waiting(t, service, g, now);
+    case takeover_state::ordering:
+        if (now >= g.m_next_at)
+            fire(t, service, g, takeover_event::unanswered);
+        return;
+    case takeover_state::confirming:
+        return tend_confirming(t, service, g, now);
+    }
+}
+
+}
+
+void update_places(failover_task_state& t)
+{
+    const time_point now = boot_now();
+    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
+    {
+        group_place& place = t.m_groups[e.m_service].m_places[e.m_address];
+        place.m_seen_at = now;
+        place.m_left = e.m_draining;
+    }
+    for (auto& [service, g] : t.m_groups)
+        std::erase_if(g.m_places,
+                      [&](const auto& entry)
+                      {
+                          const group_place& p = entry.second;
+                          const duration age = p.m_left
+                                                   ? duration(left_place_age)
+                                                   : duration(lost_place_age);
+                          return now - p.m_seen_at >= age;
+                      });
+}
+
+void tend_groups(failover_task_state& t, time_point now)
+{
+    if (!t.m_config || !t.m_endpoints || t.m_stopping || !holds_duty(t, now))
+        return;
+    update_places(t);
+    for (auto& [service, g] : t.m_groups)
+        tend_group(t, service, g, now);
+}
+
+void note_recorded(failover_task_state& t)
+{
+    for (auto& [service, g] : t.m_groups)
+        if (g.m_state == takeover_state::recording)
+            fire(t, service, g, takeover_event::recorded);
+}
+
+void note_duty_lost(failover_task_state& t)
+{
+    for (auto& [service, g] : t.m_groups)
+        fire(t, service, g, takeover_event::duty_lost);
+}
+
+}
--- /dev/null
+++ b/Source/session/failover_task.cpp
@@ -0,0 +1,106 @@
+#include <session/failover_task.hpp>
+
+#include <model/overloaded.hpp>
+#include <peer/loan_number.hpp>
+#include <session/failover_task_state.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void tick(failover_task_state& t)
+{
+    const time_point now = boot_now();
+    tend_duty(t, now);
+    tend_groups(t, now);
+}
+
+void take_report(failover_task_state& t, const primary_report& m)
+{
+    failover_group& g = t.m_groups[m.m_service];
+    if (m.m_term < g.m_report.m_term)
+        return;
+    g.m_report = m;
+}
+
+metric_families collect_failover(const failover_task_state& t)
+{
+    metric_families families;
+    add_value(families, metric_id::promotions, {},
+              static_cast<double>(t.m_promotions));
+    add_value(families, metric_id::duty_held, {},
+              holds_duty(t, boot_now()) ? 1 : 0);
+    return families;
+}
+
+void take_message(failover_task_state& t, failover_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](const config_changed& m)
+            {
+                t.m_config = m.m_config;
+            },
+            [&](const endpoints_changed& m)
+            {
+                t.m_endpoints = m.m_snapshot;
+                update_places(t);
+            },
+            [&](const primary_report& m)
+            {
+                take_report(t, m);
+            },
+            [&](const stop_begun&)
+            {
+                t.m_stopping = true;
+                release_duty(t);
+            },
+            [&](const counts_wanted&)
+            {
+                t.m_boxes.m_life.post(
+                    counts_given{"failover", collect_failover(t)});
+            },
+            [&](const task_stop&)
+            {
+                stop(t.m_loop);
+            },
+        },
+        message);
+}
+
+}
+
+failover_task_state::failover_task_state(const site_settings& settings,
+                                         const failover_surroundings& around,
+                                         const site_charts& charts,
+                                         site_mailboxes& boxes)
+    : m_settings(settings), m_codec(around.m_session_codec),
+      m_values(around.m_site_codec), m_charts(charts), m_boxes(boxes),
+      m_loop(make_loop()), m_store(around.m_store(m_loop)),
+      m_order(around.m_orders(m_loop)), m_tick(m_loop,
+                                               [this]
+                                               {
+                                                   tick(*this);
+                                               }),
+      m_incarnation(random_loan_number())
+{
+}
+
+void run_failover_task(const site_settings& settings,
+                       const failover_surroundings& around,
+                       const site_charts& charts, site_mailboxes& boxes)
+{
+    failover_task_state t(settings, around, charts, boxes);
+    boxes.m_failover.attach(t.m_loop,
+                            [&](failover_message& m)
+                            {
+                                take_message(t, m);
+                            });
+    t.m_tick.start_periodic(failover_tick);
+    run(t.m_loop);
+}
+
+}
--- /dev/null
+++ b/Source/session/line_stream.cpp
@@ -0,0 +1,137 @@
+#include <session/line_stream.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+
+#include <session/session_codec.hpp>
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// Unacknowledged bytes for this long end a connection: the far end is behind
+// a partition or has no power. Endpoints drop such a connection after 3 s.
+constexpr unsigned unacknowledged_ms = 3000;
+
+void set_socket_options(evutil_socket_t socket)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+               sizeof unacknowledged_ms);
+}
+
+}
+
+void line_stream::bufferevent_deleter::operator()(bufferevent* b) const noexcept
+{
+    bufferevent_free(b);
+}
+
+line_stream::line_stream(loop& l, evutil_socket_t connected,
+                         line_stream_handlers handlers)
+    : m_handlers(std::move(handlers)),
+      m_buffer(bufferevent_socket_new(l.m_base.get(), connected,
+                                      BEV_OPT_CLOSE_ON_FREE))
+{
+    set_socket_options(connected);
+    attach();
+}
+
+line_stream::line_stream(loop& l, const address& server,
+                         line_stream_handlers handlers)
+    : m_handlers(std::move(handlers)),
+      m_buffer(
+          bufferevent_socket_new(l.m_base.get(), -1, BEV_OPT_CLOSE_ON_FREE))
+{
+    const socket_address to = to_socket_address(server);
+    attach();
+    if (bufferevent_socket_connect(
+            m_buffer.get(), reinterpret_cast<const sockaddr*>(&to.m_storage),
+            static_cast<int>(to.m_length)) != 0)
+        throw loop_error();
+    set_socket_options(bufferevent_getfd(m_buffer.get()));
+}
+
+void line_stream::attach()
+{
+    if (!m_buffer)
+        throw loop_error();
+    bufferevent_setcb(m_buffer.get(), &line_stream::on_read,
+                      &line_stream::on_written, &line_stream::on_event, this);
+    bufferevent_enable(m_buffer.get(), EV_READ | EV_WRITE);
+}
+
+std::optional<std::string_view> line_stream::next_line()
+{
+    evbuffer* in = bufferevent_get_input(m_buffer.get());
+    std::size_t end_length = 0;
+    const evbuffer_ptr end =
+        evbuffer_search_eol(in, nullptr, &end_length, EVBUFFER_EOL_CRLF_STRICT);
+    if (end.pos < 0)
+    {
+        if (evbuffer_get_length(in) > longest_line && !m_finishing)
+        {
+            const sigc::slot<void(stream_end)> ended = m_handlers.m_on_end;
+            ended(stream_end::oversized);
+        }
+        return std::nullopt;
+    }
+    m_line.resize(static_cast<std::size_t>(end.pos));
+    evbuffer_remove(in, m_line.data(), m_line.size());
+    evbuffer_drain(in, end_length);
+    return m_line;
+}
+
+void line_stream::write(std::string_view bytes)
+{
+    bufferevent_write(m_buffer.get(), bytes.data(), bytes.size());
+}
+
+std::size_t line_stream::unsent() const noexcept
+{
+    return evbuffer_get_length(bufferevent_get_output(m_buffer.get()));
+}
+
+void line_stream::finish()
+{
+    m_finishing = true;
+    if (unsent() == 0)
+        shutdown(bufferevent_getfd(m_buffer.get()), SHUT_WR);
+}
+
+void line_stream::on_read(bufferevent*, void* self)
+{
+    auto& s = *static_cast<line_stream*>(self);
+    // The slot may destroy the stream, so it runs from a copy.
+    const sigc::slot<void()> readable = s.m_handlers.m_on_readable;
+    readable();
+}
+
+void line_stream::on_written(bufferevent* b, void* self)
+{
+    auto& s = *static_cast<line_stream*>(self);
+    if (s.m_finishing)
+        shutdown(bufferevent_getfd(b), SHUT_WR);
+}
+
+void line_stream::on_event(bufferevent*, short what, void* self)
+{
+    auto& s = *static_cast<line_stream*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+        const sigc::slot<void()> connected = s.m_handlers.m_on_connected;
+        connected();
+        return;
+    }
+    const sigc::slot<void(stream_end)> ended = s.m_handlers.m_on_end;
+    ended(stream_end::closed);
+}
+
+}
--- /dev/null
+++ b/Source/session/promotion_orders.hpp
@@ -0,0 +1,34 @@
+#ifndef BLUEBELLSPOKE_SESSION_PROMOTION_ORDERS_HPP
+#define BLUEBELLSPOKE_SESSION_PROMOTION_ORDERS_HPP
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace bluebellspoke
+{
+
+/// An order to make an endpoint the primary of its group.
+struct promotion_order
+{
+    std::string m_service;
+    std::string m_endpoint;
+    std::string m_holder;      ///< The node that holds the duty.
+    std::uint64_t m_token = 0; ///< Its fencing token.
+};
+
+enum class order_outcome : std::uint8_t
+{
+    taken,
+    not_running, ///< That endpoint can't be promoted.
+    refused,     ///< Nothing was done; it may be sent again.
+    unknown,     ///< No answer; it may have been taken, or be taken later.
+};
+
+using order_done = std::function<void(order_outcome)>;
+/// Sends one order.
+using send_promotion = std::function<void(const promotion_order&, order_done)>;
+
+}
+
+#endif
--- /dev/null
+++ b/Source/session/session_callers.cpp
@@ -0,0 +1,177 @@
+#include <session/session_task_state.hpp>
+
+#include <utility>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+transaction_status status_of(const session& s)
+{
+    switch (s.m_state)
+    {
+    case session_state::open:
+        return transaction_status::open;
+    case session_state::failed:
+        return transaction_status::failed;
+    default:
+        return transaction_status::idle;
+    }
+}
+
+void refuse_session(session_task_state& t, session& s, session_fault fault,
+                    std::string_view detail)
+{
+    std::string out;
+    t.m_codec.m_write_error(out, fault, detail);
+    s.m_stream->write(out);
+    count_fault(t, fault);
+    log_event(event_id::session_refused,
+              {{"session", std::to_string(s.m_number)},
+               {"database", s.m_database},
+               {"fault", std::string(to_string(fault))},
+               {"config_version",
+                std::to_string(t.m_config ? t.m_config->m_version : 0)}});
+    s.m_finishing = true;
+    s.m_stream->finish();
+}
+
+void start_session(session_task_state& t, session& s, const caller_message& m)
+{
+    s.m_database = m.m_database;
+    s.m_key = m.m_key;
+    // Without a configuration nothing is known of any database: say "later",
+    // not "there is none".
+    if (!t.m_config)
+        return refuse_session(t, s, session_fault::busy, "starting");
+    const auto route = t.m_config->m_routes.find(m.m_database);
+    if (route == t.m_config->m_routes.end())
+        return refuse_session(t, s, session_fault::no_database, "no route");
+    if (!route->second.m_public && !t.m_config->m_keys.contains(m.m_key))
+        return refuse_session(t, s, session_fault::unauthorized, "key");
+    t.m_charts.m_session.fire(s.m_state, session_event::started);
+    s.m_idle_since = boot_now();
+    answer_ready(t, s, {});
+}
+
+void take_message(session_task_state& t, session& s, const caller_message& m)
+{
+    if (m.m_kind == caller_message_kind::terminate)
+        return close_session(t, s);
+    if (s.m_state == session_state::starting)
+    {
+        if (m.m_kind == caller_message_kind::startup)
+            return start_session(t, s, m);
+        return refuse_session(t, s, session_fault::malformed, "startup first");
+    }
+    if (m.m_kind != caller_message_kind::query)
+        return answer_fault(t, s, session_fault::malformed, "unknown message");
+    take_statement(t, s, m.m_id, m.m_statement);
+}
+
+}
+
+void accept_session(session_task_state& t, int socket)
+{
+    const session_ptr s(new session);
+    s->m_number = ++t.m_last_number;
+    session& there = *s;
+    s->m_stream = std::make_unique<line_stream>(
+        t.m_loop, socket,
+        line_stream_handlers{{},
+                             [&t, &there]
+                             {
+                                 read_session(t, there);
+                             },
+                             [&t, &there](stream_end)
+                             {
+                                 close_session(t, there);
+                             }});
+    s->m_idle_since = boot_now();
+    ++t.m_counts.m_sessions;
+    // The list's own count keeps the session until close_session.
+    intrusive_ptr_add_ref(s.get());
+    t.m_sessions.push_back(*s);
+}
+
+void read_session(session_task_state& t, session& s)
+{
+    const session_ptr keep(&s);
+    while (s.m_state != session_state::closed && !s.m_work && !s.m_finishing)
+    {
+        const auto line = s.m_stream->next_line();
+        if (!line)
+            return;
+        take_message(t, s, t.m_codec.m_read_caller(*line));
+    }
+}
+
+void close_session(session_task_state& t, session& s)
+{
+    if (s.m_state == session_state::closed)
+        return;
+    const session_ptr keep(&s, false); // Takes the list's count over.
+    t.m_charts.m_session.fire(s.m_state, session_event::left);
+    if (s.m_work)
+    {
+        const work_ptr w = std::move(s.m_work);
+        s.m_work = nullptr;
+        ++t.m_counts
+              .m_outcomes[static_cast<std::size_t>(session_outcome::gone)];
+        w->m_session = nullptr;
+        // What runs on a connection of its own ends there; the rest is moot.
+        if (!w->m_link || w->m_link->m_begun ||
+            w->m_link->m_state == link_state::dialing)
+        {
+            leave(*w);
+            w->auto_unlink_hook::unlink();
+            if (w->m_link)
+            {
+                const link_ptr k = std::exchange(w->m_link, nullptr);
+                k->m_work = nullptr;
+                if (k->m_state != link_state::dialing)
+                    close_link(t, *k);
+            }
+        }
+    }
+    drop_transaction(t, s);
+    s.auto_unlink_hook::unlink();
+    s.m_stream.reset();
+}
+
+void answer_ready(session_task_state& t, session& s, std::string_view answer)
+{
+    std::string out(answer);
+    t.m_codec.m_write_ready(out, status_of(s));
+    s.m_stream->write(out);
+    if (s.m_stream->unsent() > most_unsent)
+        close_session(t, s);
+}
+
+void answer_complete(session_task_state& t, session& s)
+{
+    std::string out;
+    t.m_codec.m_write_complete(out);
+    answer_ready(t, s, out);
+}
+
+void answer_fault(session_task_state& t, session& s, session_fault fault,
+                  std::string_view detail)
+{
+    if (s.m_state == session_state::open)
+    {
+        t.m_charts.m_session.fire(s.m_state, session_event::broken);
+        drop_transaction(t, s);
+    }
+    count_fault(t, fault);
+    std::string out;
+    t.m_codec.m_write_error(out, fault, detail);
+    answer_ready(t, s, out);
+}
+
+}
--- /dev/null
+++ b/Source/session/session_dispatch.cpp
@@ -0,0 +1,322 @@
+#include <session/session_task_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <decide/endpoint_choice.hpp>
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// Equal weights: workspaces take turns.
+constexpr double even_weight = 1;
+
+// A leaving primary runs what only it can run while its successor is made. No
+// new work may reach it after the bounds of the deployments described (7 s
+// after it began to drain, 5 s after its zone's evacuation).
+constexpr std::chrono::milliseconds leaving_primary_use{3500};
+
+bool is_allowed_region(const session& s, const endpoint_port& p)
+{
+    const region_set& of_route = s.m_route->m_regions;
+    if (!of_route.empty() && !of_route.contains(p.m_region))
+        return false;
+    const auto workspace = s.m_config->m_workspaces.find(s.m_workspace);
+    if (workspace == s.m_config->m_workspaces.end())
+        return true;
+    const region_set& of_workspace = workspace->second.m_regions;
+    return of_workspace.empty() || of_workspace.contains(p.m_region);
+}
+
+bool takes_new_work(const endpoint_port& p, bool needs_primary, time_point now)
+{
+    if (!p.m_listed || now < p.m_avoid_until)
+        return false;
+    if (p.m_leaving_since == time_point{})
+        return true;
+    return needs_primary && now - p.m_leaving_since < leaving_primary_use;
+}
+
+bool may_run(const work& w, const endpoint_port& p, time_point now)
+{
+    const group_view& view = p.m_group->m_view;
+    const site_route& route = *w.m_session->m_route;
+    const bool leads = view.m_primary == p.m_endpoint.m_id;
+    if (!takes_new_work(p, w.m_needs_primary && leads, now) ||
+        !is_allowed_region(*w.m_session, p) ||
+        w.m_tried.contains(p.m_endpoint.m_id))
+        return false;
+    if (w.m_writes && !w.m_session->m_transaction)
+        return leads;
+    // A plain transaction may read before it writes.
+    if (leads)
+        return may_read_primary(view, w.m_arrived_at, route.m_staleness);
+    return !w.m_needs_primary &&
+           staleness_floor(view, w.m_arrived_at, route.m_staleness);
+}
+
+struct candidate
+{
+    endpoint_port* m_port = nullptr;
+    endpoint_offer m_offer;
+};
+
+std::vector<candidate> find_candidates(session_task_state& t, const work& w,
+                                       time_point now)
+{
+    std::vector<candidate> found;
+    const session& s = *w.m_session;
+    for (auto& [id, p] : t.m_ports)
+    {
+        if (p.m_endpoint.m_service != s.m_route->m_service ||
+            !may_run(w, p, now))
+            continue;
+        endpoint_offer o;
+        o.m_answer_ms = p.m_answer_ms;
+        o.m_answered_at = p.m_answered_at;
+        o.m_running = p.m_running;
+        o.m_has_idle = has_idle_link(p, s.m_workspace);
+        o.m_has_room = has_room(p, s.m_workspace);
+        o.m_spares_primary =
+            !w.m_needs_primary && p.m_group->m_view.m_primary == id;
+        found.push_back({&p, o});
+    }
+    return found;
+}
+
+endpoint_port* choose_port(session_task_state& t, const work& w, time_point now)
+{
+    const std::vector<candidate> found = find_candidates(t, w, now);
+    std::vector<endpoint_offer> offers;
+    for (const candidate& c : found)
+        offers.push_back(c.m_offer);
+    const auto best = choose_offer(offers, now);
+    return best ? found[*best].m_port : nullptr;
+}
+
+void start_on(session_task_state& t, const work_ptr& w, endpoint_port& p)
+{
+    const link_ptr k =
+        obtain_link(t, p, w->m_session->m_workspace, w->m_session.get());
+    if (!k)
+        return fail_work(t, w, session_fault::busy, "no connection");
+    ++w->m_attempts;
+    w->m_link = k;
+    k->m_work = w;
+    if (k->m_state == link_state::idle)
+        send_work(t, *k);
+}
+
+bool has_waited_too_long(const work& w, time_point now)
+{
+    return now >= w.m_wait_until || now >= w.m_deadline;
+}
+
+void log_outcome(const session& s, const work& w, std::string_view outcome,
+                 std::string_view detail)
+{
+    const time_point now = boot_now();
+    const auto ms = [](duration d)
+    {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+    };
+    const bool sent = w.m_sent_at != time_point{};
+    log_event(event_id::statement_failed,
+              {{"request", w.m_id},
+               {"session", std::to_string(s.m_number)},
+               {"database", s.m_database},
+               {"workspace", s.m_workspace},
+               {"outcome", std::string(outcome)},
+               {"detail", std::string(detail)},
+               {"endpoint",
+                w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string()},
+               {"attempts", std::to_string(w.m_attempts)},
+               {"age_ms", ms(now - w.m_asked_at)},
+               {"sent_ms_ago", sent ? ms(now - w.m_sent_at) : "never"},
+               {"config_version", std::to_string(s.m_config->m_version)}});
+}
+
+// Takes the work off everything that knows it.
+void forget_work(work& w)
+{
+    leave(w);
+    w.auto_unlink_hook::unlink();
+    if (w.m_session)
+        w.m_session->m_work = nullptr;
+}
+
+void count_outcome(session_task_state& t, session_outcome o)
+{
+    ++t.m_counts.m_outcomes[static_cast<std::size_t>(o)];
+}
+
+void end_transaction(session_task_state& t, session& s)
+{
+    s.m_transaction.reset();
+    t.m_charts.m_session.fire(s.m_state, session_event::ended);
+}
+
+}
+
+void dispatch(session_task_state& t, const work_ptr& w)
+{
+    session& s = *w->m_session;
+    const time_point now = boot_now();
+    if (s.m_transaction && s.m_transaction->m_link)
+    {
+        w->m_link = s.m_transaction->m_link;
+        w->m_link->m_work = w;
+        ++w->m_attempts;
+        return send_work(t, *w->m_link);
+    }
+    if (endpoint_port* p = choose_port(t, *w, now))
+        return start_on(t, w, *p);
+    const auto group = t.m_groups.find(s.m_route->m_service);
+    if (group == t.m_groups.end())
+        return fail_work(t, w, session_fault::busy, "no endpoints");
+    if (has_waited_too_long(*w, now))
+        return fail_work(t, w, session_fault::busy, "waited");
+    enqueue(group->second.m_queue, s.m_workspace, even_weight, *w);
+}
+
+void serve_waiting(session_task_state& t, service_group& g)
+{
+    const time_point now = boot_now();
+    for (;;)
+    {
+        endpoint_port* to = nullptr;
+        fair_queue_hook* next =
+            next_item(g.m_queue,
+                      [&](fair_queue_hook& item)
+                      {
+                          to = choose_port(t, static_cast<work&>(item), now);
+                          return to != nullptr;
+                      });
+        if (next == nullptr)
+            return;
+        const work_ptr w(static_cast<work*>(next));
+        // next_item may have asked about others after this one.
+        to = choose_port(t, *w, now);
+        dequeue(g.m_queue, *next);
+        start_on(t, w, *to);
+    }
+}
+
+void fail_work(session_task_state& t, const work_ptr& w, session_fault fault,
+               std::string_view detail)
+{
+    const session_ptr s = w->m_session;
+    if (s)
+    {
+        log_outcome(*s, *w, to_string(fault), detail);
+        count_outcome(t, promises_nothing_kept(fault)
+                             ? session_outcome::refused
+                             : session_outcome::failed);
+    }
+    forget_work(*w);
+    if (w->m_link)
+    {
+        const link_ptr k = std::exchange(w->m_link, nullptr);
+        k->m_work = nullptr;
+    }
+    if (!s)
+        return;
+    if (w->m_kind == statement_kind::commit)
+    {
+        drop_transaction(t, *s);
+        end_transaction(t, *s);
+    }
+    s->m_idle_since = boot_now();
+    answer_fault(t, *s, fault, detail);
+    read_session(t, *s);
+}
+
+void complete_work(session_task_state& t, const work_ptr& w)
+{
+    const session_ptr s = w->m_session;
+    const time_point now = boot_now();
+    forget_work(*w);
+    const link_ptr k = std::exchange(w->m_link, nullptr);
+    k->m_work = nullptr;
+    observe(t.m_counts.m_endpoint_time, now - w->m_sent_at);
+    if (!s)
+        return;
+    count_outcome(t, session_outcome::served);
+    s->m_idle_since = now;
+    if (s->m_transaction)
+    {
+        s->m_transaction->m_idle_since = now;
+        if (w->m_writes)
+            s->m_transaction->m_wrote = true;
+        if (w->m_kind == statement_kind::commit)
+            end_transaction(t, *s);
+    }
+    answer_ready(t, *s, w->m_answer);
+    read_session(t, *s);
+}
+
+void retry_work(session_task_state& t, const work_ptr& w, session_fault fault,
+                std::string_view detail)
+{
+    if (!w->m_session)
+    {
+        forget_work(*w);
+        return;
+    }
+    const time_point now = boot_now();
+    if (w->m_link)
+    {
+        w->m_tried.insert(w->m_link->m_port->m_endpoint.m_id);
+        w->m_link->m_work = nullptr;
+        w->m_link = nullptr;
+    }
+    w->m_answer.clear();
+    w->m_fault.reset();
+    w->m_sent_at = {};
+    const bool in_time = now < w->m_deadline;
+    if (!in_time || w->m_attempts >= most_attempts)
+        return fail_work(t, w, fault, detail);
+    // What only the primary runs may be tried there again.
+    if (w->m_needs_primary)
+        w->m_tried.clear();
+    w->m_wait_until = std::max(w->m_wait_until,
+                               now + (w->m_deadline - now) / std::int64_t{4});
+    dispatch(t, w);
+}
+
+void check_deadlines(session_task_state& t, time_point now)
+{
+    std::vector<work_ptr> due;
+    for (work& w : t.m_works)
+    {
+        const bool sent = w.m_sent_at != time_point{};
+        const bool late = sent
+                              ? now >= std::min(w.m_deadline, w.m_attempt_until)
+                              : has_waited_too_long(w, now);
+        if (late)
+            due.emplace_back(&w);
+    }
+    for (const work_ptr& w : due)
+    {
+        if (!w->auto_unlink_hook::is_linked())
+            continue;
+        if (w->m_sent_at == time_point{})
+        {
+            // What is being dialed for it is kept for others.
+            fail_work(t, w, session_fault::busy,
+                      w->m_link ? "connecting" : "no free endpoint");
+            continue;
+        }
+        const link_ptr k = w->m_link;
+        avoid_port(t, *k->m_port, "silent");
+        lose_link(t, *k);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/session/session_groups.cpp
@@ -0,0 +1,311 @@
+#include <session/session_task_state.hpp>
+
+#include <algorithm>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// From one report on primaries to the next; a fifth of primary_silence.
+constexpr std::chrono::milliseconds report_period{240};
+
+std::uint32_t connection_limit(const session_task_state& t,
+                               const site_service& service)
+{
+    std::size_t members = 1;
+    if (t.m_right)
+        members =
+            std::max(members, t.m_right->m_right.m_epoch.m_members.size());
+    const std::uint32_t all = service.m_connections > reserved_connections
+                                  ? service.m_connections - reserved_connections
+                                  : service.m_connections;
+    return std::max<std::uint32_t>(1,
+                                   all / static_cast<std::uint32_t>(members));
+}
+
+bool is_leaving(const session_task_state& t, const endpoint_port& p)
+{
+    return p.m_endpoint.m_draining ||
+           t.m_endpoints->m_evacuated.contains(p.m_endpoint.m_zone);
+}
+
+// An endpoint that began anew under its id knows nothing of before.
+void note_rebirth(session_task_state& t, endpoint_port& p,
+                  const site_endpoint& e)
+{
+    if (p.m_endpoint.m_born_ms == e.m_born_ms &&
+        p.m_endpoint.m_address == e.m_address)
+        return;
+    forget_endpoint(p.m_group->m_view, e.m_id);
+    std::vector<link_ptr> old;
+    for (link& k : p.m_links)
+        old.emplace_back(&k);
+    for (const link_ptr& k : old)
+        lose_link(t, *k);
+    p.m_avoid_until = {};
+}
+
+void list_port(session_task_state& t, const site_endpoint& e)
+{
+    service_group& g = t.m_groups[e.m_service];
+    if (g.m_service.m_name.empty())
+    {
+        g.m_service.m_name = e.m_service;
+        g.m_missed_since = boot_now();
+    }
+    const auto [entry, added] = t.m_ports.try_emplace(e.m_id);
+    endpoint_port& p = entry->second;
+    if (added)
+        p.m_group = &g;
+    else
+        note_rebirth(t, p, e);
+    p.m_endpoint = e;
+    p.m_listed = true;
+    const auto region = t.m_settings.m_region_of_zone.find(e.m_zone);
+    if (region != t.m_settings.m_region_of_zone.end())
+        p.m_region = region->second;
+    const bool leaving = is_leaving(t, p);
+    if (!leaving)
+        p.m_leaving_since = {};
+    else if (p.m_leaving_since == time_point{})
+        p.m_leaving_since = boot_now();
+}
+
+void drop_unlisted(session_task_state& t)
+{
+    for (auto& [id, p] : t.m_ports)
+    {
+        if (t.m_endpoints->m_endpoints.contains(id))
+            continue;
+        p.m_listed = false;
+        forget_endpoint(p.m_group->m_view, id);
+        std::vector<link_ptr> idle;
+        for (link& k : p.m_links)
+            if (k.m_state == link_state::idle && !k.m_work)
+                idle.emplace_back(&k);
+        for (const link_ptr& k : idle)
+            close_link(t, *k);
+    }
+    std::erase_if(t.m_ports,
+                  [](const auto& entry)
+                  {
+                      return !entry.second.m_listed &&
+                             entry.second.m_link_count == 0;
+                  });
+}
+
+// Any workspace will do for a question that is the system's own.
+std::string any_workspace(const session_task_state& t, const endpoint_port& p)
+{
+    for (const link& k : p.m_links)
+        return k.m_workspace;
+    if (t.m_config && !t.m_config->m_workspaces.empty())
+        return t.m_config->m_workspaces.begin()->first;
+    return {};
+}
+
+void want_status(session_task_state& t, endpoint_port& p, time_point now)
+{
+    if (now - p.m_status_asked_at < status_period || now < p.m_avoid_until)
+        return;
+    p.m_status_asked_at = now;
+    for (link& k : p.m_links)
+        if (k.m_state == link_state::idle && !k.m_work)
+            return ask_status(t, k);
+    p.m_status_wanted = true;
+    if (p.m_link_count == 0)
+        obtain_link(t, p, any_workspace(t, p), nullptr);
+}
+
+// The primary and as many replicas as a proof needs, those that answer first.
+void ask_group(session_task_state& t, service_group& g, time_point now)
+{
+    const bool known = !g.m_view.m_primary.empty();
+    std::vector<endpoint_port*> replicas;
+    for (auto& [id, p] : t.m_ports)
+    {
+        if (p.m_group != &g || !p.m_listed)
+            continue;
+        if (!known || id == g.m_view.m_primary)
+            want_status(t, p, now);
+        else if (now >= p.m_avoid_until)
+            replicas.push_back(&p);
+    }
+    if (!known)
+        return;
+    std::ranges::sort(replicas,
+                      [&](const endpoint_port* a, const endpoint_port* b)
+                      {
+                          const auto rank = [&](const endpoint_port* p)
+                          {
+                              const bool fresh =
+                                  p->m_region == t.m_settings.m_region;
+                              return std::pair(!fresh, p->m_answer_ms);
+                          };
+                          return rank(a) < rank(b);
+                      });
+    const std::size_t needed = g.m_view.m_sync_replicas;
+    for (std::size_t i = 0; i < std::min(needed, replicas.size()); ++i)
+        want_status(t, *replicas[i], now);
+    // The rest now and then, for a newer term that the others don't know.
+    constexpr std::chrono::seconds rest_period{1};
+    for (std::size_t i = needed; i < replicas.size(); ++i)
+        if (now - replicas[i]->m_status_asked_at >= rest_period)
+            want_status(t, *replicas[i], now);
+}
+
+time_point oldest_stuck_commit(const session_task_state& t,
+                               const service_group& g)
+{
+    time_point oldest{};
+    for (const work& w : t.m_works)
+    {
+        const bool commits =
+            w.m_kind == statement_kind::commit ||
+            (w.m_writes && w.m_session && !w.m_session->m_transaction);
+        if (!commits || w.m_sent_at == time_point{} || !w.m_link ||
+            w.m_link->m_port->m_group != &g)
+            continue;
+        if (oldest == time_point{} || w.m_sent_at < oldest)
+            oldest = w.m_sent_at;
+    }
+    return oldest;
+}
+
+}
+
+void update_groups(session_task_state& t)
+{
+    if (!t.m_endpoints)
+        return;
+    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
+        list_port(t, e);
+    drop_unlisted(t);
+    for (auto& [name, g] : t.m_groups)
+    {
+        if (t.m_config)
+        {
+            const auto service = t.m_config->m_services.find(name);
+            if (service != t.m_config->m_services.end())
+                g.m_service = service->second;
+        }
+        g.m_view.m_sync_replicas = g.m_service.m_sync_replicas;
+    }
+    for (auto& [id, p] : t.m_ports)
+        p.m_limit = connection_limit(t, p.m_group->m_service);
+    for (auto& [name, g] : t.m_groups)
+        serve_waiting(t, g);
+}
+
+void ask_statuses(session_task_state& t, time_point now)
+{
+    for (auto& [name, g] : t.m_groups)
+        if (needs_status(g.m_view, now))
+            ask_group(t, g, now);
+}
+
+void ask_status(session_task_state& t, link& k)
+{
+    t.m_charts.m_link.fire(k.m_state, link_event::sent);
+    k.m_since = boot_now();
+    std::string out;
+    t.m_codec.m_write_order(out, group_order::status, 0);
+    k.m_expected.push_back({link_answer::status, k.m_since});
+    k.m_stream->write(out);
+}
+
+void take_status(session_task_state& t, link& k, const expected_answer& e)
+{
+    endpoint_port& p = *k.m_port;
+    if (e.m_failed)
+        return;
+    const auto status = t.m_codec.m_read_status(e.m_row);
+    if (!status)
+    {
+        log_event(event_id::endpoint_unreadable,
+                  {{"endpoint", p.m_endpoint.m_id}, {"row", e.m_row}});
+        return;
+    }
+    note_status(p.m_group->m_view, p.m_endpoint.m_id, *status, e.m_asked_at);
+    note_primary(t, *p.m_group);
+    serve_waiting(t, *p.m_group);
+}
+
+void take_sign(session_task_state&, endpoint_port& p, time_point asked_at,
+               const std::optional<log_position>& position)
+{
+    group_view& view = p.m_group->m_view;
+    p.m_avoid_pause = {};
+    p.m_avoid_until = {};
+    if (view.m_primary == p.m_endpoint.m_id)
+        p.m_group->m_primary_sign = boot_now();
+    if (position)
+        note_position(view, p.m_endpoint.m_id, *position, asked_at);
+}
+
+void avoid_port(session_task_state&, endpoint_port& p, std::string_view cause)
+{
+    const time_point now = boot_now();
+    if (now < p.m_avoid_until)
+        return;
+    p.m_avoid_pause = std::clamp<duration>(
+        p.m_avoid_pause * 2, first_avoid_pause, longest_avoid_pause);
+    p.m_avoid_until = now + p.m_avoid_pause;
+    log_event(
+        event_id::endpoint_unreachable,
+        {{"endpoint", p.m_endpoint.m_id},
+         {"service", p.m_endpoint.m_service},
+         {"failure", std::string(cause)},
+         {"avoided_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             p.m_avoid_pause)
+                             .count())}});
+}
+
+void note_primary(session_task_state& t, service_group& g)
+{
+    const group_view& view = g.m_view;
+    const std::string now_known =
+        view.m_primary + "@" + std::to_string(view.m_term);
+    if (g.m_reported == now_known)
+        return;
+    g.m_reported = now_known;
+    if (view.m_primary.empty())
+    {
+        g.m_missed_since = boot_now();
+        log_event(event_id::primary_missed,
+                  {{"service", g.m_service.m_name},
+                   {"term", std::to_string(view.m_term)}});
+        return;
+    }
+    g.m_primary_sign = boot_now();
+    log_event(event_id::primary_found, {{"service", g.m_service.m_name},
+                                        {"endpoint", view.m_primary},
+                                        {"term", std::to_string(view.m_term)}});
+    // Find the lease and the other members at once.
+    ask_group(t, g, boot_now());
+}
+
+void report_primaries(session_task_state& t, time_point now)
+{
+    if (!t.m_reporting || now < t.m_report_at)
+        return;
+    t.m_report_at = now + report_period;
+    for (const auto& [name, g] : t.m_groups)
+    {
+        const group_view& view = g.m_view;
+        primary_report r{name, view.m_primary, view.m_term, {}};
+        r.m_evidence.m_known = !view.m_primary.empty();
+        r.m_evidence.m_last_sign =
+            r.m_evidence.m_known ? g.m_primary_sign : g.m_missed_since;
+        r.m_evidence.m_stuck_since = oldest_stuck_commit(t, g);
+        t.m_boxes.m_failover.post(std::move(r));
+    }
+}
+
+}
--- /dev/null
+++ b/Source/session/session_messages.hpp
@@ -0,0 +1,117 @@
+#ifndef BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
+#define BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <decide/share.hpp>
+#include <decide/takeover.hpp>
+#include <model/site.hpp>
+#include <peer/loan_messages.hpp>
+#include <report/metric.hpp>
+#include <task/mailbox.hpp>
+
+namespace bluebellspoke
+{
+
+/// What the tasks of one process on a site tell each other;
+/// docs/design/platform.md draws who sends what to whom.
+
+/// site → session, failover, life: this configuration is in force.
+struct config_changed
+{
+    site_config_ptr m_config;
+};
+
+/// site → session, failover: the endpoints, and the evacuated zones.
+struct endpoints_changed
+{
+    endpoint_snapshot_ptr m_snapshot;
+};
+
+/// site → session: among whom the fleet's limits are divided.
+struct fleet_changed
+{
+    share_right m_right;
+};
+
+/// failover → session: report what you see of primaries, or stop.
+struct reports_wanted
+{
+    bool m_wanted = false;
+};
+
+/// session → failover: how one group's primary is doing.
+struct primary_report
+{
+    std::string m_service;
+    std::string m_primary; ///< Empty: none is known.
+    term_number m_term = 0;
+    primary_evidence m_evidence;
+};
+
+/// failover → session: an endpoint was seen to lead this term.
+struct primary_promoted
+{
+    std::string m_service;
+    std::string m_endpoint;
+    endpoint_status m_status;
+    time_point m_asked_at{};
+};
+
+/// life → every task: the process is to end within its grace.
+struct stop_begun
+{
+};
+
+/// session, failover → life: nothing of mine is left to finish.
+struct stop_done
+{
+    std::string m_task;
+};
+
+/// life → every task: end now.
+struct task_stop
+{
+};
+
+/// life → session, site, failover: say what you count.
+struct counts_wanted
+{
+};
+
+/// The answer to it.
+struct counts_given
+{
+    std::string m_task;
+    metric_families m_families;
+};
+
+using session_message =
+    std::variant<config_changed, endpoints_changed, fleet_changed, loan_asked,
+                 loan_arrived, reports_wanted, primary_promoted, stop_begun,
+                 counts_wanted, task_stop>;
+using site_message =
+    std::variant<loan_wanted, loan_given, stop_begun, counts_wanted, task_stop>;
+using failover_message =
+    std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
+                 counts_wanted, task_stop>;
+using life_message =
+    std::variant<config_changed, stop_done, counts_given, task_stop>;
+
+/// Messages that a mailbox holds before new work is refused.
+inline constexpr std::size_t site_mailbox_bound = 4096;
+
+/// The mailboxes through which the tasks reach each other.
+struct site_mailboxes
+{
+    mailbox<session_message> m_session{site_mailbox_bound};
+    mailbox<site_message> m_site{site_mailbox_bound};
+    mailbox<failover_message> m_failover{site_mailbox_bound};
+    mailbox<life_message> m_life{site_mailbox_bound};
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Source/session/session_statements.cpp
@@ -0,0 +1,204 @@
+#include <session/session_task_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// An operation goes by the configuration at its begin.
+std::optional<session_fault> enter_operation(session_task_state& t, session& s)
+{
+    const auto route = t.m_config->m_routes.find(s.m_database);
+    if (route == t.m_config->m_routes.end())
+        return session_fault::no_database;
+    s.m_config = t.m_config;
+    s.m_route = &route->second;
+    s.m_workspace.clear();
+    const auto key = t.m_config->m_keys.find(s.m_key);
+    if (key != t.m_config->m_keys.end())
+        s.m_workspace = key->second;
+    else if (!route->second.m_public)
+        return session_fault::unauthorized;
+    return std::nullopt;
+}
+
+void set_value(session_task_state& t, session& s, const session_statement& q)
+{
+    s.m_values.insert_or_assign(std::string(q.m_name), std::string(q.m_value));
+    answer_complete(t, s);
+}
+
+void prepare(session_task_state& t, session& s, const session_statement& q)
+{
+    s.m_prepared.insert_or_assign(
+        std::string(q.m_name),
+        prepared_statement{q.m_kind == statement_kind::prepare_write,
+                           std::string(q.m_value)});
+    answer_complete(t, s);
+}
+
+void deallocate(session_task_state& t, session& s, const session_statement& q)
+{
+    const auto found = s.m_prepared.find(q.m_name);
+    if (found == s.m_prepared.end())
+        return answer_fault(t, s, session_fault::no_statement, "deallocate");
+    s.m_prepared.erase(found);
+    answer_complete(t, s);
+}
+
+void begin(session_task_state& t, session& s, bool reads_only)
+{
+    if (s.m_state != session_state::idle)
+        return answer_fault(t, s, session_fault::malformed, "begin");
+    if (const auto fault = enter_operation(t, s))
+        return answer_fault(t, s, *fault, "begin");
+    const time_point now = boot_now();
+    s.m_transaction.emplace();
+    s.m_transaction->m_reads_only = reads_only;
+    s.m_transaction->m_began_at = now;
+    s.m_transaction->m_idle_since = now;
+    t.m_charts.m_session.fire(s.m_state, session_event::begun);
+    answer_complete(t, s);
+}
+
+void end_without_endpoint(session_task_state& t, session& s)
+{
+    drop_transaction(t, s);
+    t.m_charts.m_session.fire(s.m_state, session_event::ended);
+    s.m_idle_since = boot_now();
+}
+
+void roll_back(session_task_state& t, session& s)
+{
+    if (s.m_state != session_state::idle)
+        end_without_endpoint(t, s);
+    answer_complete(t, s);
+}
+
+void fill_timing(work& w, const session& s, time_point now)
+{
+    const site_route& r = *s.m_route;
+    w.m_asked_at = now;
+    w.m_arrived_at = s.m_transaction ? s.m_transaction->m_began_at : now;
+    w.m_deadline = now + r.m_statement_timeout;
+    const auto wait =
+        std::chrono::duration_cast<duration>(r.m_latency_objective * wait_part);
+    w.m_wait_until = now + std::min(wait, r.m_statement_timeout);
+}
+
+work_ptr make_work(session& s, std::string_view id, const session_statement& q)
+{
+    work_ptr w(new work);
+    w->m_session = &s;
+    w->m_id = id;
+    w->m_text = q.m_text;
+    w->m_kind = q.m_kind;
+    w->m_writes = q.m_kind == statement_kind::write;
+    if (q.m_kind == statement_kind::execute)
+    {
+        const prepared_statement& p = s.m_prepared.find(q.m_name)->second;
+        w->m_prepared = p;
+        w->m_rest = q.m_rest;
+        w->m_writes = p.m_writes;
+    }
+    const bool plain_transaction =
+        s.m_transaction && !s.m_transaction->m_reads_only;
+    w->m_needs_primary = w->m_writes || plain_transaction ||
+                         s.m_route->m_consistency == read_consistency::primary;
+    w->m_first_of_transaction = s.m_transaction && !s.m_transaction->m_link;
+    return w;
+}
+
+void run(session_task_state& t, session& s, std::string_view id,
+         const session_statement& q)
+{
+    if (s.m_state == session_state::idle)
+        if (const auto fault = enter_operation(t, s))
+            return answer_fault(t, s, *fault, "statement");
+    if (s.m_transaction && s.m_transaction->m_lost)
+        return answer_fault(t, s, session_fault::aborted, "connection lost");
+    if (q.m_kind == statement_kind::execute && !s.m_prepared.contains(q.m_name))
+        return answer_fault(t, s, session_fault::no_statement, "execute");
+    const time_point now = boot_now();
+    const work_ptr w = make_work(s, id, q);
+    fill_timing(*w, s, now);
+    s.m_work = w;
+    t.m_works.push_back(*w);
+    const bool new_operation = !s.m_transaction || w->m_first_of_transaction;
+    if (new_operation && !s.m_workspace.empty())
+    {
+        switch (admit_operation(t, s.m_workspace, w))
+        {
+        case rate_verdict::refused:
+            return fail_work(t, w, session_fault::busy, "rate");
+        case rate_verdict::waits:
+            return;
+        case rate_verdict::admitted:
+            break;
+        }
+    }
+    dispatch(t, w);
+}
+
+}
+
+void take_statement(session_task_state& t, session& s, std::string_view id,
+                    const session_statement& q)
+{
+    const bool ends = q.m_kind == statement_kind::rollback ||
+                      q.m_kind == statement_kind::commit;
+    if (s.m_state == session_state::failed && !ends)
+        return answer_fault(t, s, session_fault::malformed,
+                            "transaction failed");
+    switch (q.m_kind)
+    {
+    case statement_kind::set:
+        return set_value(t, s, q);
+    case statement_kind::prepare_read:
+    case statement_kind::prepare_write:
+        return prepare(t, s, q);
+    case statement_kind::deallocate:
+        return deallocate(t, s, q);
+    case statement_kind::begin:
+        return begin(t, s, false);
+    case statement_kind::begin_read:
+        return begin(t, s, true);
+    case statement_kind::rollback:
+        return roll_back(t, s);
+    case statement_kind::commit:
+        if (s.m_state == session_state::idle)
+            return answer_fault(t, s, session_fault::malformed, "commit");
+        if (s.m_state == session_state::failed)
+        {
+            end_without_endpoint(t, s);
+            return answer_fault(t, s, session_fault::aborted, "rolled back");
+        }
+        return run(t, s, id, q);
+    case statement_kind::read:
+    case statement_kind::write:
+    case statement_kind::execute:
+        return run(t, s, id, q);
+    case statement_kind::unknown:
+        break;
+    }
+    answer_fault(t, s, session_fault::malformed, "statement");
+}
+
+void drop_transaction(session_task_state& t, session& s)
+{
+    if (!s.m_transaction)
+        return;
+    const link_ptr k = std::exchange(s.m_transaction->m_link, nullptr);
+    s.m_transaction.reset();
+    if (k)
+        roll_back(t, *k);
+}
+
+}
--- /dev/null
+++ b/Source/session/session_task.cpp
@@ -0,0 +1,181 @@
+#include <session/session_task.hpp>
+
+#include <sys/socket.h>
+
+#include <event2/listener.h>
+
+#include <model/overloaded.hpp>
+#include <peer/loan_number.hpp>
+#include <report/event.hpp>
+#include <session/session_task_state.hpp>
+#include <task/boot_clock.hpp>
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke
+{
+
+void listener_deleter::operator()(evconnlistener* l) const noexcept
+{
+    evconnlistener_free(l);
+}
+
+namespace
+{
+
+void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
+               void* state)
+{
+    accept_session(*static_cast<session_task_state*>(state), socket);
+}
+
+void listen(session_task_state& t)
+{
+    constexpr int backlog = 512;
+    const socket_address at = to_socket_address(t.m_settings.m_caller_listen);
+    t.m_listener.reset(evconnlistener_new_bind(
+        t.m_loop.m_base.get(), &on_accept, &t,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog, reinterpret_cast<const sockaddr*>(&at.m_storage),
+        static_cast<int>(at.m_length)));
+    if (!t.m_listener)
+        throw loop_error();
+}
+
+// A transaction that rests too long gives its connection up.
+void expire_transactions(session_task_state& t, time_point now)
+{
+    for (session& s : t.m_sessions)
+    {
+        if (!s.m_transaction || s.m_work || !s.m_transaction->m_link)
+            continue;
+        const duration limit = s.m_config->m_transaction_idle;
+        if (limit == duration{} || now - s.m_transaction->m_idle_since < limit)
+            continue;
+        log_event(event_id::transaction_expired,
+                  {{"session", std::to_string(s.m_number)},
+                   {"database", s.m_database}});
+        const link_ptr k = std::exchange(s.m_transaction->m_link, nullptr);
+        s.m_transaction->m_lost = true;
+        roll_back(t, *k);
+    }
+}
+
+void tick(session_task_state& t)
+{
+    const time_point now = boot_now();
+    check_deadlines(t, now);
+    check_links(t, now);
+    expire_transactions(t, now);
+    ask_statuses(t, now);
+    tick_rates(t, now);
+    report_primaries(t, now);
+    tick_stop(t, now);
+}
+
+void take_config(session_task_state& t, const site_config_ptr& config)
+{
+    t.m_config = config;
+    update_rates(t);
+    update_groups(t);
+}
+
+void take_promoted(session_task_state& t, const primary_promoted& m)
+{
+    const auto group = t.m_groups.find(m.m_service);
+    if (group == t.m_groups.end())
+        return;
+    note_status(group->second.m_view, m.m_endpoint, m.m_status, m.m_asked_at);
+    note_primary(t, group->second);
+}
+
+void take_message(session_task_state& t, session_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](const config_changed& m)
+            {
+                take_config(t, m.m_config);
+            },
+            [&](const endpoints_changed& m)
+            {
+                t.m_endpoints = m.m_snapshot;
+                update_groups(t);
+            },
+            [&](const fleet_changed& m)
+            {
+                take_fleet(t, m.m_right);
+            },
+            [&](const loan_asked& m)
+            {
+                lend_to_peer(t, m);
+            },
+            [&](const loan_arrived& m)
+            {
+                take_loan(t, m);
+            },
+            [&](const reports_wanted& m)
+            {
+                t.m_reporting = m.m_wanted;
+            },
+            [&](const primary_promoted& m)
+            {
+                take_promoted(t, m);
+            },
+            [&](const stop_begun&)
+            {
+                begin_stop(t);
+            },
+            [&](const counts_wanted&)
+            {
+                t.m_boxes.m_life.post(
+                    counts_given{"session", collect_sessions(t)});
+            },
+            [&](const task_stop&)
+            {
+                stop(t.m_loop);
+            },
+        },
+        message);
+}
+
+void close_all(session_task_state& t)
+{
+    while (!t.m_sessions.empty())
+        close_session(t, t.m_sessions.front());
+    for (auto& [id, p] : t.m_ports)
+        while (!p.m_links.empty())
+            close_link(t, p.m_links.front());
+}
+
+}
+
+session_task_state::session_task_state(const site_settings& settings,
+                                       const session_codec& codec,
+                                       const session_charts& charts,
+                                       site_mailboxes& boxes)
+    : m_settings(settings), m_codec(codec), m_charts(charts), m_boxes(boxes),
+      m_loop(make_loop()), m_tick(m_loop,
+                                  [this]
+                                  {
+                                      tick(*this);
+                                  })
+{
+}
+
+void run_session_task(const site_settings& settings, const session_codec& codec,
+                      const session_charts& charts, site_mailboxes& boxes)
+{
+    session_task_state t(settings, codec, charts, boxes);
+    t.m_first_loan = random_loan_number();
+    boxes.m_session.attach(t.m_loop,
+                           [&](session_message& m)
+                           {
+                               take_message(t, m);
+                           });
+    listen(t);
+    t.m_tick.start_periodic(session_tick);
+    run(t.m_loop);
+    close_all(t);
+}
+
+}
--- /dev/null
+++ b/Source/session/session_task_state.hpp
@@ -0,0 +1,192 @@
+#ifndef BLUEBELLSPOKE_SESSION_SESSION_TASK_STATE_HPP
+#define BLUEBELLSPOKE_SESSION_SESSION_TASK_STATE_HPP
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <report/latency_histogram.hpp>
+#include <session/session_messages.hpp>
+#include <session/session_types.hpp>
+
+struct evconnlistener;
+
+namespace bluebellspoke
+{
+
+/// From one look at deadlines to the next.
+inline constexpr std::chrono::milliseconds session_tick{20};
+/// The part of a latency objective that a statement may wait to be sent: later
+/// refusals are counted as late by the deployments' rules.
+inline constexpr double wait_part = 0.25;
+/// The part of a statement's timeout that one attempt of a read may take
+/// before it is tried elsewhere.
+inline constexpr double attempt_part = 0.4;
+/// Attempts of a statement at most; one for each member of a usual group.
+inline constexpr std::uint32_t most_attempts = 3;
+/// A connection that isn't greeted by then is given up: four round trips
+/// between regions, and a new connection's time at a loaded endpoint.
+inline constexpr std::chrono::milliseconds greeting_limit{600};
+/// Pause after an endpoint refused a connection or was silent; doubles.
+inline constexpr std::chrono::milliseconds first_avoid_pause{100};
+inline constexpr std::chrono::milliseconds longest_avoid_pause{1600};
+/// Connections to an endpoint that are left to the process that promotes.
+inline constexpr std::uint32_t reserved_connections = 2;
+/// Bytes that a caller may leave unread before its session is closed.
+inline constexpr std::size_t most_unsent = 4U << 20U;
+
+enum class session_outcome : std::uint8_t
+{
+    served,
+    refused, ///< Nothing was kept, and the caller was told so.
+    failed,  ///< It may have run.
+    gone,    ///< The caller left first.
+};
+
+/// What the session task counts; docs/METRICS.md says what each means.
+struct session_counts
+{
+    std::array<std::uint64_t, 4> m_outcomes{}; ///< By session_outcome.
+    std::map<session_fault, std::uint64_t> m_faults;
+    std::uint64_t m_sessions = 0;
+    std::uint64_t m_links_opened = 0;
+    std::uint64_t m_primary_reads = 0;
+    std::uint64_t m_replica_reads = 0;
+    latency_histogram m_wait_time;
+    latency_histogram m_endpoint_time;
+};
+
+struct listener_deleter
+{
+    void operator()(evconnlistener* l) const noexcept;
+};
+
+/// Everything that the session task owns.
+struct session_task_state
+{
+    session_task_state(const site_settings& settings,
+                       const session_codec& codec, const session_charts& charts,
+                       site_mailboxes& boxes);
+
+    const site_settings& m_settings;
+    const session_codec& m_codec;
+    const session_charts& m_charts;
+    site_mailboxes& m_boxes;
+    loop m_loop;
+    std::unique_ptr<evconnlistener, listener_deleter> m_listener;
+    timer m_tick;
+    site_config_ptr m_config;
+    endpoint_snapshot_ptr m_endpoints;
+    std::map<std::string, service_group, std::less<>> m_groups;
+    std::map<std::string, endpoint_port, std::less<>> m_ports; ///< By id.
+    intrusive_list<session> m_sessions;
+    intrusive_list<work> m_works; ///< All that have a deadline.
+    std::map<std::string, workspace_rate, std::less<>> m_rates;
+    shared_right_ptr m_right;
+    bool m_knows_workspaces = false; ///< A configuration came before.
+    std::uint64_t m_first_loan = 1;
+    std::uint64_t m_last_number = 0;
+    bool m_reporting = false;
+    time_point m_report_at{};
+    time_point m_stopping_since{}; ///< Zero: it isn't.
+    bool m_stop_told = false;
+    session_counts m_counts;
+};
+
+// session_callers.cpp
+void accept_session(session_task_state& t, int socket);
+/// Takes the lines that a session has sent, until one is under way.
+void read_session(session_task_state& t, session& s);
+void close_session(session_task_state& t, session& s);
+/// Sends an answer and says where the session stands.
+void answer_ready(session_task_state& t, session& s, std::string_view answer);
+void answer_complete(session_task_state& t, session& s);
+/// Answers an error. In a transaction only its end is taken after it.
+void answer_fault(session_task_state& t, session& s, session_fault fault,
+                  std::string_view detail);
+
+// session_statements.cpp
+void take_statement(session_task_state& t, session& s, std::string_view id,
+                    const session_statement& statement);
+/// Rolls back and forgets the session's transaction, if it has one.
+void drop_transaction(session_task_state& t, session& s);
+
+// session_dispatch.cpp
+/// Finds a connection for the work, or queues it, or refuses it.
+void dispatch(session_task_state& t, const work_ptr& w);
+/// Serves what waits for the group's endpoints.
+void serve_waiting(session_task_state& t, service_group& g);
+/// Refuses work that wasn't sent, or answers for work that was.
+void fail_work(session_task_state& t, const work_ptr& w, session_fault fault,
+               std::string_view detail);
+/// The statement's answer is in m_answer.
+void complete_work(session_task_state& t, const work_ptr& w);
+/// Tries the work again elsewhere if its time allows, else fails it.
+void retry_work(session_task_state& t, const work_ptr& w, session_fault fault,
+                std::string_view detail);
+void check_deadlines(session_task_state& t, time_point now);
+
+// session_links.cpp
+/// An idle connection for the workspace, or one that is dialed for the work.
+link_ptr obtain_link(session_task_state& t, endpoint_port& p,
+                     std::string_view workspace, const session* values);
+/// True when obtain_link would give a connection now.
+bool has_room(const endpoint_port& p, std::string_view workspace);
+bool has_idle_link(const endpoint_port& p, std::string_view workspace);
+/// Sends the work on its connection.
+void send_work(session_task_state& t, link& k);
+/// Rolls the link's transaction back and gives it up.
+void roll_back(session_task_state& t, link& k);
+/// Gives an idle link to what waits.
+void release_link(session_task_state& t, link& k);
+void close_link(session_task_state& t, link& k);
+void read_link(session_task_state& t, link& k);
+void lose_link(session_task_state& t, link& k);
+void check_links(session_task_state& t, time_point now);
+
+// session_groups.cpp
+void update_groups(session_task_state& t);
+void ask_statuses(session_task_state& t, time_point now);
+void ask_status(session_task_state& t, link& k);
+void take_status(session_task_state& t, link& k, const expected_answer& e);
+/// Any answer of an endpoint: it lives, and its log reaches this position.
+void take_sign(session_task_state& t, endpoint_port& p, time_point asked_at,
+               const std::optional<log_position>& position);
+void avoid_port(session_task_state& t, endpoint_port& p,
+                std::string_view cause);
+void report_primaries(session_task_state& t, time_point now);
+/// Logs a change of a group's primary.
+void note_primary(session_task_state& t, service_group& g);
+
+// session_rates.cpp
+void update_rates(session_task_state& t);
+void take_fleet(session_task_state& t, const share_right& right);
+enum class rate_verdict : std::uint8_t
+{
+    admitted,
+    waits,
+    refused,
+};
+/// Counts one operation of the workspace. Work that waits is dispatched, or
+/// refused, later.
+rate_verdict admit_operation(session_task_state& t, std::string_view workspace,
+                             const work_ptr& w);
+void lend_to_peer(session_task_state& t, const loan_asked& asked);
+void take_loan(session_task_state& t, const loan_arrived& arrived);
+void tick_rates(session_task_state& t, time_point now);
+
+// session_counts.cpp
+metric_families collect_sessions(const session_task_state& t);
+void count_fault(session_task_state& t, session_fault fault);
+
+// session_stop.cpp
+void begin_stop(session_task_state& t);
+void tick_stop(session_task_state& t, time_point now);
+
+}
+
+#endif
--- /dev/null
+++ b/Source/session/site_charts.hpp
@@ -0,0 +1,92 @@
+#ifndef BLUEBELLSPOKE_SESSION_SITE_CHARTS_HPP
+#define BLUEBELLSPOKE_SESSION_SITE_CHARTS_HPP
+
+#include <cstdint>
+#include <filesystem>
+#include <string_view>
+
+#include <chart/chart.hpp>
+#include <session/session_charts.hpp>
+
+namespace bluebellspoke
+{
+
+enum class watch_state : std::uint8_t
+{
+    listing,
+    watching,
+    resting,
+};
+
+enum class watch_event : std::uint8_t
+{
+    listed,
+    changed,
+    history_gone,
+    failed,
+    rested,
+};
+
+enum class watch_action : std::uint8_t
+{
+    read_all,
+    watch,
+    rest,
+};
+
+enum class takeover_state : std::uint8_t
+{
+    led,
+    touching,
+    recording,
+    waiting,
+    ordering,
+    confirming,
+};
+
+enum class takeover_event : std::uint8_t
+{
+    duty_lost,
+    doubted,
+    touched,
+    given_up,
+    recorded,
+    lease_over,
+    ordered,
+    unanswered,
+    impossible,
+    leads,
+};
+
+enum class takeover_action : std::uint8_t
+{
+    touch,
+    record,
+    resume,
+    wait,
+    order,
+    confirm,
+    announce,
+    let_go,
+};
+
+std::string_view to_string(takeover_state state) noexcept;
+
+using watch_chart = typed_chart<watch_state, watch_event, watch_action>;
+using takeover_chart =
+    typed_chart<takeover_state, takeover_event, takeover_action>;
+
+/// All charts of a process on a site.
+struct site_charts
+{
+    session_charts m_session;
+    watch_chart m_watch;
+    takeover_chart m_takeover;
+};
+
+/// Throws chart_error.
+site_charts load_site_charts(const std::filesystem::path& folder);
+
+}
+
+#endif
--- /dev/null
+++ b/Source/session/site_feeds.cpp
@@ -0,0 +1,133 @@
+#include <session/site_task_state.hpp>
+
+#include <algorithm>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void run_action(site_task_state& t, store_feed& f, watch_action action);
+
+void fire(site_task_state& t, store_feed& f, watch_event event)
+{
+    t.m_charts.m_watch.fire(f.m_state, event,
+                            [&](watch_action action)
+                            {
+                                run_action(t, f, action);
+                            });
+}
+
+void note_answer(site_task_state& t, store_feed& f)
+{
+    f.m_rest = {};
+    if (f.m_answers)
+        return;
+    f.m_answers = true;
+    log_event(event_id::platform_back,
+              {{"kind", std::string(to_string(f.m_kind))}});
+    if (f.m_kind == stored_kind::endpoints)
+        note_store_return(t.m_list, boot_now());
+}
+
+void note_failure(site_task_state& t, store_feed& f, store_failure failure)
+{
+    ++t.m_store_failures;
+    f.m_rest = std::clamp<duration>(f.m_rest * 2, first_rest, longest_rest);
+    if (!f.m_answers)
+        return;
+    f.m_answers = false;
+    log_event(event_id::platform_lost,
+              {{"kind", std::string(to_string(f.m_kind))},
+               {"failure", std::string(to_string(failure))},
+               {"revision", std::to_string(f.m_revision)}});
+}
+
+void take_answer(site_task_state& t, store_feed& f, const store_answer& a,
+                 bool whole)
+{
+    if (a.m_failure == store_failure::history_gone)
+        return fire(t, f, watch_event::history_gone);
+    if (a.m_failure)
+    {
+        note_failure(t, f, *a.m_failure);
+        return fire(t, f, watch_event::failed);
+    }
+    note_answer(t, f);
+    f.m_revision = std::max(f.m_revision, a.m_revision);
+    if (whole || !a.m_changes.empty())
+        take_objects(t, f.m_kind, a.m_changes, whole);
+    fire(t, f, whole ? watch_event::listed : watch_event::changed);
+}
+
+void read_all(site_task_state& t, store_feed& f)
+{
+    t.m_store.m_list(f.m_kind, false,
+                     [&t, &f](store_answer& a)
+                     {
+                         take_answer(t, f, a, true);
+                     });
+}
+
+void run_action(site_task_state& t, store_feed& f, watch_action action)
+{
+    switch (action)
+    {
+    case watch_action::read_all:
+        return read_all(t, f);
+    case watch_action::watch:
+        t.m_store.m_watch(f.m_kind, f.m_revision, watch_wait,
+                          [&t, &f](store_answer& a)
+                          {
+                              take_answer(t, f, a, false);
+                          });
+        return;
+    case watch_action::rest:
+        f.m_timer->start_once(
+            std::chrono::duration_cast<std::chrono::microseconds>(f.m_rest));
+        return;
+    }
+}
+
+}
+
+void start_feeds(site_task_state& t)
+{
+    constexpr std::array kinds{stored_kind::configuration,
+                               stored_kind::endpoints, stored_kind::evacuations,
+                               stored_kind::members};
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+    {
+        store_feed& f = t.m_feeds[i];
+        f.m_kind = kinds[i];
+        f.m_timer = std::make_unique<timer>(t.m_loop,
+                                            [&t, &f]
+                                            {
+                                                fire(t, f, watch_event::rested);
+                                            });
+        read_all(t, f);
+    }
+}
+
+bool store_answers(const site_task_state& t)
+{
+    return std::ranges::all_of(t.m_feeds,
+                               [](const store_feed& f)
+                               {
+                                   return f.m_answers;
+                               });
+}
+
+std::uint64_t store_revision(const site_task_state& t)
+{
+    std::uint64_t newest = t.m_adopted_revision;
+    for (const store_feed& f : t.m_feeds)
+        newest = std::max(newest, f.m_revision);
+    return newest;
+}
+
+}
--- /dev/null
+++ b/Source/session/site_objects.cpp
@@ -0,0 +1,277 @@
+#include <session/site_task_state.hpp>
+
+#include <algorithm>
+#include <functional>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// Whose changes the store's names tell apart when peers pass them on.
+constexpr std::string_view config_name = "config";
+constexpr std::string_view endpoint_prefix = "endpoint/";
+constexpr std::string_view evacuation_prefix = "evacuation/";
+
+void take_config(site_task_state& t, const stored_object& o)
+{
+    const site_config_ptr config = t.m_codec.m_read_config(o.m_value);
+    if (!config)
+    {
+        log_event(event_id::settings_refused,
+                  {{"revision", std::to_string(o.m_revision)}});
+        return;
+    }
+    if (t.m_config && config->m_version <= t.m_config->m_version)
+    {
+        if (config->m_version < t.m_config->m_version)
+            log_event(event_id::settings_reverted,
+                      {{"version", std::to_string(config->m_version)},
+                       {"kept", std::to_string(t.m_config->m_version)}});
+        return;
+    }
+    t.m_config = config;
+    t.m_config_object = o;
+    log_event(event_id::settings_in_force,
+              {{"version", std::to_string(config->m_version)},
+               {"revision", std::to_string(o.m_revision)},
+               {"routes", std::to_string(config->m_routes.size())}});
+    t.m_boxes.m_session.post(config_changed{config});
+    t.m_boxes.m_failover.post(config_changed{config});
+    t.m_boxes.m_life.post(config_changed{config});
+}
+
+std::optional<site_endpoint> read_endpoint(site_task_state& t,
+                                           const stored_object& o)
+{
+    auto endpoint = t.m_codec.m_read_endpoint(o.m_name, o.m_value);
+    if (!endpoint)
+        log_event(event_id::store_entry_unreadable,
+                  {{"kind", "endpoints"},
+                   {"name", o.m_name},
+                   {"revision", std::to_string(o.m_revision)}});
+    return endpoint;
+}
+
+void take_endpoints(site_task_state& t, std::span<const stored_change> changes,
+                    bool whole)
+{
+    const time_point now = boot_now();
+    std::map<std::string, site_endpoint, std::less<>> listed;
+    if (whole)
+        t.m_endpoint_objects.clear();
+    for (const stored_change& c : changes)
+    {
+        const std::string& id = c.m_object.m_name;
+        const auto endpoint =
+            c.m_deleted ? std::nullopt : read_endpoint(t, c.m_object);
+        if (endpoint)
+        {
+            t.m_endpoint_objects[id] = c.m_object;
+            listed.insert_or_assign(id, *endpoint);
+        }
+        else
+            t.m_endpoint_objects.erase(id);
+        if (whole)
+            continue;
+        if (endpoint)
+            put_endpoint(t.m_list, *endpoint);
+        else
+            remove_endpoint(t.m_list, id, now);
+    }
+    if (whole)
+        replace_endpoints(t.m_list, listed, now);
+    t.m_lists_published = true;
+    publish_endpoints(t);
+}
+
+void take_evacuations(site_task_state& t,
+                      std::span<const stored_change> changes, bool whole)
+{
+    if (whole)
+        t.m_evacuated.clear();
+    for (const stored_change& c : changes)
+    {
+        if (c.m_deleted)
+            t.m_evacuated.erase(c.m_object.m_name);
+        else
+            t.m_evacuated.insert(c.m_object.m_name);
+        log_event(event_id::zone_changed,
+                  {{"zone", c.m_object.m_name},
+                   {"state", c.m_deleted ? "in" : "evacuated"},
+                   {"revision", std::to_string(c.m_object.m_revision)}});
+    }
+    publish_endpoints(t);
+}
+
+// Numbers differ by member, so that each asks the others in another order.
+fleet_member to_fleet_member(const member_record& m)
+{
+    return {m.m_name, std::hash<std::string>()(m.m_name),
+            to_string(m.m_address)};
+}
+
+void publish_fleet(site_task_state& t)
+{
+    update_peers(t);
+    share_right right;
+    right.m_epoch.m_number = t.m_members_revision;
+    right.m_settled = true;
+    for (const auto& [name, m] : t.m_members)
+    {
+        right.m_epoch.m_members.push_back(to_fleet_member(m));
+        if (name != t.m_settings.m_name)
+            right.m_peers.push_back(name);
+    }
+    const auto self = t.m_members.find(t.m_settings.m_name);
+    if (self == t.m_members.end())
+        return;
+    right.m_self = to_fleet_member(self->second);
+    // Peers may still use what the process before this one has lent them.
+    right.m_from = t.m_settings.m_first_start
+                       ? time_point{}
+                       : t.m_started_at + loan_term + loan_margin;
+    right.m_until = time_point::max();
+    t.m_boxes.m_session.post(fleet_changed{std::move(right)});
+}
+
+void take_members(site_task_state& t, std::span<const stored_change> changes,
+                  bool whole)
+{
+    if (whole)
+        t.m_members.clear();
+    for (const stored_change& c : changes)
+    {
+        t.m_members_revision =
+            std::max(t.m_members_revision, c.m_object.m_revision);
+        const auto member =
+            t.m_codec.m_read_member(c.m_object.m_name, c.m_object.m_value);
+        if (c.m_deleted || !member)
+            t.m_members.erase(c.m_object.m_name);
+        else
+            t.m_members.insert_or_assign(c.m_object.m_name, *member);
+    }
+    if (whole)
+        register_member(t);
+    publish_fleet(t);
+}
+
+}
+
+void take_objects(site_task_state& t, stored_kind kind,
+                  std::span<const stored_change> changes, bool whole)
+{
+    switch (kind)
+    {
+    case stored_kind::configuration:
+        for (const stored_change& c : changes)
+            if (!c.m_deleted)
+                take_config(t, c.m_object);
+        return;
+    case stored_kind::endpoints:
+        return take_endpoints(t, changes, whole);
+    case stored_kind::evacuations:
+        return take_evacuations(t, changes, whole);
+    case stored_kind::members:
+        return take_members(t, changes, whole);
+    case stored_kind::duties:
+        return;
+    }
+}
+
+void publish_endpoints(site_task_state& t)
+{
+    if (!t.m_lists_published)
+        return;
+    const boost::intrusive_ptr<endpoint_snapshot> snapshot(
+        new endpoint_snapshot);
+    for (const auto& [id, entry] : t.m_list.m_entries)
+        snapshot->m_endpoints.emplace(id, entry.m_endpoint);
+    snapshot->m_evacuated = t.m_evacuated;
+    t.m_boxes.m_session.post(endpoints_changed{snapshot});
+    t.m_boxes.m_failover.post(endpoints_changed{snapshot});
+}
+
+void register_member(site_task_state& t)
+{
+    const member_record self{t.m_settings.m_name, t.m_settings.m_peer_listen,
+                             t.m_settings.m_zone};
+    const auto found = t.m_members.find(self.m_name);
+    if (found != t.m_members.end() && found->second == self)
+        return;
+    // One that is there with another address has been replaced by this one;
+    // the answer to the creation says at which revision it stands.
+    const auto replaced = [&t, self](write_answer& a)
+    {
+        if (a.m_failure != store_failure::conflict || !a.m_object)
+            return;
+        stored_object next = *a.m_object;
+        next.m_value = t.m_codec.m_write_member(self);
+        t.m_store.m_write(stored_kind::members, next, [](write_answer&) {});
+    };
+    t.m_store.m_write(stored_kind::members,
+                      {self.m_name, 0, t.m_codec.m_write_member(self)},
+                      replaced);
+}
+
+peer_settings describe_for_peer(const site_task_state& t, std::uint64_t after)
+{
+    peer_settings m;
+    m.m_version = store_revision(t);
+    if (t.m_config && t.m_config_object.m_revision > after)
+        m.m_objects.push_back({std::string(config_name),
+                               t.m_config_object.m_revision,
+                               t.m_config_object.m_value});
+    for (const auto& [id, o] : t.m_endpoint_objects)
+        m.m_objects.push_back(
+            {std::string(endpoint_prefix) + id, o.m_revision, o.m_value});
+    for (const std::string& zone : t.m_evacuated)
+        m.m_objects.push_back({std::string(evacuation_prefix) + zone, 0, "{}"});
+    for (const auto& [name, member] : t.m_members)
+        m.m_vms.push_back(
+            {name, to_string(member.m_address), member.m_zone, false});
+    return m;
+}
+
+void adopt_from_peer(site_task_state& t, const peer_settings& m)
+{
+    if (m.m_version <= store_revision(t) && t.m_config)
+        return;
+    std::vector<stored_change> endpoints;
+    std::vector<stored_change> evacuations;
+    for (const peer_object& o : m.m_objects)
+    {
+        const std::string_view name = o.m_name;
+        if (name == config_name)
+            take_config(t, {std::string(name), o.m_version, o.m_value});
+        else if (name.starts_with(endpoint_prefix))
+            endpoints.push_back(
+                {{std::string(name.substr(endpoint_prefix.size())), o.m_version,
+                  o.m_value},
+                 false});
+        else if (name.starts_with(evacuation_prefix))
+            evacuations.push_back(
+                {{std::string(name.substr(evacuation_prefix.size())),
+                  o.m_version, o.m_value},
+                 false});
+    }
+    log_event(event_id::settings_adopted,
+              {{"revision", std::to_string(m.m_version)},
+               {"had", std::to_string(store_revision(t))}});
+    t.m_adopted_revision = m.m_version;
+    take_endpoints(t, endpoints, true);
+    take_evacuations(t, evacuations, true);
+    if (!t.m_members.empty())
+        return;
+    for (const peer_vm& vm : m.m_vms)
+        t.m_members.insert_or_assign(
+            vm.m_name,
+            member_record{vm.m_name, parse_address(vm.m_address), vm.m_zone});
+    publish_fleet(t);
+}
+
+}
--- /dev/null
+++ b/Source/session/site_process.cpp
@@ -0,0 +1,103 @@
+#include <session/site_process.hpp>
+
+#include <csignal>
+
+#include <report/event.hpp>
+#include <session/session_task.hpp>
+#include <task/task_thread.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// A process with a dead task is worse than none: it ends, and is started anew.
+template <class Body>
+std::function<void()> guarded(site_mailboxes& boxes, Body body)
+{
+    return [&boxes, body]
+    {
+        try
+        {
+            body();
+        }
+        catch (...)
+        {
+            boxes.m_life.post(task_stop());
+            throw;
+        }
+    };
+}
+
+// The life task takes the signals; the others start with them blocked.
+void block_signals(sigset_t& before)
+{
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGTERM);
+    sigaddset(&blocked, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &blocked, &before);
+}
+
+}
+
+void run_site_process(const site_settings& settings,
+                      const std::filesystem::path& folder,
+                      const failover_surroundings& around,
+                      const life_surroundings& life)
+{
+    const site_charts charts = load_site_charts(folder);
+    site_mailboxes boxes;
+    sigset_t before;
+    block_signals(before);
+    log_event(event_id::daemon_started,
+              {{"node", settings.m_name},
+               {"zone", settings.m_zone},
+               {"callers", to_string(settings.m_caller_listen)}});
+    task_thread session("session",
+                        guarded(boxes,
+                                [&]
+                                {
+                                    run_session_task(settings,
+                                                     around.m_session_codec,
+                                                     charts.m_session, boxes);
+                                }));
+    task_thread site("site",
+                     guarded(boxes,
+                             [&]
+                             {
+                                 run_site_task(settings, around.m_site_codec,
+                                               charts, around.m_store, boxes);
+                             }));
+    task_thread failover("failover",
+                         guarded(boxes,
+                                 [&]
+                                 {
+                                     run_failover_task(settings, around, charts,
+                                                       boxes);
+                                 }));
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    const auto stop_all = [&]
+    {
+        boxes.m_session.post(task_stop());
+        boxes.m_site.post(task_stop());
+        boxes.m_failover.post(task_stop());
+    };
+    try
+    {
+        run_life_task(settings, life, boxes);
+    }
+    catch (...)
+    {
+        stop_all();
+        throw;
+    }
+    stop_all();
+    session.join();
+    site.join();
+    failover.join();
+    log_event(event_id::daemon_stopped);
+}
+
+}
--- /dev/null
+++ b/Source/session/site_task.cpp
@@ -0,0 +1,93 @@
+#include <session/site_task.hpp>
+
+#include <model/overloaded.hpp>
+#include <session/site_task_state.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void tick(site_task_state& t)
+{
+    if (expire_missing(t.m_list, boot_now()))
+        publish_endpoints(t);
+    send_digests(t);
+}
+
+metric_families collect_site(const site_task_state& t)
+{
+    metric_families families;
+    add_value(families, metric_id::settings_version, {},
+              static_cast<double>(t.m_config ? t.m_config->m_version : 0));
+    add_value(families, metric_id::fleet_members, {},
+              static_cast<double>(t.m_members.size()));
+    add_value(families, metric_id::platform_answers, {},
+              store_answers(t) ? 1 : 0);
+    add_value(families, metric_id::store_failures, {},
+              static_cast<double>(t.m_store_failures));
+    return families;
+}
+
+void take_message(site_task_state& t, site_message& message)
+{
+    std::visit(
+        overloaded{
+            [&](const loan_wanted& m)
+            {
+                ask_for_loan(t, m);
+            },
+            [&](const loan_given& m)
+            {
+                answer_peer(*t.m_peer_server, m.m_exchange,
+                            to_message(m.m_loan));
+            },
+            [&](const stop_begun&) {},
+            [&](const counts_wanted&)
+            {
+                t.m_boxes.m_life.post(counts_given{"site", collect_site(t)});
+            },
+            [&](const task_stop&)
+            {
+                stop(t.m_loop);
+            },
+        },
+        message);
+}
+
+}
+
+site_task_state::site_task_state(const site_settings& settings,
+                                 const site_codec& codec,
+                                 const site_charts& charts,
+                                 const store_factory& store,
+                                 site_mailboxes& boxes)
+    : m_settings(settings), m_codec(codec), m_charts(charts), m_boxes(boxes),
+      m_loop(make_loop()), m_store(store(m_loop)), m_tick(m_loop,
+                                                          [this]
+                                                          {
+                                                              tick(*this);
+                                                          }),
+      m_started_at(boot_now())
+{
+}
+
+void run_site_task(const site_settings& settings, const site_codec& codec,
+                   const site_charts& charts, const store_factory& store,
+                   site_mailboxes& boxes)
+{
+    site_task_state t(settings, codec, charts, store, boxes);
+    boxes.m_site.attach(t.m_loop,
+                        [&](site_message& m)
+                        {
+                            take_message(t, m);
+                        });
+    start_peers(t);
+    start_feeds(t);
+    t.m_tick.start_periodic(site_tick);
+    run(t.m_loop);
+}
+
+}
--- /dev/null
+++ b/Source/session/site_task_state.hpp
@@ -0,0 +1,115 @@
+#ifndef BLUEBELLSPOKE_SESSION_SITE_TASK_STATE_HPP
+#define BLUEBELLSPOKE_SESSION_SITE_TASK_STATE_HPP
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <decide/endpoint_list.hpp>
+#include <peer/peer_call.hpp>
+#include <session/object_store.hpp>
+#include <session/session_messages.hpp>
+#include <session/site_task.hpp>
+#include <task/loop.hpp>
+#include <wire/http2_client.hpp>
+#include <wire/http2_server.hpp>
+
+namespace bluebellspoke
+{
+
+/// How long a watch waits. A connection that went silent is found after it:
+/// within the 4 s in which a configuration has to be in force, together with
+/// the read that follows.
+inline constexpr std::chrono::milliseconds watch_wait{2400};
+/// From a failed call to the next try, doubled with each failure.
+inline constexpr std::chrono::milliseconds first_rest{150};
+inline constexpr std::chrono::milliseconds longest_rest{1200};
+/// From one digest to the next; a peer that the store turns away takes what it
+/// missed within two.
+inline constexpr std::chrono::milliseconds digest_period{1000};
+/// From one look at what is due to the next.
+inline constexpr std::chrono::milliseconds site_tick{100};
+
+/// One followed kind of the store's objects.
+struct store_feed
+{
+    stored_kind m_kind = stored_kind::configuration;
+    watch_state m_state = watch_state::listing;
+    std::uint64_t m_revision = 0; ///< Up to which it has heard.
+    duration m_rest{};
+    bool m_answers = false;
+    std::unique_ptr<timer> m_timer;
+};
+
+/// A process that this one talks to.
+struct site_peer
+{
+    std::string m_name; ///< Empty: a seed that hasn't said it yet.
+    std::unique_ptr<http2_client> m_client;
+    std::optional<peer_site_digest> m_last;
+    bool m_reached = false;
+};
+
+/// Everything that the site task owns.
+struct site_task_state
+{
+    site_task_state(const site_settings& settings, const site_codec& codec,
+                    const site_charts& charts, const store_factory& store,
+                    site_mailboxes& boxes);
+
+    const site_settings& m_settings;
+    const site_codec& m_codec;
+    const site_charts& m_charts;
+    site_mailboxes& m_boxes;
+    loop m_loop;
+    object_store m_store;
+    timer m_tick;
+    std::unique_ptr<http2_server> m_peer_server;
+    std::array<store_feed, 4> m_feeds;
+
+    stored_object m_config_object; ///< As it was read, for peers.
+    site_config_ptr m_config;
+    std::map<std::string, stored_object, std::less<>> m_endpoint_objects;
+    endpoint_list m_list;
+    std::set<std::string, std::less<>> m_evacuated;
+    std::map<std::string, member_record, std::less<>> m_members;
+    std::uint64_t m_members_revision = 0;
+    std::uint64_t m_adopted_revision = 0; ///< Of what a peer has passed on.
+    bool m_registered = false;
+    bool m_lists_published = false;
+    std::uint64_t m_store_failures = 0;
+
+    std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
+    time_point m_started_at{};
+    time_point m_digest_at{};
+    bool m_asking_peer = false;
+};
+
+// site_feeds.cpp
+void start_feeds(site_task_state& t);
+bool store_answers(const site_task_state& t);
+std::uint64_t store_revision(const site_task_state& t);
+
+// site_objects.cpp
+/// Takes what was read or has changed of one kind. `whole` says that objects
+/// which aren't there are gone.
+void take_objects(site_task_state& t, stored_kind kind,
+                  std::span<const stored_change> changes, bool whole);
+void publish_endpoints(site_task_state& t);
+void register_member(site_task_state& t);
+/// What this process knows, for one that the store turns away.
+peer_settings describe_for_peer(const site_task_state& t, std::uint64_t after);
+void adopt_from_peer(site_task_state& t, const peer_settings& m);
+
+// site_peers.cpp
+void start_peers(site_task_state& t);
+void update_peers(site_task_state& t);
+void send_digests(site_task_state& t);
+void ask_for_loan(site_task_state& t, const loan_wanted& wanted);
+
+}
+
+#endif
--- a/Source/platform/epoch_codec.cpp
+++ b/Source/store/epoch_codec.cpp
@@ -1,4 +1,4 @@
-#include <platform/epoch_codec.hpp>
+#include <store/epoch_codec.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/Source/platform/lease_codec.cpp
+++ b/Source/store/lease_codec.cpp
@@ -1,4 +1,4 @@
-#include <platform/lease_codec.hpp>
+#include <store/lease_codec.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/Source/platform/platform_client.cpp
+++ b/Source/store/platform_client.cpp
@@ -1,4 +1,4 @@
-#include <platform/platform_client.hpp>
+#include <store/platform_client.hpp>
 
 #include <functional>
 #include <optional>
--- a/Source/platform/settings_codec.cpp
+++ b/Source/store/settings_codec.cpp
@@ -1,4 +1,4 @@
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 #include <limits>
 
--- a/Tests/endpoint/decoders_fuzz_test.cpp
+++ b/Tests/endpoint/decoders_fuzz_test.cpp
@@ -9,7 +9,7 @@
 #include <front/statement_codec.hpp>
 #include <model/refusal.hpp>
 #include <peer/peer_codec.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 using namespace bluebellspoke;
 
--- a/Tests/scenario/decision_verbs.cpp
+++ b/Tests/scenario/decision_verbs.cpp
@@ -14,7 +14,7 @@
 #include <decide/settings_view.hpp>
 #include <decide/standing.hpp>
 #include <model/refusal.hpp>
-#include <platform/settings_codec.hpp>
+#include <store/settings_codec.hpp>
 
 namespace bluebellspoke::scenario
 {
