rates: Divide by told demand, and keep control traffic off regions

Loans are asked peer by peer and workspace by workspace, 20 ms apart at first and renewed each second; each question and answer is a packet of its own. Statuses were asked every 250 ms.

Change: demand_share: each process tells all others its demand with the digest it sends anyway; a weight counts once everybody has taken it in, so the parts never pass the limit. Leases last 1.5 s instead of 0.8 s. Near endpoints go first. A statement that was refused while it waited for its token is forgotten; it was run later, and its caller got a second answer (MIXED, REFUSED).

Ruled out: longer loans, which keep a part where it isn't needed for as long.

--- /dev/null
+++ b/Source/decide/demand_share.cpp
@@ -0,0 +1,130 @@
+#include <decide/demand_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+double weight_of(const demand_weights& weights, std::string_view workspace)
+{
+    const auto found = weights.find(workspace);
+    return found == weights.end() ? 0 : found->second;
+}
+
+bool differs(double told, double wanted)
+{
+    return std::abs(wanted - told) > std::max(told * told_part, told_least);
+}
+
+// A peer that was never heard may run since before this process started.
+bool is_silent(const demand_table& t, const demand_peer& p, time_point now,
+               duration after)
+{
+    const bool heard = p.m_heard_at != time_point{};
+    return now - (heard ? p.m_heard_at : t.m_started_at) >= after;
+}
+
+bool is_alone(const demand_table& t, time_point now)
+{
+    std::size_t heard = 1;
+    for (const auto& [name, p] : t.m_peers)
+        if (t.m_members.contains(name) && !is_silent(t, p, now, alone_after))
+            ++heard;
+    return 2 * heard <= t.m_members.size();
+}
+
+bool everybody_took(const demand_table& t, std::uint64_t number, time_point now)
+{
+    std::size_t peers = 0;
+    for (const auto& [name, p] : t.m_peers)
+    {
+        if (!t.m_members.contains(name))
+            continue;
+        ++peers;
+        if (p.m_acked < number && !is_silent(t, p, now, silent_after))
+            return false;
+    }
+    // Members that were never heard count until they are silent.
+    return peers + 1 >= t.m_members.size() ||
+           now - t.m_started_at >= silent_after;
+}
+
+double own_weight(const demand_table& t, std::string_view workspace)
+{
+    double least = 0;
+    bool first = true;
+    for (const demand_telling& told : t.m_tellings)
+    {
+        const double weight = weight_of(told.m_weights, workspace);
+        least = first ? weight : std::min(least, weight);
+        first = false;
+    }
+    return least;
+}
+
+}
+
+bool tell_weights(demand_table& t, const demand_weights& weights)
+{
+    demand_telling next;
+    if (!t.m_tellings.empty())
+        next = t.m_tellings.back();
+    bool news = t.m_tellings.empty();
+    for (const auto& [workspace, weight] : weights)
+        if (differs(weight_of(next.m_weights, workspace), weight))
+        {
+            next.m_weights.insert_or_assign(workspace, weight);
+            news = true;
+        }
+    if (!news)
+        return false;
+    if (t.m_tellings.empty())
+        t.m_tellings.push_back({0, {}}); // Before it, nothing was used.
+    next.m_number = t.m_tellings.back().m_number + 1;
+    t.m_tellings.push_back(std::move(next));
+    return true;
+}
+
+void take_news(demand_table& t, std::string_view peer, const demand_news& news,
+               time_point now)
+{
+    demand_peer& p = t.m_peers[std::string(peer)];
+    if (p.m_incarnation != news.m_incarnation)
+        p = {};
+    p.m_incarnation = news.m_incarnation;
+    p.m_heard_at = now;
+    p.m_acked = std::max(p.m_acked, news.m_acked);
+    if (news.m_number < p.m_number)
+        return;
+    p.m_number = news.m_number;
+    p.m_weights = news.m_weights;
+}
+
+void settle_tellings(demand_table& t, time_point now)
+{
+    while (t.m_tellings.size() > 1 &&
+           everybody_took(t, t.m_tellings[1].m_number, now))
+        t.m_tellings.pop_front();
+}
+
+double part_of(const demand_table& t, std::string_view workspace,
+               time_point now)
+{
+    if (t.m_members.empty())
+        return 0;
+    const double even = even_part / static_cast<double>(t.m_members.size());
+    const double own = own_weight(t, workspace);
+    if (own <= 0 || is_alone(t, now))
+        return even;
+    double all = own;
+    for (const auto& [name, p] : t.m_peers)
+        if (t.m_members.contains(name) && !is_silent(t, p, now, silent_after))
+            all += weight_of(p.m_weights, workspace);
+    return even + (1 - even_part) * own / all;
+}
+
+}
--- a/Source/decide/endpoint_choice.cpp
+++ b/Source/decide/endpoint_choice.cpp
@@ -17,6 +17,8 @@
     cost *= 1 + o.m_running / 2.0;
     if (!o.m_has_idle)
         cost += dial_cost_ms;
+    if (o.m_is_far)
+        cost += far_cost_ms;
     if (o.m_spares_primary)
         cost += primary_cost_ms;
     return cost;
--- a/Source/decide/endpoint_choice.hpp
+++ b/Source/decide/endpoint_choice.hpp
@@ -17,6 +17,10 @@
 /// What a read that any endpoint could run costs at the primary, in
 /// milliseconds: what only the primary can run waits behind it.
 inline constexpr double primary_cost_ms = 15;
+/// What a read in another region costs beyond its time, in milliseconds: what
+/// goes between regions is scarce and dear, so a near endpoint is used until
+/// it takes several times its usual time.
+inline constexpr double far_cost_ms = 80;
 /// An average without a new answer for this long says nothing any more.
 inline constexpr std::chrono::seconds average_age{3};
 /// The weight of one answer in the average.
@@ -32,6 +36,7 @@
     std::uint32_t m_running = 0;   ///< Statements of this process there.
     bool m_has_idle = false;       ///< A connection is at hand.
     bool m_has_room = false;       ///< One may be dialed.
+    bool m_is_far = false;         ///< In another region.
     bool m_spares_primary = false; ///< It leads, and others could run it.
 };
 
--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -170,7 +170,7 @@
 bool needs_status(const group_view& g, time_point now)
 {
     return g.m_primary.empty() ||
-           g.m_lease_until < now + lease_time - status_period;
+           g.m_lease_until < now + lease_reserve;
 }
 
 }
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -17,14 +17,16 @@
 {
 
 /// How long a proof of leadership lasts, from when its first question was
-/// sent. A promotion waits as long; twice a status_period and a round trip
-/// between regions fit in.
-inline constexpr std::chrono::milliseconds lease_time{800};
+/// sent. A promotion waits as long, so it is the longest part of a failover
+/// that this product adds; each halving doubles the questions.
+inline constexpr std::chrono::milliseconds lease_time{1500};
 /// What the promoter adds for clocks that run at different rates: 1 % of
-/// lease_time, rounded up.
-inline constexpr std::chrono::milliseconds lease_margin{10};
-/// From one question for an endpoint's status to the next while the lease
-/// must be renewed by asking.
+/// lease_time.
+inline constexpr std::chrono::milliseconds lease_margin{15};
+/// A lease that ends sooner is renewed: two questions that fail, each after a
+/// status_period, and a third.
+inline constexpr std::chrono::milliseconds lease_reserve{600};
+/// From one question for an endpoint's status to the next.
 inline constexpr std::chrono::milliseconds status_period{250};
 /// Samples of positions nearer to each other than this are kept as one.
 inline constexpr std::chrono::milliseconds sample_spacing{20};
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -62,14 +62,31 @@
 
     static json write(const peer_site_digest& m)
     {
+        json weights = json::array();
+        for (const peer_weight& w : m.m_weights)
+            weights.push_back({w.m_workspace, w.m_tenths});
         return json::array({m.m_name, m.m_address, m.m_zone, m.m_store_answers,
-                            m.m_store_revision, m.m_config_version});
+                            m.m_store_revision, m.m_config_version,
+                            m.m_incarnation, m.m_weights_number,
+                            m.m_seen_incarnation, m.m_seen_number, weights});
     }
     static peer_site_digest read(const json& j)
     {
-        return {j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
-                j.at(2).get<std::string>(),   j.at(3).get<bool>(),
-                j.at(4).get<std::uint64_t>(), j.at(5).get<std::uint64_t>()};
+        peer_site_digest m{j.at(0).get<std::string>(),
+                           j.at(1).get<std::string>(),
+                           j.at(2).get<std::string>(),
+                           j.at(3).get<bool>(),
+                           j.at(4).get<std::uint64_t>(),
+                           j.at(5).get<std::uint64_t>(),
+                           j.at(6).get<std::uint64_t>(),
+                           j.at(7).get<std::uint64_t>(),
+                           j.at(8).get<std::uint64_t>(),
+                           j.at(9).get<std::uint64_t>(),
+                           {}};
+        for (const json& w : j.at(10))
+            m.m_weights.push_back(
+                {w.at(0).get<std::string>(), w.at(1).get<std::uint32_t>()});
+        return m;
     }
 };
 
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -31,7 +31,15 @@
     std::string m_zone;
 };
 
-/// What a process on a site knows of the store; answered by the receiver's.
+/// The demand for one workspace at the sender.
+struct peer_weight
+{
+    std::string m_workspace;
+    std::uint32_t m_tenths = 0; ///< Operations in ten seconds.
+};
+
+/// What a process on a site knows of the store, and what it needs; answered by
+/// the receiver's.
 struct peer_site_digest
 {
     std::string m_name;
@@ -40,6 +48,11 @@
     bool m_store_answers = false;
     std::uint64_t m_store_revision = 0; ///< Up to which it has heard.
     std::uint64_t m_config_version = 0;
+    std::uint64_t m_incarnation = 0;      ///< Another one after each restart.
+    std::uint64_t m_weights_number = 0;   ///< Of m_weights.
+    std::uint64_t m_seen_incarnation = 0; ///< Of the receiver, as last heard.
+    std::uint64_t m_seen_number = 0;      ///< The receiver's weights taken in.
+    std::vector<peer_weight> m_weights;   ///< Demand by workspace.
 };
 
 /// The receiver doesn't know what was asked, or can't do it now.
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -56,7 +56,7 @@
     // A plain transaction may read before it writes.
     if (leads)
         return may_read_primary(view, w.m_arrived_at, route.m_staleness);
-    return !w.m_needs_primary &&
+    return !w.m_needs_primary && now >= p.m_lags_until &&
            staleness_floor(view, w.m_arrived_at, route.m_staleness);
 }
 
@@ -82,6 +82,7 @@
         o.m_running = p.m_running;
         o.m_has_idle = has_idle_link(p, s.m_workspace);
         o.m_has_room = has_room(p, s.m_workspace);
+        o.m_is_far = p.m_region != t.m_settings.m_region;
         o.m_spares_primary =
             !w.m_needs_primary && p.m_group->m_view.m_primary == id;
         found.push_back({&p, o});
@@ -147,8 +148,10 @@
 {
     leave(w);
     w.auto_unlink_hook::unlink();
+    w.m_waits_for_rate = false;
     if (w.m_session)
         w.m_session->m_work = nullptr;
+    w.m_session = nullptr;
 }
 
 void count_outcome(session_task_state& t, session_outcome o)
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -17,10 +17,8 @@
 std::uint32_t connection_limit(const session_task_state& t,
                                const site_service& service)
 {
-    std::size_t members = 1;
-    if (t.m_right)
-        members =
-            std::max(members, t.m_right->m_right.m_epoch.m_members.size());
+    const std::size_t members =
+        std::max<std::size_t>(1, t.m_demand.m_members.size());
     const std::uint32_t all = service.m_connections > reserved_connections
                                   ? service.m_connections - reserved_connections
                                   : service.m_connections;
@@ -153,7 +151,7 @@
     for (std::size_t i = 0; i < std::min(needed, replicas.size()); ++i)
         want_status(t, *replicas[i], now);
     // The rest now and then, for a newer term that the others don't know.
-    constexpr std::chrono::seconds rest_period{1};
+    constexpr std::chrono::seconds rest_period{3};
     for (std::size_t i = needed; i < replicas.size(); ++i)
         if (now - replicas[i]->m_status_asked_at >= rest_period)
             want_status(t, *replicas[i], now);
@@ -205,8 +203,15 @@
 void ask_statuses(session_task_state& t, time_point now)
 {
     for (auto& [name, g] : t.m_groups)
+    {
         if (needs_status(g.m_view, now))
             ask_group(t, g, now);
+        // The judge of primaries needs a sign of each more often.
+        const auto primary = t.m_ports.find(g.m_view.m_primary);
+        if (t.m_reporting && primary != t.m_ports.end() &&
+            now - g.m_primary_sign >= status_period)
+            want_status(t, primary->second, now);
+    }
 }
 
 void ask_status(session_task_state& t, link& k)
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -246,6 +246,10 @@
         doubt_primary(p.m_group->m_view, p.m_endpoint.m_id);
         note_primary(t, *p.m_group);
     }
+    // What it lacks comes in about the time that the samples are apart.
+    constexpr std::chrono::milliseconds lag_pause{150};
+    if (!led && fault == session_fault::lagging)
+        p.m_lags_until = boot_now() + lag_pause;
     if (fault == session_fault::no_statement)
         k.m_prepared.clear();
 }
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -1,14 +1,14 @@
 #ifndef BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
 #define BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include <decide/share.hpp>
+#include <decide/demand_share.hpp>
 #include <decide/takeover.hpp>
 #include <model/site.hpp>
-#include <peer/loan_messages.hpp>
 #include <report/metric.hpp>
 #include <task/mailbox.hpp>
 
@@ -33,7 +33,21 @@
 /// site → session: among whom the fleet's limits are divided.
 struct fleet_changed
 {
-    share_right m_right;
+    std::set<std::string, std::less<>> m_members;
+};
+
+/// session → site: what this process needs of the workspaces' rates.
+struct weights_told
+{
+    demand_telling m_telling;
+    bool m_urgent = false; ///< Work waits for a larger part.
+};
+
+/// site → session: what a peer needs.
+struct weights_heard
+{
+    std::string m_peer;
+    demand_news m_news;
 };
 
 /// failover → session: report what you see of primaries, or stop.
@@ -89,11 +103,11 @@
 };
 
 using session_message =
-    std::variant<config_changed, endpoints_changed, fleet_changed, loan_asked,
-                 loan_arrived, reports_wanted, primary_promoted, stop_begun,
+    std::variant<config_changed, endpoints_changed, fleet_changed,
+                 weights_heard, reports_wanted, primary_promoted, stop_begun,
                  counts_wanted, task_stop>;
 using site_message =
-    std::variant<loan_wanted, loan_given, stop_begun, counts_wanted, task_stop>;
+    std::variant<weights_told, stop_begun, counts_wanted, task_stop>;
 using failover_message =
     std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
                  counts_wanted, task_stop>;
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -1,5 +1,6 @@
 #include <session/session_task_state.hpp>
 
+#include <cmath>
 #include <utility>
 
 #include <task/boot_clock.hpp>
@@ -10,50 +11,100 @@
 namespace
 {
 
-// Operations of one workspace that may wait for a loan here.
-constexpr std::size_t most_waiting = 64;
+// How long an arrival counts in the estimate of demand: long enough that a
+// workspace's usual scatter doesn't move its part, well within the shortest
+// window over which limits are judged (5 s).
+constexpr std::chrono::milliseconds demand_memory{1500};
+// From one look at the weights to the next.
+constexpr std::chrono::milliseconds tell_period{250};
+// How long an operation may wait for its token; two exchanges between regions
+// fit in, which raise this process's part.
+constexpr std::chrono::milliseconds token_wait{200};
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+void fade(workspace_rate& r, time_point now)
+{
+    r.m_recent *=
+        std::exp(-seconds(now - r.m_recent_at) / seconds(demand_memory));
+    r.m_recent_at = now;
+}
+
+// The demand, and what its scatter asks for beyond.
+double weight_of(workspace_rate& r, time_point now)
+{
+    fade(r, now);
+    const double rate = r.m_recent / seconds(demand_memory);
+    return rate + std::sqrt(rate);
+}
+
+void fit_part(session_task_state& t, const std::string& workspace,
+              workspace_rate& r, time_point now)
+{
+    const double part = part_of(t.m_demand, workspace, now);
+    // A whole token has to fit, or nothing would ever pass.
+    set_share(r.m_bucket, r.m_rate * part, std::max(1.0, r.m_burst * part),
+              now);
+}
+
+void fit_parts(session_task_state& t, time_point now)
+{
+    settle_tellings(t.m_demand, now);
+    for (auto& [name, r] : t.m_rates)
+        fit_part(t, name, r, now);
+}
+
+bool waits_too_long(const work& w, time_point now)
+{
+    return now - w.m_asked_at >= token_wait;
+}
 
 void admit_waiting(session_task_state& t, workspace_rate& r, time_point now)
 {
     while (!r.m_waiting.empty())
     {
         const work_ptr w = r.m_waiting.front();
-        const bool gone = !w->m_session || !w->m_waits_for_rate;
-        if (!gone && !admit_one(r.m_share, now) &&
-            now - w->m_asked_at < loan_wait)
+        if (!w->m_session || !w->m_waits_for_rate)
+        {
+            r.m_waiting.pop_front();
+            continue;
+        }
+        const bool admitted = take_token(r.m_bucket, now);
+        if (!admitted && !waits_too_long(*w, now))
             return;
         r.m_waiting.pop_front();
-        if (gone)
-            continue;
         w->m_waits_for_rate = false;
-        if (now - w->m_asked_at >= loan_wait)
-            fail_work(t, w, session_fault::busy, "rate");
-        else
+        if (admitted)
             dispatch(t, w);
+        else
+            fail_work(t, w, session_fault::busy, "rate");
     }
 }
 
-void ask_peers(session_task_state& t, workspace_rate& r, time_point now)
+// Whether a token will be there in time for one more that waits.
+bool may_wait(const workspace_rate& r)
 {
-    const rate_share& s = r.m_share;
-    if (!t.m_right || !is_due(r.m_round, now) || !needs_peers(s, now))
-        return;
-    begin_round(r.m_round, now);
-    const share_right& right = t.m_right->m_right;
-    for (const std::string& lender : lenders_to_ask(
-             right, s.m_workspace, s.m_book, wanted_units(s, now) > 0))
-        t.m_boxes.m_site.post(
-            loan_wanted{share_kind::rate, s.m_workspace, lender,
-                        make_ask(s, t.m_settings.m_name, lender, now)});
+    const double ahead = static_cast<double>(r.m_waiting.size()) + 1;
+    return ahead <=
+           r.m_bucket.m_tokens + r.m_bucket.m_rate * seconds(token_wait);
 }
 
-workspace_rate& rate_of(session_task_state& t, const std::string& workspace,
-                        time_point now)
+void tell(session_task_state& t, time_point now)
 {
-    const auto [entry, added] = t.m_rates.try_emplace(workspace);
-    if (added)
-        entry->second.m_share = make_rate_share(workspace, t.m_first_loan, now);
-    return entry->second;
+    t.m_tell_at = now + tell_period;
+    demand_weights weights;
+    bool short_of = false;
+    for (auto& [name, r] : t.m_rates)
+    {
+        weights[name] = weight_of(r, now);
+        short_of = short_of || r.m_bucket.m_tokens < 1;
+    }
+    if (tell_weights(t.m_demand, weights))
+        t.m_boxes.m_site.post(
+            weights_told{t.m_demand.m_tellings.back(), short_of});
 }
 
 }
@@ -64,10 +115,8 @@
     std::erase_if(t.m_rates,
                   [&](const auto& entry)
                   {
-                      const workspace_rate& r = entry.second;
                       return !t.m_config->m_workspaces.contains(entry.first) &&
-                             r.m_waiting.empty() &&
-                             r.m_share.m_book.m_lent.empty();
+                             entry.second.m_waiting.empty();
                   });
     // Nobody has spent anything of a workspace that is new to everybody. One
     // that the first configuration brings may be older than this process.
@@ -75,28 +124,25 @@
         std::exchange(t.m_knows_workspaces, true) || t.m_settings.m_first_start;
     for (const auto& [name, workspace] : t.m_config->m_workspaces)
     {
-        const bool fresh = new_to_all && !t.m_rates.contains(name);
-        workspace_rate& r = rate_of(t, name, now);
-        if (t.m_right)
-            set_right(r.m_share, t.m_right, now);
-        set_rate(r.m_share, workspace.m_rate, workspace.m_burst, now);
-        if (fresh)
-            fill_bucket(r.m_share);
+        const auto [entry, added] = t.m_rates.try_emplace(name);
+        workspace_rate& r = entry->second;
+        r.m_rate = workspace.m_rate;
+        r.m_burst = workspace.m_burst;
+        if (added)
+        {
+            r.m_recent_at = now;
+            r.m_bucket.m_filled_at = now;
+        }
+        fit_part(t, name, r, now);
+        if (added && new_to_all)
+            r.m_bucket.m_tokens = r.m_bucket.m_burst;
     }
 }
 
-void take_fleet(session_task_state& t, const share_right& right)
+void take_fleet(session_task_state& t, const fleet_changed& m)
 {
-    const time_point now = boot_now();
-    const bool first = !t.m_right;
-    t.m_right = share(right);
-    for (auto& [name, r] : t.m_rates)
-    {
-        set_right(r.m_share, t.m_right, now);
-        if (first && t.m_settings.m_first_start)
-            fill_bucket(r.m_share);
-        admit_waiting(t, r, now);
-    }
+    t.m_demand.m_members = m.m_members;
+    fit_parts(t, boot_now());
     update_groups(t);
 }
 
@@ -108,51 +154,32 @@
     if (found == t.m_rates.end())
         return rate_verdict::refused;
     workspace_rate& r = found->second;
-    note_arrival(r.m_share, now);
-    if (r.m_waiting.empty() && admit_one(r.m_share, now))
-    {
-        ask_peers(t, r, now);
+    fade(r, now);
+    r.m_recent += 1;
+    if (r.m_waiting.empty() && take_token(r.m_bucket, now))
         return rate_verdict::admitted;
-    }
-    const bool holds_all = held_units(r.m_share.m_book) >= r.m_share.m_burst;
-    if (holds_all || r.m_waiting.size() >= most_waiting)
+    if (!may_wait(r))
         return rate_verdict::refused;
     w->m_waits_for_rate = true;
     r.m_waiting.push_back(w);
-    ask_peers(t, r, now);
     return rate_verdict::waits;
 }
 
-void lend_to_peer(session_task_state& t, const loan_asked& asked)
-{
-    const auto found = t.m_rates.find(asked.m_resource);
-    rate_loan given;
-    if (found != t.m_rates.end())
-        given = lend_rate(found->second.m_share, asked.m_ask, boot_now());
-    t.m_boxes.m_site.post(loan_given{asked.m_exchange, std::move(given)});
-}
-
-void take_loan(session_task_state& t, const loan_arrived& arrived)
+void take_weights(session_task_state& t, const weights_heard& m)
 {
-    const auto found = t.m_rates.find(arrived.m_resource);
-    if (found == t.m_rates.end())
-        return;
     const time_point now = boot_now();
-    workspace_rate& r = found->second;
-    if (take_rate_loan(r.m_share, arrived.m_lender, arrived.m_loan,
-                       arrived.m_asked_at, now) > 0)
-        r.m_round.m_pause = {};
-    admit_waiting(t, r, now);
+    take_news(t.m_demand, m.m_peer, m.m_news, now);
+    fit_parts(t, now);
 }
 
 void tick_rates(session_task_state& t, time_point now)
 {
     for (auto& [name, r] : t.m_rates)
-    {
-        settle(r.m_share, now);
         admit_waiting(t, r, now);
-        ask_peers(t, r, now);
-    }
+    if (now < t.m_tell_at)
+        return;
+    tell(t, now);
+    fit_parts(t, now);
 }
 
 }
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -5,7 +5,6 @@
 #include <event2/listener.h>
 
 #include <model/overloaded.hpp>
-#include <peer/loan_number.hpp>
 #include <report/event.hpp>
 #include <session/session_task_state.hpp>
 #include <task/boot_clock.hpp>
@@ -103,15 +102,11 @@
             },
             [&](const fleet_changed& m)
             {
-                take_fleet(t, m.m_right);
+                take_fleet(t, m);
             },
-            [&](const loan_asked& m)
+            [&](const weights_heard& m)
             {
-                lend_to_peer(t, m);
-            },
-            [&](const loan_arrived& m)
-            {
-                take_loan(t, m);
+                take_weights(t, m);
             },
             [&](const reports_wanted& m)
             {
@@ -166,7 +161,7 @@
                       const session_charts& charts, site_mailboxes& boxes)
 {
     session_task_state t(settings, codec, charts, boxes);
-    t.m_first_loan = random_loan_number();
+    t.m_demand.m_started_at = boot_now();
     boxes.m_session.attach(t.m_loop,
                            [&](session_message& m)
                            {
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -86,9 +86,9 @@
     intrusive_list<session> m_sessions;
     intrusive_list<work> m_works; ///< All that have a deadline.
     std::map<std::string, workspace_rate, std::less<>> m_rates;
-    shared_right_ptr m_right;
+    demand_table m_demand;
+    time_point m_tell_at{};          ///< Of the next look at the weights.
     bool m_knows_workspaces = false; ///< A configuration came before.
-    std::uint64_t m_first_loan = 1;
     std::uint64_t m_last_number = 0;
     bool m_reporting = false;
     time_point m_report_at{};
@@ -164,7 +164,7 @@
 
 // session_rates.cpp
 void update_rates(session_task_state& t);
-void take_fleet(session_task_state& t, const share_right& right);
+void take_fleet(session_task_state& t, const fleet_changed& m);
 enum class rate_verdict : std::uint8_t
 {
     admitted,
@@ -175,8 +175,7 @@
 /// refused, later.
 rate_verdict admit_operation(session_task_state& t, std::string_view workspace,
                              const work_ptr& w);
-void lend_to_peer(session_task_state& t, const loan_asked& asked);
-void take_loan(session_task_state& t, const loan_arrived& arrived);
+void take_weights(session_task_state& t, const weights_heard& m);
 void tick_rates(session_task_state& t, time_point now);
 
 // session_counts.cpp
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -15,10 +15,9 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <decide/ask_round.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/group_view.hpp>
-#include <decide/rate_share.hpp>
+#include <decide/rate_bucket.hpp>
 #include <model/site.hpp>
 #include <session/line_stream.hpp>
 #include <session/session_charts.hpp>
@@ -173,6 +172,7 @@
     time_point m_answered_at{};
     time_point m_avoid_until{};
     duration m_avoid_pause{};
+    time_point m_lags_until{}; ///< Its log is too old for reads.
     time_point m_status_asked_at{};
     bool m_status_wanted = false;
 };
@@ -191,8 +191,11 @@
 /// A workspace's rate here, and what waits for it.
 struct workspace_rate
 {
-    rate_share m_share;
-    ask_round m_round;
+    rate_bucket m_bucket;
+    double m_rate = 0;   ///< Of the whole fleet, operations a second.
+    double m_burst = 0;  ///< Of the whole fleet, operations.
+    double m_recent = 0; ///< Arrivals, each fading with demand_memory.
+    time_point m_recent_at{};
     std::deque<work_ptr> m_waiting;
 };
 
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -1,7 +1,6 @@
 #include <session/site_task_state.hpp>
 
 #include <algorithm>
-#include <functional>
 
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
@@ -108,35 +107,13 @@
     publish_endpoints(t);
 }
 
-// Numbers differ by member, so that each asks the others in another order.
-fleet_member to_fleet_member(const member_record& m)
-{
-    return {m.m_name, std::hash<std::string>()(m.m_name),
-            to_string(m.m_address)};
-}
-
 void publish_fleet(site_task_state& t)
 {
     update_peers(t);
-    share_right right;
-    right.m_epoch.m_number = t.m_members_revision;
-    right.m_settled = true;
-    for (const auto& [name, m] : t.m_members)
-    {
-        right.m_epoch.m_members.push_back(to_fleet_member(m));
-        if (name != t.m_settings.m_name)
-            right.m_peers.push_back(name);
-    }
-    const auto self = t.m_members.find(t.m_settings.m_name);
-    if (self == t.m_members.end())
-        return;
-    right.m_self = to_fleet_member(self->second);
-    // Peers may still use what the process before this one has lent them.
-    right.m_from = t.m_settings.m_first_start
-                       ? time_point{}
-                       : t.m_started_at + loan_term + loan_margin;
-    right.m_until = time_point::max();
-    t.m_boxes.m_session.post(fleet_changed{std::move(right)});
+    fleet_changed m;
+    for (const auto& [name, member] : t.m_members)
+        m.m_members.insert(name);
+    t.m_boxes.m_session.post(std::move(m));
 }
 
 void take_members(site_task_state& t, std::span<const stored_change> changes,
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -1,6 +1,7 @@
 #include <session/site_task_state.hpp>
 
-#include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
@@ -12,11 +13,44 @@
 namespace
 {
 
-peer_site_digest digest_of(const site_task_state& t)
+// What the peer is told; a peer that isn't known yet has nothing to be seen.
+peer_site_digest digest_for(const site_task_state& t,
+                            const std::optional<peer_site_digest>& heard)
 {
-    return {t.m_settings.m_name, to_string(t.m_settings.m_peer_listen),
-            t.m_settings.m_zone, store_answers(t),
-            store_revision(t),   t.m_config ? t.m_config->m_version : 0};
+    peer_site_digest d;
+    d.m_name = t.m_settings.m_name;
+    d.m_address = to_string(t.m_settings.m_peer_listen);
+    d.m_zone = t.m_settings.m_zone;
+    d.m_store_answers = store_answers(t);
+    d.m_store_revision = store_revision(t);
+    d.m_config_version = t.m_config ? t.m_config->m_version : 0;
+    d.m_incarnation = t.m_incarnation;
+    d.m_weights_number = t.m_weights.m_number;
+    constexpr double tenths = 10;
+    for (const auto& [workspace, weight] : t.m_weights.m_weights)
+        if (weight > 0)
+            d.m_weights.push_back({workspace, static_cast<std::uint32_t>(
+                                                  std::ceil(weight * tenths))});
+    if (heard)
+    {
+        d.m_seen_incarnation = heard->m_incarnation;
+        d.m_seen_number = heard->m_weights_number;
+    }
+    return d;
+}
+
+demand_news news_of(const site_task_state& t, const peer_site_digest& d)
+{
+    demand_news news;
+    news.m_incarnation = d.m_incarnation;
+    news.m_number = d.m_weights_number;
+    constexpr double tenths = 10;
+    for (const peer_weight& w : d.m_weights)
+        news.m_weights[w.m_workspace] = w.m_tenths / tenths;
+    // It may have seen the weights of the process before this one.
+    if (d.m_seen_incarnation == t.m_incarnation)
+        news.m_acked = d.m_seen_number;
+    return news;
 }
 
 // What a peer has heard and this process hasn't, because the store doesn't
@@ -58,6 +92,7 @@
 {
     p.m_name = d.m_name;
     p.m_last = d;
+    t.m_boxes.m_session.post(weights_heard{d.m_name, news_of(t, d)});
     if (knows_more(t, d))
         fetch_from(t, p);
 }
@@ -69,21 +104,17 @@
         overloaded{
             [&](const peer_site_digest& m)
             {
-                answer_peer(*t.m_peer_server, exchange, digest_of(t));
+                // Its weights are taken in before they are said to be.
                 const auto found = t.m_peers.find(m.m_address);
                 if (found != t.m_peers.end())
                     learn(t, found->second, m);
+                answer_peer(*t.m_peer_server, exchange, digest_for(t, m));
             },
             [&](const peer_settings_wanted& m)
             {
                 answer_peer(*t.m_peer_server, exchange,
                             describe_for_peer(t, m.m_after));
             },
-            [&](const peer_loan_ask& m)
-            {
-                t.m_boxes.m_session.post(loan_asked{
-                    exchange, m.m_kind, m.m_resource, from_message(m)});
-            },
             [&](const auto&)
             {
                 answer_peer(*t.m_peer_server, exchange,
@@ -93,6 +124,24 @@
         message);
 }
 
+void send_digest(site_task_state& t, site_peer& p, const std::string& at)
+{
+    p.m_asking = true;
+    p.m_asked_at = boot_now();
+    p.m_told = t.m_weights.m_number;
+    call_peer(*p.m_client, digest_for(t, p.m_last),
+              [&t, &p, &at](std::optional<peer_message>& answer)
+              {
+                  p.m_asking = false;
+                  const auto* m = answer
+                                      ? std::get_if<peer_site_digest>(&*answer)
+                                      : nullptr;
+                  note_reached(p, at, m != nullptr);
+                  if (m != nullptr)
+                      learn(t, p, *m);
+              });
+}
+
 void add_peer(site_task_state& t, const address& at, std::string_view name)
 {
     if (at == t.m_settings.m_peer_listen)
@@ -132,50 +181,26 @@
 void send_digests(site_task_state& t)
 {
     const time_point now = boot_now();
-    if (now < t.m_digest_at)
-        return;
-    t.m_digest_at = now + digest_period;
     for (auto& [at, p] : t.m_peers)
     {
+        const bool news = p.m_told < t.m_weights.m_number;
         // One side of each pair asks; the answer tells the other's news.
-        if (!p.m_name.empty() && p.m_name < t.m_settings.m_name &&
-            store_answers(t))
-            continue;
-        call_peer(*p.m_client, digest_of(t),
-                  [&t, &p = p, &at = at](std::optional<peer_message>& answer)
-                  {
-                      const auto* m =
-                          answer ? std::get_if<peer_site_digest>(&*answer)
-                                 : nullptr;
-                      note_reached(p, at, m != nullptr);
-                      if (m != nullptr)
-                          learn(t, p, *m);
-                  });
+        const bool other_asks = !p.m_name.empty() &&
+                                p.m_name < t.m_settings.m_name &&
+                                store_answers(t) && p.m_last && !news;
+        const duration period = news && t.m_weights_urgent
+                                    ? duration(urgent_digest_period)
+                                    : duration(digest_period);
+        if (!p.m_asking && !other_asks && now - p.m_asked_at >= period)
+            send_digest(t, p, at);
     }
 }
 
-void ask_for_loan(site_task_state& t, const loan_wanted& wanted)
+void tell_weights(site_task_state& t, const weights_told& m)
 {
-    const auto peer =
-        std::ranges::find_if(t.m_peers,
-                             [&](const auto& entry)
-                             {
-                                 return entry.second.m_name == wanted.m_lender;
-                             });
-    if (peer == t.m_peers.end())
-        return;
-    const time_point asked_at = boot_now();
-    call_peer(*peer->second.m_client, to_message(t.m_settings.m_name, wanted),
-              [&t, asked_at, kind = wanted.m_kind, resource = wanted.m_resource,
-               lender = wanted.m_lender](std::optional<peer_message>& answer)
-              {
-                  const auto* given =
-                      answer ? std::get_if<peer_loan>(&*answer) : nullptr;
-                  if (given != nullptr)
-                      t.m_boxes.m_session.post(
-                          loan_arrived{kind, resource, lender,
-                                       from_message(*given), asked_at});
-              });
+    t.m_weights = m.m_telling;
+    t.m_weights_urgent = m.m_urgent;
+    send_digests(t);
 }
 
 }
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -1,6 +1,7 @@
 #include <session/site_task.hpp>
 
 #include <model/overloaded.hpp>
+#include <peer/loan_number.hpp>
 #include <session/site_task_state.hpp>
 #include <task/boot_clock.hpp>
 
@@ -35,14 +36,9 @@
 {
     std::visit(
         overloaded{
-            [&](const loan_wanted& m)
+            [&](const weights_told& m)
             {
-                ask_for_loan(t, m);
-            },
-            [&](const loan_given& m)
-            {
-                answer_peer(*t.m_peer_server, m.m_exchange,
-                            to_message(m.m_loan));
+                tell_weights(t, m);
             },
             [&](const stop_begun&) {},
             [&](const counts_wanted&)
@@ -70,7 +66,7 @@
                                                           {
                                                               tick(*this);
                                                           }),
-      m_started_at(boot_now())
+      m_incarnation(random_loan_number())
 {
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -30,6 +30,8 @@
 /// From one digest to the next; a peer that the store turns away takes what it
 /// missed within two.
 inline constexpr std::chrono::milliseconds digest_period{1000};
+/// The same while work waits for a larger part of a rate.
+inline constexpr std::chrono::milliseconds urgent_digest_period{200};
 /// From one look at what is due to the next.
 inline constexpr std::chrono::milliseconds site_tick{100};
 
@@ -51,6 +53,9 @@
     std::unique_ptr<http2_client> m_client;
     std::optional<peer_site_digest> m_last;
     bool m_reached = false;
+    bool m_asking = false;
+    time_point m_asked_at{};
+    std::uint64_t m_told = 0; ///< Newest weights that it has been sent.
 };
 
 /// Everything that the site task owns.
@@ -83,9 +88,10 @@
     std::uint64_t m_store_failures = 0;
 
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
-    time_point m_started_at{};
-    time_point m_digest_at{};
     bool m_asking_peer = false;
+    std::uint64_t m_incarnation = 0;
+    bool m_weights_urgent = false;
+    demand_telling m_weights; ///< What the session task wants told.
 };
 
 // site_feeds.cpp
@@ -108,7 +114,8 @@
 void start_peers(site_task_state& t);
 void update_peers(site_task_state& t);
 void send_digests(site_task_state& t);
-void ask_for_loan(site_task_state& t, const loan_wanted& wanted);
+/// Takes what the peers are to know of this process's needs.
+void tell_weights(site_task_state& t, const weights_told& m);
 
 }
 
