--- a/Source/decide/demand_share.cpp
+++ b/Source/decide/demand_share.cpp
@@ -37,20 +37,20 @@
     return 2 * heard <= t.m_members.size();
 }
 
+// A member that was never heard has either not started, and then it raises
+// nothing before it hears of this; or it runs behind a partition and still
+// counts what the process before this one had. Neither is waited for, but
+// without a majority is_alone keeps this process to its even part.
 bool everybody_took(const demand_table& t, std::uint64_t number, time_point now)
 {
-    std::size_t peers = 0;
-    for (const auto& [name, p] : t.m_peers)
-    {
-        if (!t.m_members.contains(name))
-            continue;
-        ++peers;
-        if (p.m_acked < number && !is_silent(t, p, now, silent_after))
-            return false;
-    }
-    // Members that were never heard count until they are silent.
-    return peers + 1 >= t.m_members.size() ||
-           now - t.m_started_at >= silent_after;
+    return std::ranges::all_of(t.m_peers,
+                               [&](const auto& entry)
+                               {
+                                   const demand_peer& p = entry.second;
+                                   return !t.m_members.contains(entry.first) ||
+                                          p.m_acked >= number ||
+                                          is_silent(t, p, now, silent_after);
+                               });
 }
 
 double own_weight(const demand_table& t, std::string_view workspace)
