session: Send no read whose floor was lost on its way

And after each SIGTERM of a rolling restart the others kept their parts of rates for 3.5 s, until the ended process counted as silent.

Change: what a read must see is checked again when its connection is ready. A process tells its peers when it ends; a host that refuses connections runs none.

--- a/Source/decide/demand_share.cpp
+++ b/Source/decide/demand_share.cpp
@@ -104,6 +104,13 @@
     p.m_weights = news.m_weights;
 }
 
+void forget_peer(demand_table& t, std::string_view peer)
+{
+    const auto found = t.m_peers.find(peer);
+    if (found != t.m_peers.end())
+        t.m_peers.erase(found);
+}
+
 void settle_tellings(demand_table& t, time_point now)
 {
     while (t.m_tellings.size() > 1 &&
--- a/Source/decide/demand_share.hpp
+++ b/Source/decide/demand_share.hpp
@@ -74,6 +74,9 @@
 bool tell_weights(demand_table& t, const demand_weights& weights);
 void take_news(demand_table& t, std::string_view peer, const demand_news& news,
                time_point now);
+/// The peer's process has ended: it uses nothing, and another one will begin
+/// with nothing.
+void forget_peer(demand_table& t, std::string_view peer);
 /// Forgets tellings that no longer bind.
 void settle_tellings(demand_table& t, time_point now);
 
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -68,7 +68,8 @@
         return json::array({m.m_name, m.m_address, m.m_zone, m.m_store_answers,
                             m.m_store_revision, m.m_config_version,
                             m.m_incarnation, m.m_weights_number,
-                            m.m_seen_incarnation, m.m_seen_number, weights});
+                            m.m_seen_incarnation, m.m_seen_number, weights,
+                            m.m_ending});
     }
     static peer_site_digest read(const json& j)
     {
@@ -82,7 +83,8 @@
                            j.at(7).get<std::uint64_t>(),
                            j.at(8).get<std::uint64_t>(),
                            j.at(9).get<std::uint64_t>(),
-                           {}};
+                           {},
+                           j.at(11).get<bool>()};
         for (const json& w : j.at(10))
             m.m_weights.push_back(
                 {w.at(0).get<std::string>(), w.at(1).get<std::uint32_t>()});
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -53,6 +53,7 @@
     std::uint64_t m_seen_incarnation = 0; ///< Of the receiver, as last heard.
     std::uint64_t m_seen_number = 0;      ///< The receiver's weights taken in.
     std::vector<peer_weight> m_weights;   ///< Demand by workspace.
+    bool m_ending = false; ///< The sender's process ends with this.
 };
 
 /// The receiver doesn't know what was asked, or can't do it now.
--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -21,6 +21,8 @@
 
 // What is left of the grace for the last bytes to leave.
 constexpr std::chrono::milliseconds last_words{400};
+// Time for a message to all peers, one way between regions and some.
+constexpr std::chrono::milliseconds goodbye_time{100};
 // The duty's release is one call to the store.
 constexpr std::chrono::milliseconds life_tick{50};
 // Tasks that have counts to give.
@@ -50,6 +52,7 @@
     event_ptr m_reload;
     bool m_configured = false;
     time_point m_stopping_since{};
+    time_point m_ending_since{};
     std::set<std::string> m_done;
     evhttp_request* m_metrics_request = nullptr; ///< Waits for counts.
     metric_families m_families;
@@ -87,7 +90,15 @@
     const duration passed = boot_now() - s.m_stopping_since;
     const bool all_done =
         s.m_done.contains("session") && s.m_done.contains("failover");
-    if (all_done || passed >= s.m_settings.m_stop_grace - last_words)
+    const bool over = passed >= s.m_settings.m_stop_grace - last_words;
+    if (s.m_ending_since == time_point{} && (all_done || over))
+    {
+        s.m_ending_since = boot_now();
+        s.m_boxes.m_site.post(process_ending());
+    }
+    // The goodbye needs a moment to leave.
+    if (s.m_ending_since != time_point{} &&
+        boot_now() - s.m_ending_since >= goodbye_time)
         stop(s.m_loop);
 }
 
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -44,20 +44,12 @@
 
 bool may_run(const work& w, const endpoint_port& p, time_point now)
 {
-    const group_view& view = p.m_group->m_view;
-    const site_route& route = *w.m_session->m_route;
-    const bool leads = view.m_primary == p.m_endpoint.m_id;
+    const bool leads = p.m_group->m_view.m_primary == p.m_endpoint.m_id;
     if (!takes_new_work(p, w.m_needs_primary && leads, now) ||
         !is_allowed_region(*w.m_session, p) ||
         w.m_tried.contains(p.m_endpoint.m_id))
         return false;
-    if (w.m_writes && !w.m_session->m_transaction)
-        return leads;
-    // A plain transaction may read before it writes.
-    if (leads)
-        return may_read_primary(view, w.m_arrived_at, route.m_staleness);
-    return !w.m_needs_primary && now >= p.m_lags_until &&
-           staleness_floor(view, w.m_arrived_at, route.m_staleness);
+    return (leads || now >= p.m_lags_until) && holds_enough(w, p);
 }
 
 struct candidate
@@ -167,6 +159,20 @@
 
 }
 
+bool holds_enough(const work& w, const endpoint_port& p)
+{
+    const group_view& view = p.m_group->m_view;
+    const site_route& route = *w.m_session->m_route;
+    const bool leads = view.m_primary == p.m_endpoint.m_id;
+    if (w.m_writes && !w.m_session->m_transaction)
+        return leads;
+    // A plain transaction may read before it writes.
+    if (leads)
+        return may_read_primary(view, w.m_arrived_at, route.m_staleness);
+    return !w.m_needs_primary &&
+           staleness_floor(view, w.m_arrived_at, route.m_staleness);
+}
+
 void dispatch(session_task_state& t, const work_ptr& w)
 {
     session& s = *w->m_session;
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -508,6 +508,13 @@
     work& w = *k.m_work;
     std::string out;
     const bool was_pinned = k.m_begun;
+    // What is known of the group may have changed while the link was dialed.
+    if (!was_pinned && !holds_enough(w, *k.m_port))
+    {
+        const work_ptr held = k.m_work;
+        retry_work(t, held, session_fault::busy, "endpoint unproved");
+        return release_link(t, k);
+    }
     match_values(t, k, *w.m_session, out);
     match_prepared(t, k, w, out);
     move_to(t, k, link_event::sent);
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -65,6 +65,12 @@
     primary_evidence m_evidence;
 };
 
+/// site → session: a peer's process has ended.
+struct peer_ended
+{
+    std::string m_peer;
+};
+
 /// failover → session: an endpoint was seen to lead this term.
 struct primary_promoted
 {
@@ -85,6 +91,11 @@
     std::string m_task;
 };
 
+/// life → site: the other tasks are done; tell the peers.
+struct process_ending
+{
+};
+
 /// life → every task: end now.
 struct task_stop
 {
@@ -104,10 +115,10 @@
 
 using session_message =
     std::variant<config_changed, endpoints_changed, fleet_changed,
-                 weights_heard, reports_wanted, primary_promoted, stop_begun,
-                 counts_wanted, task_stop>;
-using site_message =
-    std::variant<weights_told, stop_begun, counts_wanted, task_stop>;
+                 weights_heard, peer_ended, reports_wanted, primary_promoted,
+                 stop_begun, counts_wanted, task_stop>;
+using site_message = std::variant<weights_told, stop_begun, process_ending,
+                                  counts_wanted, task_stop>;
 using failover_message =
     std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
                  counts_wanted, task_stop>;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -108,6 +108,10 @@
             {
                 take_weights(t, m);
             },
+            [&](const peer_ended& m)
+            {
+                forget_peer(t.m_demand, m.m_peer);
+            },
             [&](const reports_wanted& m)
             {
                 t.m_reporting = m.m_wanted;
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -118,6 +118,9 @@
 // session_dispatch.cpp
 /// Finds a connection for the work, or queues it, or refuses it.
 void dispatch(session_task_state& t, const work_ptr& w);
+/// True when the endpoint's log, or the floor that goes with the work, has
+/// all that the work must see.
+bool holds_enough(const work& w, const endpoint_port& p);
 /// Serves what waits for the group's endpoints.
 void serve_waiting(session_task_state& t, service_group& g);
 /// Refuses work that wasn't sent, or answers for work that was.
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -135,7 +135,7 @@
     time_point m_asked_at{};
     bool m_failed = false;
     session_fault m_fault = session_fault::other;
-    std::string m_row; ///< Of a status.
+    std::string m_row{}; ///< Of a status.
 };
 
 /// A connection to an endpoint, for one workspace.
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -26,6 +26,7 @@
     d.m_config_version = t.m_config ? t.m_config->m_version : 0;
     d.m_incarnation = t.m_incarnation;
     d.m_weights_number = t.m_weights.m_number;
+    d.m_ending = t.m_ending;
     constexpr double tenths = 10;
     for (const auto& [workspace, weight] : t.m_weights.m_weights)
         if (weight > 0)
@@ -92,6 +93,11 @@
 {
     p.m_name = d.m_name;
     p.m_last = d;
+    if (d.m_ending)
+    {
+        t.m_boxes.m_session.post(peer_ended{d.m_name});
+        return;
+    }
     t.m_boxes.m_session.post(weights_heard{d.m_name, news_of(t, d)});
     if (knows_more(t, d))
         fetch_from(t, p);
@@ -124,6 +130,18 @@
         message);
 }
 
+// A host that refuses connections at once runs no process there; silence says
+// nothing.
+void note_refusals(site_task_state& t, site_peer& p, bool answered)
+{
+    constexpr std::chrono::milliseconds refusal_time{250};
+    constexpr std::uint32_t enough = 2;
+    const bool refused = !answered && boot_now() - p.m_asked_at < refusal_time;
+    p.m_refusals = refused ? p.m_refusals + 1 : 0;
+    if (p.m_refusals == enough && !p.m_name.empty())
+        t.m_boxes.m_session.post(peer_ended{p.m_name});
+}
+
 void send_digest(site_task_state& t, site_peer& p, const std::string& at)
 {
     p.m_asking = true;
@@ -139,6 +157,7 @@
                   note_reached(p, at, m != nullptr);
                   if (m != nullptr)
                       learn(t, p, *m);
+                  note_refusals(t, p, m != nullptr);
               });
 }
 
@@ -196,6 +215,13 @@
     }
 }
 
+void say_goodbye(site_task_state& t)
+{
+    t.m_ending = true;
+    for (auto& [at, p] : t.m_peers)
+        send_digest(t, p, at);
+}
+
 void tell_weights(site_task_state& t, const weights_told& m)
 {
     t.m_weights = m.m_telling;
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -41,6 +41,10 @@
                 tell_weights(t, m);
             },
             [&](const stop_begun&) {},
+            [&](const process_ending&)
+            {
+                say_goodbye(t);
+            },
             [&](const counts_wanted&)
             {
                 t.m_boxes.m_life.post(counts_given{"site", collect_site(t)});
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -53,6 +53,7 @@
     std::unique_ptr<http2_client> m_client;
     std::optional<peer_site_digest> m_last;
     bool m_reached = false;
+    std::uint32_t m_refusals = 0; ///< Of its host, one after the other.
     bool m_asking = false;
     time_point m_asked_at{};
     std::uint64_t m_told = 0; ///< Newest weights that it has been sent.
@@ -90,6 +91,7 @@
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
     bool m_asking_peer = false;
     std::uint64_t m_incarnation = 0;
+    bool m_ending = false;
     bool m_weights_urgent = false;
     demand_telling m_weights; ///< What the session task wants told.
 };
@@ -114,6 +116,8 @@
 void start_peers(site_task_state& t);
 void update_peers(site_task_state& t);
 void send_digests(site_task_state& t);
+/// Says that this process ends.
+void say_goodbye(site_task_state& t);
 /// Takes what the peers are to know of this process's needs.
 void tell_weights(site_task_state& t, const weights_told& m);
 
