rates: Let new processes begin with their even part and a credit

Buckets began empty, and until everybody had told its demand each process had 0.25 / 7 of a rate.

Change: a process that has told nothing weighs the same as any other such, so all that start together divide evenly; each begins with its part of three quarters of what a limit may be passed by. An operation waits for its token as long as for an endpoint.

--- a/Source/decide/demand_share.cpp
+++ b/Source/decide/demand_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bluebellspoke
 {
@@ -55,17 +56,28 @@
 
 double own_weight(const demand_table& t, std::string_view workspace)
 {
-    double least = 0;
-    bool first = true;
+    if (t.m_tellings.empty())
+        return untold_weight;
+    double least = std::numeric_limits<double>::max();
     for (const demand_telling& told : t.m_tellings)
-    {
-        const double weight = weight_of(told.m_weights, workspace);
-        least = first ? weight : std::min(least, weight);
-        first = false;
-    }
+        least = std::min(least, told.m_number == 0
+                                    ? untold_weight
+                                    : weight_of(told.m_weights, workspace));
     return least;
 }
 
+// A peer that has told nothing uses no more than untold_weight.
+double peer_weight(const demand_table& t, const std::string& member,
+                   std::string_view workspace, time_point now)
+{
+    const auto p = t.m_peers.find(member);
+    if (p == t.m_peers.end() || p->second.m_number == 0)
+        return untold_weight;
+    if (is_silent(t, p->second, now, silent_after))
+        return 0;
+    return weight_of(p->second.m_weights, workspace);
+}
+
 }
 
 bool tell_weights(demand_table& t, const demand_weights& weights)
@@ -127,10 +139,9 @@
     const double own = own_weight(t, workspace);
     if (own <= 0 || is_alone(t, now))
         return even;
-    double all = own;
-    for (const auto& [name, p] : t.m_peers)
-        if (t.m_members.contains(name) && !is_silent(t, p, now, silent_after))
-            all += weight_of(p.m_weights, workspace);
+    double all = 0;
+    for (const std::string& name : t.m_members)
+        all += name == t.m_self ? own : peer_weight(t, name, workspace, now);
     return even + (1 - even_part) * own / all;
 }
 
--- a/Source/decide/demand_share.hpp
+++ b/Source/decide/demand_share.hpp
@@ -26,6 +26,11 @@
 inline constexpr double told_part = 0.25;
 inline constexpr double told_least = 1.0;
 
+/// The weight of a process that has told none, in operations a second: so all
+/// that start together divide evenly. It is small beside the demand of a
+/// workspace that comes near its limit.
+inline constexpr double untold_weight = 0.5;
+
 /// Weights by workspace; what isn't there is 0.
 using demand_weights = std::map<std::string, double, std::less<>>;
 
@@ -42,7 +47,7 @@
 /// Weights that this process has told its peers.
 struct demand_telling
 {
-    std::uint64_t m_number = 0;
+    std::uint64_t m_number = 0; ///< 0: untold_weight for everything.
     demand_weights m_weights;
 };
 
@@ -54,7 +59,8 @@
 /// order in which messages arrive.
 struct demand_table
 {
-    std::set<std::string, std::less<>> m_members; ///< This process included.
+    std::string m_self;
+    std::set<std::string, std::less<>> m_members; ///< m_self included.
     std::map<std::string, demand_peer, std::less<>> m_peers; ///< By name.
     std::deque<demand_telling> m_tellings; ///< Oldest: taken in by everybody.
     time_point m_started_at{};
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -119,6 +119,9 @@
     bool m_first_start = false;   ///< Of the whole deployment.
     std::vector<address> m_seeds; ///< Peers to ask when the store is away.
     duration m_stop_grace{};
+    duration m_rate_window{};    ///< Over which rates are judged.
+    double m_rate_overage = 0;   ///< The part by which they may be passed.
+    double m_rate_tolerance = 0; ///< Operations beyond that.
 };
 
 }
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -17,9 +17,9 @@
 constexpr std::chrono::milliseconds demand_memory{1500};
 // From one look at the weights to the next.
 constexpr std::chrono::milliseconds tell_period{250};
-// How long an operation may wait for its token; two exchanges between regions
-// fit in, which raise this process's part.
-constexpr std::chrono::milliseconds token_wait{200};
+// The part of what a limit may be passed by that new processes begin with. The
+// rest is for parts that change hands, and for late arrivals.
+constexpr double credit_part = 0.75;
 
 double seconds(duration d)
 {
@@ -57,9 +57,28 @@
         fit_part(t, name, r, now);
 }
 
-bool waits_too_long(const work& w, time_point now)
+bool admit_one(workspace_rate& r, time_point now)
 {
-    return now - w.m_asked_at >= token_wait;
+    if (take_token(r.m_bucket, now))
+        return true;
+    if (r.m_credit < 1)
+        return false;
+    r.m_credit -= 1;
+    return true;
+}
+
+// What one new process may use before it has earned anything: its even part of
+// what the limit may be passed by, since the processes before may have used
+// the limit itself.
+double start_credit(const session_task_state& t, const workspace_rate& r)
+{
+    const double members =
+        std::max<double>(1, static_cast<double>(t.m_demand.m_members.size()));
+    const site_settings& s = t.m_settings;
+    const double slack =
+        (r.m_rate * seconds(s.m_rate_window) + r.m_burst) * s.m_rate_overage +
+        s.m_rate_tolerance;
+    return credit_part * slack / members;
 }
 
 void admit_waiting(session_task_state& t, workspace_rate& r, time_point now)
@@ -72,8 +91,8 @@
             r.m_waiting.pop_front();
             continue;
         }
-        const bool admitted = take_token(r.m_bucket, now);
-        if (!admitted && !waits_too_long(*w, now))
+        const bool admitted = admit_one(r, now);
+        if (!admitted && now < w->m_wait_until)
             return;
         r.m_waiting.pop_front();
         w->m_waits_for_rate = false;
@@ -85,11 +104,11 @@
 }
 
 // Whether a token will be there in time for one more that waits.
-bool may_wait(const workspace_rate& r)
+bool may_wait(const workspace_rate& r, const work& w, time_point now)
 {
     const double ahead = static_cast<double>(r.m_waiting.size()) + 1;
-    return ahead <=
-           r.m_bucket.m_tokens + r.m_bucket.m_rate * seconds(token_wait);
+    return ahead <= r.m_bucket.m_tokens +
+                        r.m_bucket.m_rate * seconds(w.m_wait_until - now);
 }
 
 void tell(session_task_state& t, time_point now)
@@ -136,12 +155,18 @@
         fit_part(t, name, r, now);
         if (added && new_to_all)
             r.m_bucket.m_tokens = r.m_bucket.m_burst;
+        else if (added && !t.m_demand.m_members.empty())
+            r.m_credit = start_credit(t, r);
     }
 }
 
 void take_fleet(session_task_state& t, const fleet_changed& m)
 {
+    const bool first = t.m_demand.m_members.empty();
     t.m_demand.m_members = m.m_members;
+    if (first && !t.m_settings.m_first_start)
+        for (auto& [name, r] : t.m_rates)
+            r.m_credit = start_credit(t, r);
     fit_parts(t, boot_now());
     update_groups(t);
 }
@@ -156,9 +181,9 @@
     workspace_rate& r = found->second;
     fade(r, now);
     r.m_recent += 1;
-    if (r.m_waiting.empty() && take_token(r.m_bucket, now))
+    if (r.m_waiting.empty() && admit_one(r, now))
         return rate_verdict::admitted;
-    if (!may_wait(r))
+    if (!may_wait(r, *w, now))
         return rate_verdict::refused;
     w->m_waits_for_rate = true;
     r.m_waiting.push_back(w);
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -165,6 +165,7 @@
                       const session_charts& charts, site_mailboxes& boxes)
 {
     session_task_state t(settings, codec, charts, boxes);
+    t.m_demand.m_self = settings.m_name;
     t.m_demand.m_started_at = boot_now();
     boxes.m_session.attach(t.m_loop,
                            [&](session_message& m)
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -194,6 +194,7 @@
     rate_bucket m_bucket;
     double m_rate = 0;   ///< Of the whole fleet, operations a second.
     double m_burst = 0;  ///< Of the whole fleet, operations.
+    double m_credit = 0; ///< Operations that a new process may begin with.
     double m_recent = 0; ///< Arrivals, each fading with demand_memory.
     time_point m_recent_at{};
     std::deque<work_ptr> m_waiting;
