failover: Know the new primary by its term, and leave room after a power loss

Each round of touches took its own holds for somebody else's and raised the term, so the new primary's term was below it and another holder began over. After the power loss of all VMs the endpoints still counted the old connections, 28 of 32, for 3 s and refused the new ones.

Change: a term is raised only past what members lead, follow or were held for by others; the new primary is known by any term after the old. Idle connections beyond two to an endpoint are closed after 0.5 s, and a full endpoint is left alone for a moment. Statements count as tried when they are sent.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -49,13 +49,16 @@
     return m.m_stepped_down || m.m_status.m_held >= term;
 }
 
-term_number next_term(std::span<const takeover_member> members) noexcept
+term_number next_term(std::span<const takeover_member> members,
+                      term_number wanted) noexcept
 {
-    term_number newest = 0;
     for (const takeover_member& m : members)
-        newest = std::max({newest, m.m_status.m_term, m.m_status.m_held,
-                           m.m_status.m_position.m_term});
-    return newest + 1;
+    {
+        const term_number seen =
+            std::max(m.m_status.m_term, m.m_status.m_position.m_term);
+        wanted = std::max({wanted, seen + 1, m.m_status.m_held});
+    }
+    return wanted;
 }
 
 std::optional<std::string>
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -61,8 +61,11 @@
 /// True when the member takes part in no commit of a term before `term`.
 bool is_touched(const takeover_member& m, term_number term) noexcept;
 
-/// A term above every one that the members have seen.
-term_number next_term(std::span<const takeover_member> members) noexcept;
+/// The least term, `wanted` or above, for which members can be touched: above
+/// every term that one of them leads or follows, and none for which one of them
+/// was touched by somebody else.
+term_number next_term(std::span<const takeover_member> members,
+                      term_number wanted) noexcept;
 
 /// The member to promote once enough are touched for `term`: the furthest log,
 /// one that stays before one that leaves. Nothing when too few are touched.
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -121,13 +121,7 @@
            failover_group& g)
 {
     const std::vector<takeover_member> members = members_of(g);
-    const bool known = std::ranges::any_of(members,
-                                           [](const takeover_member& m)
-                                           {
-                                               return m.m_reachable;
-                                           });
-    if (known)
-        g.m_term = std::max(g.m_term, next_term(members));
+    g.m_term = next_term(members, g.m_term);
     for (touched_member& m : g.m_members)
     {
         const takeover_member& seen = m.m_member;
@@ -146,7 +140,8 @@
     g.m_reason = reason;
     g.m_began_at = boot_now();
     g.m_next_at = g.m_began_at;
-    g.m_term = g.m_report.m_term + 1;
+    g.m_old_term = g.m_report.m_term;
+    g.m_term = g.m_old_term + 1;
     g.m_old_primary = g.m_report.m_primary;
     g.m_members.clear();
     for (const auto& [id, e] : t.m_endpoints->m_endpoints)
@@ -177,7 +172,7 @@
         {
             return m.m_member.m_reachable &&
                    m.m_member.m_status.m_role == endpoint_role::primary &&
-                   m.m_member.m_status.m_term >= g.m_term;
+                   m.m_member.m_status.m_term > g.m_old_term;
         });
 }
 
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -63,8 +63,9 @@
     std::map<address, group_place> m_places;
     takeover_reason m_reason = takeover_reason::none;
     time_point m_began_at{};
-    time_point m_next_at{}; ///< When something is due in this state.
-    term_number m_term = 0;
+    time_point m_next_at{};     ///< When something is due in this state.
+    term_number m_term = 0;     ///< For which members are touched.
+    term_number m_old_term = 0; ///< That is to end.
     std::string m_old_primary;
     std::string m_successor;
     bool m_may_be_under_way = false; ///< An order of this or the last holder.
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -98,7 +98,6 @@
         obtain_link(t, p, w->m_session->m_workspace, w->m_session.get());
     if (!k)
         return fail_work(t, w, session_fault::busy, "no connection");
-    ++w->m_attempts;
     w->m_link = k;
     k->m_work = w;
     if (k->m_state == link_state::idle)
@@ -181,7 +180,6 @@
     {
         w->m_link = s.m_transaction->m_link;
         w->m_link->m_work = w;
-        ++w->m_attempts;
         return send_work(t, *w->m_link);
     }
     if (endpoint_port* p = choose_port(t, *w, now))
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -193,6 +193,7 @@
     expect(k, link_answer::statement);
     const time_point now = boot_now();
     w.m_sent_at = now;
+    ++w.m_attempts;
     // A read may run again elsewhere; what writes waits for its own end.
     const bool again = reads && !w.m_session->m_transaction;
     const duration limit = w.m_deadline - w.m_asked_at;
@@ -219,8 +220,7 @@
             return send_work(t, k);
         return release_link(t, k);
     }
-    if (e.m_fault != session_fault::too_many)
-        avoid_port(t, *k.m_port, to_string(e.m_fault));
+    avoid_port(t, *k.m_port, to_string(e.m_fault));
     close_link(t, k);
 }
 
@@ -604,8 +604,21 @@
     close_link(t, k);
 }
 
+void close_spare_links(session_task_state& t, endpoint_port& p, time_point now)
+{
+    while (p.m_link_count > kept_links)
+    {
+        link* const unused = oldest_idle(p);
+        if (unused == nullptr || now - unused->m_since < spare_link_time)
+            return;
+        close_link(t, *unused);
+    }
+}
+
 void check_links(session_task_state& t, time_point now)
 {
+    for (auto& [id, p] : t.m_ports)
+        close_spare_links(t, p, now);
     std::vector<link_ptr> overdue;
     for (auto& [id, p] : t.m_ports)
         for (link& k : p.m_links)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -36,6 +36,13 @@
 inline constexpr std::chrono::milliseconds longest_avoid_pause{1600};
 /// Connections to an endpoint that are left to the process that promotes.
 inline constexpr std::uint32_t reserved_connections = 2;
+/// Idle connections to an endpoint that are kept. After a loss of power of all
+/// VMs endpoints count the old connections for some seconds, and the new ones
+/// have to fit beside them: twice what all processes keep is within the limits
+/// of the deployments described.
+inline constexpr std::uint32_t kept_links = 2;
+/// How long a connection beyond these stays idle.
+inline constexpr std::chrono::milliseconds spare_link_time{500};
 /// Bytes that a caller may leave unread before its session is closed.
 inline constexpr std::size_t most_unsent = 4U << 20U;
 
--- /dev/null
+++ b/Tests/decide/duty_lease_test.cpp
@@ -0,0 +1,75 @@
+#include <catch2/catch.hpp>
+#include <decide/duty_lease.hpp>
+
+using namespace bluebellspoke;
+
+SCENARIO("Processes take turns at the duty of promoting")
+{
+    constexpr time_point start{std::chrono::hours(1)};
+    duty_record held;
+    held.m_holder = "vm-1";
+    held.m_incarnation = 7;
+    held.m_token = 3;
+    held.m_renewals = 40;
+    const duty_sighting seen = note_duty({}, 12, held, start);
+
+    GIVEN("a holder that renews")
+    {
+        const duty_sighting renewed =
+            note_duty(seen, 13, held, start + duty_lapse);
+
+        THEN("nobody takes it over")
+        {
+            REQUIRE_FALSE(
+                may_take_duty(renewed, "vm-2", 1, start + duty_lapse));
+        }
+    }
+    GIVEN("a holder that renews no more")
+    {
+        THEN("its right ends before another's can begin")
+        {
+            REQUIRE(may_order(start, start));
+            REQUIRE_FALSE(may_order(start, start + duty_time));
+            REQUIRE(duty_time + order_time < duty_lapse);
+            REQUIRE_FALSE(
+                may_take_duty(seen, "vm-2", 1, start + duty_time + order_time));
+            REQUIRE(may_take_duty(seen, "vm-2", 1, start + duty_lapse));
+        }
+        THEN("an older answer of the store doesn't count as a renewal")
+        {
+            const duty_sighting again =
+                note_duty(seen, 11, held, start + duty_lapse);
+            REQUIRE(again.m_first_seen_at == start);
+        }
+    }
+    GIVEN("a holder that was started anew")
+    {
+        THEN("it takes the duty at once, with another token")
+        {
+            REQUIRE(may_take_duty(seen, "vm-1", 8, start));
+            REQUIRE_FALSE(may_take_duty(seen, "vm-1", 7, start));
+            const duty_record next = take_duty(held, "vm-1", 8);
+            REQUIRE(next.m_token == 4);
+            REQUIRE(next.m_renewals == 41);
+        }
+    }
+    GIVEN("a duty that was released with an order under way")
+    {
+        duty_record released = held;
+        released.m_holder.clear();
+        released.m_ordered["ledger"] = {"i-1", 5};
+        const duty_sighting free = note_duty(seen, 14, released, start);
+
+        THEN("the next holder takes it, and the order with it")
+        {
+            REQUIRE(may_take_duty(free, "vm-2", 1, start));
+            const duty_record next = take_duty(released, "vm-2", 1);
+            REQUIRE(next.m_token == 4);
+            REQUIRE(next.m_ordered.at("ledger") == ordered_promotion{"i-1", 5});
+        }
+    }
+    GIVEN("a process that never renewed")
+    {
+        REQUIRE_FALSE(may_order({}, time_point{} + duty_renewal));
+    }
+}
--- /dev/null
+++ b/Tests/decide/takeover_test.cpp
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <decide/group_view.hpp>
+#include <decide/takeover.hpp>
+
+using namespace bluebellspoke;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+takeover_member replica(const std::string& id, std::uint64_t offset,
+                        term_number held)
+{
+    takeover_member m;
+    m.m_id = id;
+    m.m_reachable = true;
+    m.m_status = {endpoint_role::replica, 3, {3, offset}, held, 0, 0, 0};
+    return m;
+}
+
+takeover_member stepped_down(const std::string& id, std::uint64_t offset)
+{
+    takeover_member m = replica(id, offset, 0);
+    m.m_stepped_down = true;
+    return m;
+}
+
+}
+
+SCENARIO("A primary is judged")
+{
+    constexpr time_point now{std::chrono::hours(1)};
+    primary_evidence e;
+    e.m_known = true;
+    e.m_last_sign = now;
+
+    GIVEN("one that answers and commits")
+    {
+        REQUIRE(judge_primary(e, now) == takeover_reason::none);
+    }
+    GIVEN("one that was silent too long")
+    {
+        e.m_last_sign = now - primary_silence;
+        REQUIRE(judge_primary(e, now) == takeover_reason::silent);
+    }
+    GIVEN("one that answers and commits nothing")
+    {
+        e.m_stuck_since = now - commit_silence;
+        REQUIRE(judge_primary(e, now) == takeover_reason::starved);
+    }
+    GIVEN("one that drains")
+    {
+        e.m_leaving = true;
+        REQUIRE(judge_primary(e, now) == takeover_reason::leaving);
+    }
+    GIVEN("none for too long")
+    {
+        e.m_known = false;
+        REQUIRE(judge_primary(e, now) == takeover_reason::none);
+        e.m_last_sign = now - primary_silence;
+        REQUIRE(judge_primary(e, now) == takeover_reason::missing);
+    }
+}
+
+SCENARIO("A successor is chosen")
+{
+    constexpr term_number next = 4;
+
+    GIVEN("three members, the primary out of reach")
+    {
+        std::vector<takeover_member> members{
+            {}, replica("b", 10, next), replica("c", 12, next)};
+
+        THEN("the furthest of both replicas follows")
+        {
+            REQUIRE(choose_successor(members, next, 1) == "c");
+        }
+        WHEN("one replica isn't paused")
+        {
+            members[2] = replica("c", 12, 0);
+
+            THEN("a commit may be on it and the primary alone: nobody follows")
+            {
+                REQUIRE_FALSE(choose_successor(members, next, 1));
+            }
+        }
+        WHEN("its pause was for an older term")
+        {
+            members[2] = replica("c", 12, next - 1);
+            REQUIRE_FALSE(choose_successor(members, next, 1));
+        }
+    }
+    GIVEN("a primary that stepped down and one replica")
+    {
+        std::vector<takeover_member> members{
+            stepped_down("a", 12), replica("b", 11, next), {}};
+
+        THEN("the replica may lack what the third one has: the primary leads "
+             "again")
+        {
+            REQUIRE(choose_successor(members, next, 1) == "a");
+        }
+        WHEN("the replica has it all")
+        {
+            members[1] = replica("b", 12, next);
+            members[0].m_leaving = true;
+
+            THEN("the one that stays goes first")
+            {
+                REQUIRE(choose_successor(members, next, 1) == "b");
+            }
+        }
+    }
+    GIVEN("a planned handover with all three touched")
+    {
+        std::vector<takeover_member> members{stepped_down("a", 12),
+                                             replica("b", 10, next),
+                                             replica("c", 11, next)};
+        members[0].m_leaving = true;
+
+        THEN("the two that stay hold every acknowledged commit between them")
+        {
+            REQUIRE(choose_successor(members, next, 1) == "c");
+        }
+    }
+    GIVEN("members that were touched for the term that is wanted")
+    {
+        const std::vector<takeover_member> members{replica("b", 10, next),
+                                                   replica("c", 12, next)};
+
+        THEN("asking again doesn't raise it")
+        {
+            REQUIRE(next_term(members, next) == next);
+        }
+    }
+    GIVEN("members of many terms")
+    {
+        std::vector<takeover_member> members{replica("a", 1, 7),
+                                             replica("b", 1, 0)};
+        members[1].m_status.m_term = 5;
+
+        THEN("the next term is above them all")
+        {
+            REQUIRE(next_term(members, 4) == 7);
+            REQUIRE(next_term(members, 9) == 9);
+        }
+    }
+}
+
+SCENARIO("No acknowledged commit is lost, whoever is reached")
+{
+    // Random histories: commits reach the primary and some replicas, and are
+    // acknowledged with one; then a random set of members is touched.
+    constexpr int histories = 20000;
+    constexpr term_number next = 2;
+    std::mt19937 dice(4711);
+    const auto roll = [&](int sides)
+    {
+        return static_cast<int>(dice() % static_cast<unsigned>(sides));
+    };
+    int chosen = 0;
+    for (int h = 0; h < histories; ++h)
+    {
+        const std::uint64_t primary = 1 + static_cast<std::uint64_t>(roll(8));
+        const std::uint64_t b =
+            static_cast<std::uint64_t>(roll(static_cast<int>(primary) + 1));
+        const std::uint64_t c =
+            static_cast<std::uint64_t>(roll(static_cast<int>(primary) + 1));
+        const std::uint64_t acknowledged = std::max(b, c);
+        std::vector<takeover_member> members{stepped_down("a", primary),
+                                             replica("b", b, next),
+                                             replica("c", c, next)};
+        for (takeover_member& m : members)
+        {
+            m.m_status.m_term = 1;
+            m.m_status.m_position.m_term = 1;
+            m.m_leaving = roll(3) == 0;
+            m.m_reachable = roll(3) != 0;
+        }
+        const auto successor = choose_successor(members, next, 1);
+        if (!successor)
+            continue;
+        ++chosen;
+        const auto lead = std::ranges::find_if(members,
+                                               [&](const takeover_member& m)
+                                               {
+                                                   return m.m_id == *successor;
+                                               });
+        REQUIRE(lead->m_status.m_position.m_offset >= acknowledged);
+    }
+    REQUIRE(chosen > histories / 4);
+}
