session: Never lend a connection whose transaction is open

Change: the endpoint's own word on the transaction decides whether a connection is idle. Once a pause was seen, a lease needs all members, or a commit. A statement in a transaction that met a full endpoint is sent again; an endpoint without room gets a pause of 30 ms. A takeover is given up when the primary answers after all.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -16,9 +16,30 @@
     g.m_term = term;
     g.m_primary = primary;
     g.m_lease_until = {};
+    g.m_touched = 0;
     g.m_samples.clear();
 }
 
+bool follows_on(const group_view& g, const endpoint_sight& s)
+{
+    return s.m_status.m_role == endpoint_role::replica &&
+           s.m_status.m_term == g.m_term && s.m_status.m_held <= g.m_term;
+}
+
+// A promotion ends the pauses of the replicas that it passes over, before they
+// hear of its term. So once a pause was seen, a replica without one proves
+// nothing, unless every member is seen to have gone on in the old term: the
+// promoted one is among them.
+bool was_let_go(const group_view& g)
+{
+    std::size_t gone_on = 0;
+    for (const auto& [id, sight] : g.m_sights)
+        if (sight.m_asked_at > g.m_touched_seen_at &&
+            (id == g.m_primary || follows_on(g, sight)))
+            ++gone_on;
+    return gone_on >= g.m_members;
+}
+
 // The primary and m_sync_replicas others that follow its term and are paused
 // for none after it, all asked at or after t, prove the lease from t on.
 void renew_by_sights(group_view& g)
@@ -30,12 +51,12 @@
     if (lead.m_status.m_role != endpoint_role::primary ||
         lead.m_status.m_term != g.m_term || lead.m_status.m_held > g.m_term)
         return;
+    if (g.m_touched > g.m_term && !was_let_go(g))
+        return;
+    g.m_touched = 0;
     std::vector<time_point> followers;
     for (const auto& [id, sight] : g.m_sights)
-        if (id != g.m_primary &&
-            sight.m_status.m_role == endpoint_role::replica &&
-            sight.m_status.m_term == g.m_term &&
-            sight.m_status.m_held <= g.m_term)
+        if (id != g.m_primary && follows_on(g, sight))
             followers.push_back(sight.m_asked_at);
     if (followers.size() < g.m_sync_replicas)
         return;
@@ -95,6 +116,11 @@
         doubt_primary(g, id);
         changed = true;
     }
+    if (status.m_held > g.m_term)
+    {
+        g.m_touched = std::max(g.m_touched, status.m_held);
+        g.m_touched_seen_at = std::max(g.m_touched_seen_at, asked_at);
+    }
     if (leads && g.m_primary == id)
         add_sample(g, status.m_position, asked_at);
     renew_by_sights(g);
@@ -169,8 +195,7 @@
 
 bool needs_status(const group_view& g, time_point now)
 {
-    return g.m_primary.empty() ||
-           g.m_lease_until < now + lease_reserve;
+    return g.m_primary.empty() || g.m_lease_until < now + lease_reserve;
 }
 
 }
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -57,6 +57,9 @@
     std::string m_primary;      ///< In m_term; empty: unknown.
     time_point m_lease_until{}; ///< No later term takes effect before.
     std::map<std::string, endpoint_sight, std::less<>> m_sights; ///< By id.
+    std::size_t m_members = 0;      ///< Endpoints that are listed.
+    term_number m_touched = 0;      ///< Somebody was paused for this term.
+    time_point m_touched_seen_at{}; ///< When that was last asked for.
     std::deque<position_sample> m_samples; ///< Of m_primary, oldest first.
 };
 
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -116,6 +116,14 @@
     event_entry{event_id::takeover_given_up, event_level::warning,
                 "takeover_given_up",
                 "too few endpoints could be taken out of the old term"},
+    event_entry{
+        event_id::endpoint_part_changed, event_level::info,
+        "endpoint_part_changed",
+        "an endpoint leads, follows or is paused for another term than it was"},
+    event_entry{event_id::takeover_touched, event_level::info,
+                "takeover_touched",
+                "enough endpoints were taken out of the old term, and a "
+                "successor was chosen"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -51,6 +51,8 @@
     takeover_begun = 3021,
     takeover_done = 3022,
     takeover_given_up = 3023,
+    endpoint_part_changed = 3024,
+    takeover_touched = 3025,
     session_refused = 4001,
     statement_failed = 4002,
     transaction_expired = 4003,
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -193,9 +193,38 @@
     return found == g.m_members.end() ? nullptr : &*found;
 }
 
+std::string describe_member(const touched_member& m)
+{
+    const endpoint_status& s = m.m_member.m_status;
+    if (!m.m_member.m_reachable)
+        return m.m_endpoint.m_id + " out of reach";
+    return m.m_endpoint.m_id + " at " + std::to_string(s.m_position.m_term) +
+           "." + std::to_string(s.m_position.m_offset) +
+           (m.m_member.m_stepped_down
+                ? " stepped down"
+                : " paused for " + std::to_string(s.m_held));
+}
+
+void log_touched(const std::string& service, const failover_group& g)
+{
+    std::string members;
+    for (const touched_member& m : g.m_members)
+        members.append(members.empty() ? "" : "; ").append(describe_member(m));
+    log_event(event_id::takeover_touched, {{"service", service},
+                                           {"term", std::to_string(g.m_term)},
+                                           {"successor", g.m_successor},
+                                           {"members", members}});
+}
+
 void tend_touching(failover_task_state& t, const std::string& service,
                    failover_group& g, time_point now)
 {
+    // The session task has heard of it meanwhile.
+    const primary_evidence& e = g.m_report.m_evidence;
+    const bool was_missed = g.m_reason == takeover_reason::silent ||
+                            g.m_reason == takeover_reason::missing;
+    if (was_missed && e.m_known && e.m_last_sign > g.m_began_at)
+        return fire(t, service, g, takeover_event::given_up);
     if (const touched_member* const lead = find_living_primary(g))
     {
         t.m_boxes.m_session.post(
@@ -221,6 +250,7 @@
             g.m_may_be_under_way ? find_member(g, g.m_successor) : nullptr;
         if (before == nullptr || !is_touched(before->m_member, g.m_term))
             g.m_successor = *successor;
+        log_touched(service, g);
         return fire(t, service, g, takeover_event::touched);
     }
     if (now - g.m_began_at >= touch_limit && !g.m_may_be_under_way)
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -35,7 +35,7 @@
 
 bool takes_new_work(const endpoint_port& p, bool needs_primary, time_point now)
 {
-    if (!p.m_listed || now < p.m_avoid_until)
+    if (!p.m_listed || now < p.m_avoid_until || now < p.m_busy_until)
         return false;
     if (p.m_leaving_since == time_point{})
         return true;
@@ -300,14 +300,25 @@
 void check_deadlines(session_task_state& t, time_point now)
 {
     std::vector<work_ptr> due;
+    std::vector<work_ptr> again;
     for (work& w : t.m_works)
     {
         const bool sent = w.m_sent_at != time_point{};
-        const bool late = sent
-                              ? now >= std::min(w.m_deadline, w.m_attempt_until)
-                              : has_waited_too_long(w, now);
+        bool late = now >= w.m_deadline;
+        if (sent)
+            late = late || now >= w.m_attempt_until;
+        else if (!w.m_link)
+            late = late || now >= w.m_wait_until;
         if (late)
             due.emplace_back(&w);
+        else if (w.m_resend_at != time_point{} && now >= w.m_resend_at)
+            again.emplace_back(&w);
+    }
+    for (const work_ptr& w : again)
+    {
+        w->m_resend_at = {};
+        if (w->m_link && w->m_link->m_state == link_state::pinned)
+            send_work(t, *w->m_link);
     }
     for (const work_ptr& w : due)
     {
@@ -315,9 +326,10 @@
             continue;
         if (w->m_sent_at == time_point{})
         {
-            // What is being dialed for it is kept for others.
+            // A connection that is being made for it is kept for others.
             fail_work(t, w, session_fault::busy,
-                      w->m_link ? "connecting" : "no free endpoint");
+                      w->m_link ? "no answer to its begin"
+                                : "no free endpoint");
             continue;
         }
         const link_ptr k = w->m_link;
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -147,7 +147,9 @@
                           };
                           return rank(a) < rank(b);
                       });
-    const std::size_t needed = g.m_view.m_sync_replicas;
+    const bool touched = g.m_view.m_touched > g.m_view.m_term;
+    const std::size_t needed =
+        touched ? replicas.size() : g.m_view.m_sync_replicas;
     for (std::size_t i = 0; i < std::min(needed, replicas.size()); ++i)
         want_status(t, *replicas[i], now);
     // The rest now and then, for a newer term that the others don't know.
@@ -157,6 +159,27 @@
             want_status(t, *replicas[i], now);
 }
 
+// Logs what an endpoint says of its part in the group, when that changes.
+void log_part(const endpoint_port& p, const endpoint_status& now)
+{
+    const auto seen = p.m_group->m_view.m_sights.find(p.m_endpoint.m_id);
+    const bool same = seen != p.m_group->m_view.m_sights.end() &&
+                      seen->second.m_status.m_role == now.m_role &&
+                      seen->second.m_status.m_term == now.m_term &&
+                      seen->second.m_status.m_held == now.m_held;
+    if (same)
+        return;
+    const bool leads = now.m_role == endpoint_role::primary;
+    log_event(event_id::endpoint_part_changed,
+              {{"service", p.m_endpoint.m_service},
+               {"endpoint", p.m_endpoint.m_id},
+               {"role", leads ? "primary" : "replica"},
+               {"term", std::to_string(now.m_term)},
+               {"position", std::to_string(now.m_position.m_term) + "." +
+                                std::to_string(now.m_position.m_offset)},
+               {"paused_for", std::to_string(now.m_held)}});
+}
+
 time_point oldest_stuck_commit(const session_task_state& t,
                                const service_group& g)
 {
@@ -193,9 +216,13 @@
                 g.m_service = service->second;
         }
         g.m_view.m_sync_replicas = g.m_service.m_sync_replicas;
+        g.m_view.m_members = 0;
     }
     for (auto& [id, p] : t.m_ports)
+    {
         p.m_limit = connection_limit(t, p.m_group->m_service);
+        p.m_group->m_view.m_members += p.m_listed ? 1U : 0U;
+    }
     for (auto& [name, g] : t.m_groups)
         serve_waiting(t, g);
 }
@@ -236,6 +263,7 @@
                   {{"endpoint", p.m_endpoint.m_id}, {"row", e.m_row}});
         return;
     }
+    log_part(p, *status);
     note_status(p.m_group->m_view, p.m_endpoint.m_id, *status, e.m_asked_at);
     note_primary(t, *p.m_group);
     serve_waiting(t, *p.m_group);
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -246,6 +246,8 @@
         doubt_primary(p.m_group->m_view, p.m_endpoint.m_id);
         note_primary(t, *p.m_group);
     }
+    if (fault == session_fault::busy)
+        p.m_busy_until = boot_now() + busy_pause;
     // What it lacks comes in about the time that the samples are apart.
     constexpr std::chrono::milliseconds lag_pause{150};
     if (!led && fault == session_fault::lagging)
@@ -283,9 +285,27 @@
         s.m_own = std::max(s.m_own.value_or(log_position{}), *position);
 }
 
+// A statement inside a transaction that the endpoint had no room for: the
+// transaction goes on, so the same statement is sent again.
+bool may_resend(const work& w, const expected_answer& e,
+                transaction_status status)
+{
+    return e.m_fault == session_fault::busy &&
+           status == transaction_status::open && boot_now() < w.m_deadline;
+}
+
+void resend_later(session_task_state& t, link& k, work& w)
+{
+    w.m_answer.clear();
+    w.m_sent_at = {};
+    w.m_resend_at = boot_now() + busy_pause;
+    move_to(t, k, link_event::kept);
+}
+
 void finish_statement(session_task_state& t, link& k, const expected_answer& e,
-                      const std::optional<log_position>& position)
+                      const endpoint_reply& ready)
 {
+    const std::optional<log_position> position = ready.m_position;
     const work_ptr w = k.m_work;
     endpoint_port& p = *k.m_port;
     --p.m_running;
@@ -312,6 +332,8 @@
     const session_ptr keep(&s);
     const bool in_transaction = k.m_begun;
     const bool ended = w->m_kind == statement_kind::commit;
+    if (e.m_failed && in_transaction && may_resend(*w, e, ready.m_state))
+        return resend_later(t, k, *w);
     if (e.m_failed)
     {
         note_fault(t, k, e.m_fault);
@@ -320,7 +342,8 @@
         if (in_transaction)
         {
             s.m_transaction->m_link = nullptr;
-            if (ended)
+            // A commit that failed may have left the transaction open.
+            if (ended && ready.m_state == transaction_status::idle)
             {
                 k.m_begun = false;
                 move_to(t, k, link_event::answered);
@@ -352,6 +375,7 @@
         return complete_work(t, w);
     }
     k.m_begun = false;
+    k.m_doubtful = k.m_doubtful || ready.m_state != transaction_status::idle;
     move_to(t, k, link_event::answered);
     complete_work(t, w);
     if (k.m_state == link_state::idle && !k.m_work)
@@ -363,8 +387,7 @@
     const expected_answer e = std::move(k.m_expected.front());
     k.m_expected.pop_front();
     k.m_last_answer = boot_now();
-    const std::optional<log_position> position = ready.m_position;
-    take_sign(t, *k.m_port, e.m_asked_at, position);
+    take_sign(t, *k.m_port, e.m_asked_at, ready.m_position);
     switch (e.m_kind)
     {
     case link_answer::greeting:
@@ -376,10 +399,10 @@
     case link_answer::begin:
         return finish_begin(t, k, e);
     case link_answer::statement:
-        return finish_statement(t, k, e, position);
+        return finish_statement(t, k, e, ready);
     case link_answer::rollback:
         k.m_begun = false;
-        if (e.m_failed)
+        if (e.m_failed || ready.m_state != transaction_status::idle)
             return close_link(t, k);
         move_to(t, k, link_event::answered);
         return release_link(t, k);
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -64,6 +64,9 @@
     const time_point now = boot_now();
     check_deadlines(t, now);
     check_links(t, now);
+    for (auto& [name, g] : t.m_groups)
+        if (g.m_queue.m_backlog > 0)
+            serve_waiting(t, g);
     expire_transactions(t, now);
     ask_statuses(t, now);
     tick_rates(t, now);
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -43,6 +43,9 @@
 inline constexpr std::uint32_t kept_links = 2;
 /// How long a connection beyond these stays idle.
 inline constexpr std::chrono::milliseconds spare_link_time{500};
+/// How long an endpoint that had no room gets no new work: about the time in
+/// which one of its statements ends.
+inline constexpr std::chrono::milliseconds busy_pause{30};
 /// Bytes that a caller may leave unread before its session is closed.
 inline constexpr std::size_t most_unsent = 4U << 20U;
 
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -76,6 +76,7 @@
     time_point m_wait_until{}; ///< It is refused if it wasn't sent by then.
     time_point m_sent_at{};    ///< Zero until it was.
     time_point m_attempt_until{};
+    time_point m_resend_at{}; ///< Zero: it isn't to be sent again.
     std::uint32_t m_attempts = 0;
     std::set<std::string, std::less<>> m_tried; ///< Endpoints that refused it.
     link_ptr m_link;
@@ -172,6 +173,7 @@
     time_point m_answered_at{};
     time_point m_avoid_until{};
     duration m_avoid_pause{};
+    time_point m_busy_until{}; ///< It had no room.
     time_point m_lags_until{}; ///< Its log is too old for reads.
     time_point m_status_asked_at{};
     bool m_status_wanted = false;
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -75,6 +75,44 @@
             }
         }
     }
+    GIVEN("a proved primary, and a replica that was seen paused")
+    {
+        g.m_members = 3;
+        note_status(g, "a", leads(3, 10), start);
+        note_status(g, "b", follows(3, 9), start);
+        const time_point until = g.m_lease_until;
+        const time_point paused = start + milliseconds(900);
+        note_status(g, "a", leads(3, 10), paused);
+        note_status(g, "b", follows(3, 9, 4), paused);
+        REQUIRE(g.m_lease_until == until);
+
+        WHEN("its pause is over, and its term still the old one")
+        {
+            const time_point later = start + milliseconds(1400);
+            note_status(g, "a", leads(3, 10), later);
+            note_status(g, "b", follows(3, 9), later);
+
+            THEN("another endpoint may have been promoted: no lease")
+            {
+                REQUIRE(g.m_lease_until == until);
+            }
+            THEN("a lease is proved once all members go on in the old term")
+            {
+                note_status(g, "c", follows(3, 9), later);
+                REQUIRE(g.m_lease_until == later + lease_time);
+            }
+            THEN("an answer from before the pause doesn't count for that")
+            {
+                note_status(g, "c", follows(3, 9), start);
+                REQUIRE(g.m_lease_until == until);
+            }
+            THEN("a commit proves that the old primary still has a replica")
+            {
+                note_commit(g, "a", {3, 11}, later);
+                REQUIRE(g.m_lease_until == later + lease_time);
+            }
+        }
+    }
     GIVEN("a proved primary, sampled now and then")
     {
         note_status(g, "a", leads(3, 10), start);
