--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -137,6 +137,8 @@
     if (++s.m_counted < counting_tasks)
         return;
     evhttp_request* const request = std::exchange(s.m_metrics_request, nullptr);
+    add_value(s.m_families, metric_id::log_lines_dropped, {},
+              static_cast<double>(dropped_log_lines()));
     const std::string text = to_text(s.m_families);
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "text/plain; version=0.0.4");
--- /dev/null
+++ b/Tests/platform/line_codec_test.cpp
@@ -0,0 +1,145 @@
+#include <random>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <platform/line_codec.hpp>
+
+using namespace bluebellspoke;
+
+SCENARIO("Lines of callers are read")
+{
+    const session_codec& codec = line_codec();
+
+    GIVEN("the start of a session")
+    {
+        const caller_message m = codec.m_read_caller("STARTUP lepu270 u3f1");
+        REQUIRE(m.m_kind == caller_message_kind::startup);
+        REQUIRE(m.m_database == "lepu270");
+        REQUIRE(m.m_key == "u3f1");
+
+        THEN("a route that is open to all needs no key")
+        {
+            REQUIRE(codec.m_read_caller("STARTUP lepu270 -").m_key.empty());
+            REQUIRE(codec.m_read_caller("STARTUP lepu270").m_kind ==
+                    caller_message_kind::startup);
+        }
+    }
+    GIVEN("statements")
+    {
+        const auto read = [&](std::string_view text)
+        {
+            return codec.m_read_caller("QUERY 5c0e " + std::string(text))
+                .m_statement.m_kind;
+        };
+        REQUIRE(read("BEGIN") == statement_kind::begin);
+        REQUIRE(read("BEGIN READ") == statement_kind::begin_read);
+        REQUIRE(read("COMMIT") == statement_kind::commit);
+        REQUIRE(read("ROLLBACK") == statement_kind::rollback);
+        REQUIRE(read("READ 1a4") == statement_kind::read);
+        REQUIRE(read("WRITE 1a4 data with blanks") == statement_kind::write);
+        REQUIRE(read("SET a b") == statement_kind::set);
+        REQUIRE(read("PREPARE s1 WRITE q2c") == statement_kind::prepare_write);
+        REQUIRE(read("EXECUTE s1 1a4") == statement_kind::execute);
+        REQUIRE(read("DEALLOCATE s1") == statement_kind::deallocate);
+
+        THEN("what isn't one is known as such")
+        {
+            REQUIRE(read("") == statement_kind::unknown);
+            REQUIRE(read("READ") == statement_kind::unknown);
+            REQUIRE(read("BEGIN WRITE") == statement_kind::unknown);
+            REQUIRE(read("PREPARE s1 DROP q") == statement_kind::unknown);
+            REQUIRE(read("AFTER 1.2 READ a") == statement_kind::unknown);
+        }
+    }
+    GIVEN("an id that is the system's own")
+    {
+        REQUIRE(codec.m_read_caller("QUERY - READ 1a4").m_kind ==
+                caller_message_kind::malformed);
+    }
+}
+
+SCENARIO("Lines of endpoints are read")
+{
+    const session_codec& codec = line_codec();
+
+    GIVEN("an answer")
+    {
+        const endpoint_reply ready = codec.m_read_endpoint("READY T 3.1207");
+        REQUIRE(ready.m_kind == endpoint_reply_kind::ready);
+        REQUIRE(ready.m_state == transaction_status::open);
+        REQUIRE(ready.m_position == log_position{3, 1207});
+        REQUIRE_FALSE(codec.m_read_endpoint("READY I -").m_position);
+        REQUIRE(codec.m_read_endpoint("ROW qhzk wm").m_row == "qhzk wm");
+        REQUIRE(codec.m_read_endpoint("ERROR LAGGING i-1").m_fault ==
+                session_fault::lagging);
+        REQUIRE(codec.m_read_endpoint("ERROR NEWCODE x").m_fault ==
+                session_fault::other);
+    }
+    GIVEN("a status")
+    {
+        const auto s = codec.m_read_status("replica 3 3.1209 4 12 2 17");
+        REQUIRE(s);
+        REQUIRE(s->m_role == endpoint_role::replica);
+        REQUIRE(s->m_term == 3);
+        REQUIRE(s->m_position == log_position{3, 1209});
+        REQUIRE(s->m_held == 4);
+        REQUIRE_FALSE(codec.m_read_status("witness 3 3.1209 0 12 2 17"));
+        REQUIRE_FALSE(codec.m_read_status(""));
+    }
+    GIVEN("bytes of no meaning")
+    {
+        constexpr int lines = 20000;
+        std::mt19937 dice(99);
+        const std::string words[] = {"READY", "ROW",   "ERROR", "COMPLETE",
+                                     "QUERY", "BEGIN", "3.",    ".9",
+                                     "-",     " ",     "\xff",  "STARTUP"};
+        for (int i = 0; i < lines; ++i)
+        {
+            std::string line;
+            for (unsigned w = dice() % 6; w > 0; --w)
+                line.append(words[dice() % std::size(words)]).append(" ");
+            codec.m_read_caller(line);
+            codec.m_read_endpoint(line);
+            codec.m_read_status(line);
+        }
+    }
+}
+
+SCENARIO("Lines are written")
+{
+    const session_codec& codec = line_codec();
+    std::string out;
+
+    GIVEN("a read that must see a position")
+    {
+        codec.m_write_query(out, "5c0e", log_position{3, 1207}, "READ 1a4");
+        REQUIRE(out == "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n");
+    }
+    GIVEN("the system's own statements")
+    {
+        codec.m_write_set(out, "a", "b c");
+        codec.m_write_prepare(out, "w_q2c", true, "q2c");
+        codec.m_write_order(out, group_order::pause, 4);
+        REQUIRE(out == "QUERY - SET a b c\r\n"
+                       "QUERY - PREPARE w_q2c WRITE q2c\r\n"
+                       "QUERY - PAUSE 4\r\n");
+    }
+    GIVEN("a prepared statement under its shared name")
+    {
+        codec.m_write_execute(out, "5c0e", std::nullopt, "w_q2c", "1a4 xk qp");
+        REQUIRE(out == "QUERY 5c0e EXECUTE w_q2c 1a4 xk qp\r\n");
+    }
+    GIVEN("answers to a caller")
+    {
+        codec.m_write_error(out, session_fault::busy, "");
+        codec.m_write_ready(out, transaction_status::failed);
+        REQUIRE(out == "ERROR BUSY -\r\nREADY E -\r\n");
+    }
+    GIVEN("the start at an endpoint")
+    {
+        codec.m_write_startup(out, "huvo11a", "ward", "i-7f");
+        codec.m_write_startup(out, "huvo11a", "", "i-7f");
+        REQUIRE(out == "STARTUP huvo11a ward i-7f\r\n"
+                       "STARTUP huvo11a - i-7f\r\n");
+    }
+}
--- /dev/null
+++ b/Tests/platform/value_codec_test.cpp
@@ -0,0 +1,120 @@
+#include <catch2/catch.hpp>
+#include <platform/value_codec.hpp>
+
+using namespace bluebellspoke;
+using std::chrono::milliseconds;
+
+SCENARIO("The operator's configuration is read")
+{
+    const site_codec& codec = value_codec();
+    const std::string text = R"({"version":7,
+      "routes":[
+        {"name":"r-1","host":"ledger","type":"bounded_staleness",
+         "timeout-ms":3000,"target-latency-ms":1200,"priority":2,
+         "service":"huvo11a","max-staleness-ms":1500,"public":false,
+         "allowed-regions":["seoul"]},
+        {"name":"r-2","host":"later","type":"quorum","service":"huvo11a"}],
+      "services":[{"name":"huvo11a","max-connections":32,"sync-replicas":1}],
+      "limits":{"tx-idle-ms":3000},
+      "tenants":[{"name":"ward","api-keys":["k1","k2"],"rate-per-s":117,
+                  "burst":58.5}],
+      "new-field":true})";
+
+    GIVEN("one that holds what is known, and more")
+    {
+        const site_config_ptr c = codec.m_read_config(text);
+        REQUIRE(c);
+        REQUIRE(c->m_version == 7);
+        REQUIRE(c->m_transaction_idle == milliseconds(3000));
+
+        THEN("routes go by their database")
+        {
+            const site_route& r = c->m_routes.at("ledger");
+            REQUIRE(r.m_consistency == read_consistency::bounded);
+            REQUIRE(r.m_staleness == milliseconds(1500));
+            REQUIRE(r.m_statement_timeout == milliseconds(3000));
+            REQUIRE(r.m_regions.contains("seoul"));
+        }
+        THEN("a route of a kind that isn't known is left out")
+        {
+            REQUIRE_FALSE(c->m_routes.contains("later"));
+        }
+        THEN("keys lead to workspaces")
+        {
+            REQUIRE(c->m_keys.at("k2") == "ward");
+            REQUIRE(c->m_workspaces.at("ward").m_burst == 58);
+        }
+        THEN("services tell their limits")
+        {
+            REQUIRE(c->m_services.at("huvo11a").m_connections == 32);
+            REQUIRE(c->m_services.at("huvo11a").m_sync_replicas == 1);
+        }
+    }
+    GIVEN("bytes that are none")
+    {
+        REQUIRE_FALSE(codec.m_read_config("{"));
+        REQUIRE_FALSE(codec.m_read_config(R"({"version":"x"})"));
+        REQUIRE_FALSE(codec.m_read_config("[]"));
+    }
+}
+
+SCENARIO("An endpoint's entry is read")
+{
+    const site_codec& codec = value_codec();
+    const std::string entry =
+        R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"seoul-a",
+            "version":"v1","capacity":5,"state":"draining","born":1700,
+            "db-role":"primary","sequence":4})";
+
+    GIVEN("one of an endpoint that leaves")
+    {
+        const auto e = codec.m_read_endpoint("i-1", entry);
+        REQUIRE(e);
+        REQUIRE(e->m_id == "i-1");
+        REQUIRE(e->m_draining);
+        REQUIRE(e->m_says_primary);
+        REQUIRE(e->m_born_ms == 1700);
+        REQUIRE(to_string(e->m_address) == "10.128.0.9:8080");
+    }
+    GIVEN("entries of another writer")
+    {
+        REQUIRE_FALSE(codec.m_read_endpoint("i-1", "\"text\""));
+        REQUIRE_FALSE(codec.m_read_endpoint("i-1", R"({"service":5})"));
+        REQUIRE_FALSE(codec.m_read_endpoint(
+            "i-1", R"({"service":"a","address":"x","zone":"z",
+                       "state":"ready"})"));
+        REQUIRE_FALSE(codec.m_read_endpoint(
+            "i-1", R"({"service":"a","address":"10.0.0.1:1","zone":"z",
+                       "state":"asleep"})"));
+    }
+}
+
+SCENARIO("The product's own objects are read as they were written")
+{
+    const site_codec& codec = value_codec();
+
+    GIVEN("the duty of promoting")
+    {
+        duty_record r;
+        r.m_holder = "vm-1";
+        r.m_incarnation = 1ULL << 62U;
+        r.m_token = 3;
+        r.m_renewals = 9;
+        r.m_ordered["huvo11a"] = {"i-1", 4};
+        r.m_places["huvo11a"] = 3;
+        const auto again = codec.m_read_duty(codec.m_write_duty(r));
+        REQUIRE(again);
+        REQUIRE(again->m_holder == r.m_holder);
+        REQUIRE(again->m_incarnation == r.m_incarnation);
+        REQUIRE(again->m_token == r.m_token);
+        REQUIRE(again->m_ordered == r.m_ordered);
+        REQUIRE(again->m_places == r.m_places);
+        REQUIRE_FALSE(codec.m_read_duty("{}"));
+    }
+    GIVEN("a member")
+    {
+        const member_record r{"vm-1", parse_address("10.1.0.26:8462"), "a"};
+        REQUIRE(codec.m_read_member("vm-1", codec.m_write_member(r)) == r);
+        REQUIRE_FALSE(codec.m_read_member("vm-1", "7"));
+    }
+}
--- /dev/null
+++ b/Tests/standin/site_group.hpp
@@ -0,0 +1,76 @@
+#ifndef BLUEBELLSPOKE_STANDIN_SITE_GROUP_HPP
+#define BLUEBELLSPOKE_STANDIN_SITE_GROUP_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <model/site.hpp>
+#include <session/line_stream.hpp>
+#include <task/loop.hpp>
+
+struct evconnlistener;
+
+namespace bluebellspoke::standin
+{
+
+struct log_entry
+{
+    std::uint64_t m_term = 0;
+    std::string m_item;
+    std::string m_data;
+};
+
+struct site_group;
+struct line_endpoint;
+
+/// One connection to an endpoint, in the platform's line protocol.
+struct line_session
+{
+    line_endpoint* m_endpoint = nullptr;
+    std::unique_ptr<line_stream> m_stream;
+    bool m_started = false;
+    bool m_over = false;
+    char m_state = 'I';
+    std::map<std::string, std::string> m_values;
+    std::map<std::string, std::string> m_prepared;
+    std::vector<log_entry> m_writes; ///< Of the open transaction.
+};
+
+/// A stand-in for one endpoint: a log of writes, a term and a role.
+struct line_endpoint
+{
+    site_group* m_group = nullptr;
+    std::string m_id;
+    address m_address;
+    bool m_up = true;
+    bool m_primary = false;
+    std::uint64_t m_term = 1;
+    std::uint64_t m_held = 0;
+    std::vector<log_entry> m_log;
+    evconnlistener* m_listener = nullptr;
+    std::vector<std::unique_ptr<line_session>> m_sessions;
+};
+
+/// A group whose primary hands each commit to every replica that receives.
+struct site_group
+{
+    loop* m_loop = nullptr;
+    std::string m_service;
+    std::vector<std::unique_ptr<line_endpoint>> m_endpoints;
+};
+
+/// Listens, with the first endpoint as the primary. Throws loop_error.
+void add_endpoint(site_group& g, const std::string& id, const address& at);
+/// Closes every connection and its listener, or listens again as a replica
+/// with its log.
+void set_up(line_endpoint& e, bool up);
+line_endpoint* find_endpoint(site_group& g, std::string_view id);
+/// The endpoint leads the next term. False when it isn't running.
+bool promote(site_group& g, std::string_view id);
+
+}
+
+#endif
--- /dev/null
+++ b/Tests/standin/site_standin.cpp
@@ -0,0 +1,101 @@
+#include <array>
+#include <cstdio>
+#include <exception>
+#include <span>
+
+#include <options/options.hpp>
+#include <standin/site_group.hpp>
+#include <standin/site_store.hpp>
+
+namespace
+{
+
+using namespace bluebellspoke;
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int missing = 404;
+constexpr int conflict = 409;
+
+// Each endpoint registers itself once; a test changes its entry.
+void register_endpoint(standin::site_store& s, const standin::line_endpoint& e)
+{
+    ++s.m_revision;
+    s.m_objects["servers"][e.m_id] = {
+        {"meta", {{"name", e.m_id}, {"revision", s.m_revision}}},
+        {"spec",
+         {{"service", e.m_group->m_service},
+          {"address", to_string(e.m_address)},
+          {"zone", "zone-1"},
+          {"version", "v1"},
+          {"capacity", 4},
+          {"state", "ready"},
+          {"db-role", e.m_primary ? "primary" : "replica"},
+          {"sequence", 1},
+          {"born", 1}}},
+        {"status", nullptr}};
+}
+
+// The platform's order, and what tests do to the stand-in.
+int take_other(standin::site_store& s, standin::site_group& g,
+               const std::string& path, const json& body)
+{
+    if (path == "/promote")
+        return standin::promote(g, body.at("id").get<std::string>()) ? ok
+                                                                     : conflict;
+    if (path == "/standin/store")
+    {
+        s.m_down = body.at("down").get<bool>();
+        return ok;
+    }
+    if (path != "/standin/endpoint")
+        return missing;
+    standin::line_endpoint* const e =
+        standin::find_endpoint(g, body.at("id").get<std::string>());
+    if (e == nullptr)
+        return missing;
+    standin::set_up(*e, body.at("up").get<bool>());
+    return ok;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    constexpr std::array options{
+        option_spec{"listen", option_type::address, "", "address", "", 0, 0},
+        option_spec{"service", option_type::text, "", "service", "", 0, 0}};
+    try
+    {
+        const std::span<const char* const> arguments(
+            argv, static_cast<std::size_t>(argc));
+        const option_values values =
+            parse_options({"site_standin", "Stand-in of the users' platform",
+                           "0", "endpoints"},
+                          options, arguments, process_environment());
+        loop l = make_loop();
+        standin::site_group g{&l, values.text("service"), {}};
+        standin::site_store s(l);
+        s.m_other = [&](const std::string& path, const json& body)
+        {
+            return take_other(s, g, path, body);
+        };
+        int number = 0;
+        for (const std::string& word : values.words())
+        {
+            standin::add_endpoint(g, "i-" + std::to_string(++number),
+                                  parse_address(word));
+            register_endpoint(s, *g.m_endpoints.back());
+        }
+        serve_store(s, parse_address(values.text("listen")));
+        std::puts("serving");
+        std::fflush(stdout);
+        run(l);
+    }
+    catch (const std::exception& e)
+    {
+        std::fprintf(stderr, "%s\n", e.what());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/Tests/standin/site_store.cpp
@@ -0,0 +1,195 @@
+#include <standin/site_store.hpp>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include <wire/http2_message.hpp>
+
+namespace bluebellspoke::standin
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int missing = 404;
+constexpr int conflict = 409;
+constexpr int unavailable = 503;
+constexpr std::string_view objects_path = "/api/objects/";
+
+void reply(evhttp_request* request, int status, const json& body)
+{
+    const std::string text = body.dump();
+    evbuffer_add(evhttp_request_get_output_buffer(request), text.data(),
+                 text.size());
+    evhttp_send_reply(request, status, "standin", nullptr);
+}
+
+json events_after(const site_store& s, const std::string& kind,
+                  std::uint64_t revision)
+{
+    json events = json::array();
+    for (const store_event& e : s.m_history)
+        if (e.m_kind == kind && e.m_revision > revision)
+            events.push_back(e.m_event);
+    return events;
+}
+
+void answer_watch(site_store& s, evhttp_request* request,
+                  const std::string& kind, std::uint64_t revision)
+{
+    reply(request, ok,
+          {{"events", events_after(s, kind, revision)},
+           {"at-revision", s.m_revision}});
+}
+
+void wake_watches(site_store& s, const std::string& kind)
+{
+    for (auto w = s.m_watches.begin(); w != s.m_watches.end();)
+    {
+        if (w->m_kind != kind)
+        {
+            ++w;
+            continue;
+        }
+        answer_watch(s, w->m_request, kind, w->m_revision);
+        w = s.m_watches.erase(w);
+    }
+}
+
+void note_change(site_store& s, const std::string& kind, const json& object,
+                 bool deleted)
+{
+    s.m_history.push_back(
+        {s.m_revision, kind, {{"object", object}, {"deleted", deleted}}});
+    wake_watches(s, kind);
+}
+
+void watch(site_store& s, evhttp_request* request, const std::string& kind,
+           std::uint64_t revision, std::uint64_t wait_ms)
+{
+    if (!events_after(s, kind, revision).empty())
+        return answer_watch(s, request, kind, revision);
+    s.m_watches.push_back({request, kind, revision, nullptr});
+    const auto entry = std::prev(s.m_watches.end());
+    entry->m_limit = std::make_unique<timer>(
+        s.m_loop,
+        [&s, entry]
+        {
+            answer_watch(s, entry->m_request, entry->m_kind, entry->m_revision);
+            s.m_watches.erase(entry);
+        });
+    entry->m_limit->start_once(std::chrono::milliseconds(wait_ms));
+}
+
+void list(const site_store& s, evhttp_request* request, const std::string& kind)
+{
+    json items = json::array();
+    const auto found = s.m_objects.find(kind);
+    if (found != s.m_objects.end())
+        for (const auto& [name, object] : found->second)
+            items.push_back(object);
+    reply(
+        request, ok,
+        {{"items", items}, {"has-more", false}, {"at-revision", s.m_revision}});
+}
+
+// Creates the object, or replaces it at its revision.
+void put(site_store& s, evhttp_request* request, const std::string& kind,
+         const json& body, bool creates)
+{
+    const std::string name = body.at("meta").at("name");
+    auto& objects = s.m_objects[kind];
+    const auto found = objects.find(name);
+    const bool exists = found != objects.end();
+    if (creates && exists)
+        return reply(request, conflict, found->second);
+    if (!creates && !exists)
+        return reply(request, missing, json::object());
+    const bool conditional = body["meta"].contains("revision");
+    if (exists && conditional &&
+        body["meta"]["revision"] != found->second["meta"]["revision"])
+        return reply(request, conflict, found->second);
+    ++s.m_revision;
+    objects[name] = {{"meta", {{"name", name}, {"revision", s.m_revision}}},
+                     {"spec", body.at("spec")},
+                     {"status", nullptr}};
+    reply(request, ok, objects[name]);
+    note_change(s, kind, objects[name], false);
+}
+
+void remove(site_store& s, evhttp_request* request, const std::string& kind,
+            const std::string& name)
+{
+    auto& objects = s.m_objects[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end())
+        return reply(request, missing, json::object());
+    const json object = found->second;
+    objects.erase(found);
+    ++s.m_revision;
+    reply(request, ok, object);
+    note_change(s, kind, object, true);
+}
+
+json body_of(evhttp_request* request)
+{
+    evbuffer* const in = evhttp_request_get_input_buffer(request);
+    std::string text(evbuffer_get_length(in), '\0');
+    evbuffer_copyout(in, text.data(), text.size());
+    return json::parse(text, nullptr, false);
+}
+
+void take_objects(site_store& s, evhttp_request* request, std::string_view path)
+{
+    const std::string_view place = path_only(path).substr(objects_path.size());
+    const std::size_t slash = place.find('/');
+    const std::string kind(place.substr(0, slash));
+    const std::string_view watched = find_query(path, "watch");
+    switch (evhttp_request_get_command(request))
+    {
+    case EVHTTP_REQ_GET:
+        if (watched.empty())
+            return list(s, request, kind);
+        return watch(s, request, kind, std::stoull(std::string(watched)),
+                     std::stoull(std::string(find_query(path, "wait-ms"))));
+    case EVHTTP_REQ_POST:
+        return put(s, request, kind, body_of(request), true);
+    case EVHTTP_REQ_PUT:
+        return put(s, request, kind, body_of(request), false);
+    default:
+        return remove(s, request, kind, std::string(place.substr(slash + 1)));
+    }
+}
+
+void on_request(evhttp_request* request, void* of)
+{
+    auto& s = *static_cast<site_store*>(of);
+    const std::string path = evhttp_request_get_uri(request);
+    if (!path.starts_with(objects_path))
+        return reply(request, s.m_other(path, body_of(request)),
+                     json::object());
+    // The operator is served while the system isn't.
+    const char* const operators = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "Standin-Operator");
+    if (s.m_down && operators == nullptr)
+        return reply(request, unavailable, json::object());
+    take_objects(s, request, path);
+}
+
+}
+
+void serve_store(site_store& s, const address& at)
+{
+    s.m_http = evhttp_new(s.m_loop.m_base.get());
+    evhttp_set_allowed_methods(s.m_http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                             EVHTTP_REQ_PUT |
+                                             EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(s.m_http, &on_request, &s);
+    if (evhttp_bind_socket(s.m_http, at.m_host.c_str(), at.m_port) != 0)
+        throw loop_error();
+}
+
+}
