--- /dev/null
+++ b/Tests/site/site_path_test.cpp
@@ -0,0 +1,197 @@
+#include <csignal>
+#include <memory>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <support/site.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+
+namespace
+{
+
+// Asks until the answer comes, for as long as a state is waited for.
+bool answers(site& s, std::size_t daemon, const std::string& database,
+             const std::string& statement, const std::string& answer)
+{
+    return comes_true(
+        [&]
+        {
+            line_caller c(s.callers_of(daemon));
+            return c.start(database, "ward-key") == "READY" &&
+                   c.ask(statement) == answer;
+        });
+}
+
+}
+
+SCENARIO("Sessions are served on the users' platform")
+{
+    site s(2);
+    REQUIRE(answers(s, 0, "ledger", "WRITE bear brown", "COMPLETE | READY I"));
+    REQUIRE(
+        answers(s, 1, "ledger", "READ bear", "ROW brown | COMPLETE | READY I"));
+
+    GIVEN("a session that reads what it wrote")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("intake", "ward-key") == "READY");
+        REQUIRE(c.ask("WRITE rabbit grey") == "COMPLETE | READY I");
+        REQUIRE(c.ask("READ rabbit") == "ROW grey | COMPLETE | READY I");
+    }
+    GIVEN("a transaction")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        REQUIRE(c.ask("WRITE fox red") == "COMPLETE | READY T");
+        REQUIRE(c.ask("READ fox") == "ROW red | COMPLETE | READY T");
+
+        WHEN("it is rolled back")
+        {
+            REQUIRE(c.ask("ROLLBACK") == "COMPLETE | READY I");
+            REQUIRE(c.ask("READ fox") == "ROW - | COMPLETE | READY I");
+        }
+        WHEN("it is committed")
+        {
+            REQUIRE(c.ask("COMMIT") == "COMPLETE | READY I");
+            REQUIRE(c.ask("READ fox") == "ROW red | COMPLETE | READY I");
+        }
+        WHEN("a statement in it fails")
+        {
+            REQUIRE(c.ask("EXECUTE nobody 1") == "ERROR NOSTMT | READY E");
+            REQUIRE(c.ask("READ fox") == "ERROR MALFORMED | READY E");
+            REQUIRE(c.ask("ROLLBACK") == "COMPLETE | READY I");
+            REQUIRE(c.ask("READ fox") == "ROW - | COMPLETE | READY I");
+        }
+    }
+    GIVEN("two sessions that prepare different statements under one name")
+    {
+        line_caller a(s.callers_of(0));
+        line_caller b(s.callers_of(0));
+        REQUIRE(a.start("ledger", "ward-key") == "READY");
+        REQUIRE(b.start("ledger", "ward-key") == "READY");
+        REQUIRE(a.ask("PREPARE s READ q1") == "COMPLETE | READY I");
+        REQUIRE(b.ask("PREPARE s WRITE q2") == "COMPLETE | READY I");
+        REQUIRE(b.ask("EXECUTE s owl white") == "COMPLETE | READY I");
+        REQUIRE(a.ask("EXECUTE s owl") == "ROW white | COMPLETE | READY I");
+        REQUIRE(a.ask("DEALLOCATE s") == "COMPLETE | READY I");
+        REQUIRE(a.ask("EXECUTE s owl") == "ERROR NOSTMT | READY I");
+    }
+    GIVEN("callers that may not, or say what can't be read")
+    {
+        REQUIRE(line_caller(s.callers_of(0)).start("nowhere", "ward-key") ==
+                "NODB");
+        REQUIRE(line_caller(s.callers_of(0)).start("ledger", "other") ==
+                "UNAUTH");
+        line_caller garbage(s.callers_of(0));
+        garbage.send("GET / HTTP/1.1");
+        REQUIRE(garbage.line() == "ERROR MALFORMED startup first");
+        REQUIRE_FALSE(garbage.line());
+        line_caller endless(s.callers_of(0));
+        endless.send(std::string(3U << 20U, 'x'));
+        REQUIRE_FALSE(endless.line());
+
+        THEN("others are served on")
+        {
+            REQUIRE(answers(s, 0, "ledger", "READ bear",
+                            "ROW brown | COMPLETE | READY I"));
+        }
+    }
+    GIVEN("a key and a route that the operator takes away")
+    {
+        line_caller c(s.callers_of(1));
+        REQUIRE(c.start("browse", "depot-key") == "READY");
+        nlohmann::json change = s.config();
+        change["tenants"][1]["api-keys"] = nlohmann::json::array();
+        s.configure({{"tenants", change["tenants"]}});
+
+        THEN("an open session of it runs nothing more")
+        {
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return c.ask("READ bear") == "ERROR UNAUTH | READY I";
+                }));
+            REQUIRE(line_caller(s.callers_of(1)).start("browse", "ward-key") ==
+                    "READY");
+        }
+    }
+    GIVEN("a store that answers nobody")
+    {
+        s.set_store(true);
+
+        THEN("sessions are served by what is known")
+        {
+            REQUIRE(answers(s, 0, "intake", "WRITE hen black",
+                            "COMPLETE | READY I"));
+        }
+        s.set_store(false);
+    }
+    GIVEN("metrics and probes")
+    {
+        const http_reply metrics =
+            call_http(s.metrics_of(0), "GET", "/metrics");
+        REQUIRE(metrics.m_status == 200);
+        REQUIRE(
+            metrics.m_body.find(
+                "bluebellspoke_session_statements_total{outcome=\"served\"}") !=
+            std::string::npos);
+        REQUIRE(call_http(s.probes_of(0), "GET", "/api/readyz").m_status ==
+                200);
+    }
+}
+
+SCENARIO("A primary on the platform is lost")
+{
+    site s(2);
+    REQUIRE(answers(s, 0, "ledger", "WRITE bear brown", "COMPLETE | READY I"));
+    s.set_endpoint("i-1", false);
+
+    THEN("another one leads, with every acknowledged write")
+    {
+        REQUIRE(
+            answers(s, 1, "ledger", "WRITE bear white", "COMPLETE | READY I"));
+        REQUIRE(answers(s, 0, "ledger", "READ bear",
+                        "ROW white | COMPLETE | READY I"));
+
+        WHEN("the old one comes back")
+        {
+            s.set_endpoint("i-1", true);
+            REQUIRE(answers(s, 0, "ledger", "READ bear",
+                            "ROW white | COMPLETE | READY I"));
+        }
+    }
+}
+
+SCENARIO("A daemon on the platform is told to end")
+{
+    site s(2);
+    REQUIRE(answers(s, 0, "ledger", "WRITE bear brown", "COMPLETE | READY I"));
+    line_caller rests(s.callers_of(0));
+    REQUIRE(rests.start("ledger", "ward-key") == "READY");
+    line_caller works(s.callers_of(0));
+    REQUIRE(works.start("ledger", "ward-key") == "READY");
+    REQUIRE(works.ask("BEGIN") == "COMPLETE | READY T");
+    REQUIRE(works.ask("WRITE fox red") == "COMPLETE | READY T");
+    s.daemon(0).send_signal(SIGTERM);
+
+    THEN("it isn't ready, and an open transaction may end")
+    {
+        REQUIRE(comes_true(
+            [&]
+            {
+                return !s.is_ready(0);
+            }));
+        REQUIRE(works.ask("COMMIT") == "COMPLETE | READY I");
+
+        AND_THEN("sessions at rest are closed, and it ends by itself")
+        {
+            REQUIRE_FALSE(rests.line());
+            REQUIRE(s.daemon(0).wait() == 0);
+            REQUIRE(answers(s, 1, "ledger", "READ fox",
+                            "ROW red | COMPLETE | READY I"));
+        }
+    }
+}
--- /dev/null
+++ b/Tests/support/site.cpp
@@ -0,0 +1,306 @@
+#include <support/site.hpp>
+
+#include <array>
+#include <chrono>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <support/loopback.hpp>
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke::support
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int answer_limit_ms = 10'000;
+constexpr std::chrono::milliseconds moment{25};
+constexpr const char* service = "ledger-db";
+
+int connect_to(const address& at)
+{
+    const socket_address to = to_socket_address(at);
+    const int s = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(s, reinterpret_cast<const sockaddr*>(&to.m_storage),
+                to.m_length) == 0)
+        return s;
+    close(s);
+    return -1;
+}
+
+// What arrives next, or nothing at the end or after the limit.
+std::string receive(int s)
+{
+    pollfd ready{s, POLLIN, 0};
+    if (poll(&ready, 1, answer_limit_ms) != 1)
+        return {};
+    std::array<char, 4096> bytes{};
+    const ssize_t count = recv(s, bytes.data(), bytes.size(), 0);
+    if (count <= 0)
+        return {};
+    return {bytes.data(), static_cast<std::size_t>(count)};
+}
+
+void send_all(int s, const std::string& bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size())
+    {
+        const ssize_t count =
+            ::send(s, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0)
+            return;
+        sent += static_cast<std::size_t>(count);
+    }
+}
+
+json first_config()
+{
+    const auto route = [](const char* database, const char* type)
+    {
+        return json{{"name", std::string("r-") + database},
+                    {"host", database},
+                    {"type", type},
+                    {"timeout-ms", 2000},
+                    {"target-latency-ms", 4000},
+                    {"max-staleness-ms", 1500},
+                    {"service", service}};
+    };
+    return {
+        {"version", 0},
+        {"routes",
+         {route("ledger", "primary"), route("browse", "bounded_staleness"),
+          route("intake", "read_your_writes")}},
+        {"services",
+         {{{"name", service}, {"max-connections", 64}, {"sync-replicas", 1}}}},
+        {"limits", {{"tx-idle-ms", 3000}}},
+        {"tenants",
+         {{{"name", "ward"},
+           {"api-keys", {"ward-key"}},
+           {"rate-per-s", 1000},
+           {"burst", 1000}},
+          {{"name", "depot"},
+           {"api-keys", {"depot-key"}},
+           {"rate-per-s", 1000},
+           {"burst", 1000}}}}};
+}
+
+}
+
+line_caller::line_caller(const address& at) : m_socket(connect_to(at))
+{
+    if (m_socket < 0)
+        throw std::runtime_error("no connection to " + to_string(at));
+}
+
+line_caller::~line_caller()
+{
+    close(m_socket);
+}
+
+void line_caller::send(const std::string& line)
+{
+    send_all(m_socket, line + "\r\n");
+}
+
+std::optional<std::string> line_caller::line()
+{
+    for (;;)
+    {
+        const std::size_t end = m_rest.find("\r\n");
+        if (end != std::string::npos)
+        {
+            std::string taken = m_rest.substr(0, end);
+            m_rest.erase(0, end + 2);
+            return taken;
+        }
+        const std::string more = receive(m_socket);
+        if (more.empty())
+            return std::nullopt;
+        m_rest.append(more);
+    }
+}
+
+std::string line_caller::ask(const std::string& statement)
+{
+    send("QUERY q" + std::to_string(++m_number) + " " + statement);
+    std::string all;
+    while (const auto next = line())
+    {
+        const std::string word = next->substr(0, next->find(' '));
+        if (word == "READY")
+            return all + next->substr(0, std::string("READY I").size());
+        if (word == "ERROR")
+            all.append(next->substr(0, next->find(' ', word.size() + 1)));
+        else
+            all.append(word == "COMPLETE" ? word : *next);
+        all.append(" | ");
+    }
+    return all + "end";
+}
+
+std::string line_caller::start(const std::string& database,
+                               const std::string& key)
+{
+    send("STARTUP " + database + " " + key);
+    const auto answer = line();
+    if (!answer)
+        return "end";
+    if (!answer->starts_with("ERROR "))
+        return answer->substr(0, answer->find(' '));
+    const std::string code = answer->substr(std::string("ERROR ").size());
+    return code.substr(0, code.find(' '));
+}
+
+http_reply call_http(const address& at, const std::string& method,
+                     const std::string& path, const std::string& body)
+{
+    const int s = connect_to(at);
+    if (s < 0)
+        return {};
+    send_all(s, method + " " + path + " HTTP/1.1\r\nHost: standin\r\n" +
+                    "Standin-Operator: yes\r\nConnection: close\r\n" +
+                    "Content-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body);
+    std::string all;
+    for (std::string more = receive(s); !more.empty(); more = receive(s))
+        all.append(more);
+    close(s);
+    const std::size_t head = all.find("\r\n\r\n");
+    const std::size_t blank = all.find(' ');
+    if (head == std::string::npos || blank == std::string::npos)
+        return {};
+    return {std::stoi(all.substr(blank)), all.substr(head + 4)};
+}
+
+void wait_a_moment()
+{
+    std::this_thread::sleep_for(moment);
+}
+
+site::site(std::size_t daemons)
+    : m_platform(free_address()), m_config(first_config())
+{
+    std::vector<std::string> command{
+        TEST_SITE, "--listen", to_string(m_platform), "--service", service};
+    for (int i = 0; i < 3; ++i)
+        command.push_back(to_string(free_address()));
+    m_standin = std::make_unique<child_process>(command, "");
+    if (m_standin->read_line() != "serving")
+        throw std::runtime_error("the stand-in doesn't serve");
+    configure();
+    m_nodes.resize(daemons);
+    for (std::size_t i = 0; i < daemons; ++i)
+    {
+        write_node_file(i, m_nodes[i]);
+        start_daemon(i);
+    }
+    for (std::size_t i = 0; i < daemons; ++i)
+        if (!comes_true(
+                [&]
+                {
+                    return is_ready(i);
+                }))
+            throw std::runtime_error("a daemon isn't ready");
+}
+
+site::~site() = default;
+
+void site::write_node_file(std::size_t number, node& n) const
+{
+    n.m_callers = free_address();
+    n.m_probes = free_address();
+    n.m_peers = free_address();
+    n.m_metrics = free_address();
+    n.m_file = m_folder.m_path / ("node-" + std::to_string(number) + ".json");
+    const json settings{
+        {"node-name", "entry-" + std::to_string(number)},
+        {"zone", "zone-1"},
+        {"region", "region-1"},
+        {"zones", {{"zone-1", "region-1"}}},
+        {"ip-address", n.m_metrics.m_host},
+        {"internal-port-range", {n.m_metrics.m_port, n.m_metrics.m_port}},
+        {"listen-addresses",
+         {{"frontend", to_string(n.m_callers)},
+          {"ready", to_string(n.m_probes)},
+          {"control-plane", to_string(n.m_peers)}}},
+        {"bootstrap", true},
+        {"bounds",
+         {{"grace-period-s", 6},
+          {"quota-window-s", 5},
+          {"quota-overage", 0.1},
+          {"quota-tolerance", 20}}},
+        {"platform", {{"address", to_string(m_platform)}}},
+        {"cloud-api", {{"address", to_string(m_platform)}}}};
+    std::ofstream(n.m_file) << settings.dump();
+}
+
+void site::start_daemon(std::size_t number)
+{
+    const std::vector<std::string> command{TEST_DAEMON, "--node-file",
+                                           m_nodes[number].m_file, "--charts",
+                                           TEST_CHARTS};
+    m_nodes[number].m_process = std::make_unique<child_process>(command, "");
+}
+
+void site::configure(const json& change)
+{
+    m_config.merge_patch(change);
+    m_config["version"] = m_config["version"].get<int>() + 3;
+    const json body{{"meta", {{"name", "main"}}}, {"spec", m_config}};
+    if (call_http(m_platform, "PUT", "/api/objects/config/main", body.dump())
+            .m_status == 404)
+        call_http(m_platform, "POST", "/api/objects/config", body.dump());
+}
+
+void site::set_endpoint(const std::string& id, bool up) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"up", up}}.dump());
+}
+
+void site::set_store(bool down) const
+{
+    call_http(m_platform, "POST", "/standin/store",
+              json{{"down", down}}.dump());
+}
+
+const address& site::callers_of(std::size_t daemon) const
+{
+    return m_nodes.at(daemon).m_callers;
+}
+
+const address& site::probes_of(std::size_t daemon) const
+{
+    return m_nodes.at(daemon).m_probes;
+}
+
+const address& site::metrics_of(std::size_t daemon) const
+{
+    return m_nodes.at(daemon).m_metrics;
+}
+
+child_process& site::daemon(std::size_t number)
+{
+    return *m_nodes.at(number).m_process;
+}
+
+bool site::is_ready(std::size_t daemon) const
+{
+    return call_http(probes_of(daemon), "GET", "/api/readyz").m_status == 200;
+}
+
+json& site::config() noexcept
+{
+    return m_config;
+}
+
+}
--- /dev/null
+++ b/Tests/support/site.hpp
@@ -0,0 +1,120 @@
+#ifndef BLUEBELLSPOKE_SUPPORT_SITE_HPP
+#define BLUEBELLSPOKE_SUPPORT_SITE_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <model/address.hpp>
+#include <nlohmann/json.hpp>
+#include <support/certificates.hpp>
+#include <support/child_process.hpp>
+
+namespace bluebellspoke::support
+{
+
+/// A caller's session, one line at a time; every wait has an end.
+class line_caller
+{
+public:
+    /// Connects. Throws std::runtime_error.
+    explicit line_caller(const address& at);
+    ~line_caller();
+    line_caller(const line_caller&) = delete;
+    line_caller& operator=(const line_caller&) = delete;
+
+    void send(const std::string& line);
+    /// The next line, or nothing at the end of the session or of the wait.
+    std::optional<std::string> line();
+    /// Sends a statement under a new id; its answer's lines joined by " | ",
+    /// each up to and without its digest or position.
+    std::string ask(const std::string& statement);
+    /// Starts the session. Returns the first word of the answer, or of an error
+    /// the second.
+    std::string start(const std::string& database, const std::string& key);
+
+private:
+    int m_socket = -1;
+    std::string m_rest;
+    unsigned m_number = 0;
+};
+
+/// One answer of an HTTP/1.1 server.
+struct http_reply
+{
+    int m_status = 0; ///< 0: none.
+    std::string m_body;
+};
+
+/// Throws nothing; no answer has status 0.
+http_reply call_http(const address& at, const std::string& method,
+                     const std::string& path, const std::string& body = {});
+
+/// Daemons on a stand-in of the users' platform.
+class site
+{
+public:
+    /// Three endpoints of one service, and this many daemons, all ready.
+    explicit site(std::size_t daemons);
+    ~site();
+    site(const site&) = delete;
+    site& operator=(const site&) = delete;
+
+    /// Puts a configuration into the store, with the next version.
+    void configure(const nlohmann::json& change = nlohmann::json::object());
+    void set_endpoint(const std::string& id, bool up) const;
+    void set_store(bool down) const;
+    void start_daemon(std::size_t number);
+
+    const address& callers_of(std::size_t daemon) const;
+    const address& probes_of(std::size_t daemon) const;
+    const address& metrics_of(std::size_t daemon) const;
+    child_process& daemon(std::size_t number);
+    bool is_ready(std::size_t daemon) const;
+    nlohmann::json& config() noexcept;
+
+private:
+    struct node
+    {
+        std::string m_file;
+        address m_callers;
+        address m_probes;
+        address m_peers;
+        address m_metrics;
+        std::unique_ptr<child_process> m_process;
+    };
+
+    void write_node_file(std::size_t number, node& n) const;
+
+    scratch_folder m_folder;
+    address m_platform;
+    nlohmann::json m_config;
+    std::unique_ptr<child_process> m_standin;
+    std::vector<node> m_nodes;
+};
+
+/// Repeats until the check holds. False after the longest time that the
+/// deployments described allow for what is waited for, twice over.
+template <class Check>
+bool comes_true(Check check);
+
+void wait_a_moment();
+
+template <class Check>
+bool comes_true(Check check)
+{
+    constexpr int moments = 1200;
+    for (int i = 0; i < moments; ++i)
+    {
+        if (check())
+            return true;
+        wait_a_moment();
+    }
+    return false;
+}
+
+}
+
+#endif
