reads: Trust a replica's word only while no promotion can have passed it

Change: what a replica shows counts while a lease is in force, since then no promotion can have taken effect; else when all members show the old term, or after the replica has followed on for 1 s, or with a commit. This replaces the memory of pauses.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -26,18 +26,30 @@
            s.m_status.m_term == g.m_term && s.m_status.m_held <= g.m_term;
 }
 
+// Every member was seen to go on in the term, none long before `at`. One that
+// was promoted since would have been paused for lease_time before.
+bool all_go_on(const group_view& g, time_point at)
+{
+    const auto count = std::ranges::count_if(
+        g.m_sights,
+        [&](const auto& entry)
+        {
+            const endpoint_sight& s = entry.second;
+            return s.m_asked_at >= at - lease_time &&
+                   (entry.first == g.m_primary || follows_on(g, s));
+        });
+    return static_cast<std::size_t>(count) >= g.m_members;
+}
+
 // A promotion ends the pauses of the replicas that it passes over, before they
-// hear of its term. So once a pause was seen, a replica without one proves
-// nothing, unless every member is seen to have gone on in the old term: the
-// promoted one is among them.
-bool was_let_go(const group_view& g)
+// hear of its term. So what a replica shows proves something only if no
+// promotion can have taken effect: while a lease is in force, or if the others
+// show nothing either, or after it has followed on for some time.
+bool is_trusted(const group_view& g, const endpoint_sight& s)
 {
-    std::size_t gone_on = 0;
-    for (const auto& [id, sight] : g.m_sights)
-        if (sight.m_asked_at > g.m_touched_seen_at &&
-            (id == g.m_primary || follows_on(g, sight)))
-            ++gone_on;
-    return gone_on >= g.m_members;
+    return s.m_asked_at < g.m_lease_until ||
+           s.m_asked_at - s.m_following_since >= trust_time ||
+           all_go_on(g, s.m_asked_at);
 }
 
 // The primary and m_sync_replicas others that follow its term and are paused
@@ -51,12 +63,9 @@
     if (lead.m_status.m_role != endpoint_role::primary ||
         lead.m_status.m_term != g.m_term || lead.m_status.m_held > g.m_term)
         return;
-    if (g.m_touched > g.m_term && !was_let_go(g))
-        return;
-    g.m_touched = 0;
     std::vector<time_point> followers;
     for (const auto& [id, sight] : g.m_sights)
-        if (id != g.m_primary && follows_on(g, sight))
+        if (id != g.m_primary && follows_on(g, sight) && is_trusted(g, sight))
             followers.push_back(sight.m_asked_at);
     if (followers.size() < g.m_sync_replicas)
         return;
@@ -98,7 +107,12 @@
     endpoint_sight& sight = g.m_sights[std::string(id)];
     if (asked_at < sight.m_asked_at)
         return false;
-    sight = {status, asked_at};
+    const bool followed =
+        follows_on(g, sight) && asked_at - sight.m_asked_at <= lease_time;
+    sight.m_status = status;
+    sight.m_asked_at = asked_at;
+    if (!followed)
+        sight.m_following_since = asked_at;
     const bool leads = status.m_role == endpoint_role::primary;
     bool changed = false;
     if (status.m_term > g.m_term)
@@ -117,10 +131,7 @@
         changed = true;
     }
     if (status.m_held > g.m_term)
-    {
         g.m_touched = std::max(g.m_touched, status.m_held);
-        g.m_touched_seen_at = std::max(g.m_touched_seen_at, asked_at);
-    }
     if (leads && g.m_primary == id)
         add_sample(g, status.m_position, asked_at);
     renew_by_sights(g);
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -28,6 +28,10 @@
 inline constexpr std::chrono::milliseconds lease_reserve{600};
 /// From one question for an endpoint's status to the next.
 inline constexpr std::chrono::milliseconds status_period{250};
+/// How long a replica must follow on, seen again and again, before its word
+/// counts without a lease in force: a replica that a promotion passed over
+/// hears of the new term within some 100 ms, or shows that it doesn't.
+inline constexpr std::chrono::milliseconds trust_time{1000};
 /// Samples of positions nearer to each other than this are kept as one.
 inline constexpr std::chrono::milliseconds sample_spacing{20};
 /// Samples older than this serve no route; the longest staleness bound of the
@@ -46,6 +50,7 @@
 {
     endpoint_status m_status;
     time_point m_asked_at{};
+    time_point m_following_since{}; ///< In a row, never lease_time apart.
 };
 
 /// What one process knows of a group: who leads it, and until when no other
@@ -57,9 +62,8 @@
     std::string m_primary;      ///< In m_term; empty: unknown.
     time_point m_lease_until{}; ///< No later term takes effect before.
     std::map<std::string, endpoint_sight, std::less<>> m_sights; ///< By id.
-    std::size_t m_members = 0;      ///< Endpoints that are listed.
-    term_number m_touched = 0;      ///< Somebody was paused for this term.
-    time_point m_touched_seen_at{}; ///< When that was last asked for.
+    std::size_t m_members = 0; ///< Endpoints that are listed.
+    term_number m_touched = 0; ///< Somebody was paused for this term.
     std::deque<position_sample> m_samples; ///< Of m_primary, oldest first.
 };
 
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -147,9 +147,10 @@
                           };
                           return rank(a) < rank(b);
                       });
-    const bool touched = g.m_view.m_touched > g.m_view.m_term;
-    const std::size_t needed =
-        touched ? replicas.size() : g.m_view.m_sync_replicas;
+    // Without a lease in force, one is proved soonest by all.
+    const std::size_t needed = now < g.m_view.m_lease_until
+                                   ? g.m_view.m_sync_replicas
+                                   : replicas.size();
     for (std::size_t i = 0; i < std::min(needed, replicas.size()); ++i)
         want_status(t, *replicas[i], now);
     // The rest now and then, for a newer term that the others don't know.
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -75,24 +75,35 @@
             }
         }
     }
-    GIVEN("a proved primary, and a replica that was seen paused")
+    GIVEN("a proved primary of a group of three")
     {
         g.m_members = 3;
         note_status(g, "a", leads(3, 10), start);
         note_status(g, "b", follows(3, 9), start);
+        REQUIRE(g.m_lease_until == time_point{});
+        note_status(g, "c", follows(3, 9), start);
         const time_point until = g.m_lease_until;
-        const time_point paused = start + milliseconds(900);
-        note_status(g, "a", leads(3, 10), paused);
-        note_status(g, "b", follows(3, 9, 4), paused);
-        REQUIRE(g.m_lease_until == until);
+        REQUIRE(until == start + lease_time);
 
-        WHEN("its pause is over, and its term still the old one")
+        WHEN("one replica is asked again while the lease is in force")
         {
-            const time_point later = start + milliseconds(1400);
+            const time_point later = start + milliseconds(900);
             note_status(g, "a", leads(3, 10), later);
             note_status(g, "b", follows(3, 9), later);
 
-            THEN("another endpoint may have been promoted: no lease")
+            THEN("its word is enough")
+            {
+                REQUIRE(g.m_lease_until == later + lease_time);
+            }
+        }
+        WHEN("it was paused, and its pause is over with the lease")
+        {
+            note_status(g, "b", follows(3, 9, 4), start + milliseconds(900));
+            const time_point later = until + milliseconds(300);
+            note_status(g, "a", leads(3, 10), later);
+            note_status(g, "b", follows(3, 9), later);
+
+            THEN("the third may have been promoted: no lease")
             {
                 REQUIRE(g.m_lease_until == until);
             }
@@ -101,17 +112,30 @@
                 note_status(g, "c", follows(3, 9), later);
                 REQUIRE(g.m_lease_until == later + lease_time);
             }
-            THEN("an answer from before the pause doesn't count for that")
-            {
-                note_status(g, "c", follows(3, 9), start);
-                REQUIRE(g.m_lease_until == until);
-            }
             THEN("a commit proves that the old primary still has a replica")
             {
                 note_commit(g, "a", {3, 11}, later);
                 REQUIRE(g.m_lease_until == later + lease_time);
             }
         }
+        WHEN("nobody could be asked for as long as a pause lasts")
+        {
+            const time_point later = until + lease_time;
+            note_status(g, "a", leads(3, 10), later);
+            note_status(g, "b", follows(3, 9), later);
+
+            THEN("a replica without a pause proves nothing at once")
+            {
+                REQUIRE(g.m_lease_until == until);
+            }
+            THEN("it does once it has followed on for a while")
+            {
+                const time_point trusted = later + trust_time;
+                note_status(g, "a", leads(3, 10), trusted);
+                note_status(g, "b", follows(3, 9), trusted);
+                REQUIRE(g.m_lease_until == trusted + lease_time);
+            }
+        }
     }
     GIVEN("a proved primary, sampled now and then")
     {
