rates: Wait less for members that are gone

Not to wait had been wrong: the story of random messages in Tests/decide showed parts that add up to 1.45.

Change: members that nobody has heard for 8 s leave the store's list; a process is alone after 1.6 s and silent after 2.8 s without a word.

--- a/Source/decide/demand_share.hpp
+++ b/Source/decide/demand_share.hpp
@@ -17,11 +17,16 @@
 /// The part of a limit that is divided evenly and always usable; the rest
 /// follows demand.
 inline constexpr double even_part = 0.25;
-/// A process that hears from no majority for this long keeps to its even part.
-inline constexpr std::chrono::milliseconds alone_after{2500};
+/// A process that hears from no majority for this long keeps to its even part:
+/// one exchange a second, a round trip and a late timer fit in.
+inline constexpr std::chrono::milliseconds alone_after{1600};
 /// How long the others leave a silent process what it had: until it keeps to
-/// its even part, and 1 s for what is under way and for late timers.
-inline constexpr std::chrono::milliseconds silent_after{3500};
+/// its even part, the second by which their last words may have missed each
+/// other, and a margin.
+inline constexpr std::chrono::milliseconds silent_after{2800};
+/// A member that nobody has heard for this long is taken out of the list: far
+/// past silent_after, and longer than a machine takes to start again.
+inline constexpr std::chrono::seconds member_lapse{8};
 /// A weight that moved by less than this part, or this much, isn't told.
 inline constexpr double told_part = 0.25;
 inline constexpr double told_least = 1.0;
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -34,6 +34,7 @@
     settings_file_refused = 2011,
     peer_reached = 2012,
     peer_lost = 2013,
+    member_removed = 2014,
     fleet_epoch_followed = 2101,
     fleet_epoch_refused = 2102,
     endpoint_reached = 3001,
--- a/Source/session/object_store.hpp
+++ b/Source/session/object_store.hpp
@@ -79,6 +79,8 @@
         m_watch;
     /// Creates the object, or replaces it at its revision.
     std::function<void(stored_kind, stored_object, write_done)> m_write;
+    /// Removes the object if it is still at its revision.
+    std::function<void(stored_kind, stored_object, write_done)> m_remove;
 };
 
 /// A process that limits are divided among.
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -86,6 +86,7 @@
 {
     const std::vector<candidate> found = find_candidates(t, w, now);
     std::vector<endpoint_offer> offers;
+    offers.reserve(found.size());
     for (const candidate& c : found)
         offers.push_back(c.m_offer);
     const auto best = choose_offer(offers, now);
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -67,7 +67,7 @@
 link_ptr dial(session_task_state& t, endpoint_port& p,
               std::string_view workspace)
 {
-    const link_ptr k(new link);
+    link_ptr k(new link);
     k->m_port = &p;
     k->m_workspace = workspace;
     k->m_since = boot_now();
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -120,9 +120,13 @@
                   bool whole)
 {
     if (whole)
+    {
         t.m_members.clear();
+        t.m_member_revisions.clear();
+    }
     for (const stored_change& c : changes)
     {
+        t.m_member_revisions[c.m_object.m_name] = c.m_object.m_revision;
         t.m_members_revision =
             std::max(t.m_members_revision, c.m_object.m_revision);
         const auto member =
@@ -132,7 +136,7 @@
         else
             t.m_members.insert_or_assign(c.m_object.m_name, *member);
     }
-    if (whole)
+    if (whole || !t.m_members.contains(t.m_settings.m_name))
         register_member(t);
     publish_fleet(t);
 }
@@ -195,6 +199,39 @@
                       replaced);
 }
 
+void remove_lapsed_members(site_task_state& t)
+{
+    const time_point now = boot_now();
+    std::vector<std::string> lapsed;
+    std::size_t heard = 1;
+    std::string first_heard = t.m_settings.m_name;
+    for (const auto& [at, p] : t.m_peers)
+    {
+        if (!t.m_members.contains(p.m_name))
+            continue;
+        if (now - p.m_heard_at >= member_lapse)
+            lapsed.push_back(p.m_name);
+        else
+        {
+            ++heard;
+            first_heard = std::min(first_heard, p.m_name);
+        }
+    }
+    // One of those that hear each other does it, if they are a majority.
+    if (lapsed.empty() || first_heard != t.m_settings.m_name ||
+        2 * heard <= t.m_members.size() || !store_answers(t))
+        return;
+    for (const std::string& name : lapsed)
+    {
+        log_event(event_id::member_removed, {{"member", name}});
+        t.m_members.erase(name);
+        t.m_store.m_remove(stored_kind::members,
+                           {name, t.m_member_revisions[name], {}},
+                           [](write_answer&) {});
+    }
+    publish_fleet(t);
+}
+
 peer_settings describe_for_peer(const site_task_state& t, std::uint64_t after)
 {
     peer_settings m;
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -93,6 +93,7 @@
 {
     p.m_name = d.m_name;
     p.m_last = d;
+    p.m_heard_at = boot_now();
     if (d.m_ending)
     {
         t.m_boxes.m_session.post(peer_ended{d.m_name});
@@ -167,7 +168,10 @@
         return;
     site_peer& p = t.m_peers[to_string(at)];
     if (!p.m_client)
+    {
         p.m_client = std::make_unique<http2_client>(t.m_loop, at);
+        p.m_heard_at = boot_now();
+    }
     if (!name.empty())
         p.m_name = name;
 }
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -16,6 +16,7 @@
     if (expire_missing(t.m_list, boot_now()))
         publish_endpoints(t);
     send_digests(t);
+    remove_lapsed_members(t);
 }
 
 metric_families collect_site(const site_task_state& t)
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -53,6 +53,7 @@
     std::unique_ptr<http2_client> m_client;
     std::optional<peer_site_digest> m_last;
     bool m_reached = false;
+    time_point m_heard_at{};      ///< Or when it was first known.
     std::uint32_t m_refusals = 0; ///< Of its host, one after the other.
     bool m_asking = false;
     time_point m_asked_at{};
@@ -82,6 +83,7 @@
     endpoint_list m_list;
     std::set<std::string, std::less<>> m_evacuated;
     std::map<std::string, member_record, std::less<>> m_members;
+    std::map<std::string, std::uint64_t, std::less<>> m_member_revisions;
     std::uint64_t m_members_revision = 0;
     std::uint64_t m_adopted_revision = 0; ///< Of what a peer has passed on.
     bool m_registered = false;
@@ -112,6 +114,9 @@
 peer_settings describe_for_peer(const site_task_state& t, std::uint64_t after);
 void adopt_from_peer(site_task_state& t, const peer_settings& m);
 
+/// Takes members that nobody hears out of the store's list.
+void remove_lapsed_members(site_task_state& t);
+
 // site_peers.cpp
 void start_peers(site_task_state& t);
 void update_peers(site_task_state& t);
