--- a/Source/session/session_codec.hpp
+++ b/Source/session/session_codec.hpp
@@ -132,6 +132,10 @@
     void (*m_write_query)(std::string& out, std::string_view id,
                           const std::optional<log_position>& after,
                           std::string_view text);
+    void (*m_write_begin)(std::string& out,
+                          const std::optional<log_position>& after,
+                          bool reads_only);
+    void (*m_write_rollback)(std::string& out);
     void (*m_write_set)(std::string& out, std::string_view name,
                         std::string_view value);
     void (*m_write_prepare)(std::string& out, std::string_view name,
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -105,6 +105,41 @@
         send_work(t, *k);
 }
 
+// What is known of the group that the work waited for.
+std::string describe_group(const session_task_state& t, const work& w,
+                           time_point now)
+{
+    const auto found = t.m_groups.find(w.m_session->m_route->m_service);
+    if (found == t.m_groups.end())
+        return "no endpoint of the service is listed";
+    const group_view& view = found->second.m_view;
+    const auto ms = [](duration d)
+    {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+    };
+    std::string text = view.m_primary.empty() ? "no primary known"
+                                              : "primary " + view.m_primary;
+    text.append(", term ").append(std::to_string(view.m_term));
+    text.append(now < view.m_lease_until
+                    ? ", lease for " + ms(view.m_lease_until - now) + " ms"
+                    : ", no lease");
+    for (const auto& [id, p] : t.m_ports)
+    {
+        if (p.m_group != &found->second)
+            continue;
+        text.append("; ").append(id).append(": ");
+        text.append(std::to_string(p.m_link_count)).append(" of ");
+        text.append(std::to_string(p.m_limit)).append(" connections, ");
+        text.append(std::to_string(p.m_running)).append(" running");
+        if (now < p.m_avoid_until)
+            text.append(", avoided");
+        if (p.m_leaving_since != time_point{})
+            text.append(", leaving");
+    }
+    return text;
+}
+
 bool has_waited_too_long(const work& w, time_point now)
 {
     return now >= w.m_wait_until || now >= w.m_deadline;
@@ -127,6 +162,7 @@
                {"workspace", s.m_workspace},
                {"outcome", std::string(outcome)},
                {"detail", std::string(detail)},
+               {"evidence", w.m_evidence},
                {"endpoint",
                 w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string()},
                {"attempts", std::to_string(w.m_attempts)},
@@ -189,7 +225,10 @@
     if (group == t.m_groups.end())
         return fail_work(t, w, session_fault::busy, "no endpoints");
     if (has_waited_too_long(*w, now))
+    {
+        w->m_evidence = describe_group(t, *w, now);
         return fail_work(t, w, session_fault::busy, "waited");
+    }
     enqueue(group->second.m_queue, s.m_workspace, even_weight, *w);
 }
 
@@ -327,6 +366,7 @@
             continue;
         if (w->m_sent_at == time_point{})
         {
+            w->m_evidence = describe_group(t, *w, now);
             // A connection that is being made for it is kept for others.
             fail_work(t, w, session_fault::busy,
                       w->m_link ? "no answer to its begin"
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -173,8 +173,7 @@
 void send_begin(session_task_state& t, link& k, const work& w, std::string& out)
 {
     const bool reads_only = w.m_session->m_transaction->m_reads_only;
-    t.m_codec.m_write_query(out, {}, floor_of(k, w),
-                            reads_only ? "BEGIN READ" : "BEGIN");
+    t.m_codec.m_write_begin(out, floor_of(k, w), reads_only);
     expect(k, link_answer::begin);
 }
 
@@ -557,7 +556,7 @@
         return close_link(t, k);
     move_to(t, k, link_event::rolled_back);
     std::string out;
-    t.m_codec.m_write_query(out, {}, std::nullopt, "ROLLBACK");
+    t.m_codec.m_write_rollback(out);
     expect(k, link_answer::rollback);
     k.m_stream->write(out);
 }
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -81,6 +81,23 @@
     return credit_part * slack / members;
 }
 
+std::string describe_rate(const session_task_state& t,
+                          std::string_view workspace, const workspace_rate& r,
+                          time_point now)
+{
+    const auto whole = [](double value)
+    {
+        return std::to_string(std::lround(value));
+    };
+    constexpr double percent = 100;
+    return whole(part_of(t.m_demand, workspace, now) * percent) + " % of " +
+           whole(r.m_rate) + "/s and burst " + whole(r.m_burst) + ", " +
+           whole(r.m_bucket.m_tokens) + " tokens, " +
+           std::to_string(r.m_waiting.size()) + " waiting, " +
+           std::to_string(t.m_demand.m_members.size()) + " members, " +
+           std::to_string(t.m_demand.m_peers.size()) + " peers heard";
+}
+
 void admit_waiting(session_task_state& t, workspace_rate& r, time_point now)
 {
     while (!r.m_waiting.empty())
@@ -99,7 +116,10 @@
         if (admitted)
             dispatch(t, w);
         else
+        {
+            w->m_evidence = describe_rate(t, w->m_session->m_workspace, r, now);
             fail_work(t, w, session_fault::busy, "rate");
+        }
     }
 }
 
@@ -184,7 +204,10 @@
     if (r.m_waiting.empty() && admit_one(r, now))
         return rate_verdict::admitted;
     if (!may_wait(r, *w, now))
+    {
+        w->m_evidence = describe_rate(t, workspace, r, now);
         return rate_verdict::refused;
+    }
     w->m_waits_for_rate = true;
     r.m_waiting.push_back(w);
     return rate_verdict::waits;
