failover: Take the duty over sooner, and not by old answers

Change: cheap reads are left alone for 5 s after one that was old; the duty lasts 1.8 s and lapses after 2.83 s. A process may go half beyond its even part of an endpoint's connections; one that is full is not dialed for 100 ms.

--- a/Source/decide/duty_lease.hpp
+++ b/Source/decide/duty_lease.hpp
@@ -15,15 +15,15 @@
 {
 
 /// How often the holder of the duty renews it.
-inline constexpr std::chrono::milliseconds duty_renewal{1000};
+inline constexpr std::chrono::milliseconds duty_renewal{600};
 /// How long the duty lasts from before the last renewal that was answered:
 /// three renewals.
-inline constexpr std::chrono::milliseconds duty_time{3000};
+inline constexpr std::chrono::milliseconds duty_time{1800};
 /// How long an order may still be under way after its sender gave it up.
 inline constexpr std::chrono::milliseconds order_time{1000};
 /// How long another process sees no renewal before it takes the duty:
 /// duty_time, an order under way, and 1 % for the clocks.
-inline constexpr std::chrono::milliseconds duty_lapse{4050};
+inline constexpr std::chrono::milliseconds duty_lapse{2830};
 
 /// A promotion that was decided on and may have been ordered.
 struct ordered_promotion
--- a/Source/session/failover_duty.cpp
+++ b/Source/session/failover_duty.cpp
@@ -12,6 +12,9 @@
 constexpr std::string_view duty_name = "failover";
 // Pause after a call that failed.
 constexpr std::chrono::milliseconds duty_retry{250};
+// How long answers that may be old are left alone after one that was. They may
+// be seconds behind; a takeover must not wait for that.
+constexpr std::chrono::seconds stale_pause{5};
 
 bool is_holder(const failover_task_state& t)
 {
@@ -115,6 +118,9 @@
                 if (c.m_object.m_name == duty_name)
                 {
                     found = true;
+                    if (t.m_duty &&
+                        c.m_object.m_revision < t.m_duty->m_revision)
+                        t.m_stale_until = now + stale_pause;
                     see(t, c.m_object);
                 }
             if (!found && !t.m_duty)
@@ -181,7 +187,7 @@
     if (is_holder(t))
         renew(t);
     else
-        read_duty(t, true);
+        read_duty(t, now >= t.m_stale_until);
 }
 
 void record_orders(failover_task_state& t)
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -100,6 +100,7 @@
     time_point m_renewed_at{};    ///< Zero: this process doesn't hold the duty.
     bool m_duty_call = false;     ///< A call for the duty is under way.
     time_point m_duty_at{};       ///< Of the next call.
+    time_point m_stale_until{};   ///< Cheap answers are too old to go by.
     bool m_record_wanted = false; ///< What is ordered has changed.
     bool m_stopping = false;
     std::uint64_t m_promotions = 0;
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -22,8 +22,9 @@
     const std::uint32_t all = service.m_connections > reserved_connections
                                   ? service.m_connections - reserved_connections
                                   : service.m_connections;
-    return std::max<std::uint32_t>(1,
-                                   all / static_cast<std::uint32_t>(members));
+    const double even = static_cast<double>(all) / static_cast<double>(members);
+    return std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(even * connection_reach));
 }
 
 bool is_leaving(const session_task_state& t, const endpoint_port& p)
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -219,7 +219,10 @@
             return send_work(t, k);
         return release_link(t, k);
     }
-    avoid_port(t, *k.m_port, to_string(e.m_fault));
+    if (e.m_fault == session_fault::too_many)
+        k.m_port->m_full_until = boot_now() + full_pause;
+    else
+        avoid_port(t, *k.m_port, to_string(e.m_fault));
     close_link(t, k);
 }
 
@@ -499,7 +502,7 @@
 
 bool has_room(const endpoint_port& p, std::string_view workspace)
 {
-    if (p.m_link_count < p.m_limit)
+    if (p.m_link_count < p.m_limit && boot_now() >= p.m_full_until)
         return true;
     return std::ranges::any_of(p.m_links,
                                [&](const link& k)
@@ -515,7 +518,7 @@
 {
     if (link* k = best_idle(p, workspace, s))
         return link_ptr(k);
-    if (p.m_link_count >= p.m_limit)
+    if (p.m_link_count >= p.m_limit || boot_now() < p.m_full_until)
     {
         link* const unused = oldest_idle(p);
         if (unused == nullptr)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -36,6 +36,13 @@
 inline constexpr std::chrono::milliseconds longest_avoid_pause{1600};
 /// Connections to an endpoint that are left to the process that promotes.
 inline constexpr std::uint32_t reserved_connections = 2;
+/// How far beyond its even part of an endpoint's connections a process may go
+/// while there is room: open transactions hold connections on some processes
+/// and not on others, and an endpoint that is full says so.
+inline constexpr double connection_reach = 1.5;
+/// How long no connection is opened to an endpoint that was full: a usual
+/// pause inside a transaction.
+inline constexpr std::chrono::milliseconds full_pause{100};
 /// Idle connections to an endpoint that are kept. After a loss of power of all
 /// VMs endpoints count the old connections for some seconds, and the new ones
 /// have to fit beside them: twice what all processes keep is within the limits
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -174,6 +174,7 @@
     time_point m_answered_at{};
     time_point m_avoid_until{};
     duration m_avoid_pause{};
+    time_point m_full_until{}; ///< It took no more connections.
     time_point m_busy_until{}; ///< It had no room.
     time_point m_lags_until{}; ///< Its log is too old for reads.
     time_point m_status_asked_at{};
