--- a/Source/model/refusal.hpp
+++ b/Source/model/refusal.hpp
@@ -10,7 +10,7 @@
 namespace bluebellspoke
 {
 
-/// Why a request got no ordinary answer. docs/OPERATING.md explains each.
+/// Why a request got no ordinary answer. docs/OPERATIONS.md explains each.
 enum class refusal : std::uint8_t
 {
     malformed_request,
--- a/Tests/settings/refusals_page_test.cpp
+++ b/Tests/settings/refusals_page_test.cpp
@@ -13,7 +13,7 @@
 // The rows of the page's last table up to the status, in order.
 std::vector<std::string> rows_of_page()
 {
-    std::ifstream page(TEST_DOCS "/OPERATING.md");
+    std::ifstream page(TEST_DOCS "/OPERATIONS.md");
     std::vector<std::string> rows;
     for (std::string line; std::getline(page, line);)
     {
