--- a/Source/daemon/front_state.cpp
+++ b/Source/daemon/front_state.cpp
@@ -6,10 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
-#include <peer/loan_number.hpp>
 #include <decide/access.hpp>
 #include <decide/session_token.hpp>
 #include <front/statement_codec.hpp>
+#include <peer/loan_number.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/front_task.cpp
+++ b/Source/daemon/front_task.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include <daemon/front_state.hpp>
-#include <model/overloaded.hpp>
 #include <front/statement_codec.hpp>
+#include <model/overloaded.hpp>
 
 namespace bluebellspoke
 {
--- a/Source/daemon/pool_task.cpp
+++ b/Source/daemon/pool_task.cpp
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include <model/overloaded.hpp>
 #include <daemon/pool_state.hpp>
+#include <model/overloaded.hpp>
 
 namespace bluebellspoke
 {
--- a/Tests/decide/demand_share_test.cpp
+++ b/Tests/decide/demand_share_test.cpp
@@ -54,6 +54,7 @@
 SCENARIO("Processes divide a workspace's rate by demand")
 {
     std::vector<demand_table> fleet;
+    fleet.reserve(3);
     for (int i = 0; i < 3; ++i)
         fleet.push_back(make_table("vm-" + std::to_string(i), 3));
     const auto meet = [&](time_point now)
@@ -150,6 +151,7 @@
     {
         std::mt19937 dice(seed);
         std::vector<demand_table> fleet;
+        fleet.reserve(members);
         for (int i = 0; i < members; ++i)
             fleet.push_back(make_table("vm-" + std::to_string(i), members));
         const auto pick = [&]
