session: Remove state that nothing reads

Cause: reading the change as a whole. A session's time of rest, a link's last answer and the members' revision were written and never read; one lambda stood twice in session_dispatch.cpp; a comment on orders under way stood above the groups' sizes.

Ruled out: sharing the chart vocabularies, the enumerations' names and the event rows that duplicates lists; they are alike in shape only. The finders of a workspace for a question (session and failover task) differ in what they prefer.

Conclusion: no behaviour changes.

--- a/Source/session/failover_duty.cpp
+++ b/Source/session/failover_duty.cpp
@@ -48,12 +48,12 @@
     tell_reports(t, true);
     for (auto& [service, g] : t.m_groups)
         g.m_report = {};
-    // What the holder before has ordered may still be under way.
     for (const auto& [service, places] : t.m_duty->m_record.m_places)
     {
         failover_group& g = t.m_groups[service];
         g.m_size = std::max(g.m_size, places);
     }
+    // What the holder before has ordered may still be under way.
     for (const auto& [service, ordered] : t.m_duty->m_record.m_ordered)
     {
         failover_group& g = t.m_groups[service];
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -200,7 +200,6 @@
 {
     const expected_answer e = std::move(k.m_expected.front());
     k.m_expected.pop_front();
-    k.m_last_answer = boot_now();
     take_sign(t, *k.m_port, e.m_asked_at, ready.m_position);
     switch (e.m_kind)
     {
--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -55,7 +55,6 @@
     if (!route->second.m_public && !t.m_config->m_keys.contains(m.m_key))
         return refuse_session(t, s, session_fault::unauthorized, "key");
     t.m_charts.m_session.fire(s.m_state, session_event::started);
-    s.m_idle_since = boot_now();
     answer_ready(t, s, {});
 }
 
@@ -92,7 +91,6 @@
                              {
                                  close_session(t, there);
                              }});
-    s->m_idle_since = boot_now();
     ++t.m_counts.m_sessions;
     // The list's own count keeps the session until close_session.
     intrusive_ptr_add_ref(s.get());
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -105,6 +105,12 @@
         send_work(t, *k);
 }
 
+std::string milliseconds_of(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 // What is known of the group that the work waited for.
 std::string describe_group(const session_task_state& t, const work& w,
                            time_point now)
@@ -113,16 +119,12 @@
     if (found == t.m_groups.end())
         return "no endpoint of the service is listed";
     const group_view& view = found->second.m_view;
-    const auto ms = [](duration d)
-    {
-        return std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-    };
     std::string text = view.m_primary.empty() ? "no primary known"
                                               : "primary " + view.m_primary;
     text.append(", term ").append(std::to_string(view.m_term));
     text.append(now < view.m_lease_until
-                    ? ", lease for " + ms(view.m_lease_until - now) + " ms"
+                    ? ", lease for " +
+                          milliseconds_of(view.m_lease_until - now) + " ms"
                     : ", no lease");
     for (const auto& [id, p] : t.m_ports)
     {
@@ -149,26 +151,22 @@
                  std::string_view detail)
 {
     const time_point now = boot_now();
-    const auto ms = [](duration d)
-    {
-        return std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-    };
     const bool sent = w.m_sent_at != time_point{};
-    log_event(event_id::statement_failed,
-              {{"request", w.m_id},
-               {"session", std::to_string(s.m_number)},
-               {"database", s.m_database},
-               {"workspace", s.m_workspace},
-               {"outcome", std::string(outcome)},
-               {"detail", std::string(detail)},
-               {"evidence", w.m_evidence},
-               {"endpoint",
-                w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string()},
-               {"attempts", std::to_string(w.m_attempts)},
-               {"age_ms", ms(now - w.m_asked_at)},
-               {"sent_ms_ago", sent ? ms(now - w.m_sent_at) : "never"},
-               {"config_version", std::to_string(s.m_config->m_version)}});
+    log_event(
+        event_id::statement_failed,
+        {{"request", w.m_id},
+         {"session", std::to_string(s.m_number)},
+         {"database", s.m_database},
+         {"workspace", s.m_workspace},
+         {"outcome", std::string(outcome)},
+         {"detail", std::string(detail)},
+         {"evidence", w.m_evidence},
+         {"endpoint",
+          w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string()},
+         {"attempts", std::to_string(w.m_attempts)},
+         {"age_ms", milliseconds_of(now - w.m_asked_at)},
+         {"sent_ms_ago", sent ? milliseconds_of(now - w.m_sent_at) : "never"},
+         {"config_version", std::to_string(s.m_config->m_version)}});
 }
 
 // Takes the work off everything that knows it.
@@ -279,7 +277,6 @@
         drop_transaction(t, *s);
         end_transaction(t, *s);
     }
-    s->m_idle_since = boot_now();
     answer_fault(t, *s, fault, detail);
     read_session(t, *s);
 }
@@ -295,7 +292,6 @@
     if (!s)
         return;
     count_outcome(t, session_outcome::served);
-    s->m_idle_since = now;
     if (s->m_transaction)
     {
         s->m_transaction->m_idle_since = now;
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -72,7 +72,6 @@
 {
     drop_transaction(t, s);
     t.m_charts.m_session.fire(s.m_state, session_event::ended);
-    s.m_idle_since = boot_now();
 }
 
 void roll_back(session_task_state& t, session& s)
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -116,7 +116,6 @@
     std::optional<log_position> m_own; ///< Of its last commit.
     std::optional<session_transaction> m_transaction;
     work_ptr m_work; ///< The statement under way.
-    time_point m_idle_since{};
     bool m_finishing = false;
 };
 
@@ -154,7 +153,6 @@
     bool m_begun = false;    ///< In a transaction of the work's session.
     bool m_doubtful = false; ///< Close it instead of using it again.
     time_point m_since{};    ///< Of its state.
-    time_point m_last_answer{};
 };
 
 /// An endpoint, and this process's connections to it.
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -127,8 +127,6 @@
     for (const stored_change& c : changes)
     {
         t.m_member_revisions[c.m_object.m_name] = c.m_object.m_revision;
-        t.m_members_revision =
-            std::max(t.m_members_revision, c.m_object.m_revision);
         const auto member =
             t.m_codec.m_read_member(c.m_object.m_name, c.m_object.m_value);
         if (c.m_deleted || !member)
