decide: Judge a replica's word by when its answer came

Cause: a model of the lease under which primaries are read, written to check the proof in design/platform.md, found an order that breaks it. A replica that is asked under a lease, paused, passed over by a promotion and resumed, and answers then, shows no pause; the question's time was still within the lease, so the old primary got a new one. The other two rules of trust (all members go on; the replica has followed on) went by questions as well.

Ruled out: a fault of the model only.

Change: a sight keeps when its answer came, and trust goes by that.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -27,7 +27,7 @@
 }
 
 // Every member was seen to go on in the term, none long before `at`. One that
-// was promoted since would have been paused for lease_time before.
+// had been promoted by then would have been paused for lease_time before.
 bool all_go_on(const group_view& g, time_point at)
 {
     const auto count = std::ranges::count_if(
@@ -35,7 +35,7 @@
         [&](const auto& entry)
         {
             const endpoint_sight& s = entry.second;
-            return s.m_asked_at >= at - lease_time &&
+            return s.m_asked_at > at - lease_time &&
                    (entry.first == g.m_primary || follows_on(g, s));
         });
     return static_cast<std::size_t>(count) >= g.m_members;
@@ -43,13 +43,15 @@
 
 // A promotion ends the pauses of the replicas that it passes over, before they
 // hear of its term. So what a replica shows proves something only if no
-// promotion can have taken effect: while a lease is in force, or if the others
-// show nothing either, or after it has followed on for some time.
+// promotion can have taken effect when it answered: a lease is in force still,
+// or the others show nothing either, or it has followed on for some time.
+// Going by the time of the question is wrong: an answer that is late may show
+// the end of the pause. Tests/model/read_lease.pml, ASKED_IN_LEASE.
 bool is_trusted(const group_view& g, const endpoint_sight& s)
 {
-    return s.m_asked_at < g.m_lease_until ||
+    return s.m_answered_at < g.m_lease_until ||
            s.m_asked_at - s.m_following_since >= trust_time ||
-           all_go_on(g, s.m_asked_at);
+           all_go_on(g, s.m_answered_at);
 }
 
 // The primary and m_sync_replicas others that follow its term and are paused
@@ -102,15 +104,18 @@
 }
 
 bool note_status(group_view& g, std::string_view id,
-                 const endpoint_status& status, time_point asked_at)
+                 const endpoint_status& status, time_point asked_at,
+                 time_point answered_at)
 {
     endpoint_sight& sight = g.m_sights[std::string(id)];
     if (asked_at < sight.m_asked_at)
         return false;
+    // No pause of a promotion fits between the two answers.
     const bool followed =
-        follows_on(g, sight) && asked_at - sight.m_asked_at <= lease_time;
+        follows_on(g, sight) && answered_at - sight.m_asked_at < lease_time;
     sight.m_status = status;
     sight.m_asked_at = asked_at;
+    sight.m_answered_at = answered_at;
     if (!followed)
         sight.m_following_since = asked_at;
     const bool leads = status.m_role == endpoint_role::primary;
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -50,6 +50,7 @@
 {
     endpoint_status m_status;
     time_point m_asked_at{};
+    time_point m_answered_at{};     ///< It showed this at some time before.
     time_point m_following_since{}; ///< In a row, never lease_time apart.
 };
 
@@ -67,10 +68,11 @@
     std::deque<position_sample> m_samples; ///< Of m_primary, oldest first.
 };
 
-/// Takes an endpoint's status in that was asked for at `asked_at`.
-/// Returns true when the primary changed.
+/// Takes an endpoint's status in that was asked for at `asked_at` and came at
+/// `answered_at`. Returns true when the primary changed.
 bool note_status(group_view& g, std::string_view id,
-                 const endpoint_status& status, time_point asked_at);
+                 const endpoint_status& status, time_point asked_at,
+                 time_point answered_at);
 /// Takes in a commit that the endpoint acknowledged; it was sent at `asked_at`.
 void note_commit(group_view& g, std::string_view id, log_position position,
                  time_point asked_at);
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -266,7 +266,8 @@
         return;
     }
     log_part(p, *status);
-    note_status(p.m_group->m_view, p.m_endpoint.m_id, *status, e.m_asked_at);
+    note_status(p.m_group->m_view, p.m_endpoint.m_id, *status, e.m_asked_at,
+                boot_now());
     note_primary(t, *p.m_group);
     serve_waiting(t, *p.m_group);
 }
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -86,7 +86,8 @@
     const auto group = t.m_groups.find(m.m_service);
     if (group == t.m_groups.end())
         return;
-    note_status(group->second.m_view, m.m_endpoint, m.m_status, m.m_asked_at);
+    note_status(group->second.m_view, m.m_endpoint, m.m_status, m.m_asked_at,
+                boot_now());
     note_primary(t, group->second);
 }
 
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -19,6 +19,12 @@
     return {endpoint_role::replica, term, {term, offset}, held, 0, 0, 0};
 }
 
+bool see(group_view& g, std::string_view id, const endpoint_status& status,
+         time_point at)
+{
+    return note_status(g, id, status, at, at);
+}
+
 }
 
 SCENARIO("A process reads from a group whose primary may be replaced")
@@ -29,7 +35,7 @@
 
     GIVEN("a primary that says it leads, and nobody else")
     {
-        REQUIRE(note_status(g, "a", leads(3, 10), start));
+        REQUIRE(see(g, "a", leads(3, 10), start));
         REQUIRE(g.m_primary == "a");
 
         THEN("that proves no lease: a promotion may have passed it by")
@@ -40,7 +46,7 @@
         }
         WHEN("a replica of its term, paused for no other, was asked too")
         {
-            note_status(g, "b", follows(3, 9), start + milliseconds(5));
+            see(g, "b", follows(3, 9), start + milliseconds(5));
 
             THEN("the lease counts from the earlier of the two questions")
             {
@@ -57,7 +63,7 @@
         }
         WHEN("the replica is paused for a later term")
         {
-            note_status(g, "b", follows(3, 9, 4), start);
+            see(g, "b", follows(3, 9, 4), start);
 
             THEN("it proves nothing")
             {
@@ -78,30 +84,53 @@
     GIVEN("a proved primary of a group of three")
     {
         g.m_members = 3;
-        note_status(g, "a", leads(3, 10), start);
-        note_status(g, "b", follows(3, 9), start);
+        see(g, "a", leads(3, 10), start);
+        see(g, "b", follows(3, 9), start);
         REQUIRE(g.m_lease_until == time_point{});
-        note_status(g, "c", follows(3, 9), start);
+        see(g, "c", follows(3, 9), start);
         const time_point until = g.m_lease_until;
         REQUIRE(until == start + lease_time);
 
         WHEN("one replica is asked again while the lease is in force")
         {
             const time_point later = start + milliseconds(900);
-            note_status(g, "a", leads(3, 10), later);
-            note_status(g, "b", follows(3, 9), later);
+            see(g, "a", leads(3, 10), later);
+            see(g, "b", follows(3, 9), later);
 
             THEN("its word is enough")
             {
                 REQUIRE(g.m_lease_until == later + lease_time);
             }
         }
+        WHEN("a replica asked under the lease answers after its end")
+        {
+            const time_point asked = until - milliseconds(100);
+            see(g, "a", leads(3, 10), asked);
+            note_status(g, "b", follows(3, 9), asked, until + milliseconds(1));
+
+            THEN("its pause may be over already: no lease")
+            {
+                REQUIRE(g.m_lease_until == until);
+            }
+        }
+        WHEN("all are asked at once, and replicas answer a lease's time later")
+        {
+            const time_point later = until + seconds(1);
+            see(g, "a", leads(3, 10), later);
+            note_status(g, "b", follows(3, 9), later, later + lease_time);
+            note_status(g, "c", follows(3, 9), later, later + lease_time);
+
+            THEN("they may have been paused and passed over since: no lease")
+            {
+                REQUIRE(g.m_lease_until == until);
+            }
+        }
         WHEN("it was paused, and its pause is over with the lease")
         {
-            note_status(g, "b", follows(3, 9, 4), start + milliseconds(900));
+            see(g, "b", follows(3, 9, 4), start + milliseconds(900));
             const time_point later = until + milliseconds(300);
-            note_status(g, "a", leads(3, 10), later);
-            note_status(g, "b", follows(3, 9), later);
+            see(g, "a", leads(3, 10), later);
+            see(g, "b", follows(3, 9), later);
 
             THEN("the third may have been promoted: no lease")
             {
@@ -109,7 +138,7 @@
             }
             THEN("a lease is proved once all members go on in the old term")
             {
-                note_status(g, "c", follows(3, 9), later);
+                see(g, "c", follows(3, 9), later);
                 REQUIRE(g.m_lease_until == later + lease_time);
             }
             THEN("a commit proves that the old primary still has a replica")
@@ -121,8 +150,8 @@
         WHEN("nobody could be asked for as long as a pause lasts")
         {
             const time_point later = until + lease_time;
-            note_status(g, "a", leads(3, 10), later);
-            note_status(g, "b", follows(3, 9), later);
+            see(g, "a", leads(3, 10), later);
+            see(g, "b", follows(3, 9), later);
 
             THEN("a replica without a pause proves nothing at once")
             {
@@ -131,16 +160,16 @@
             THEN("it does once it has followed on for a while")
             {
                 const time_point trusted = later + trust_time;
-                note_status(g, "a", leads(3, 10), trusted);
-                note_status(g, "b", follows(3, 9), trusted);
+                see(g, "a", leads(3, 10), trusted);
+                see(g, "b", follows(3, 9), trusted);
                 REQUIRE(g.m_lease_until == trusted + lease_time);
             }
         }
     }
     GIVEN("a proved primary, sampled now and then")
     {
-        note_status(g, "a", leads(3, 10), start);
-        note_status(g, "b", follows(3, 9), start);
+        see(g, "a", leads(3, 10), start);
+        see(g, "b", follows(3, 9), start);
         note_position(g, "a", {3, 20}, start + milliseconds(400));
         note_position(g, "a", {3, 30}, start + milliseconds(800));
 
@@ -167,7 +196,7 @@
         }
         WHEN("a later term is seen at another endpoint")
         {
-            REQUIRE(note_status(g, "b", leads(4, 28), start + seconds(1)));
+            REQUIRE(see(g, "b", leads(4, 28), start + seconds(1)));
 
             THEN("nothing of the old term is used any more")
             {
@@ -178,15 +207,14 @@
             }
             THEN("the old primary's answers change nothing")
             {
-                REQUIRE_FALSE(
-                    note_status(g, "a", leads(3, 50), start + seconds(1)));
+                REQUIRE_FALSE(see(g, "a", leads(3, 50), start + seconds(1)));
                 note_commit(g, "a", {3, 50}, start + seconds(1));
                 REQUIRE(g.m_primary == "b");
                 REQUIRE(g.m_lease_until == time_point{});
             }
             THEN("a commit that was rolled back is asked of no log")
             {
-                note_status(g, "c", follows(4, 28), start + seconds(1));
+                see(g, "c", follows(4, 28), start + seconds(1));
                 const auto floor =
                     staleness_floor(g, start + seconds(1), seconds(2));
                 REQUIRE(session_floor(g, floor, log_position{3, 99}) ==
@@ -195,7 +223,7 @@
         }
         WHEN("the primary says that it leads no more")
         {
-            REQUIRE(note_status(g, "a", follows(3, 31), start + seconds(1)));
+            REQUIRE(see(g, "a", follows(3, 31), start + seconds(1)));
 
             THEN("nobody is known to lead")
             {
@@ -206,7 +234,7 @@
         }
         WHEN("an answer arrives that was asked for before the last")
         {
-            note_status(g, "b", follows(3, 9, 4), start - milliseconds(1));
+            see(g, "b", follows(3, 9, 4), start - milliseconds(1));
 
             THEN("it is too old to say anything")
             {
@@ -217,7 +245,7 @@
     GIVEN("a group without synchronous replicas")
     {
         g.m_sync_replicas = 0;
-        note_status(g, "a", leads(1, 1), start);
+        see(g, "a", leads(1, 1), start);
 
         THEN("the primary's word is a proof: every log is asked before it is "
              "replaced")
--- a/Tests/standing/standing_test.cpp
+++ b/Tests/standing/standing_test.cpp
@@ -90,11 +90,18 @@
         {
             // What was on its way before the cut may still lengthen its
             // standing after a first refusal.
-            REQUIRE(eventually(
+            reply last;
+            bool ready = true;
+            const bool refused = eventually(
                 [&]
                 {
-                    return is_refused(read_through(w, 0)) && !is_ready(w, 0);
-                }));
+                    last = read_through(w, 0);
+                    ready = is_ready(w, 0);
+                    return is_refused(last) && !ready;
+                });
+            CAPTURE(last.m_status, last.m_body, ready,
+                    dump_of(f.m_daemons[0]).dump());
+            REQUIRE(refused);
             for (int i = 0; i < 20; ++i)
             {
                 REQUIRE(is_refused(read_through(w, 0)));
