session: Log each decision on a statement, and count by kind of route

Cause: only failures had lines, so a slow or retried statement left no trace, and refusals that never became work (an unknown prepared statement, a commit without a transaction) had none at all.

Change: events 4004 to 4008 (session started; statement waits, sent, retried, served) with the caller's id, the session, what the decision rested on and its age; 4002 also for what never became work. Lines on ordinary work have the new level detail: they are left out first, when half of the pipe is taken. A description of a group or rate isn't made for a line that would be left out. Metrics by kind of route, ages of the configuration, the endpoint list and each term, parts of rates, store calls by result (store_failures is its row failed).

Tests: a reader that never reads, the budget, room for refusals, each refusal's line, no key or value in the log.

--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -27,6 +27,8 @@
     own_writes, ///< As bounded, but for the session's own commits.
 };
 
+std::string_view to_string(read_consistency c) noexcept;
+
 /// Names of regions; empty: any.
 using region_set = std::set<std::string, std::less<>>;
 
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <unistd.h>
+#include <utility>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -144,6 +145,19 @@
     event_entry{event_id::transaction_expired, event_level::info,
                 "transaction_expired",
                 "a transaction rested too long and gave its connection up"},
+    event_entry{event_id::session_started, event_level::detail,
+                "session_started", "a session of a caller began"},
+    event_entry{event_id::statement_waits, event_level::detail,
+                "statement_waits",
+                "a statement waits for its rate or for an endpoint"},
+    event_entry{event_id::statement_sent, event_level::detail, "statement_sent",
+                "a statement was sent to an endpoint, and by what it was "
+                "allowed there"},
+    event_entry{event_id::statement_retried, event_level::info,
+                "statement_retried",
+                "a statement is tried again; what went wrong kept nothing"},
+    event_entry{event_id::statement_served, event_level::detail,
+                "statement_served", "a statement got its ordinary answer"},
 };
 
 const event_entry& entry_of(event_id id)
@@ -163,6 +177,8 @@
         return log4cplus::WARN_LOG_LEVEL;
     case event_level::error:
         return log4cplus::ERROR_LOG_LEVEL;
+    case event_level::detail:
+        return log4cplus::DEBUG_LOG_LEVEL;
     case event_level::info:
         break;
     }
@@ -186,6 +202,7 @@
     std::int64_t m_second = 0;
     std::uint64_t m_written = 0;
     std::uint64_t m_left_out = 0;
+    std::uint64_t m_to_tell = 0; ///< Left out in the seconds before.
 };
 
 struct log_limits
@@ -202,13 +219,13 @@
     return l;
 }
 
-// Only the log that nobody may be reading has a budget. `left_out` is how many
-// lines were dropped in the last second that had any.
-bool is_within_budget(event_id id, std::uint64_t& left_out)
+// Only the log that nobody may be reading has a budget, and only that one has
+// lines on ordinary work. A line beyond it is counted.
+bool is_within_budget(event_id id)
 {
     log_limits& l = limits();
     if (l.m_pipe == nullptr)
-        return true;
+        return entry_of(id).m_level != event_level::detail;
     const std::int64_t second =
         std::chrono::duration_cast<std::chrono::seconds>(
             std::chrono::steady_clock::now().time_since_epoch())
@@ -217,19 +234,30 @@
     event_count& c = l.m_counts[id];
     if (c.m_second != second)
     {
-        left_out = c.m_left_out;
-        c = {second, 0, 0};
+        c.m_to_tell += c.m_left_out;
+        c.m_second = second;
+        c.m_written = 0;
+        c.m_left_out = 0;
     }
     if (c.m_written < event_budget)
-    {
-        ++c.m_written;
         return true;
-    }
     ++c.m_left_out;
     ++l.m_over_budget;
     return false;
 }
 
+// Takes a line of the budget. Returns how many were left out before it.
+std::uint64_t take_line(event_id id)
+{
+    log_limits& l = limits();
+    if (l.m_pipe == nullptr)
+        return 0;
+    const std::lock_guard lock(l.m_mutex);
+    event_count& c = l.m_counts[id];
+    ++c.m_written;
+    return std::exchange(c.m_to_tell, 0);
+}
+
 void write_line(event_id id, std::initializer_list<event_field> fields)
 {
     const event_entry& entry = entry_of(id);
@@ -272,7 +300,7 @@
                                                    "%p %m%n"));
     logger().removeAllAppenders();
     logger().addAppender(appender);
-    logger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    logger().setLogLevel(log4cplus::DEBUG_LOG_LEVEL);
 }
 
 std::uint64_t dropped_log_lines() noexcept
@@ -282,12 +310,16 @@
     return limits().m_over_budget + unread;
 }
 
+bool is_logged(event_id id)
+{
+    return is_within_budget(id);
+}
+
 void log_event(event_id id, std::initializer_list<event_field> fields)
 {
-    std::uint64_t left_out = 0;
-    if (!is_within_budget(id, left_out))
+    if (!is_within_budget(id))
         return;
-    if (left_out > 0)
+    if (const std::uint64_t left_out = take_line(id); left_out > 0)
         write_line(event_id::log_lines_dropped,
                    {{"of", std::string(entry_of(id).m_name)},
                     {"lines", std::to_string(left_out)}});
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -58,10 +58,17 @@
     session_refused = 4001,
     statement_failed = 4002,
     transaction_expired = 4003,
+    session_started = 4004,
+    statement_waits = 4005,
+    statement_sent = 4006,
+    statement_retried = 4007,
+    statement_served = 4008,
 };
 
 enum class event_level : std::uint8_t
 {
+    detail, ///< Ordinary work, on standard output only; the first to be left
+            ///< out.
     info,
     warning,
     error,
@@ -102,6 +109,9 @@
                log_target target = log_target::standard_error);
 /// Lines that were dropped since the start, for whatever reason.
 std::uint64_t dropped_log_lines() noexcept;
+/// False when a line of the event would be left out now: its fields need not
+/// be made then.
+bool is_logged(event_id id);
 void log_event(event_id id, std::initializer_list<event_field> fields = {});
 
 }
--- a/Source/report/pipe_appender.cpp
+++ b/Source/report/pipe_appender.cpp
@@ -1,7 +1,9 @@
 #include <report/pipe_appender.hpp>
 
 #include <climits>
+#include <fcntl.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <log4cplus/spi/loggingevent.h>
@@ -9,6 +11,21 @@
 namespace bluebellspoke
 {
 
+namespace
+{
+
+// True while less than half of the pipe is taken. What isn't a pipe has room.
+bool is_half_free(int descriptor) noexcept
+{
+    const int size = fcntl(descriptor, F_GETPIPE_SZ);
+    int taken = 0;
+    if (size <= 0 || ioctl(descriptor, FIONREAD, &taken) != 0)
+        return true;
+    return taken < size / 2;
+}
+
+}
+
 pipe_appender::pipe_appender(int descriptor) noexcept : m_descriptor(descriptor)
 {
 }
@@ -25,6 +42,7 @@
     return m_dropped;
 }
 
+// Lines on ordinary work leave half of the pipe to refusals and failures.
 // A pipe that polls as writable takes PIPE_BUF bytes without blocking. The
 // descriptor's own flags are left alone: whoever started the process shares
 // them.
@@ -38,7 +56,9 @@
     }
     pollfd ready{m_descriptor, POLLOUT, 0};
     const bool free = poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
-    if (!free || write(m_descriptor, line.data(), line.size()) < 0)
+    const bool ordinary = event.getLogLevel() < log4cplus::INFO_LOG_LEVEL;
+    if (!free || (ordinary && !is_half_free(m_descriptor)) ||
+        write(m_descriptor, line.data(), line.size()) < 0)
         ++m_dropped;
 }
 
--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -55,6 +55,11 @@
     if (!route->second.m_public && !t.m_config->m_keys.contains(m.m_key))
         return refuse_session(t, s, session_fault::unauthorized, "key");
     t.m_charts.m_session.fire(s.m_state, session_event::started);
+    log_event(event_id::session_started,
+              {{"session", std::to_string(s.m_number)},
+               {"database", s.m_database},
+               {"route", std::string(to_string(route->second.m_consistency))},
+               {"config_version", std::to_string(t.m_config->m_version)}});
     answer_ready(t, s, {});
 }
 
@@ -69,7 +74,10 @@
         return refuse_session(t, s, session_fault::malformed, "startup first");
     }
     if (m.m_kind != caller_message_kind::query)
+    {
+        log_refused(t, s, m.m_id, session_fault::malformed, "unknown message");
         return answer_fault(t, s, session_fault::malformed, "unknown message");
+    }
     take_statement(t, s, m.m_id, m.m_statement);
 }
 
@@ -119,8 +127,7 @@
     {
         const work_ptr w = std::move(s.m_work);
         s.m_work = nullptr;
-        ++t.m_counts
-              .m_outcomes[static_cast<std::size_t>(session_outcome::gone)];
+        count_outcome(t, s, session_outcome::gone);
         w->m_session = nullptr;
         // What runs on a connection of its own ends there; the rest is moot.
         if (!w->m_link || w->m_link->m_begun ||
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -1,25 +1,122 @@
 #include <session/session_task_state.hpp>
 
+#include <algorithm>
 #include <array>
 
+#include <task/boot_clock.hpp>
+
 namespace bluebellspoke
 {
 
+namespace
+{
+
+// Workspaces and services beyond these are left out of the metrics, so that a
+// scrape stays small.
+constexpr std::size_t most_named = 50;
+
+constexpr std::array<std::string_view, 4> outcome_names{"served", "refused",
+                                                        "failed", "gone"};
+constexpr std::array route_kinds{read_consistency::primary,
+                                 read_consistency::bounded,
+                                 read_consistency::own_writes};
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+route_counts& counts_of(session_task_state& t, const session& s)
+{
+    return t.m_counts
+        .m_routes[static_cast<std::size_t>(s.m_route->m_consistency)];
+}
+
+void collect_routes(metric_families& families, const session_counts& c)
+{
+    for (const read_consistency kind : route_kinds)
+    {
+        const route_counts& r = c.m_routes[static_cast<std::size_t>(kind)];
+        const std::array route{to_string(kind)};
+        for (std::size_t i = 0; i < outcome_names.size(); ++i)
+            add_value(families, metric_id::session_statements,
+                      std::array{to_string(kind), outcome_names[i]},
+                      static_cast<double>(r.m_outcomes[i]));
+        add_histogram(families, metric_id::session_wait_time, route,
+                      r.m_wait_time);
+        add_histogram(families, metric_id::session_endpoint_time, route,
+                      r.m_endpoint_time);
+        add_histogram(families, metric_id::session_time, route, r.m_whole_time);
+    }
+}
+
+// What is believed of groups and rates, and how old that is.
+void collect_beliefs(metric_families& families, const session_task_state& t,
+                     time_point now)
+{
+    std::size_t named = 0;
+    for (const auto& [name, g] : t.m_groups)
+    {
+        if (++named > most_named)
+            break;
+        const std::array service{std::string_view(name)};
+        add_value(families, metric_id::group_term, service,
+                  static_cast<double>(g.m_view.m_term));
+        // A lease that never was has no age; a year says so in any graph.
+        const duration age = now - (g.m_view.m_lease_until - lease_time);
+        add_value(families, metric_id::group_term_age, service,
+                  seconds(std::clamp<duration>(age, duration::zero(),
+                                               std::chrono::years(1))));
+    }
+    named = 0;
+    for (const auto& [name, r] : t.m_rates)
+    {
+        if (++named > most_named)
+            break;
+        const std::array workspace{std::string_view(name)};
+        add_value(families, metric_id::rate_part, workspace,
+                  part_of(t.m_demand, name, now));
+        add_value(families, metric_id::rate_tokens, workspace,
+                  r.m_bucket.m_tokens);
+    }
+}
+
+}
+
 void count_fault(session_task_state& t, session_fault fault)
 {
     ++t.m_counts.m_faults[fault];
 }
 
+void count_outcome(session_task_state& t, const session& s, session_outcome o)
+{
+    ++counts_of(t, s).m_outcomes[static_cast<std::size_t>(o)];
+}
+
+void count_sent(session_task_state& t, const link& k, const work& w, bool reads)
+{
+    observe(counts_of(t, *w.m_session).m_wait_time, w.m_sent_at - w.m_asked_at);
+    if (!reads)
+        return;
+    const endpoint_port& p = *k.m_port;
+    ++(p.m_group->m_view.m_primary == p.m_endpoint.m_id
+           ? t.m_counts.m_primary_reads
+           : t.m_counts.m_replica_reads);
+}
+
+void count_served(session_task_state& t, const session& s, const work& w)
+{
+    const time_point now = boot_now();
+    observe(counts_of(t, s).m_endpoint_time, now - w.m_sent_at);
+    observe(counts_of(t, s).m_whole_time, now - w.m_asked_at);
+    count_outcome(t, s, session_outcome::served);
+}
+
 metric_families collect_sessions(const session_task_state& t)
 {
-    constexpr std::array<std::string_view, 4> outcomes{"served", "refused",
-                                                       "failed", "gone"};
     metric_families families;
     const session_counts& c = t.m_counts;
-    for (std::size_t i = 0; i < outcomes.size(); ++i)
-        add_value(families, metric_id::session_statements,
-                  std::array{outcomes[i]},
-                  static_cast<double>(c.m_outcomes[i]));
+    collect_routes(families, c);
     for (const auto& [fault, count] : c.m_faults)
         add_value(families, metric_id::session_faults,
                   std::array{to_string(fault)}, static_cast<double>(count));
@@ -36,9 +133,9 @@
     add_value(families, metric_id::session_reads,
               std::array{std::string_view("replica")},
               static_cast<double>(c.m_replica_reads));
-    add_histogram(families, metric_id::session_wait_time, {}, c.m_wait_time);
-    add_histogram(families, metric_id::session_endpoint_time, {},
-                  c.m_endpoint_time);
+    add_value(families, metric_id::session_retries, {},
+              static_cast<double>(c.m_retries));
+    collect_beliefs(families, t, boot_now());
     return families;
 }
 
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -105,70 +105,11 @@
         send_work(t, *k);
 }
 
-std::string milliseconds_of(duration d)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
-// What is known of the group that the work waited for.
-std::string describe_group(const session_task_state& t, const work& w,
-                           time_point now)
-{
-    const auto found = t.m_groups.find(w.m_session->m_route->m_service);
-    if (found == t.m_groups.end())
-        return "no endpoint of the service is listed";
-    const group_view& view = found->second.m_view;
-    std::string text = view.m_primary.empty() ? "no primary known"
-                                              : "primary " + view.m_primary;
-    text.append(", term ").append(std::to_string(view.m_term));
-    text.append(now < view.m_lease_until
-                    ? ", lease for " +
-                          milliseconds_of(view.m_lease_until - now) + " ms"
-                    : ", no lease");
-    for (const auto& [id, p] : t.m_ports)
-    {
-        if (p.m_group != &found->second)
-            continue;
-        text.append("; ").append(id).append(": ");
-        text.append(std::to_string(p.m_link_count)).append(" of ");
-        text.append(std::to_string(p.m_limit)).append(" connections, ");
-        text.append(std::to_string(p.m_running)).append(" running");
-        if (now < p.m_avoid_until)
-            text.append(", avoided");
-        if (p.m_leaving_since != time_point{})
-            text.append(", leaving");
-    }
-    return text;
-}
-
 bool has_waited_too_long(const work& w, time_point now)
 {
     return now >= w.m_wait_until || now >= w.m_deadline;
 }
 
-void log_outcome(const session& s, const work& w, std::string_view outcome,
-                 std::string_view detail)
-{
-    const time_point now = boot_now();
-    const bool sent = w.m_sent_at != time_point{};
-    log_event(
-        event_id::statement_failed,
-        {{"request", w.m_id},
-         {"session", std::to_string(s.m_number)},
-         {"database", s.m_database},
-         {"workspace", s.m_workspace},
-         {"outcome", std::string(outcome)},
-         {"detail", std::string(detail)},
-         {"evidence", w.m_evidence},
-         {"endpoint",
-          w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string()},
-         {"attempts", std::to_string(w.m_attempts)},
-         {"age_ms", milliseconds_of(now - w.m_asked_at)},
-         {"sent_ms_ago", sent ? milliseconds_of(now - w.m_sent_at) : "never"},
-         {"config_version", std::to_string(s.m_config->m_version)}});
-}
-
 // Takes the work off everything that knows it.
 void forget_work(work& w)
 {
@@ -180,11 +121,6 @@
     w.m_session = nullptr;
 }
 
-void count_outcome(session_task_state& t, session_outcome o)
-{
-    ++t.m_counts.m_outcomes[static_cast<std::size_t>(o)];
-}
-
 void end_transaction(session_task_state& t, session& s)
 {
     s.m_transaction.reset();
@@ -227,6 +163,8 @@
         w->m_evidence = describe_group(t, *w, now);
         return fail_work(t, w, session_fault::busy, "waited");
     }
+    if (is_logged(event_id::statement_waits))
+        log_waiting(*w, "endpoint", describe_group(t, *w, now));
     enqueue(group->second.m_queue, s.m_workspace, even_weight, *w);
 }
 
@@ -259,10 +197,10 @@
     const session_ptr s = w->m_session;
     if (s)
     {
-        log_outcome(*s, *w, to_string(fault), detail);
-        count_outcome(t, promises_nothing_kept(fault)
-                             ? session_outcome::refused
-                             : session_outcome::failed);
+        log_failed(*w, fault, detail);
+        count_outcome(t, *s,
+                      promises_nothing_kept(fault) ? session_outcome::refused
+                                                   : session_outcome::failed);
     }
     forget_work(*w);
     if (w->m_link)
@@ -288,10 +226,10 @@
     forget_work(*w);
     const link_ptr k = std::exchange(w->m_link, nullptr);
     k->m_work = nullptr;
-    observe(t.m_counts.m_endpoint_time, now - w->m_sent_at);
     if (!s)
         return;
-    count_outcome(t, session_outcome::served);
+    count_served(t, *s, *w);
+    log_served(*s, *w, k->m_port->m_endpoint.m_id);
     if (s->m_transaction)
     {
         s->m_transaction->m_idle_since = now;
@@ -313,9 +251,11 @@
         return;
     }
     const time_point now = boot_now();
+    std::string endpoint;
     if (w->m_link)
     {
-        w->m_tried.insert(w->m_link->m_port->m_endpoint.m_id);
+        endpoint = w->m_link->m_port->m_endpoint.m_id;
+        w->m_tried.insert(endpoint);
         w->m_link->m_work = nullptr;
         w->m_link = nullptr;
     }
@@ -330,6 +270,8 @@
         w->m_tried.clear();
     w->m_wait_until = std::max(w->m_wait_until,
                                now + (w->m_deadline - now) / std::int64_t{4});
+    ++t.m_counts.m_retries;
+    log_retried(*w, endpoint, fault, detail);
     dispatch(t, w);
 }
 
--- /dev/null
+++ b/Source/session/session_log.cpp
@@ -0,0 +1,197 @@
+#include <session/session_task_state.hpp>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+std::string milliseconds_of(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+std::string version_of(const site_config_ptr& config)
+{
+    return std::to_string(config ? config->m_version : 0);
+}
+
+std::string describe_position(const std::optional<log_position>& p)
+{
+    if (!p)
+        return "none";
+    return std::to_string(p->m_term) + ":" + std::to_string(p->m_offset);
+}
+
+std::string describe_lease(const group_view& view, time_point now)
+{
+    return now < view.m_lease_until ? milliseconds_of(view.m_lease_until - now)
+                                    : "none";
+}
+
+std::string_view to_string(session_state s)
+{
+    switch (s)
+    {
+    case session_state::starting:
+        return "starting";
+    case session_state::idle:
+        return "no transaction";
+    case session_state::open:
+        return "in a transaction";
+    case session_state::failed:
+        return "in a failed transaction";
+    case session_state::closed:
+        break;
+    }
+    return "closed";
+}
+
+std::string endpoint_of(const work& w)
+{
+    return w.m_link ? w.m_link->m_port->m_endpoint.m_id : std::string();
+}
+
+}
+
+std::string describe_group(const session_task_state& t, const work& w,
+                           time_point now)
+{
+    const auto found = t.m_groups.find(w.m_session->m_route->m_service);
+    if (found == t.m_groups.end())
+        return "no endpoint of the service is listed";
+    const group_view& view = found->second.m_view;
+    std::string text = view.m_primary.empty() ? "no primary known"
+                                              : "primary " + view.m_primary;
+    text.append(", term ").append(std::to_string(view.m_term));
+    text.append(now < view.m_lease_until
+                    ? ", lease for " + describe_lease(view, now) + " ms"
+                    : ", no lease");
+    for (const auto& [id, p] : t.m_ports)
+    {
+        if (p.m_group != &found->second)
+            continue;
+        text.append("; ").append(id).append(": ");
+        text.append(std::to_string(p.m_link_count)).append(" of ");
+        text.append(std::to_string(p.m_limit)).append(" connections, ");
+        text.append(std::to_string(p.m_running)).append(" running");
+        if (now < p.m_avoid_until)
+            text.append(", avoided");
+        if (p.m_leaving_since != time_point{})
+            text.append(", leaving");
+    }
+    return text;
+}
+
+void log_failed(const work& w, session_fault fault, std::string_view detail)
+{
+    const session& s = *w.m_session;
+    const time_point now = boot_now();
+    const bool sent = w.m_sent_at != time_point{};
+    log_event(
+        event_id::statement_failed,
+        {{"request", w.m_id},
+         {"session", std::to_string(s.m_number)},
+         {"database", s.m_database},
+         {"workspace", s.m_workspace},
+         {"outcome", std::string(to_string(fault))},
+         {"detail", std::string(detail)},
+         {"evidence", w.m_evidence},
+         {"endpoint", endpoint_of(w)},
+         {"attempts", std::to_string(w.m_attempts)},
+         {"age_ms", milliseconds_of(now - w.m_asked_at)},
+         {"sent_ms_ago", sent ? milliseconds_of(now - w.m_sent_at) : "never"},
+         {"config_version", version_of(s.m_config)}});
+}
+
+void log_refused(const session_task_state& t, const session& s,
+                 std::string_view id, session_fault fault,
+                 std::string_view detail)
+{
+    log_event(event_id::statement_failed,
+              {{"request", std::string(id)},
+               {"session", std::to_string(s.m_number)},
+               {"database", s.m_database},
+               {"workspace", s.m_workspace},
+               {"outcome", std::string(to_string(fault))},
+               {"detail", std::string(detail)},
+               {"evidence", std::string(to_string(s.m_state))},
+               {"endpoint", ""},
+               {"attempts", "0"},
+               {"age_ms", "0"},
+               {"sent_ms_ago", "never"},
+               {"config_version", version_of(t.m_config)}});
+}
+
+void log_waiting(const work& w, std::string_view cause,
+                 std::string_view evidence)
+{
+    const time_point now = boot_now();
+    log_event(event_id::statement_waits,
+              {{"request", w.m_id},
+               {"session", std::to_string(w.m_session->m_number)},
+               {"workspace", w.m_session->m_workspace},
+               {"cause", std::string(cause)},
+               {"evidence", std::string(evidence)},
+               {"age_ms", milliseconds_of(now - w.m_asked_at)},
+               {"waits_at_most_ms", milliseconds_of(w.m_wait_until - now)},
+               {"config_version", version_of(w.m_session->m_config)}});
+}
+
+void log_sent(const link& k, const work& w,
+              const std::optional<log_position>& floor)
+{
+    const endpoint_port& p = *k.m_port;
+    const group_view& view = p.m_group->m_view;
+    const session& s = *w.m_session;
+    const time_point now = boot_now();
+    const bool leads = view.m_primary == p.m_endpoint.m_id;
+    log_event(event_id::statement_sent,
+              {{"request", w.m_id},
+               {"session", std::to_string(s.m_number)},
+               {"route", std::string(to_string(s.m_route->m_consistency))},
+               {"endpoint", p.m_endpoint.m_id},
+               {"part", leads ? "primary" : "replica"},
+               {"term", std::to_string(view.m_term)},
+               {"lease_ms", describe_lease(view, now)},
+               {"floor", describe_position(floor)},
+               {"transaction", k.m_begun ? "open" : "none"},
+               {"running", std::to_string(p.m_running)},
+               {"attempt", std::to_string(w.m_attempts)},
+               {"age_ms", milliseconds_of(now - w.m_asked_at)},
+               {"config_version", version_of(s.m_config)}});
+}
+
+void log_retried(const work& w, std::string_view endpoint, session_fault fault,
+                 std::string_view detail)
+{
+    const time_point now = boot_now();
+    log_event(event_id::statement_retried,
+              {{"request", w.m_id},
+               {"session", std::to_string(w.m_session->m_number)},
+               {"endpoint", std::string(endpoint)},
+               {"fault", std::string(to_string(fault))},
+               {"detail", std::string(detail)},
+               {"attempts", std::to_string(w.m_attempts)},
+               {"age_ms", milliseconds_of(now - w.m_asked_at)},
+               {"left_ms", milliseconds_of(w.m_deadline - now)}});
+}
+
+void log_served(const session& s, const work& w, std::string_view endpoint)
+{
+    const time_point now = boot_now();
+    log_event(event_id::statement_served,
+              {{"request", w.m_id},
+               {"session", std::to_string(s.m_number)},
+               {"endpoint", std::string(endpoint)},
+               {"own", describe_position(s.m_own)},
+               {"attempts", std::to_string(w.m_attempts)},
+               {"age_ms", milliseconds_of(now - w.m_asked_at)},
+               {"sent_ms_ago", milliseconds_of(now - w.m_sent_at)}});
+}
+
+}
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -208,6 +209,8 @@
         w->m_evidence = describe_rate(t, workspace, r, now);
         return rate_verdict::refused;
     }
+    if (is_logged(event_id::statement_waits))
+        log_waiting(*w, "rate", describe_rate(t, workspace, r, now));
     w->m_waits_for_rate = true;
     r.m_waiting.push_back(w);
     return rate_verdict::waits;
--- a/Source/session/session_sending.cpp
+++ b/Source/session/session_sending.cpp
@@ -107,11 +107,8 @@
     if (w.m_session->m_transaction && w.m_writes)
         w.m_session->m_transaction->m_wrote = true;
     ++k.m_port->m_running;
-    observe(t.m_counts.m_wait_time, now - w.m_asked_at);
-    if (reads)
-        ++(k.m_port->m_group->m_view.m_primary == k.m_port->m_endpoint.m_id
-               ? t.m_counts.m_primary_reads
-               : t.m_counts.m_replica_reads);
+    count_sent(t, k, w, reads);
+    log_sent(k, w, floor);
 }
 
 void send_work(session_task_state& t, link& k)
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -29,6 +29,14 @@
     return std::nullopt;
 }
 
+// Refuses what never became work.
+void refuse_statement(session_task_state& t, session& s, std::string_view id,
+                      session_fault fault, std::string_view detail)
+{
+    log_refused(t, s, id, fault, detail);
+    answer_fault(t, s, fault, detail);
+}
+
 void set_value(session_task_state& t, session& s, const session_statement& q)
 {
     s.m_values.insert_or_assign(std::string(q.m_name), std::string(q.m_value));
@@ -44,21 +52,24 @@
     answer_complete(t, s);
 }
 
-void deallocate(session_task_state& t, session& s, const session_statement& q)
+void deallocate(session_task_state& t, session& s, std::string_view id,
+                const session_statement& q)
 {
     const auto found = s.m_prepared.find(q.m_name);
     if (found == s.m_prepared.end())
-        return answer_fault(t, s, session_fault::no_statement, "deallocate");
+        return refuse_statement(t, s, id, session_fault::no_statement,
+                                "deallocate");
     s.m_prepared.erase(found);
     answer_complete(t, s);
 }
 
-void begin(session_task_state& t, session& s, bool reads_only)
+void begin(session_task_state& t, session& s, std::string_view id,
+           bool reads_only)
 {
     if (s.m_state != session_state::idle)
-        return answer_fault(t, s, session_fault::malformed, "begin");
+        return refuse_statement(t, s, id, session_fault::malformed, "begin");
     if (const auto fault = enter_operation(t, s))
-        return answer_fault(t, s, *fault, "begin");
+        return refuse_statement(t, s, id, *fault, "begin");
     const time_point now = boot_now();
     s.m_transaction.emplace();
     s.m_transaction->m_reads_only = reads_only;
@@ -120,11 +131,13 @@
 {
     if (s.m_state == session_state::idle)
         if (const auto fault = enter_operation(t, s))
-            return answer_fault(t, s, *fault, "statement");
+            return refuse_statement(t, s, id, *fault, "statement");
     if (s.m_transaction && s.m_transaction->m_lost)
-        return answer_fault(t, s, session_fault::aborted, "connection lost");
+        return refuse_statement(t, s, id, session_fault::aborted,
+                                "connection lost");
     if (q.m_kind == statement_kind::execute && !s.m_prepared.contains(q.m_name))
-        return answer_fault(t, s, session_fault::no_statement, "execute");
+        return refuse_statement(t, s, id, session_fault::no_statement,
+                                "execute");
     const time_point now = boot_now();
     const work_ptr w = make_work(s, id, q);
     fill_timing(*w, s, now);
@@ -154,8 +167,8 @@
     const bool ends = q.m_kind == statement_kind::rollback ||
                       q.m_kind == statement_kind::commit;
     if (s.m_state == session_state::failed && !ends)
-        return answer_fault(t, s, session_fault::malformed,
-                            "transaction failed");
+        return refuse_statement(t, s, id, session_fault::malformed,
+                                "transaction failed");
     switch (q.m_kind)
     {
     case statement_kind::set:
@@ -164,20 +177,22 @@
     case statement_kind::prepare_write:
         return prepare(t, s, q);
     case statement_kind::deallocate:
-        return deallocate(t, s, q);
+        return deallocate(t, s, id, q);
     case statement_kind::begin:
-        return begin(t, s, false);
+        return begin(t, s, id, false);
     case statement_kind::begin_read:
-        return begin(t, s, true);
+        return begin(t, s, id, true);
     case statement_kind::rollback:
         return roll_back(t, s);
     case statement_kind::commit:
         if (s.m_state == session_state::idle)
-            return answer_fault(t, s, session_fault::malformed, "commit");
+            return refuse_statement(t, s, id, session_fault::malformed,
+                                    "commit");
         if (s.m_state == session_state::failed)
         {
             end_without_endpoint(t, s);
-            return answer_fault(t, s, session_fault::aborted, "rolled back");
+            return refuse_statement(t, s, id, session_fault::aborted,
+                                    "rolled back");
         }
         return run(t, s, id, q);
     case statement_kind::read:
@@ -187,7 +202,7 @@
     case statement_kind::unknown:
         break;
     }
-    answer_fault(t, s, session_fault::malformed, "statement");
+    refuse_statement(t, s, id, session_fault::malformed, "statement");
 }
 
 void drop_transaction(session_task_state& t, session& s)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -64,17 +64,25 @@
     gone,    ///< The caller left first.
 };
 
+/// What is counted of the statements on one kind of route.
+struct route_counts
+{
+    std::array<std::uint64_t, 4> m_outcomes{}; ///< By session_outcome.
+    latency_histogram m_wait_time;
+    latency_histogram m_endpoint_time;
+    latency_histogram m_whole_time; ///< From arrival to an ordinary answer.
+};
+
 /// What the session task counts; docs/METRICS.md says what each means.
 struct session_counts
 {
-    std::array<std::uint64_t, 4> m_outcomes{}; ///< By session_outcome.
+    std::array<route_counts, 3> m_routes{}; ///< By read_consistency.
     std::map<session_fault, std::uint64_t> m_faults;
     std::uint64_t m_sessions = 0;
     std::uint64_t m_links_opened = 0;
     std::uint64_t m_primary_reads = 0;
     std::uint64_t m_replica_reads = 0;
-    latency_histogram m_wait_time;
-    latency_histogram m_endpoint_time;
+    std::uint64_t m_retries = 0;
 };
 
 struct listener_deleter
@@ -150,6 +158,24 @@
                 std::string_view detail);
 void check_deadlines(session_task_state& t, time_point now);
 
+// session_log.cpp
+/// What is known of the group that the work waits for.
+std::string describe_group(const session_task_state& t, const work& w,
+                           time_point now);
+/// The work ends without an ordinary answer.
+void log_failed(const work& w, session_fault fault, std::string_view detail);
+/// The same for a statement that never became work.
+void log_refused(const session_task_state& t, const session& s,
+                 std::string_view id, session_fault fault,
+                 std::string_view detail);
+void log_waiting(const work& w, std::string_view cause,
+                 std::string_view evidence);
+void log_sent(const link& k, const work& w,
+              const std::optional<log_position>& floor);
+void log_retried(const work& w, std::string_view endpoint, session_fault fault,
+                 std::string_view detail);
+void log_served(const session& s, const work& w, std::string_view endpoint);
+
 // session_links.cpp
 /// An idle connection for the workspace, or one that is dialed for the work.
 link_ptr obtain_link(session_task_state& t, endpoint_port& p,
@@ -210,6 +236,10 @@
 void tick_rates(session_task_state& t, time_point now);
 
 // session_counts.cpp
+void count_outcome(session_task_state& t, const session& s, session_outcome o);
+void count_sent(session_task_state& t, const link& k, const work& w,
+                bool reads);
+void count_served(session_task_state& t, const session& s, const work& w);
 metric_families collect_sessions(const session_task_state& t);
 void count_fault(session_task_state& t, session_fault fault);
 
--- a/Source/session/site_feeds.cpp
+++ b/Source/session/site_feeds.cpp
@@ -25,6 +25,8 @@
 void note_answer(site_task_state& t, store_feed& f)
 {
     f.m_rest = {};
+    f.m_confirmed_at = boot_now();
+    ++t.m_store_answers;
     if (f.m_answers)
         return;
     f.m_answers = true;
@@ -51,7 +53,10 @@
                  bool whole)
 {
     if (a.m_failure == store_failure::history_gone)
+    {
+        ++t.m_histories_gone;
         return fire(t, f, watch_event::history_gone);
+    }
     if (a.m_failure)
     {
         note_failure(t, f, *a.m_failure);
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -1,5 +1,8 @@
 #include <session/site_task.hpp>
 
+#include <array>
+#include <string_view>
+
 #include <model/overloaded.hpp>
 #include <peer/loan_number.hpp>
 #include <session/site_task_state.hpp>
@@ -28,8 +31,24 @@
               static_cast<double>(t.m_members.size()));
     add_value(families, metric_id::platform_answers, {},
               store_answers(t) ? 1 : 0);
-    add_value(families, metric_id::store_failures, {},
-              static_cast<double>(t.m_store_failures));
+    for (const store_feed& f : t.m_feeds)
+    {
+        const double age =
+            std::chrono::duration<double>(boot_now() - f.m_confirmed_at)
+                .count();
+        if (f.m_kind == stored_kind::configuration)
+            add_value(families, metric_id::configuration_age, {}, age);
+        else if (f.m_kind == stored_kind::endpoints)
+            add_value(families, metric_id::endpoint_list_age, {}, age);
+    }
+    const auto add_calls = [&](std::string_view result, std::uint64_t calls)
+    {
+        add_value(families, metric_id::store_calls, std::array{result},
+                  static_cast<double>(calls));
+    };
+    add_calls("answered", t.m_store_answers);
+    add_calls("failed", t.m_store_failures);
+    add_calls("history_gone", t.m_histories_gone);
     return families;
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -43,6 +43,7 @@
     std::uint64_t m_revision = 0; ///< Up to which it has heard.
     duration m_rest{};
     bool m_answers = false;
+    time_point m_confirmed_at{}; ///< Of the last answer.
     std::unique_ptr<timer> m_timer;
 };
 
@@ -87,7 +88,9 @@
     std::uint64_t m_adopted_revision = 0; ///< Of what a peer has passed on.
     bool m_registered = false;
     bool m_lists_published = false;
+    std::uint64_t m_store_answers = 0;
     std::uint64_t m_store_failures = 0;
+    std::uint64_t m_histories_gone = 0;
 
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
     bool m_asking_peer = false;
--- a/Tests/report/catalogue_pages_test.cpp
+++ b/Tests/report/catalogue_pages_test.cpp
@@ -51,6 +51,8 @@
         return "warning";
     case event_level::error:
         return "error";
+    case event_level::detail:
+        return "detail";
     case event_level::info:
         break;
     }
--- /dev/null
+++ b/Tests/report/log_bounds_test.cpp
@@ -0,0 +1,165 @@
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <log4cplus/loglevel.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <report/event.hpp>
+#include <report/pipe_appender.hpp>
+
+using namespace bluebellspoke;
+
+namespace
+{
+
+/// A pipe whose reader reads only when told to.
+class idle_reader
+{
+public:
+    idle_reader()
+    {
+        if (pipe(m_ends.data()) != 0)
+            throw std::runtime_error("no pipe");
+    }
+    ~idle_reader()
+    {
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+    idle_reader(const idle_reader&) = delete;
+    idle_reader& operator=(const idle_reader&) = delete;
+
+    int writing_end() const noexcept
+    {
+        return m_ends[1];
+    }
+    /// Everything that is in the pipe; there must be something.
+    std::string take()
+    {
+        std::string taken(std::size_t{1} << 20U, '\0');
+        const ssize_t count = read(m_ends[0], taken.data(), taken.size());
+        taken.resize(count > 0 ? static_cast<std::size_t>(count) : 0);
+        return taken;
+    }
+
+private:
+    std::array<int, 2> m_ends{};
+};
+
+log4cplus::spi::InternalLoggingEvent line_of(log4cplus::LogLevel level,
+                                             const std::string& text)
+{
+    return {"bluebellspoke", level, text, __FILE__, __LINE__, __func__};
+}
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+// Standard output goes to the pipe while this lives.
+class redirected_output
+{
+public:
+    explicit redirected_output(int to) : m_kept(dup(STDOUT_FILENO))
+    {
+        dup2(to, STDOUT_FILENO);
+    }
+    ~redirected_output()
+    {
+        dup2(m_kept, STDOUT_FILENO);
+        close(m_kept);
+    }
+    redirected_output(const redirected_output&) = delete;
+    redirected_output& operator=(const redirected_output&) = delete;
+
+private:
+    int m_kept;
+};
+
+}
+
+SCENARIO("Nobody reads the log")
+{
+    idle_reader reader;
+    pipe_appender log(reader.writing_end());
+    constexpr int many = 20'000;
+    const std::string text(100, 'x');
+
+    WHEN("far more is logged than the pipe holds")
+    {
+        const auto begun = std::chrono::steady_clock::now();
+        for (int i = 0; i < many; ++i)
+            log.doAppend(line_of(log4cplus::INFO_LOG_LEVEL, text));
+        const auto passed = std::chrono::steady_clock::now() - begun;
+
+        THEN("nothing waits, and what was left out is counted")
+        {
+            // A write that blocked would never end.
+            REQUIRE(passed < std::chrono::seconds(10));
+            const std::uint64_t written = count_of(reader.take(), "\n");
+            REQUIRE(written > 0);
+            REQUIRE(log.dropped() == many - written);
+        }
+        AND_WHEN("somebody reads again")
+        {
+            reader.take();
+            log.doAppend(line_of(log4cplus::INFO_LOG_LEVEL, "after"));
+
+            THEN("lines are whole from the next on")
+            {
+                REQUIRE(count_of(reader.take(), "after\n") == 1);
+            }
+        }
+    }
+    WHEN("ordinary work fills what it may of the pipe")
+    {
+        for (int i = 0; i < many; ++i)
+            log.doAppend(line_of(log4cplus::DEBUG_LOG_LEVEL, text));
+
+        THEN("a refusal still has room")
+        {
+            log.doAppend(line_of(log4cplus::INFO_LOG_LEVEL, "refused"));
+            REQUIRE(count_of(reader.take(), "refused\n") == 1);
+        }
+    }
+}
+
+SCENARIO("One event is logged without end")
+{
+    idle_reader reader;
+    const redirected_output redirected(reader.writing_end());
+    start_log("storm", log_target::standard_output);
+    constexpr std::uint64_t storm = 300;
+    const std::uint64_t dropped_before = dropped_log_lines();
+    // The lines fall into two seconds at most.
+    for (std::uint64_t i = 0; i < storm; ++i)
+        log_event(event_id::statement_failed, {{"request", "r"}});
+    log_event(event_id::primary_missed, {{"service", "other"}});
+    const std::string first = reader.take();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+    log_event(event_id::statement_failed, {{"request", "later"}});
+    const std::string second = reader.take();
+    const std::uint64_t dropped = dropped_log_lines() - dropped_before;
+    start_log("storm");
+
+    const std::size_t written = count_of(first, "\"statement_failed\"");
+    CHECK(written >= event_budget);
+    CHECK(written <= 2 * event_budget);
+    CHECK(dropped == storm - written);
+    // Another event has a budget of its own.
+    CHECK(count_of(first, "\"primary_missed\"") == 1);
+    CHECK(count_of(second, "\"later\"") == 1);
+    CHECK(count_of(second, "\"lines\":\"" + std::to_string(dropped) + "\"") +
+              count_of(first, "\"log_lines_dropped\"") >=
+          1);
+}
--- /dev/null
+++ b/Tests/site/site_log_test.cpp
@@ -0,0 +1,155 @@
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <support/site.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+
+namespace
+{
+
+using nlohmann::json;
+
+// What the daemon logged until its end, by event name.
+std::vector<json> lines_of(const std::string& log, const std::string& name)
+{
+    std::vector<json> found;
+    std::size_t begin = 0;
+    while (begin < log.size())
+    {
+        const std::size_t end = std::min(log.find('\n', begin), log.size());
+        const std::size_t brace = log.find('{', begin);
+        if (brace < end)
+        {
+            const json line =
+                json::parse(log.substr(brace, end - brace), nullptr, false);
+            if (line.is_object() && line.value("name", "") == name)
+                found.push_back(line);
+        }
+        begin = end + 1;
+    }
+    return found;
+}
+
+std::string end_and_read(site& s)
+{
+    s.daemon(0).send_signal(SIGTERM);
+    return s.daemon(0).read_rest();
+}
+
+json find_request(const std::vector<json>& lines, const std::string& id)
+{
+    for (const json& line : lines)
+        if (line.value("request", "") == id)
+            return line;
+    return {};
+}
+
+}
+
+SCENARIO("An engineer finds a request by its id")
+{
+    site s(1);
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("intake", "ward-key") == "READY");
+        REQUIRE(c.ask("WRITE one-eared-bear brown") == "COMPLETE | READY I");
+        REQUIRE(c.ask("READ one-eared-bear") ==
+                "ROW brown | COMPLETE | READY I");
+    }
+    const std::string log = end_and_read(s);
+
+    THEN("the log says where it ran, by what, and what came of it")
+    {
+        const json sent = find_request(lines_of(log, "statement_sent"), "q2");
+        REQUIRE(sent.is_object());
+        CHECK(sent.at("route") == "own_writes");
+        CHECK(sent.at("floor") != "none");
+        CHECK(sent.at("config_version") != "0");
+        const json served =
+            find_request(lines_of(log, "statement_served"), "q2");
+        REQUIRE(served.is_object());
+        CHECK(served.at("endpoint") == sent.at("endpoint"));
+        CHECK(served.at("session") == sent.at("session"));
+        CHECK(lines_of(log, "session_started").size() == 1);
+    }
+    THEN("it holds no key, no value and no statement")
+    {
+        CHECK(log.find("ward-key") == std::string::npos);
+        CHECK(log.find("one-eared-bear") == std::string::npos);
+        CHECK(log.find("brown") == std::string::npos);
+    }
+}
+
+SCENARIO("Each refusal has its line")
+{
+    site s(1);
+    json change = s.config();
+    change["tenants"][1]["rate-per-s"] = 1;
+    change["tenants"][1]["burst"] = 1;
+    s.configure({{"tenants", change["tenants"]}});
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("EXECUTE nobody 1") == "ERROR NOSTMT | READY I");
+        REQUIRE(c.ask("COMMIT") == "ERROR MALFORMED | READY I");
+        REQUIRE(line_caller(s.callers_of(0)).start("nowhere", "ward-key") ==
+                "NODB");
+
+        // More at once than the rate and its burst allow.
+        std::vector<std::unique_ptr<line_caller>> crowd(4);
+        for (auto& caller : crowd)
+        {
+            caller = std::make_unique<line_caller>(s.callers_of(0));
+            REQUIRE(caller->start("ledger", "depot-key") == "READY");
+        }
+        for (auto& caller : crowd)
+            caller->send("QUERY crowd READ bear");
+        for (auto& caller : crowd)
+            REQUIRE(caller->line());
+    }
+    const std::string log = end_and_read(s);
+    const std::vector<json> failed = lines_of(log, "statement_failed");
+
+    THEN("with its id, what it rested on, its age and its outcome")
+    {
+        const json unknown = find_request(failed, "q1");
+        REQUIRE(unknown.is_object());
+        CHECK(unknown.at("detail") == "execute");
+        CHECK(find_request(failed, "q2").at("evidence") == "no transaction");
+        bool rate_seen = false;
+        for (const json& line : failed)
+        {
+            CHECK(line.contains("session"));
+            CHECK(line.contains("age_ms"));
+            CHECK(line.contains("outcome"));
+            CHECK(line.contains("config_version"));
+            CHECK(line.at("sent_ms_ago") == "never");
+            if (line.at("request") == "crowd" && line.at("detail") == "rate")
+                rate_seen =
+                    line.at("evidence").get<std::string>().find(" tokens") !=
+                    std::string::npos;
+        }
+        CHECK(rate_seen);
+        CHECK(lines_of(log, "session_refused").size() == 1);
+    }
+}
+
+SCENARIO("Nobody reads a daemon's log")
+{
+    site s(1);
+    line_caller c(s.callers_of(0));
+    REQUIRE(c.start("intake", "ward-key") == "READY");
+    // Three lines each: some times what a pipe holds.
+    constexpr int statements = 600;
+
+    THEN("it serves on")
+    {
+        for (int i = 0; i < statements; ++i)
+            REQUIRE(c.ask("READ bear") == "ROW - | COMPLETE | READY I");
+    }
+}
