--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -158,6 +158,12 @@
                 "a statement is tried again; what went wrong kept nothing"},
     event_entry{event_id::statement_served, event_level::detail,
                 "statement_served", "a statement got its ordinary answer"},
+    event_entry{event_id::connection_opened, event_level::detail,
+                "connection_opened",
+                "a connection to an endpoint is made for a workspace"},
+    event_entry{event_id::connection_closed, event_level::detail,
+                "connection_closed",
+                "a connection to an endpoint is closed, and why"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -63,6 +63,8 @@
     statement_sent = 4006,
     statement_retried = 4007,
     statement_served = 4008,
+    connection_opened = 4009,
+    connection_closed = 4010,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -27,7 +27,7 @@
         k.m_port->m_full_until = boot_now() + full_pause;
     else
         avoid_port(t, *k.m_port, to_string(e.m_fault));
-    close_link(t, k);
+    close_link(t, k, "refused");
 }
 
 // The endpoint ran nothing of it: another try can do no harm.
@@ -66,7 +66,7 @@
 {
     const work_ptr w = k.m_work;
     if (!w || !w->m_session || !w->m_session->m_transaction)
-        return close_link(t, k);
+        return close_link(t, k, "caller left");
     if (e.m_failed)
     {
         note_fault(t, k, e.m_fault);
@@ -117,7 +117,7 @@
         w->m_link = nullptr;
     }
     if (k.m_begun)
-        return close_link(t, k);
+        return close_link(t, k, "caller left");
     move_to(t, k, link_event::answered);
     release_link(t, k);
 }
@@ -216,7 +216,7 @@
     case link_answer::rollback:
         k.m_begun = false;
         if (e.m_failed || ready.m_state != transaction_status::idle)
-            return close_link(t, k);
+            return close_link(t, k, "not rolled back");
         move_to(t, k, link_event::answered);
         return release_link(t, k);
     case link_answer::status:
@@ -236,7 +236,7 @@
     {
         log_event(event_id::endpoint_unreadable,
                   {{"endpoint", k.m_port->m_endpoint.m_id}});
-        return lose_link(t, k);
+        return lose_link(t, k, "unreadable");
     }
     expected_answer& e = k.m_expected.front();
     const bool of_statement = e.m_kind == link_answer::statement && k.m_work;
--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -140,7 +140,7 @@
                 const link_ptr k = std::exchange(w->m_link, nullptr);
                 k->m_work = nullptr;
                 if (k->m_state != link_state::dialing)
-                    close_link(t, *k);
+                    close_link(t, *k, "caller left");
             }
         }
     }
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -313,7 +313,7 @@
         }
         const link_ptr k = w->m_link;
         avoid_port(t, *k->m_port, "silent");
-        lose_link(t, *k);
+        lose_link(t, *k, "no answer in time");
     }
 }
 
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -45,7 +45,7 @@
     for (link& k : p.m_links)
         old.emplace_back(&k);
     for (const link_ptr& k : old)
-        lose_link(t, *k);
+        lose_link(t, *k, "endpoint gone");
     p.m_avoid_until = {};
 }
 
@@ -88,7 +88,7 @@
             if (k.m_state == link_state::idle && !k.m_work)
                 idle.emplace_back(&k);
         for (const link_ptr& k : idle)
-            close_link(t, *k);
+            close_link(t, *k, "endpoint gone");
     }
     std::erase_if(t.m_ports,
                   [](const auto& entry)
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -78,7 +78,8 @@
                                  },
                                  [&t, &there](stream_end)
                                  {
-                                     lose_link(t, there);
+                                     lose_link(t, there,
+                                               "ended by the endpoint");
                                  }});
     }
     catch (const loop_error& e)
@@ -93,6 +94,7 @@
     p.m_links.push_back(*k);
     ++p.m_link_count;
     ++t.m_counts.m_links_opened;
+    log_connection(event_id::connection_opened, *k, {});
     return k;
 }
 
@@ -177,7 +179,7 @@
         link* const unused = oldest_idle(p);
         if (unused == nullptr)
             return {};
-        close_link(t, *unused);
+        close_link(t, *unused, "replaced");
     }
     return dial(t, p, workspace);
 }
@@ -188,7 +190,7 @@
         return;
     // An answer under way would be taken for that of the rollback.
     if (!k.m_expected.empty())
-        return close_link(t, k);
+        return close_link(t, k, "rolled back while it ran");
     move_to(t, k, link_event::rolled_back);
     std::string out;
     t.m_codec.m_write_rollback(out);
@@ -202,7 +204,7 @@
         return;
     endpoint_port& p = *k.m_port;
     if (k.m_doubtful || !p.m_listed || p.m_link_count > p.m_limit)
-        return close_link(t, k);
+        return close_link(t, k, k.m_doubtful ? "doubtful" : "beyond the limit");
     if (p.m_status_wanted)
     {
         p.m_status_wanted = false;
@@ -211,10 +213,11 @@
     serve_waiting(t, *p.m_group);
 }
 
-void close_link(session_task_state& t, link& k)
+void close_link(session_task_state& t, link& k, std::string_view cause)
 {
     if (k.m_state == link_state::closed)
         return;
+    log_connection(event_id::connection_closed, k, cause);
     const link_ptr keep(&k, false); // Takes the list's count over.
     endpoint_port& p = *k.m_port;
     for (const expected_answer& e : k.m_expected)
@@ -232,7 +235,7 @@
     lose_work(t, w, k.m_begun);
 }
 
-void lose_link(session_task_state& t, link& k)
+void lose_link(session_task_state& t, link& k, std::string_view cause)
 {
     const link_ptr keep(&k);
     endpoint_port& p = *k.m_port;
@@ -246,7 +249,7 @@
                 s.m_transaction->m_link = nullptr;
                 s.m_transaction->m_lost = true;
             }
-    close_link(t, k);
+    close_link(t, k, cause);
 }
 
 void close_spare_links(session_task_state& t, endpoint_port& p, time_point now)
@@ -256,7 +259,7 @@
         link* const unused = oldest_idle(p);
         if (unused == nullptr || now - unused->m_since < spare_link_time)
             return;
-        close_link(t, *unused);
+        close_link(t, *unused, "unused");
     }
 }
 
@@ -278,7 +281,7 @@
         if (k->m_state == link_state::closed)
             continue;
         avoid_port(t, *k->m_port, "silent");
-        lose_link(t, *k);
+        lose_link(t, *k, "silent");
     }
 }
 
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -153,6 +153,7 @@
     log_event(event_id::statement_sent,
               {{"request", w.m_id},
                {"session", std::to_string(s.m_number)},
+               {"workspace", s.m_workspace},
                {"route", std::string(to_string(s.m_route->m_consistency))},
                {"endpoint", p.m_endpoint.m_id},
                {"part", leads ? "primary" : "replica"},
@@ -181,6 +182,18 @@
                {"left_ms", milliseconds_of(w.m_deadline - now)}});
 }
 
+void log_connection(event_id id, const link& k, std::string_view cause)
+{
+    const endpoint_port& p = *k.m_port;
+    log_event(id, {{"endpoint", p.m_endpoint.m_id},
+                   {"workspace", k.m_workspace},
+                   {"cause", std::string(cause)},
+                   {"connections", std::to_string(p.m_link_count)},
+                   {"limit", std::to_string(p.m_limit)},
+                   {"state_ms", milliseconds_of(boot_now() - k.m_since)},
+                   {"request", k.m_work ? k.m_work->m_id : std::string()}});
+}
+
 void log_served(const session& s, const work& w, std::string_view endpoint)
 {
     const time_point now = boot_now();
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -147,7 +147,7 @@
         close_session(t, t.m_sessions.front());
     for (auto& [id, p] : t.m_ports)
         while (!p.m_links.empty())
-            close_link(t, p.m_links.front());
+            close_link(t, p.m_links.front(), "process ends");
 }
 
 }
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include <report/event.hpp>
 #include <report/latency_histogram.hpp>
 #include <session/session_messages.hpp>
 #include <session/session_types.hpp>
@@ -174,6 +175,7 @@
               const std::optional<log_position>& floor);
 void log_retried(const work& w, std::string_view endpoint, session_fault fault,
                  std::string_view detail);
+void log_connection(event_id id, const link& k, std::string_view cause);
 void log_served(const session& s, const work& w, std::string_view endpoint);
 
 // session_links.cpp
@@ -191,8 +193,9 @@
 void roll_back(session_task_state& t, link& k);
 /// Gives an idle link to what waits.
 void release_link(session_task_state& t, link& k);
-void close_link(session_task_state& t, link& k);
-void lose_link(session_task_state& t, link& k);
+void close_link(session_task_state& t, link& k, std::string_view cause);
+/// The same for one that failed: it isn't dialed again at once.
+void lose_link(session_task_state& t, link& k, std::string_view cause);
 void check_links(session_task_state& t, time_point now);
 
 // session_sending.cpp
