life: Follow a settings file that changes, with a signal or without

Cause: SIGHUP read the file and logged it; nothing took it in, and a change without a signal was not seen at all.

Change: the life task looks at the file's time each second and on SIGHUP; what a running process can follow goes to the session and site tasks by message, each of which has settings of its own now. What it can't follow is named in the log.

--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -3,12 +3,18 @@
 #include <chrono>
 #include <csignal>
 #include <exception>
+#include <filesystem>
 #include <memory>
 #include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <system_error>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
 
+#include <decide/followed_settings.hpp>
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
@@ -25,6 +31,9 @@
 constexpr std::chrono::milliseconds goodbye_time{100};
 // The duty's release is one call to the store.
 constexpr std::chrono::milliseconds life_tick{50};
+// The settings file may change without a signal. A look each second is well
+// within the 4 s in which a configuration has to be in force.
+constexpr std::chrono::seconds settings_look{1};
 // Tasks that have counts to give.
 constexpr std::size_t counting_tasks = 3;
 
@@ -41,11 +50,13 @@
     life_state(const site_settings& settings, const life_surroundings& around,
                site_mailboxes& boxes);
 
-    const site_settings& m_settings;
+    site_settings m_settings;
     const life_surroundings& m_around;
     site_mailboxes& m_boxes;
     loop m_loop;
     timer m_tick;
+    timer m_look;
+    std::filesystem::file_time_type m_settings_time{};
     std::unique_ptr<evhttp, http_deleter> m_http;
     std::unique_ptr<evhttp, http_deleter> m_metrics_http;
     event_ptr m_terminate;
@@ -71,20 +82,57 @@
     s.m_tick.start_periodic(life_tick);
 }
 
+std::string joined(std::span<const std::string_view> names)
+{
+    std::string text;
+    for (const std::string_view name : names)
+        text.append(text.empty() ? "" : ", ").append(name);
+    return text;
+}
+
 void reload(life_state& s)
 {
     try
     {
-        const site_settings read = s.m_around.m_reload();
+        const followed_settings f =
+            follow_settings(s.m_settings, s.m_around.m_reload());
         log_event(event_id::settings_file_read,
-                  {{"zones", std::to_string(read.m_region_of_zone.size())}});
+                  {{"followed", joined(f.m_followed)},
+                   {"kept_until_restart", joined(f.m_kept)}});
+        if (f.m_followed.empty())
+            return;
+        s.m_settings = f.m_settings;
+        s.m_boxes.m_session.post(settings_changed{f.m_settings});
+        s.m_boxes.m_site.post(settings_changed{f.m_settings});
     }
     catch (const std::exception& e)
     {
         log_event(event_id::settings_file_refused, {{"failure", e.what()}});
+        // It may have been read while it was written: the next look tries
+        // again.
+        s.m_settings_time = {};
     }
 }
 
+// Zero while there is no file.
+std::filesystem::file_time_type settings_time(const life_state& s)
+{
+    std::error_code failure;
+    const auto time =
+        std::filesystem::last_write_time(s.m_around.m_settings_file, failure);
+    return failure ? std::filesystem::file_time_type() : time;
+}
+
+// A file that is gone for a moment is being replaced.
+void look_at_settings(life_state& s)
+{
+    const auto time = settings_time(s);
+    if (time == s.m_settings_time || time == std::filesystem::file_time_type())
+        return;
+    s.m_settings_time = time;
+    reload(s);
+}
+
 void tick(life_state& s)
 {
     const duration passed = boot_now() - s.m_stopping_since;
@@ -154,7 +202,9 @@
 
 void on_reload(evutil_socket_t, short, void* of)
 {
-    reload(*static_cast<life_state*>(of));
+    life_state& s = *static_cast<life_state*>(of);
+    s.m_settings_time = settings_time(s);
+    reload(s);
 }
 
 std::unique_ptr<evhttp, http_deleter> serve(loop& l, const address& at)
@@ -182,7 +232,12 @@
                                   [this]
                                   {
                                       tick(*this);
-                                  })
+                                  }),
+      m_look(m_loop,
+             [this]
+             {
+                 look_at_settings(*this);
+             })
 {
 }
 
@@ -228,6 +283,8 @@
     evhttp_set_cb(s.m_metrics_http.get(), "/metrics", &ask_counts, &s);
     s.m_terminate = take_signal(s.m_loop, SIGTERM, &on_terminate, s);
     s.m_reload = take_signal(s.m_loop, SIGHUP, &on_reload, s);
+    s.m_settings_time = settings_time(s);
+    s.m_look.start_periodic(settings_look);
     run(s.m_loop);
 }
 
--- a/Source/session/life_task.hpp
+++ b/Source/session/life_task.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_SESSION_LIFE_TASK_HPP
 #define BLUEBELLSPOKE_SESSION_LIFE_TASK_HPP
 
+#include <filesystem>
 #include <functional>
 #include <string>
 
@@ -13,6 +14,7 @@
 struct life_surroundings
 {
     std::string m_ready_path;
+    std::filesystem::path m_settings_file;
     /// Reads the settings anew. Throws what the adapter throws.
     std::function<site_settings()> m_reload;
 };
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -113,12 +113,18 @@
     metric_families m_families;
 };
 
+/// The settings file was read again.
+struct settings_changed
+{
+    site_settings m_settings;
+};
+
 using session_message =
-    std::variant<config_changed, endpoints_changed, fleet_changed,
-                 weights_heard, peer_ended, reports_wanted, primary_promoted,
-                 stop_begun, counts_wanted, task_stop>;
-using site_message = std::variant<weights_told, stop_begun, process_ending,
-                                  counts_wanted, task_stop>;
+    std::variant<settings_changed, config_changed, endpoints_changed,
+                 fleet_changed, weights_heard, peer_ended, reports_wanted,
+                 primary_promoted, stop_begun, counts_wanted, task_stop>;
+using site_message = std::variant<settings_changed, weights_told, stop_begun,
+                                  process_ending, counts_wanted, task_stop>;
 using failover_message =
     std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
                  counts_wanted, task_stop>;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -95,6 +95,11 @@
 {
     std::visit(
         overloaded{
+            [&](const settings_changed& m)
+            {
+                t.m_settings = m.m_settings;
+                update_groups(t);
+            },
             [&](const config_changed& m)
             {
                 take_config(t, m.m_config);
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -98,7 +98,7 @@
                        const session_codec& codec, const session_charts& charts,
                        site_mailboxes& boxes);
 
-    const site_settings& m_settings;
+    site_settings m_settings;
     const session_codec& m_codec;
     const session_charts& m_charts;
     site_mailboxes& m_boxes;
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -191,6 +191,11 @@
     t.m_peer_server = std::make_unique<http2_server>(
         t.m_loop, t.m_settings.m_peer_listen, http2_server_limits(),
         std::move(handlers));
+    add_seeds(t);
+}
+
+void add_seeds(site_task_state& t)
+{
     for (const address& seed : t.m_settings.m_seeds)
         add_peer(t, seed, {});
 }
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -56,6 +56,11 @@
 {
     std::visit(
         overloaded{
+            [&](const settings_changed& m)
+            {
+                t.m_settings = m.m_settings;
+                add_seeds(t);
+            },
             [&](const weights_told& m)
             {
                 tell_weights(t, m);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -68,7 +68,7 @@
                     const site_charts& charts, const store_factory& store,
                     site_mailboxes& boxes);
 
-    const site_settings& m_settings;
+    site_settings m_settings;
     const site_codec& m_codec;
     const site_charts& m_charts;
     site_mailboxes& m_boxes;
@@ -121,6 +121,7 @@
 
 // site_peers.cpp
 void start_peers(site_task_state& t);
+void add_seeds(site_task_state& t);
 void update_peers(site_task_state& t);
 void send_digests(site_task_state& t);
 /// Says that this process ends.
--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -139,6 +139,26 @@
     }
 }
 
+SCENARIO("The settings file of a daemon changes")
+{
+    const bool told = GENERATE(true, false);
+    site s(1);
+    s.add_zone(0, "zone-2");
+    if (told)
+        s.daemon(0).send_signal(SIGHUP);
+
+    THEN("it follows it, with a signal or without")
+    {
+        std::string line;
+        do
+        {
+            line = s.daemon(0).read_line();
+            REQUIRE_FALSE(line.empty());
+        } while (line.find("\"settings_file_read\"") == std::string::npos);
+        CHECK(line.find("\"followed\":\"zones\"") != std::string::npos);
+    }
+}
+
 SCENARIO("Nobody reads a daemon's log")
 {
     site s(1);
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -243,6 +243,14 @@
     std::ofstream(n.m_file) << settings.dump();
 }
 
+void site::add_zone(std::size_t daemon, const std::string& zone)
+{
+    std::ifstream in(m_nodes[daemon].m_file);
+    json settings = json::parse(in);
+    settings["zones"][zone] = "region-1";
+    std::ofstream(m_nodes[daemon].m_file) << settings.dump();
+}
+
 void site::start_daemon(std::size_t number)
 {
     const std::vector<std::string> command{TEST_DAEMON, "--node-file",
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -67,6 +67,8 @@
     void set_endpoint(const std::string& id, bool up) const;
     void set_store(bool down) const;
     void start_daemon(std::size_t number);
+    /// Writes the daemon's settings file anew, with another zone.
+    void add_zone(std::size_t daemon, const std::string& zone);
 
     const address& callers_of(std::size_t daemon) const;
     const address& probes_of(std::size_t daemon) const;
