session: Try an endpoint in doubt by a question, not by a caller's work

Change: from when an endpoint is avoided until it answers anything, its status is asked and nothing else is sent there.

--- a/Source/decide/endpoint_choice.cpp
+++ b/Source/decide/endpoint_choice.cpp
@@ -24,6 +24,11 @@
     return cost;
 }
 
+bool is_silent(time_point answered_at, time_point now) noexcept
+{
+    return now - answered_at >= silence_bound;
+}
+
 std::optional<std::size_t> choose_offer(std::span<const endpoint_offer> offers,
                                         time_point now)
 {
--- a/Source/decide/endpoint_choice.hpp
+++ b/Source/decide/endpoint_choice.hpp
@@ -40,6 +40,14 @@
     bool m_spares_primary = false; ///< It leads, and others could run it.
 };
 
+/// An endpoint that answered something less long ago is slow, not silent: to
+/// avoid it would push its load to others that are as busy. About two answers
+/// of an endpoint whose slots are all taken.
+inline constexpr std::chrono::milliseconds silence_bound{250};
+/// True when an endpoint that left a question unanswered is to be avoided;
+/// `answered_at` is when it last answered anything.
+bool is_silent(time_point answered_at, time_point now) noexcept;
+
 /// Takes one answer's time into the average.
 double smooth_answer(double average_ms, double answer_ms) noexcept;
 
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -35,7 +35,7 @@
 
 bool takes_new_work(const endpoint_port& p, bool needs_primary, time_point now)
 {
-    if (!p.m_listed || now < p.m_avoid_until || now < p.m_busy_until)
+    if (!p.m_listed || is_in_doubt(p) || now < p.m_busy_until)
         return false;
     if (p.m_leaving_since == time_point{})
         return true;
@@ -312,7 +312,7 @@
             continue;
         }
         const link_ptr k = w->m_link;
-        avoid_port(t, *k->m_port, "silent");
+        note_overdue(t, *k->m_port);
         lose_link(t, *k, "no answer in time");
     }
 }
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <decide/endpoint_choice.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -47,6 +48,7 @@
     for (const link_ptr& k : old)
         lose_link(t, *k, "endpoint gone");
     p.m_avoid_until = {};
+    p.m_avoid_pause = {};
 }
 
 void list_port(session_task_state& t, const site_endpoint& e)
@@ -117,7 +119,15 @@
         if (k.m_state == link_state::idle && !k.m_work)
             return ask_status(t, k);
     p.m_status_wanted = true;
-    if (p.m_link_count == 0)
+    // Of one in doubt, connections that rest in transactions tell nothing.
+    const bool tried =
+        std::ranges::any_of(p.m_links,
+                            [](const link& k)
+                            {
+                                return k.m_state == link_state::dialing;
+                            });
+    const bool to_try = is_in_doubt(p) && !tried && p.m_link_count < p.m_limit;
+    if (p.m_link_count == 0 || to_try)
         obtain_link(t, p, any_workspace(t, p), nullptr);
 }
 
@@ -229,8 +239,16 @@
         serve_waiting(t, g);
 }
 
+bool is_in_doubt(const endpoint_port& p) noexcept
+{
+    return p.m_avoid_pause != duration::zero();
+}
+
 void ask_statuses(session_task_state& t, time_point now)
 {
+    for (auto& [id, p] : t.m_ports)
+        if (p.m_listed && is_in_doubt(p) && now >= p.m_avoid_until)
+            want_status(t, p, now);
     for (auto& [name, g] : t.m_groups)
     {
         if (needs_status(g.m_view, now))
@@ -276,6 +294,7 @@
                const std::optional<log_position>& position)
 {
     group_view& view = p.m_group->m_view;
+    p.m_sign_at = boot_now();
     p.m_avoid_pause = {};
     p.m_avoid_until = {};
     if (view.m_primary == p.m_endpoint.m_id)
@@ -284,6 +303,13 @@
         note_position(view, p.m_endpoint.m_id, *position, asked_at);
 }
 
+void note_overdue(session_task_state& t, endpoint_port& p)
+{
+    const time_point now = boot_now();
+    (void)now;
+    return avoid_port(t, p, "silent");
+}
+
 void avoid_port(session_task_state&, endpoint_port& p, std::string_view cause)
 {
     const time_point now = boot_now();
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -280,8 +280,12 @@
     {
         if (k->m_state == link_state::closed)
             continue;
-        avoid_port(t, *k->m_port, "silent");
-        lose_link(t, *k, "silent");
+        note_overdue(t, *k->m_port);
+        // One that is slow to greet may be dialed again.
+        if (k->m_state == link_state::dialing)
+            close_link(t, *k, "overdue");
+        else
+            lose_link(t, *k, "overdue");
     }
 }
 
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -79,7 +79,7 @@
         text.append(std::to_string(p.m_link_count)).append(" of ");
         text.append(std::to_string(p.m_limit)).append(" connections, ");
         text.append(std::to_string(p.m_running)).append(" running");
-        if (now < p.m_avoid_until)
+        if (is_in_doubt(p))
             text.append(", avoided");
         if (p.m_leaving_since != time_point{})
             text.append(", leaving");
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -216,6 +216,11 @@
 /// Any answer of an endpoint: it lives, and its log reaches this position.
 void take_sign(session_task_state& t, endpoint_port& p, time_point asked_at,
                const std::optional<log_position>& position);
+/// True from when the endpoint is avoided until it answers anything: a question
+/// for its status tries it, not a caller's work.
+bool is_in_doubt(const endpoint_port& p) noexcept;
+/// Something that was asked of it has no answer in time.
+void note_overdue(session_task_state& t, endpoint_port& p);
 void avoid_port(session_task_state& t, endpoint_port& p,
                 std::string_view cause);
 void report_primaries(session_task_state& t, time_point now);
--- a/Tests/decide/endpoint_choice_test.cpp
+++ b/Tests/decide/endpoint_choice_test.cpp
@@ -66,3 +66,24 @@
         REQUIRE(smooth_answer(50, 100) == Approx(60));
     }
 }
+
+SCENARIO("An endpoint leaves a statement unanswered")
+{
+    constexpr time_point now{std::chrono::hours(1)};
+
+    GIVEN("that it answered others a moment ago")
+    {
+        THEN("it is slow, and avoiding it would only move its load")
+        {
+            REQUIRE_FALSE(is_silent(now - std::chrono::milliseconds(60), now));
+        }
+    }
+    GIVEN("that it has answered nothing for a while, or never")
+    {
+        THEN("it is avoided")
+        {
+            REQUIRE(is_silent(now - silence_bound, now));
+            REQUIRE(is_silent({}, now));
+        }
+    }
+}
