--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -169,8 +169,8 @@
     std::uint32_t m_link_count = 0;
     std::uint32_t m_running = 0; ///< Statements sent and not answered.
     double m_answer_ms = 0;      ///< Smoothed time of an answer.
-    time_point m_answered_at{}; ///< A statement.
-    time_point m_sign_at{};     ///< Last answer of any kind.
+    time_point m_answered_at{};  ///< A statement.
+    time_point m_sign_at{};      ///< Last answer of any kind.
     time_point m_avoid_until{};
     duration m_avoid_pause{};
     time_point m_full_until{}; ///< It took no more connections.
