--- a/Tests/site/site_path_test.cpp
+++ b/Tests/site/site_path_test.cpp
@@ -134,14 +134,14 @@
         const http_reply metrics =
             call_http(s.metrics_of(0), "GET", "/metrics");
         REQUIRE(metrics.m_status == 200);
-        for (const char* line :
-             {"bluebellspoke_session_statements_total{route=\"primary\","
-              "outcome=\"served\"}",
-              "bluebellspoke_session_seconds_bucket{route=\"primary\"",
-              "bluebellspoke_group_term_age_seconds{service=\"ledger-db\"}",
-              "bluebellspoke_rate_part{workspace=\"ward\"}",
-              "bluebellspoke_configuration_age_seconds",
-              "bluebellspoke_store_calls_total{result=\"answered\"}"})
+        for (
+            const char* line :
+            {R"(bluebellspoke_session_statements_total{route="primary",outcome="served"})",
+             "bluebellspoke_session_seconds_bucket{route=\"primary\"",
+             "bluebellspoke_group_term_age_seconds{service=\"ledger-db\"}",
+             "bluebellspoke_rate_part{workspace=\"ward\"}",
+             "bluebellspoke_configuration_age_seconds",
+             "bluebellspoke_store_calls_total{result=\"answered\"}"})
         {
             CAPTURE(line);
             CHECK(metrics.m_body.find(line) != std::string::npos);
