--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -306,8 +306,9 @@
 void note_overdue(session_task_state& t, endpoint_port& p)
 {
     const time_point now = boot_now();
-    (void)now;
-    return avoid_port(t, p, "silent");
+    if (is_silent(p.m_sign_at, now))
+        return avoid_port(t, p, "silent");
+    p.m_full_until = now + full_pause;
 }
 
 void avoid_port(session_task_state&, endpoint_port& p, std::string_view cause)
