session: Name the request that a connection is made for

Cause: event 4009 was written before the work was bound to its connection, so its request was always empty. The section in Tests/site that looks for it failed before.

--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -59,7 +59,7 @@
 }
 
 link_ptr dial(session_task_state& t, endpoint_port& p,
-              std::string_view workspace)
+              std::string_view workspace, std::string_view request)
 {
     link_ptr k(new link);
     k->m_port = &p;
@@ -94,7 +94,7 @@
     p.m_links.push_back(*k);
     ++p.m_link_count;
     ++t.m_counts.m_links_opened;
-    log_connection(event_id::connection_opened, *k, {});
+    log_connection(event_id::connection_opened, *k, "none idle", request);
     return k;
 }
 
@@ -181,7 +181,9 @@
             return {};
         close_link(t, *unused, "replaced");
     }
-    return dial(t, p, workspace);
+    const bool for_work = s != nullptr && s->m_work;
+    return dial(t, p, workspace,
+                for_work ? s->m_work->m_id : std::string_view());
 }
 
 void roll_back(session_task_state& t, link& k)
@@ -217,7 +219,8 @@
 {
     if (k.m_state == link_state::closed)
         return;
-    log_connection(event_id::connection_closed, k, cause);
+    log_connection(event_id::connection_closed, k, cause,
+                   k.m_work ? k.m_work->m_id : std::string_view());
     const link_ptr keep(&k, false); // Takes the list's count over.
     endpoint_port& p = *k.m_port;
     for (const expected_answer& e : k.m_expected)
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -182,7 +182,8 @@
                {"left_ms", milliseconds_of(w.m_deadline - now)}});
 }
 
-void log_connection(event_id id, const link& k, std::string_view cause)
+void log_connection(event_id id, const link& k, std::string_view cause,
+                    std::string_view request)
 {
     const endpoint_port& p = *k.m_port;
     log_event(id, {{"endpoint", p.m_endpoint.m_id},
@@ -191,7 +192,7 @@
                    {"connections", std::to_string(p.m_link_count)},
                    {"limit", std::to_string(p.m_limit)},
                    {"state_ms", milliseconds_of(boot_now() - k.m_since)},
-                   {"request", k.m_work ? k.m_work->m_id : std::string()}});
+                   {"request", std::string(request)}});
 }
 
 void log_served(const session& s, const work& w, std::string_view endpoint)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -175,7 +175,9 @@
               const std::optional<log_position>& floor);
 void log_retried(const work& w, std::string_view endpoint, session_fault fault,
                  std::string_view detail);
-void log_connection(event_id id, const link& k, std::string_view cause);
+/// `request` is empty for the system's own questions.
+void log_connection(event_id id, const link& k, std::string_view cause,
+                    std::string_view request);
 void log_served(const session& s, const work& w, std::string_view endpoint);
 
 // session_links.cpp
--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -76,6 +76,10 @@
         CHECK(served.at("endpoint") == sent.at("endpoint"));
         CHECK(served.at("session") == sent.at("session"));
         CHECK(lines_of(log, "session_started").size() == 1);
+        const json opened =
+            find_request(lines_of(log, "connection_opened"), "q1");
+        REQUIRE(opened.is_object());
+        CHECK(opened.at("workspace") == "ward");
     }
     THEN("it holds no key, no value and no statement")
     {
