--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <decide/duty_lease.hpp>
@@ -114,7 +115,30 @@
 void record_orders(failover_task_state& t);
 void release_duty(failover_task_state& t);
 
+// failover_touching.cpp
+/// Begins to replace a group's primary.
+void begin_takeover(failover_task_state& t, const std::string& service,
+                    failover_group& g, takeover_reason reason);
+/// Asks each member for its status, and once that is known takes it out of the
+/// old term.
+void touch(failover_task_state& t, const std::string& service,
+           failover_group& g);
+void tend_touching(failover_task_state& t, const std::string& service,
+                   failover_group& g, time_point now);
+/// Nothing when there is no loop event to be had; that is logged.
+std::unique_ptr<group_call> open_call(failover_task_state& t,
+                                      const site_endpoint& e);
+touched_member* find_member(failover_group& g, std::string_view id);
+/// Sends an order to a member, unless one is under way there.
+void ask_member(failover_task_state& t, const std::string& service,
+                failover_group& g, touched_member& m, group_order order);
+/// Somebody leads after all, by what the members say.
+bool is_led(const failover_group& g);
+
 // failover_groups.cpp
+/// Moves the group's state chart.
+void fire(failover_task_state& t, const std::string& service, failover_group& g,
+          takeover_event event);
 void update_places(failover_task_state& t);
 void tend_groups(failover_task_state& t, time_point now);
 /// The duty's object holds what this process has decided.
--- /dev/null
+++ b/Source/session/failover_touching.cpp
@@ -0,0 +1,243 @@
+#include <session/failover_task_state.hpp>
+
+#include <algorithm>
+
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+std::uint32_t sync_replicas(const failover_task_state& t,
+                            std::string_view service)
+{
+    const auto found = t.m_config->m_services.find(service);
+    return found == t.m_config->m_services.end()
+               ? 0
+               : found->second.m_sync_replicas;
+}
+
+// Members of the takeover as the decision sees them; places whose endpoint is
+// gone count as members out of reach.
+std::vector<takeover_member> members_of(const failover_group& g)
+{
+    std::vector<takeover_member> members;
+    for (const touched_member& m : g.m_members)
+        members.push_back(m.m_member);
+    while (members.size() < g.m_size)
+        members.emplace_back();
+    return members;
+}
+
+// The takeover rests on the primary's silence, so a word of it ends it.
+bool was_missed(const failover_group& g)
+{
+    return g.m_reason == takeover_reason::silent ||
+           g.m_reason == takeover_reason::missing;
+}
+
+// The primary that was missed answers here.
+const touched_member* find_living_primary(const failover_group& g)
+{
+    if (!was_missed(g))
+        return nullptr;
+    const auto found = std::ranges::find_if(
+        g.m_members,
+        [&](const touched_member& m)
+        {
+            return m.m_member.m_reachable &&
+                   m.m_member.m_status.m_role == endpoint_role::primary &&
+                   m.m_member.m_status.m_term >= g.m_report.m_term;
+        });
+    return found == g.m_members.end() ? nullptr : &*found;
+}
+
+std::string describe_member(const touched_member& m)
+{
+    const endpoint_status& s = m.m_member.m_status;
+    if (!m.m_member.m_reachable)
+        return m.m_endpoint.m_id + " out of reach";
+    return m.m_endpoint.m_id + " at " + std::to_string(s.m_position.m_term) +
+           "." + std::to_string(s.m_position.m_offset) +
+           (m.m_member.m_stepped_down
+                ? " stepped down"
+                : " paused for " + std::to_string(s.m_held));
+}
+
+void log_touched(const std::string& service, const failover_group& g)
+{
+    std::string members;
+    for (const touched_member& m : g.m_members)
+        members.append(members.empty() ? "" : "; ").append(describe_member(m));
+    log_event(event_id::takeover_touched, {{"service", service},
+                                           {"term", std::to_string(g.m_term)},
+                                           {"successor", g.m_successor},
+                                           {"members", members}});
+}
+
+}
+
+std::unique_ptr<group_call> open_call(failover_task_state& t,
+                                      const site_endpoint& e)
+{
+    try
+    {
+        return std::make_unique<group_call>(t.m_loop, t.m_codec, e,
+                                            any_workspace(*t.m_config));
+    }
+    catch (const loop_error& failure)
+    {
+        log_event(event_id::endpoint_unreachable,
+                  {{"endpoint", e.m_id}, {"failure", failure.what()}});
+        return {};
+    }
+}
+
+touched_member* find_member(failover_group& g, std::string_view id)
+{
+    const auto found = std::ranges::find_if(g.m_members,
+                                            [&](const touched_member& m)
+                                            {
+                                                return m.m_endpoint.m_id == id;
+                                            });
+    return found == g.m_members.end() ? nullptr : &*found;
+}
+
+void ask_member(failover_task_state& t, const std::string& service,
+                failover_group& g, touched_member& m, group_order order)
+{
+    if (m.m_asked)
+        return;
+    if (!m.m_call || !m.m_call->is_open())
+        m.m_call = open_call(t, m.m_endpoint);
+    if (!m.m_call)
+        return;
+    m.m_asked = true;
+    m.m_call->send(
+        order, g.m_term, order_limit,
+        [&t, service, order, id = m.m_endpoint.m_id,
+         term = g.m_term](const std::optional<endpoint_status>& status)
+        {
+            touched_member* const member = find_member(t.m_groups[service], id);
+            if (member == nullptr)
+                return;
+            member->m_asked = false;
+            member->m_member.m_reachable = status.has_value();
+            if (!status)
+                return;
+            member->m_member.m_status = *status;
+            if (order == group_order::step_down &&
+                status->m_role == endpoint_role::replica)
+                member->m_member.m_stepped_down = true;
+            if (member->m_touched_at == time_point{} &&
+                is_touched(member->m_member, term))
+                member->m_touched_at = boot_now();
+        });
+}
+
+void touch(failover_task_state& t, const std::string& service,
+           failover_group& g)
+{
+    const std::vector<takeover_member> members = members_of(g);
+    g.m_term = next_term(members, g.m_term);
+    for (touched_member& m : g.m_members)
+    {
+        const takeover_member& seen = m.m_member;
+        group_order order = group_order::status;
+        if (seen.m_reachable && !is_touched(seen, g.m_term))
+            order = seen.m_status.m_role == endpoint_role::primary
+                        ? group_order::step_down
+                        : group_order::pause;
+        ask_member(t, service, g, m, order);
+    }
+}
+
+void begin_takeover(failover_task_state& t, const std::string& service,
+                    failover_group& g, takeover_reason reason)
+{
+    g.m_reason = reason;
+    g.m_began_at = boot_now();
+    g.m_next_at = g.m_began_at;
+    g.m_old_term = g.m_report.m_term;
+    g.m_term = g.m_old_term + 1;
+    g.m_old_primary = g.m_report.m_primary;
+    g.m_members.clear();
+    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
+        if (e.m_service == service)
+        {
+            touched_member m;
+            m.m_endpoint = e;
+            m.m_member.m_id = id;
+            m.m_member.m_leaving = is_leaving(*t.m_endpoints, e);
+            g.m_members.push_back(std::move(m));
+        }
+    log_event(event_id::takeover_begun,
+              {{"service", service},
+               {"reason", std::string(to_string(reason))},
+               {"primary", g.m_old_primary},
+               {"term", std::to_string(g.m_term)},
+               {"members", std::to_string(g.m_members.size())},
+               {"places", std::to_string(g.m_size)}});
+    fire(t, service, g, takeover_event::doubted);
+}
+
+bool is_led(const failover_group& g)
+{
+    return std::ranges::any_of(
+        g.m_members,
+        [&](const touched_member& m)
+        {
+            return m.m_member.m_reachable &&
+                   m.m_member.m_status.m_role == endpoint_role::primary &&
+                   m.m_member.m_status.m_term > g.m_old_term;
+        });
+}
+
+void tend_touching(failover_task_state& t, const std::string& service,
+                   failover_group& g, time_point now)
+{
+    // The session task has heard of it meanwhile.
+    const primary_evidence& e = g.m_report.m_evidence;
+    if (was_missed(g) && e.m_known && e.m_last_sign > g.m_began_at)
+        return fire(t, service, g, takeover_event::given_up);
+    if (const touched_member* const lead = find_living_primary(g))
+    {
+        t.m_boxes.m_session.post(
+            primary_promoted{service, lead->m_endpoint.m_id,
+                             lead->m_member.m_status, boot_now()});
+        return fire(t, service, g, takeover_event::given_up);
+    }
+    const std::vector<takeover_member> members = members_of(g);
+    const auto successor =
+        choose_successor(members, g.m_term, sync_replicas(t, service));
+    // A moment for a member that is asked and may be further.
+    const bool waits =
+        now - g.m_began_at < order_limit &&
+        std::ranges::any_of(g.m_members,
+                            [&](const touched_member& m)
+                            {
+                                return m.m_touched_at == time_point{};
+                            });
+    if (successor && !waits)
+    {
+        // An order that may be under way is carried through first.
+        const touched_member* const before =
+            g.m_may_be_under_way ? find_member(g, g.m_successor) : nullptr;
+        if (before == nullptr || !is_touched(before->m_member, g.m_term))
+            g.m_successor = *successor;
+        log_touched(service, g);
+        return fire(t, service, g, takeover_event::touched);
+    }
+    if (now - g.m_began_at >= touch_limit && !g.m_may_be_under_way)
+        return fire(t, service, g, takeover_event::given_up);
+    if (now >= g.m_next_at)
+    {
+        g.m_next_at = now + round_pause;
+        touch(t, service, g);
+    }
+}
+
+}
