report: Log and count the processor time of each task

Each task now logs, every 5 s, its thread's processor time and the greatest delay of its timer (event 1009), and the metrics gain the processor time by task, the digests exchanged with peers and the questions for endpoints' statuses. No decision changes.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -46,6 +46,9 @@
                 "log_lines_dropped",
                 "lines of one event passed its budget, or nobody read them, "
                 "and were left out"},
+    event_entry{event_id::task_usage, event_level::info, "task_usage",
+                "processor time of a task's thread in a period, and by how "
+                "much its timer was late at most"},
     event_entry{event_id::settings_in_force, event_level::info,
                 "settings_in_force", "a settings version came into force"},
     event_entry{event_id::settings_refused, event_level::error,
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -21,6 +21,7 @@
     certificates_refused = 1006,
     drain_cut = 1007,
     log_lines_dropped = 1008,
+    task_usage = 1009,
     settings_in_force = 2001,
     settings_refused = 2002,
     platform_lost = 2003,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -138,6 +138,15 @@
         metric_id::log_lines_dropped, metric_type::counter,
         "bluebellspoke_log_lines_dropped_total", "",
         "log lines that passed the budget of their event or that nobody read"},
+    metric_entry{metric_id::task_processor, metric_type::counter,
+                 "bluebellspoke_task_processor_seconds_total", "task",
+                 "processor time of a task's thread"},
+    metric_entry{metric_id::peer_digests, metric_type::counter,
+                 "bluebellspoke_peer_digests_total", "direction",
+                 "digests exchanged with peers: sent or received"},
+    metric_entry{metric_id::status_questions, metric_type::counter,
+                 "bluebellspoke_status_questions_total", "",
+                 "questions for the status of endpoints"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -58,6 +58,9 @@
     promotions,
     duty_held,
     log_lines_dropped,
+    task_processor,
+    peer_digests,
+    status_questions,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -14,6 +14,7 @@
 void tick(failover_task_state& t)
 {
     const time_point now = boot_now();
+    note_tick(t.m_usage, now);
     tend_duty(t, now);
     tend_groups(t, now);
 }
@@ -33,6 +34,7 @@
               static_cast<double>(t.m_promotions));
     add_value(families, metric_id::duty_held, {},
               holds_duty(t, boot_now()) ? 1 : 0);
+    collect_usage(families, t.m_usage);
     return families;
 }
 
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -12,6 +12,7 @@
 #include <decide/duty_lease.hpp>
 #include <decide/group_view.hpp>
 #include <decide/takeover.hpp>
+#include <report/task_usage.hpp>
 #include <session/failover_task.hpp>
 #include <session/group_call.hpp>
 #include <session/session_messages.hpp>
@@ -105,6 +106,7 @@
     bool m_record_wanted = false; ///< What is ordered has changed.
     bool m_stopping = false;
     std::uint64_t m_promotions = 0;
+    task_usage m_usage{.m_task = "failover", .m_tick = failover_tick};
 };
 
 // failover_duty.cpp
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -130,6 +130,9 @@
               static_cast<double>(c.m_replica_reads));
     add_value(families, metric_id::session_retries, {},
               static_cast<double>(c.m_retries));
+    add_value(families, metric_id::status_questions, {},
+              static_cast<double>(c.m_status_questions));
+    collect_usage(families, t.m_usage);
     collect_beliefs(families, t, boot_now());
     return families;
 }
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -255,6 +255,7 @@
 
 void ask_status(session_task_state& t, link& k)
 {
+    ++t.m_counts.m_status_questions;
     t.m_charts.m_link.fire(k.m_state, link_event::sent);
     k.m_since = boot_now();
     std::string out;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -62,6 +62,7 @@
 void tick(session_task_state& t)
 {
     const time_point now = boot_now();
+    note_tick(t.m_usage, now);
     check_deadlines(t, now);
     check_links(t, now);
     for (auto& [name, g] : t.m_groups)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -11,6 +11,7 @@
 
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
+#include <report/task_usage.hpp>
 #include <session/session_messages.hpp>
 #include <session/session_types.hpp>
 
@@ -84,6 +85,7 @@
     std::uint64_t m_primary_reads = 0;
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_status_questions = 0;
 };
 
 struct listener_deleter
@@ -121,6 +123,7 @@
     time_point m_stopping_since{}; ///< Zero: it isn't.
     bool m_stop_told = false;
     session_counts m_counts;
+    task_usage m_usage{.m_task = "session", .m_tick = session_tick};
 };
 
 // session_callers.cpp
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -91,6 +91,7 @@
 
 void learn(site_task_state& t, site_peer& p, const peer_site_digest& d)
 {
+    ++t.m_digests_received;
     p.m_name = d.m_name;
     p.m_last = d;
     p.m_heard_at = boot_now();
@@ -145,6 +146,7 @@
 
 void send_digest(site_task_state& t, site_peer& p, const std::string& at)
 {
+    ++t.m_digests_sent;
     p.m_asking = true;
     p.m_asked_at = boot_now();
     p.m_told = t.m_weights.m_number;
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -16,7 +16,9 @@
 
 void tick(site_task_state& t)
 {
-    if (expire_missing(t.m_list, boot_now()))
+    const time_point now = boot_now();
+    note_tick(t.m_usage, now);
+    if (expire_missing(t.m_list, now))
         publish_endpoints(t);
     send_digests(t);
     remove_lapsed_members(t);
@@ -47,6 +49,14 @@
     add_calls("answered", t.m_store_answers);
     add_calls("failed", t.m_store_failures);
     add_calls("history_gone", t.m_histories_gone);
+    const auto add_digests = [&](std::string_view direction, std::uint64_t n)
+    {
+        add_value(families, metric_id::peer_digests, std::array{direction},
+                  static_cast<double>(n));
+    };
+    add_digests("sent", t.m_digests_sent);
+    add_digests("received", t.m_digests_received);
+    collect_usage(families, t.m_usage);
     return families;
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -10,6 +10,7 @@
 
 #include <decide/endpoint_list.hpp>
 #include <peer/peer_call.hpp>
+#include <report/task_usage.hpp>
 #include <session/object_store.hpp>
 #include <session/session_messages.hpp>
 #include <session/site_task.hpp>
@@ -90,6 +91,9 @@
     std::uint64_t m_store_answers = 0;
     std::uint64_t m_store_failures = 0;
     std::uint64_t m_histories_gone = 0;
+    std::uint64_t m_digests_sent = 0;
+    std::uint64_t m_digests_received = 0;
+    task_usage m_usage{.m_task = "site", .m_tick = site_tick};
 
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
     bool m_asking_peer = false;
