--- a/Source/report/task_usage.cpp
+++ b/Source/report/task_usage.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <ctime>
 #include <string>
 
+#include <sys/resource.h>
+
 #include <report/event.hpp>
 
 namespace bluebellspoke
@@ -25,11 +26,12 @@
 
 double thread_processor_seconds() noexcept
 {
-    constexpr double nanoseconds = 1e9;
-    timespec t{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-    return static_cast<double>(t.tv_sec) +
-           static_cast<double>(t.tv_nsec) / nanoseconds;
+    constexpr double microseconds = 1e6;
+    rusage used{};
+    getrusage(RUSAGE_THREAD, &used);
+    return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
+           static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) /
+               microseconds;
 }
 
 void note_tick(task_usage& u, time_point now)
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -62,8 +62,26 @@
     }
 }
 
-json first_config()
+std::string workspace_name(std::size_t number)
 {
+    constexpr std::array first{"ward", "depot"};
+    return number < first.size() ? first.at(number)
+                                 : "workspace-" + std::to_string(number);
+}
+
+json workspace(std::size_t number, unsigned rate)
+{
+    return {{"name", workspace_name(number)},
+            {"api-keys", {key_of(number)}},
+            {"rate-per-s", rate},
+            {"burst", rate}};
+}
+
+json first_config(const site_size& size)
+{
+    json workspaces = json::array();
+    for (std::size_t i = 0; i < size.m_workspaces; ++i)
+        workspaces.push_back(workspace(i, size.m_rate));
     const auto route = [](const char* database, const char* type)
     {
         return json{{"name", std::string("r-") + database},
@@ -82,19 +100,16 @@
         {"services",
          {{{"name", service}, {"max-connections", 64}, {"sync-replicas", 1}}}},
         {"limits", {{"tx-idle-ms", 3000}}},
-        {"tenants",
-         {{{"name", "ward"},
-           {"api-keys", {"ward-key"}},
-           {"rate-per-s", 1000},
-           {"burst", 1000}},
-          {{"name", "depot"},
-           {"api-keys", {"depot-key"}},
-           {"rate-per-s", 1000},
-           {"burst", 1000}}}}};
+        {"tenants", workspaces}};
 }
 
 }
 
+std::string key_of(std::size_t workspace)
+{
+    return workspace_name(workspace) + "-key";
+}
+
 line_caller::line_caller(const address& at) : m_socket(connect_to(at))
 {
     if (m_socket < 0)
@@ -186,8 +201,11 @@
     std::this_thread::sleep_for(moment);
 }
 
-site::site(std::size_t daemons)
-    : m_platform(free_address()), m_config(first_config())
+site::site(std::size_t daemons) : site(site_size{.m_daemons = daemons}) {}
+
+site::site(const site_size& size)
+    : m_zones(size.m_zones), m_platform(free_address()),
+      m_config(first_config(size))
 {
     std::vector<std::string> command{
         TEST_SITE, "--listen", to_string(m_platform), "--service", service};
@@ -197,13 +215,13 @@
     if (m_standin->read_line() != "serving")
         throw std::runtime_error("the stand-in doesn't serve");
     configure();
-    m_nodes.resize(daemons);
-    for (std::size_t i = 0; i < daemons; ++i)
+    m_nodes.resize(size.m_daemons);
+    for (std::size_t i = 0; i < size.m_daemons; ++i)
     {
         write_node_file(i, m_nodes[i]);
         start_daemon(i);
     }
-    for (std::size_t i = 0; i < daemons; ++i)
+    for (std::size_t i = 0; i < size.m_daemons; ++i)
         if (!comes_true(
                 [&]
                 {
@@ -221,11 +239,18 @@
     n.m_peers = free_address();
     n.m_metrics = free_address();
     n.m_file = m_folder.m_path / ("node-" + std::to_string(number) + ".json");
+    const auto zone_name = [](std::size_t zone)
+    {
+        return "zone-" + std::to_string(zone + 1);
+    };
+    json zones;
+    for (std::size_t zone = 0; zone < m_zones; ++zone)
+        zones[zone_name(zone)] = "region-1";
     const json settings{
         {"node-name", "entry-" + std::to_string(number)},
-        {"zone", "zone-1"},
+        {"zone", zone_name(number % m_zones)},
         {"region", "region-1"},
-        {"zones", {{"zone-1", "region-1"}}},
+        {"zones", zones},
         {"ip-address", n.m_metrics.m_host},
         {"internal-port-range", {n.m_metrics.m_port, n.m_metrics.m_port}},
         {"listen-addresses",
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -52,12 +52,25 @@
 http_reply call_http(const address& at, const std::string& method,
                      const std::string& path, const std::string& body = {});
 
+/// How large a site is. The first workspaces are `ward` and `depot`.
+struct site_size
+{
+    std::size_t m_daemons = 1;
+    std::size_t m_zones = 1; ///< Daemons are spread over them in turn.
+    std::size_t m_workspaces = 2;
+    unsigned m_rate = 1000; ///< Of each, statements a second, and its burst.
+};
+
+/// The key of a workspace by its number.
+std::string key_of(std::size_t workspace);
+
 /// Daemons on a stand-in of the users' platform.
 class site
 {
 public:
     /// Three endpoints of one service, and this many daemons, all ready.
     explicit site(std::size_t daemons);
+    explicit site(const site_size& size);
     ~site();
     site(const site&) = delete;
     site& operator=(const site&) = delete;
@@ -90,6 +103,7 @@
 
     void write_node_file(std::size_t number, node& n) const;
 
+    std::size_t m_zones = 1;
     scratch_folder m_folder;
     address m_platform;
     nlohmann::json m_config;
