rates: Divide all limits in one pass over the peers, at most every 50 ms

Each digest of a peer made the session task divide each workspace's limit anew, and each of these divisions looked every member up twice: members x workspaces a digest, members digests a period.

Now the others' weights are added up once for all workspaces, and news wait up to 50 ms for the next pass. A part that shrinks is used on for as long, a tenth of the half second by which the limits may be passed.

Tests/decide (32327 assertions) holds, with the property that parts never add up to more than the limit.

--- a/Source/decide/demand_share.cpp
+++ b/Source/decide/demand_share.cpp
@@ -75,16 +75,16 @@
     return least;
 }
 
-// A peer that has told nothing uses no more than untold_weight.
-double peer_weight(const demand_table& t, const std::string& member,
-                   std::string_view workspace, time_point now)
+// A member that has told nothing uses no more than untold_weight.
+void add_member(demand_division& d, const demand_table& t,
+                const std::string& member, time_point now)
 {
     const auto p = t.m_peers.find(member);
     if (p == t.m_peers.end() || p->second.m_number == 0)
-        return untold_weight;
-    if (is_silent(t, p->second, now, silent_after))
-        return 0;
-    return weight_of(p->second.m_weights, workspace);
+        d.m_untold += untold_weight;
+    else if (!is_silent(t, p->second, now, silent_after))
+        for (const auto& [workspace, weight] : p->second.m_weights)
+            d.m_told[workspace] += weight;
 }
 
 }
@@ -143,19 +143,31 @@
         t.m_tellings.pop_front();
 }
 
-double part_of(const demand_table& t, std::string_view workspace,
-               time_point now)
+demand_division divide(const demand_table& t, time_point now)
 {
+    demand_division d;
     if (t.m_members.empty())
-        return 0;
-    const double even = even_part / static_cast<double>(t.m_members.size());
-    const double own = own_weight(t, workspace);
-    if (own <= 0 || is_alone(t, now))
-        return even;
-    double all = 0;
+        return d;
+    d.m_even = even_part / static_cast<double>(t.m_members.size());
+    d.m_alone = is_alone(t, now);
+    if (d.m_alone)
+        return d;
     for (const std::string& name : t.m_members)
-        all += name == t.m_self ? own : peer_weight(t, name, workspace, now);
-    return even + (1 - even_part) * own / all;
+        if (name != t.m_self)
+            add_member(d, t, name, now);
+    return d;
+}
+
+double part_of(const demand_table& t, const demand_division& d,
+               std::string_view workspace)
+{
+    if (d.m_alone)
+        return d.m_even;
+    const double own = own_weight(t, workspace);
+    if (own <= 0)
+        return d.m_even;
+    const double all = own + d.m_untold + weight_of(d.m_told, workspace);
+    return d.m_even + (1 - even_part) * own / all;
 }
 
 }
--- a/Source/decide/demand_share.hpp
+++ b/Source/decide/demand_share.hpp
@@ -92,9 +92,20 @@
 /// Forgets tellings that no longer bind.
 void settle_tellings(demand_table& t, time_point now);
 
+/// What the parts of all workspaces go by, added up once.
+struct demand_division
+{
+    double m_even = 0;     ///< Part that is always usable.
+    bool m_alone = true;   ///< Nothing beyond m_even may be used.
+    double m_untold = 0;   ///< Weight of those that have told none, in each.
+    demand_weights m_told; ///< Of all others together.
+};
+
+/// Takes a pass over all peers' weights.
+demand_division divide(const demand_table& t, time_point now);
 /// This process's part of the workspace's limit, from 0 to 1.
-double part_of(const demand_table& t, std::string_view workspace,
-               time_point now);
+double part_of(const demand_table& t, const demand_division& d,
+               std::string_view workspace);
 
 }
 
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -70,7 +70,7 @@
             break;
         const std::array workspace{std::string_view(name)};
         add_value(families, metric_id::rate_part, workspace,
-                  part_of(t.m_demand, name, now));
+                  part_of(t.m_demand, t.m_division, name));
         add_value(families, metric_id::rate_tokens, workspace,
                   r.m_bucket.m_tokens);
     }
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -18,6 +18,11 @@
 constexpr std::chrono::milliseconds demand_memory{1500};
 // From one look at the weights to the next.
 constexpr std::chrono::milliseconds tell_period{250};
+// From one division of the limits to the next while news come. Each takes a
+// pass over all peers' weights. Until then a part that has shrunk is used on: a
+// tenth of the half second's rate by which the deployments described may pass a
+// limit.
+constexpr std::chrono::milliseconds divide_period{50};
 // The part of what a limit may be passed by that new processes begin with. The
 // rest is for parts that change hands, and for late arrivals.
 constexpr double credit_part = 0.75;
@@ -40,7 +45,7 @@
 void fit_part(session_task_state& t, const std::string& workspace,
               workspace_rate& r, time_point now)
 {
-    const double part = part_of(t.m_demand, workspace, now);
+    const double part = part_of(t.m_demand, t.m_division, workspace);
     // A whole token has to fit, or nothing would ever pass.
     set_share(r.m_bucket, r.m_rate * part, std::max(1.0, r.m_burst * part),
               now);
@@ -48,7 +53,10 @@
 
 void fit_parts(session_task_state& t, time_point now)
 {
+    t.m_division_stale = false;
+    t.m_divide_at = now + divide_period;
     settle_tellings(t.m_demand, now);
+    t.m_division = divide(t.m_demand, now);
     for (auto& [name, r] : t.m_rates)
         fit_part(t, name, r, now);
 }
@@ -78,17 +86,16 @@
 }
 
 std::string describe_rate(const session_task_state& t,
-                          std::string_view workspace, const workspace_rate& r,
-                          time_point now)
+                          std::string_view workspace, const workspace_rate& r)
 {
     const auto whole = [](double value)
     {
         return std::to_string(std::lround(value));
     };
     constexpr double percent = 100;
-    return whole(part_of(t.m_demand, workspace, now) * percent) + " % of " +
-           whole(r.m_rate) + "/s and burst " + whole(r.m_burst) + ", " +
-           whole(r.m_bucket.m_tokens) + " tokens, " +
+    return whole(part_of(t.m_demand, t.m_division, workspace) * percent) +
+           " % of " + whole(r.m_rate) + "/s and burst " + whole(r.m_burst) +
+           ", " + whole(r.m_bucket.m_tokens) + " tokens, " +
            std::to_string(r.m_waiting.size()) + " waiting, " +
            std::to_string(t.m_demand.m_members.size()) + " members, " +
            std::to_string(t.m_demand.m_peers.size()) + " peers heard";
@@ -113,7 +120,7 @@
             dispatch(t, w);
         else
         {
-            w->m_evidence = describe_rate(t, w->m_session->m_workspace, r, now);
+            w->m_evidence = describe_rate(t, w->m_session->m_workspace, r);
             fail_work(t, w, session_fault::busy, "rate");
         }
     }
@@ -201,11 +208,11 @@
         return rate_verdict::admitted;
     if (!may_wait(r, *w, now))
     {
-        w->m_evidence = describe_rate(t, workspace, r, now);
+        w->m_evidence = describe_rate(t, workspace, r);
         return rate_verdict::refused;
     }
     if (is_logged(event_id::statement_waits))
-        log_waiting(*w, "rate", describe_rate(t, workspace, r, now));
+        log_waiting(*w, "rate", describe_rate(t, workspace, r));
     w->m_waits_for_rate = true;
     r.m_waiting.push_back(w);
     return rate_verdict::waits;
@@ -213,19 +220,19 @@
 
 void take_weights(session_task_state& t, const weights_heard& m)
 {
-    const time_point now = boot_now();
-    take_news(t.m_demand, m.m_peer, m.m_news, now);
-    fit_parts(t, now);
+    take_news(t.m_demand, m.m_peer, m.m_news, boot_now());
+    t.m_division_stale = true;
 }
 
 void tick_rates(session_task_state& t, time_point now)
 {
     for (auto& [name, r] : t.m_rates)
         admit_waiting(t, r, now);
-    if (now < t.m_tell_at)
-        return;
-    tell(t, now);
-    fit_parts(t, now);
+    const bool to_tell = now >= t.m_tell_at;
+    if (to_tell)
+        tell(t, now);
+    if (to_tell || (t.m_division_stale && now >= t.m_divide_at))
+        fit_parts(t, now);
 }
 
 }
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -115,6 +115,9 @@
     intrusive_list<work> m_works; ///< All that have a deadline.
     std::map<std::string, workspace_rate, std::less<>> m_rates;
     demand_table m_demand;
+    demand_division m_division;      ///< Of m_demand, as of the last pass.
+    bool m_division_stale = false;   ///< News came after it.
+    time_point m_divide_at{};        ///< No other pass before.
     time_point m_tell_at{};          ///< Of the next look at the weights.
     bool m_knows_workspaces = false; ///< A configuration came before.
     std::uint64_t m_last_number = 0;
--- a/Tests/decide/demand_share_test.cpp
+++ b/Tests/decide/demand_share_test.cpp
@@ -41,6 +41,11 @@
     return n;
 }
 
+double part_of(const demand_table& t, time_point now)
+{
+    return part_of(t, divide(t, now), "ward");
+}
+
 void exchange(demand_table& a, demand_table& b, time_point now)
 {
     take_news(b, a.m_self, news_of(a, b), now);
@@ -65,7 +70,7 @@
     };
     const auto part = [&](std::size_t i, time_point now)
     {
-        return part_of(fleet[i], "ward", now);
+        return part_of(fleet[i], now);
     };
 
     GIVEN("processes that have told nothing")
@@ -173,7 +178,7 @@
             for (demand_table& t : fleet)
             {
                 settle_tellings(t, start);
-                sum += part_of(t, "ward", start);
+                sum += part_of(t, start);
             }
             most = std::max(most, sum);
             REQUIRE(sum <= 1 + rounding);
