tests: Show that a large fleet refuses work inside the limits

What callers saw: refusals by rate from the first second, on workspaces that use half of their limit. Known red until the limits are kept by fewer processes.

--- a/Tests/fleet/fleet_cost_test.cpp
+++ b/Tests/fleet/fleet_cost_test.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <memory>
+#include <random>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -57,43 +58,63 @@
     return callers;
 }
 
-// Statements in turn, `period` apart, for as long as `span`.
-void play(const std::vector<std::unique_ptr<line_caller>>& callers,
-          test_clock::duration period, test_clock::duration span)
+struct played
+{
+    std::size_t m_asked = 0;
+    std::size_t m_refused = 0;
+};
+
+// Statements of callers drawn at random, `period` apart, for as long as `span`.
+played play(const std::vector<std::unique_ptr<line_caller>>& callers,
+            test_clock::duration period, test_clock::duration span)
 {
     const auto began = test_clock::now();
-    std::size_t turn = 0;
+    std::mt19937 dice(1);
+    played p;
     for (auto next = began; next < began + span; next += period)
     {
         std::this_thread::sleep_until(next);
-        callers[turn++ % callers.size()]->ask("READ bear");
+        const std::string answer =
+            callers[dice() % callers.size()]->ask("READ bear");
+        ++p.m_asked;
+        if (answer.starts_with("ERROR"))
+            ++p.m_refused;
     }
+    return p;
 }
 
 }
 
-SCENARIO("A large fleet with few statements leaves the processor alone")
+SCENARIO("A large fleet divides limits at a small price")
 {
-    // The stated target: control takes at most 3.1 % of a core a node. The
-    // statements, 11 a second at each daemon, take a part of it here.
-    constexpr double most = 0.031;
+    // 800 statements a second in all, half of what the limits of the workspaces
+    // allow together.
+    constexpr auto period = 1250us;
     site s(large);
     const auto callers = open_sessions(s);
 
     WHEN("callers of all workspaces are served everywhere")
     {
-        play(callers, 1250us, 3s);
+        play(callers, period, 3s);
         const double before = processor_seconds(s);
         const auto began = test_clock::now();
-        play(callers, 1250us, 6s);
+        const played p = play(callers, period, 6s);
         const double spent = processor_seconds(s) - before;
         const std::chrono::duration<double> passed = test_clock::now() - began;
 
-        THEN("a daemon takes no more than the target's part of a core")
+        THEN("a daemon takes no more than the target's part of a core, and "
+             "work inside the limits isn't refused")
         {
+            // The stated target for control, with the statements in it here.
+            constexpr double most = 0.031;
             const double mean = spent / large.m_daemons / passed.count();
             CAPTURE(mean);
             CHECK(mean <= most);
+            // Arrivals within a second scatter beyond a limit now and then.
+            constexpr double scatter = 0.01;
+            CAPTURE(p.m_refused, p.m_asked);
+            CHECK(static_cast<double>(p.m_refused) <=
+                  scatter * static_cast<double>(p.m_asked));
         }
     }
 }
