session: End a begin that nobody waits for with its session

Cause: a caller left while the begin of its transaction was on its way. Its statement hadn't been sent, but stayed among those with a deadline, without a session. When the deadline passed before the begin's answer, as it does for a process that lacks processor time, the line on its refusal read the session.

Evidence: 'A caller leaves while nobody answers the begin of its transaction' in Tests/site ends the daemon before this change (is running: false within 2 s) and passes after it. Ruled out: the resent statement and the one that is being dialed for, which are unlinked already.

Why it works: only work that was sent outlives its session now; a begin's connection is closed, which rolls back.

--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -128,9 +128,10 @@
         s.m_work = nullptr;
         count_outcome(t, s, session_outcome::gone);
         w->m_session = nullptr;
-        // What runs on a connection of its own ends there; the rest is moot.
-        if (!w->m_link || w->m_link->m_begun ||
-            w->m_link->m_state == link_state::dialing)
+        // What runs on a connection of its own, or waits for the begin there,
+        // ends there; only what was sent may outlive its session.
+        const bool sent = w->m_sent_at != time_point{};
+        if (!w->m_link || !sent || w->m_link->m_begun)
         {
             leave(*w);
             w->auto_unlink_hook::unlink();
--- a/Tests/site/site_path_test.cpp
+++ b/Tests/site/site_path_test.cpp
@@ -203,3 +203,30 @@
         }
     }
 }
+
+SCENARIO("A caller leaves while nobody answers the begin of its transaction")
+{
+    site s(1);
+    REQUIRE(answers(s, 0, "ledger", "WRITE bear brown", "COMPLETE | READY I"));
+    s.set_mute("i-1", true);
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        c.send("QUERY left READ bear");
+        wait_a_moment();
+    }
+
+    THEN("the daemon outlives the statement's deadline")
+    {
+        REQUIRE_FALSE(comes_true(
+            [&]
+            {
+                return !s.daemon(0).running();
+            },
+            past_a_statement));
+        s.set_mute("i-1", false);
+        REQUIRE(answers(s, 0, "ledger", "READ bear",
+                        "ROW brown | COMPLETE | READY I"));
+    }
+}
--- a/Tests/standin/site_group.cpp
+++ b/Tests/standin/site_group.cpp
@@ -172,6 +172,8 @@
         return fail(s, "MALFORMED");
     if (verb == "STATUS")
         return say_status(s);
+    if (e.m_mute)
+        return;
     if (verb == "PAUSE")
     {
         in >> e.m_held;
--- a/Tests/standin/site_group.hpp
+++ b/Tests/standin/site_group.hpp
@@ -46,6 +46,7 @@
     std::string m_id;
     address m_address;
     bool m_up = true;
+    bool m_mute = false; ///< Answers questions for its status only.
     bool m_primary = false;
     std::uint64_t m_term = 1;
     std::uint64_t m_held = 0;
--- a/Tests/standin/site_standin.cpp
+++ b/Tests/standin/site_standin.cpp
@@ -54,7 +54,10 @@
         standin::find_endpoint(g, body.at("id").get<std::string>());
     if (e == nullptr)
         return missing;
-    standin::set_up(*e, body.at("up").get<bool>());
+    if (body.contains("mute"))
+        e->m_mute = body["mute"].get<bool>();
+    if (body.contains("up"))
+        standin::set_up(*e, body["up"].get<bool>());
     return ok;
 }
 
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -300,6 +300,12 @@
               json{{"id", id}, {"up", up}}.dump());
 }
 
+void site::set_mute(const std::string& id, bool mute) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"mute", mute}}.dump());
+}
+
 void site::set_store(bool down) const
 {
     call_http(m_platform, "POST", "/standin/store",
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -78,6 +78,8 @@
     /// Puts a configuration into the store, with the next version.
     void configure(const nlohmann::json& change = nlohmann::json::object());
     void set_endpoint(const std::string& id, bool up) const;
+    /// A mute endpoint answers questions for its status only.
+    void set_mute(const std::string& id, bool mute) const;
     void set_store(bool down) const;
     void start_daemon(std::size_t number);
     /// Writes the daemon's settings file anew, with another zone.
@@ -113,15 +115,19 @@
 
 /// Repeats until the check holds. False after the longest time that the
 /// deployments described allow for what is waited for, twice over.
+/// Moments in it; a shorter wait names its own.
+inline constexpr int longest_wait = 1200;
+/// Moments past the deadline of a statement, which is 2 s here.
+inline constexpr int past_a_statement = 120;
+
 template <class Check>
-bool comes_true(Check check);
+bool comes_true(Check check, int moments = longest_wait);
 
 void wait_a_moment();
 
 template <class Check>
-bool comes_true(Check check)
+bool comes_true(Check check, int moments)
 {
-    constexpr int moments = 1200;
     for (int i = 0; i < moments; ++i)
     {
         if (check())
