rates: Keep each workspace's rate in one process a zone

Cause: every process divided every limit with every other one.

The processes of a cell choose a keeper by leased votes (decide/cell_vote, chart cell); it keeps the cell's rates, and the others ask it for each operation, several at once while a question is on its way. Only keepers exchange digests, and they divide the limits among the cells by demand_share as before. A keeper counts a vote from before it asked and the voter keeps to it from its answer, so a cell never has two keepers, also after freezes and restarts; a keeper that changed begins as a new process does. Smaller fleets stay as they were.

--- a/Source/decide/followed_settings.cpp
+++ b/Source/decide/followed_settings.cpp
@@ -34,6 +34,7 @@
     keep("metrics address", &site_settings::m_metrics_listen);
     keep("store", &site_settings::m_store);
     keep("orders", &site_settings::m_orders);
+    keep("processor", &site_settings::m_processor);
     return f;
 }
 
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -92,6 +92,106 @@
     }
 };
 
+template <>
+struct format<peer_vote_wanted>
+{
+    static constexpr const char* tag = "vote_wanted";
+
+    static json write(const peer_vote_wanted& m)
+    {
+        return json::array({m.m_name, m.m_address, m.m_incarnation, m.m_keeps,
+                            m.m_ending, m.m_store_answers, m.m_store_revision,
+                            m.m_config_version});
+    }
+    static peer_vote_wanted read(const json& j)
+    {
+        return {j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
+                j.at(2).get<std::uint64_t>(), j.at(3).get<bool>(),
+                j.at(4).get<bool>(),          j.at(5).get<bool>(),
+                j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>()};
+    }
+};
+
+template <>
+struct format<peer_vote>
+{
+    static constexpr const char* tag = "vote";
+
+    static json write(const peer_vote& m)
+    {
+        return json::array({m.m_name, m.m_granted, m.m_store_answers,
+                            m.m_store_revision, m.m_config_version});
+    }
+    static peer_vote read(const json& j)
+    {
+        return {j.at(0).get<std::string>(), j.at(1).get<bool>(),
+                j.at(2).get<bool>(), j.at(3).get<std::uint64_t>(),
+                j.at(4).get<std::uint64_t>()};
+    }
+};
+
+template <>
+struct format<peer_referral>
+{
+    static constexpr const char* tag = "referral";
+
+    static json write(const peer_referral& m)
+    {
+        return json::array({m.m_address});
+    }
+    static peer_referral read(const json& j)
+    {
+        return {j.at(0).get<std::string>()};
+    }
+};
+
+json write_tokens(const std::vector<peer_tokens>& tokens)
+{
+    json out = json::array();
+    for (const peer_tokens& t : tokens)
+        out.push_back({t.m_workspace, t.m_count, t.m_wait_ms});
+    return out;
+}
+
+std::vector<peer_tokens> read_tokens(const json& j)
+{
+    std::vector<peer_tokens> out;
+    for (const json& t : j)
+        out.push_back({t.at(0).get<std::string>(), t.at(1).get<std::uint32_t>(),
+                       t.at(2).get<std::uint32_t>()});
+    return out;
+}
+
+template <>
+struct format<peer_tokens_wanted>
+{
+    static constexpr const char* tag = "tokens_wanted";
+
+    static json write(const peer_tokens_wanted& m)
+    {
+        return json::array({write_tokens(m.m_tokens)});
+    }
+    static peer_tokens_wanted read(const json& j)
+    {
+        return {read_tokens(j.at(0))};
+    }
+};
+
+template <>
+struct format<peer_tokens_given>
+{
+    static constexpr const char* tag = "tokens_given";
+
+    static json write(const peer_tokens_given& m)
+    {
+        return json::array({m.m_kept, write_tokens(m.m_tokens)});
+    }
+    static peer_tokens_given read(const json& j)
+    {
+        return {j.at(0).get<bool>(), read_tokens(j.at(1))};
+    }
+};
+
 template <>
 struct format<peer_declined>
 {
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -56,6 +56,56 @@
     bool m_ending = false; ///< The sender's process ends with this.
 };
 
+/// A process stands for keeper of its cell, or is it, and asks for the
+/// receiver's vote; answered by a peer_vote.
+struct peer_vote_wanted
+{
+    std::string m_name;
+    std::string m_address; ///< Of the sender for its peers, IP:port.
+    std::uint64_t m_incarnation = 0;
+    bool m_keeps = false;  ///< It is the keeper.
+    bool m_ending = false; ///< The sender's process ends with this.
+    bool m_store_answers = false;
+    std::uint64_t m_store_revision = 0; ///< Up to which it has heard.
+    std::uint64_t m_config_version = 0;
+};
+
+struct peer_vote
+{
+    std::string m_name;
+    bool m_granted = false;
+    bool m_store_answers = false;
+    std::uint64_t m_store_revision = 0; ///< Up to which it has heard.
+    std::uint64_t m_config_version = 0;
+};
+
+/// Who keeps the receiver's cell; the answer to a digest that isn't for it.
+struct peer_referral
+{
+    std::string m_address; ///< Empty: it knows none.
+};
+
+/// Operations of one workspace.
+struct peer_tokens
+{
+    std::string m_workspace;
+    std::uint32_t m_count = 0;
+    std::uint32_t m_wait_ms = 0; ///< In an answer: until there may be more.
+};
+
+/// Asks the keeper of the sender's cell for operations; answered by a
+/// peer_tokens_given.
+struct peer_tokens_wanted
+{
+    std::vector<peer_tokens> m_tokens;
+};
+
+struct peer_tokens_given
+{
+    bool m_kept = false; ///< False: the receiver isn't the keeper.
+    std::vector<peer_tokens> m_tokens;
+};
+
 /// The receiver doesn't know what was asked, or can't do it now.
 struct peer_declined
 {
@@ -172,7 +222,9 @@
 using peer_message =
     std::variant<peer_heartbeat, peer_declined, peer_settings_wanted,
                  peer_settings, peer_status_wanted, peer_status,
-                 peer_drain_wanted, peer_loan_ask, peer_loan, peer_site_digest>;
+                 peer_drain_wanted, peer_loan_ask, peer_loan, peer_site_digest,
+                 peer_vote_wanted, peer_vote, peer_referral, peer_tokens_wanted,
+                 peer_tokens_given>;
 
 }
 
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -88,6 +88,11 @@
     event_entry{event_id::member_removed, event_level::warning,
                 "member_removed",
                 "a member that nobody heard was taken out of the list"},
+    event_entry{event_id::cell_kept, event_level::info, "cell_kept",
+                "this process keeps the rates of its zone's processes"},
+    event_entry{event_id::cell_yielded, event_level::warning, "cell_yielded",
+                "it has no majority of its zone any more, or there are too "
+                "few processes for cells"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -36,6 +36,8 @@
     peer_reached = 2012,
     peer_lost = 2013,
     member_removed = 2014,
+    cell_kept = 2015,
+    cell_yielded = 2016,
     fleet_epoch_followed = 2101,
     fleet_epoch_refused = 2102,
     endpoint_reached = 3001,
--- a/Source/session/object_store.hpp
+++ b/Source/session/object_store.hpp
@@ -89,6 +89,7 @@
     std::string m_name;
     address m_address; ///< For its peers.
     std::string m_zone;
+    double m_processor = 0; ///< Cores that its VM may use; 0: unknown.
 
     friend bool operator==(const member_record&,
                            const member_record&) = default;
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -18,8 +18,7 @@
 std::uint32_t connection_limit(const session_task_state& t,
                                const site_service& service)
 {
-    const std::size_t members =
-        std::max<std::size_t>(1, t.m_demand.m_members.size());
+    const std::size_t members = std::max<std::size_t>(1, t.m_processes);
     const std::uint32_t all = service.m_connections > reserved_connections
                                   ? service.m_connections - reserved_connections
                                   : service.m_connections;
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -11,6 +11,7 @@
 #include <model/site.hpp>
 #include <report/metric.hpp>
 #include <task/mailbox.hpp>
+#include <wire/http2_server.hpp>
 
 namespace bluebellspoke
 {
@@ -33,14 +34,62 @@
 /// site → session: among whom the fleet's limits are divided.
 struct fleet_changed
 {
-    std::set<std::string, std::less<>> m_members;
+    std::string m_self; ///< This process's cell.
+    std::set<std::string, std::less<>> m_cells;
+    std::size_t m_processes = 0; ///< Of all cells.
+    bool m_kept = false; ///< Cells have keepers; false: each is one process.
+};
+
+/// site → session: this process keeps its cell's rates until then; a new
+/// incarnation begins with nothing.
+struct rates_kept
+{
+    std::uint64_t m_incarnation = 0;
+    time_point m_until{}; ///< Zero: it doesn't.
+};
+
+/// Operations of one workspace that are asked for or given.
+struct workspace_tokens
+{
+    std::string m_workspace;
+    std::uint32_t m_count = 0;
+    duration m_wait{}; ///< When given: until there may be more.
+};
+
+/// session → site: asks the cell's keeper.
+struct tokens_wanted
+{
+    std::vector<workspace_tokens> m_tokens;
+};
+
+/// site → session: the keeper's answer.
+struct tokens_given
+{
+    bool m_reached = false; ///< False: there is none, or it didn't answer.
+    std::vector<workspace_tokens> m_tokens;
+};
+
+/// site → session: another process of the cell asks this one, its keeper.
+struct tokens_asked
+{
+    exchange_id m_exchange;
+    std::vector<workspace_tokens> m_tokens;
+};
+
+/// session → site: the answer to it.
+struct tokens_answered
+{
+    exchange_id m_exchange;
+    bool m_kept = false; ///< False: this process isn't the keeper any more.
+    std::vector<workspace_tokens> m_tokens;
 };
 
 /// session → site: what this process needs of the workspaces' rates.
 struct weights_told
 {
     demand_telling m_telling;
-    bool m_urgent = false; ///< Work waits for a larger part.
+    bool m_urgent = false;           ///< Work waits for a larger part.
+    std::uint64_t m_incarnation = 0; ///< Of rates_kept, if cells have keepers.
 };
 
 /// site → session: what a peer needs.
@@ -121,10 +170,12 @@
 
 using session_message =
     std::variant<settings_changed, config_changed, endpoints_changed,
-                 fleet_changed, weights_heard, peer_ended, reports_wanted,
-                 primary_promoted, stop_begun, counts_wanted, task_stop>;
-using site_message = std::variant<settings_changed, weights_told, stop_begun,
-                                  process_ending, counts_wanted, task_stop>;
+                 fleet_changed, rates_kept, tokens_given, tokens_asked,
+                 weights_heard, peer_ended, reports_wanted, primary_promoted,
+                 stop_begun, counts_wanted, task_stop>;
+using site_message =
+    std::variant<settings_changed, weights_told, tokens_wanted, tokens_answered,
+                 stop_begun, process_ending, counts_wanted, task_stop>;
 using failover_message =
     std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
                  counts_wanted, task_stop>;
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -27,13 +27,6 @@
 // rest is for parts that change hands, and for late arrivals.
 constexpr double credit_part = 0.75;
 
-void fade(workspace_rate& r, time_point now)
-{
-    r.m_recent *=
-        std::exp(-to_seconds(now - r.m_recent_at) / to_seconds(demand_memory));
-    r.m_recent_at = now;
-}
-
 // The demand, and what its scatter asks for beyond.
 double weight_of(workspace_rate& r, time_point now)
 {
@@ -61,16 +54,6 @@
         fit_part(t, name, r, now);
 }
 
-bool admit_one(workspace_rate& r, time_point now)
-{
-    if (take_token(r.m_bucket, now))
-        return true;
-    if (r.m_credit < 1)
-        return false;
-    r.m_credit -= 1;
-    return true;
-}
-
 // What one new process may use before it has earned anything: its even part of
 // what the limit may be passed by, since the processes before may have used
 // the limit itself.
@@ -103,26 +86,21 @@
 
 void admit_waiting(session_task_state& t, workspace_rate& r, time_point now)
 {
-    while (!r.m_waiting.empty())
+    while (anything_waits(r))
     {
         const work_ptr w = r.m_waiting.front();
-        if (!w->m_session || !w->m_waits_for_rate)
-        {
-            r.m_waiting.pop_front();
-            continue;
-        }
         const bool admitted = admit_one(r, now);
         if (!admitted && now < w->m_wait_until)
             return;
-        r.m_waiting.pop_front();
-        w->m_waits_for_rate = false;
-        if (admitted)
-            dispatch(t, w);
-        else
+        if (!admitted)
         {
-            w->m_evidence = describe_rate(t, w->m_session->m_workspace, r);
-            fail_work(t, w, session_fault::busy, "rate");
+            refuse_waiting(t, r, w,
+                           describe_rate(t, w->m_session->m_workspace, r));
+            continue;
         }
+        r.m_waiting.pop_front();
+        w->m_waits_for_rate = false;
+        dispatch(t, w);
     }
 }
 
@@ -145,10 +123,50 @@
         short_of = short_of || r.m_bucket.m_tokens < 1;
     }
     if (tell_weights(t.m_demand, weights))
-        t.m_boxes.m_site.post(
-            weights_told{t.m_demand.m_tellings.back(), short_of});
+        t.m_boxes.m_site.post(weights_told{t.m_demand.m_tellings.back(),
+                                           short_of, t.m_kept_incarnation});
+}
+
 }
 
+void fade(workspace_rate& r, time_point now)
+{
+    r.m_recent *=
+        std::exp(-to_seconds(now - r.m_recent_at) / to_seconds(demand_memory));
+    r.m_recent_at = now;
+}
+
+bool admit_one(workspace_rate& r, time_point now)
+{
+    if (take_token(r.m_bucket, now))
+        return true;
+    if (r.m_credit < 1)
+        return false;
+    r.m_credit -= 1;
+    return true;
+}
+
+bool keeps_rates(const session_task_state& t, time_point now)
+{
+    return !t.m_has_keepers || now < t.m_kept_until;
+}
+
+bool anything_waits(workspace_rate& r)
+{
+    // Those whose callers have left, or that were failed meanwhile.
+    while (!r.m_waiting.empty() && (!r.m_waiting.front()->m_session ||
+                                    !r.m_waiting.front()->m_waits_for_rate))
+        r.m_waiting.pop_front();
+    return !r.m_waiting.empty();
+}
+
+void refuse_waiting(session_task_state& t, workspace_rate& r, const work_ptr& w,
+                    std::string evidence)
+{
+    std::erase(r.m_waiting, w);
+    w->m_waits_for_rate = false;
+    w->m_evidence = std::move(evidence);
+    fail_work(t, w, session_fault::busy, "rate");
 }
 
 void update_rates(session_task_state& t)
@@ -183,14 +201,42 @@
     }
 }
 
+void begin_division(session_task_state& t, std::string_view self,
+                    time_point now)
+{
+    const auto cells = std::move(t.m_demand.m_members);
+    t.m_demand = {};
+    t.m_demand.m_self = self;
+    t.m_demand.m_started_at = now;
+    t.m_demand.m_members = cells;
+    t.m_tell_at = now;
+    for (auto& [name, r] : t.m_rates)
+    {
+        r.m_bucket = {};
+        r.m_bucket.m_filled_at = now;
+        r.m_credit = start_credit(t, r);
+    }
+    fit_parts(t, now);
+}
+
 void take_fleet(session_task_state& t, const fleet_changed& m)
 {
+    const time_point now = boot_now();
+    t.m_processes = m.m_processes;
+    if (m.m_kept != t.m_has_keepers)
+    {
+        // What either way of dividing has given away doesn't count in the
+        // other: this process begins with nothing.
+        t.m_has_keepers = m.m_kept;
+        t.m_kept_until = {};
+        begin_division(t, m.m_self, now);
+    }
     const bool first = t.m_demand.m_members.empty();
-    t.m_demand.m_members = m.m_members;
+    t.m_demand.m_members = m.m_cells;
     if (first && !t.m_settings.m_first_start)
         for (auto& [name, r] : t.m_rates)
             r.m_credit = start_credit(t, r);
-    fit_parts(t, boot_now());
+    fit_parts(t, now);
     update_groups(t);
 }
 
@@ -202,6 +248,11 @@
     if (found == t.m_rates.end())
         return rate_verdict::refused;
     workspace_rate& r = found->second;
+    if (!keeps_rates(t, now))
+    {
+        ask_keeper(t, r, w);
+        return rate_verdict::waits;
+    }
     fade(r, now);
     r.m_recent += 1;
     if (r.m_waiting.empty() && admit_one(r, now))
@@ -226,6 +277,8 @@
 
 void tick_rates(session_task_state& t, time_point now)
 {
+    if (!keeps_rates(t, now))
+        return tick_tokens(t, now);
     for (auto& [name, r] : t.m_rates)
         admit_waiting(t, r, now);
     const bool to_tell = now >= t.m_tell_at;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -114,6 +114,18 @@
             {
                 take_fleet(t, m);
             },
+            [&](const rates_kept& m)
+            {
+                take_keeping(t, m);
+            },
+            [&](const tokens_given& m)
+            {
+                take_tokens(t, m);
+            },
+            [&](const tokens_asked& m)
+            {
+                give_tokens(t, m);
+            },
             [&](const weights_heard& m)
             {
                 take_weights(t, m);
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -115,11 +115,16 @@
     intrusive_list<work> m_works; ///< All that have a deadline.
     std::map<std::string, workspace_rate, std::less<>> m_rates;
     demand_table m_demand;
-    demand_division m_division;      ///< Of m_demand, as of the last pass.
-    bool m_division_stale = false;   ///< News came after it.
-    time_point m_divide_at{};        ///< No other pass before.
-    time_point m_tell_at{};          ///< Of the next look at the weights.
-    bool m_knows_workspaces = false; ///< A configuration came before.
+    demand_division m_division;    ///< Of m_demand, as of the last pass.
+    bool m_division_stale = false; ///< News came after it.
+    time_point m_divide_at{};      ///< No other pass before.
+    time_point m_tell_at{};        ///< Of the next look at the weights.
+    std::size_t m_processes = 0;   ///< Of the fleet.
+    bool m_has_keepers = false;    ///< One process keeps the rates of a cell.
+    std::uint64_t m_kept_incarnation = 0; ///< Of the last time it was this one.
+    time_point m_kept_until{};            ///< Zero: this process isn't it.
+    bool m_tokens_wanted = false;         ///< The keeper is being asked.
+    bool m_knows_workspaces = false;      ///< A configuration came before.
     std::uint64_t m_last_number = 0;
     bool m_reporting = false;
     time_point m_report_at{};
@@ -250,6 +255,31 @@
 rate_verdict admit_operation(session_task_state& t, std::string_view workspace,
                              const work_ptr& w);
 void take_weights(session_task_state& t, const weights_heard& m);
+/// This process divides the limits itself, for itself or for its cell.
+bool keeps_rates(const session_task_state& t, time_point now);
+void fade(workspace_rate& r, time_point now);
+/// Takes one operation out of what is kept here.
+bool admit_one(workspace_rate& r, time_point now);
+/// The work that waits for the rate is refused.
+void refuse_waiting(session_task_state& t, workspace_rate& r, const work_ptr& w,
+                    std::string evidence);
+/// True when the first of m_waiting still waits; drops those before it.
+bool anything_waits(workspace_rate& r);
+
+/// Divides the limits anew, as a process that has just started does.
+void begin_division(session_task_state& t, std::string_view self,
+                    time_point now);
+
+// session_tokens.cpp
+/// Begins or ends to keep the cell's rates.
+void take_keeping(session_task_state& t, const rates_kept& m);
+/// The work waits for the keeper's answer.
+void ask_keeper(session_task_state& t, workspace_rate& r, const work_ptr& w);
+void take_tokens(session_task_state& t, const tokens_given& m);
+/// Another process of the cell asks.
+void give_tokens(session_task_state& t, const tokens_asked& m);
+/// Asks for what is due, and refuses what has waited too long.
+void tick_tokens(session_task_state& t, time_point now);
 void tick_rates(session_task_state& t, time_point now);
 
 // session_counts.cpp
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -199,6 +199,7 @@
     double m_recent = 0; ///< Arrivals, each fading with demand_memory.
     time_point m_recent_at{};
     std::deque<work_ptr> m_waiting;
+    time_point m_ask_at{}; ///< The keeper isn't asked for it before.
 };
 
 }
--- /dev/null
+++ b/Source/session/site_cells.cpp
@@ -0,0 +1,454 @@
+#include <session/site_task_state.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <peer/loan_number.hpp>
+#include <report/event.hpp>
+#include <task/boot_clock.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+// How much later each process of a cell stands than the one before it: a round
+// of questions within a zone, so that they don't split the votes.
+constexpr std::chrono::milliseconds stand_step{60};
+
+// The members of a zone in the order in which they stand for keeper.
+std::vector<cell_rank> ranks_of(const site_task_state& t, std::string_view zone)
+{
+    std::vector<cell_rank> ranks;
+    for (const auto& [name, m] : t.m_members)
+        if (m.m_zone == zone)
+            ranks.push_back({m.m_processor, name});
+    std::ranges::sort(ranks, outranks);
+    return ranks;
+}
+
+duration stand_delay(const site_task_state& t)
+{
+    const auto ranks = ranks_of(t, t.m_settings.m_zone);
+    const auto self =
+        std::ranges::find(ranks, t.m_settings.m_name, &cell_rank::m_name);
+    return stand_step * (self - ranks.begin());
+}
+
+bool goes_before(const site_task_state& t, std::string_view other)
+{
+    const auto m = t.m_members.find(other);
+    return m != t.m_members.end() &&
+           outranks({m->second.m_processor, m->first},
+                    {t.m_settings.m_processor, t.m_settings.m_name});
+}
+
+void tell_kept(site_task_state& t, time_point until)
+{
+    t.m_boxes.m_session.post(rates_kept{t.m_cell.m_incarnation, until});
+}
+
+time_point kept_until(const site_task_state& t)
+{
+    return majority_until(t.m_cell.m_poll, members_of_cell(t));
+}
+
+void run_action(site_task_state& t, cell_action action)
+{
+    const bool keeps = action == cell_action::keep;
+    log_event(keeps ? event_id::cell_kept : event_id::cell_yielded,
+              {{"cell", t.m_settings.m_zone},
+               {"members", std::to_string(members_of_cell(t).size())},
+               {"votes", std::to_string(t.m_cell.m_poll.size())}});
+    if (keeps)
+    {
+        t.m_cell.m_incarnation = random_loan_number();
+        t.m_weights = {};
+        for (auto& [zone, other] : t.m_cell.m_others)
+        {
+            other.m_last.reset();
+            other.m_told = 0;
+        }
+    }
+    tell_kept(t, keeps ? kept_until(t) : time_point());
+}
+
+void fire(site_task_state& t, cell_event event)
+{
+    t.m_charts.m_cell.fire(t.m_cell.m_state, event,
+                           [&](cell_action action)
+                           {
+                               run_action(t, action);
+                           });
+}
+
+peer_vote_wanted vote_question(const site_task_state& t)
+{
+    peer_vote_wanted m;
+    m.m_name = t.m_settings.m_name;
+    m.m_address = to_string(t.m_settings.m_peer_listen);
+    m.m_incarnation = t.m_incarnation;
+    m.m_keeps = t.m_cell.m_state == cell_state::keeping;
+    m.m_ending = t.m_ending;
+    m.m_store_answers = store_answers(t);
+    m.m_store_revision = store_revision(t);
+    m.m_config_version = t.m_config ? t.m_config->m_version : 0;
+    return m;
+}
+
+void note_poll(site_task_state& t, time_point now)
+{
+    const time_point until = kept_until(t);
+    const bool chosen = now < until;
+    if (t.m_cell.m_state == cell_state::standing && chosen)
+        fire(t, cell_event::chosen);
+    else if (t.m_cell.m_state == cell_state::keeping && !chosen)
+        fire(t, cell_event::lapsed);
+    else if (t.m_cell.m_state == cell_state::keeping)
+        tell_kept(t, until);
+}
+
+void ask_for_vote(site_task_state& t, site_peer& p)
+{
+    if (std::exchange(p.m_asking, true))
+        return;
+    p.m_asked_at = boot_now();
+    call_peer(*p.m_client, vote_question(t),
+              [&t, &p](std::optional<peer_message>& answer)
+              {
+                  p.m_asking = false;
+                  const auto* m =
+                      answer ? std::get_if<peer_vote>(&*answer) : nullptr;
+                  note_reached(p, m != nullptr);
+                  if (m == nullptr)
+                      return;
+                  p.m_heard_at = boot_now();
+                  catch_up(t, p, m->m_store_answers, m->m_store_revision,
+                           m->m_config_version);
+                  const bool asks = t.m_cell.m_state == cell_state::standing ||
+                                    t.m_cell.m_state == cell_state::keeping;
+                  if (!m->m_granted || !asks)
+                      return;
+                  t.m_cell.m_poll[m->m_name] = p.m_asked_at;
+                  note_poll(t, boot_now());
+              });
+}
+
+// The other members of the cell.
+template <class Use>
+void for_mates(site_task_state& t, Use use)
+{
+    for (const std::string& name : members_of_cell(t))
+    {
+        const auto p =
+            t.m_peers.find(to_string(t.m_members.at(name).m_address));
+        if (name != t.m_settings.m_name && p != t.m_peers.end())
+            use(p->second);
+    }
+}
+
+void ask_cell(site_task_state& t, time_point now)
+{
+    if (now - t.m_cell.m_asked_at < vote_period)
+        return;
+    t.m_cell.m_asked_at = now;
+    // Its own vote may be promised to another one.
+    if (grant_vote(t.m_cell.m_vote, t.m_settings.m_name, t.m_incarnation,
+                   t.m_started_at, now))
+        t.m_cell.m_poll[t.m_settings.m_name] = now;
+    for_mates(t,
+              [&](site_peer& p)
+              {
+                  ask_for_vote(t, p);
+              });
+    note_poll(t, now);
+}
+
+// The address to try next for another cell's keeper.
+std::string address_to_try(const site_task_state& t, std::string_view zone,
+                           const cell_contact& other)
+{
+    if (!other.m_address.empty())
+        return other.m_address;
+    const auto ranks = ranks_of(t, zone);
+    if (ranks.empty())
+        return {};
+    return to_string(
+        t.m_members.at(ranks[other.m_tries % ranks.size()].m_name).m_address);
+}
+
+void learn(site_task_state& t, site_peer& p, const peer_site_digest& d)
+{
+    ++t.m_digests_received;
+    p.m_heard_at = boot_now();
+    cell_contact& other = t.m_cell.m_others[d.m_zone];
+    other.m_tries = 0;
+    if (d.m_ending)
+    {
+        other.m_address.clear();
+        t.m_boxes.m_session.post(peer_ended{d.m_zone});
+        return;
+    }
+    other.m_address = d.m_address;
+    other.m_last = d;
+    t.m_boxes.m_session.post(weights_heard{d.m_zone, news_of(t, d)});
+    catch_up(t, p, d.m_store_answers, d.m_store_revision, d.m_config_version);
+}
+
+void note_missed(cell_contact& other)
+{
+    other.m_address.clear();
+    ++other.m_tries;
+}
+
+void send_cell_digest(site_task_state& t, const std::string& zone,
+                      cell_contact& other)
+{
+    const auto p = t.m_peers.find(address_to_try(t, zone, other));
+    if (p == t.m_peers.end())
+        return;
+    ++t.m_digests_sent;
+    other.m_asking = true;
+    other.m_asked_at = boot_now();
+    other.m_told = t.m_weights.m_number;
+    site_peer& peer = p->second;
+    call_peer(*peer.m_client, digest_for(t, other.m_last),
+              [&t, &peer, &other](std::optional<peer_message>& answer)
+              {
+                  other.m_asking = false;
+                  if (!answer)
+                      return note_missed(other);
+                  if (const auto* m = std::get_if<peer_site_digest>(&*answer))
+                      return learn(t, peer, *m);
+                  note_missed(other);
+                  if (const auto* m = std::get_if<peer_referral>(&*answer))
+                      other.m_address = m->m_address;
+              });
+}
+
+// Cells that have members, this one included.
+std::set<std::string, std::less<>> cells_of(const site_task_state& t)
+{
+    std::set<std::string, std::less<>> cells;
+    for (const auto& [name, m] : t.m_members)
+        cells.insert(m.m_zone);
+    return cells;
+}
+
+constexpr auto to_milliseconds = [](duration d)
+{
+    constexpr std::int64_t most = 60'000;
+    return static_cast<std::uint32_t>(std::min(
+        most,
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count()));
+};
+
+std::vector<peer_tokens> to_wire(std::span<const workspace_tokens> tokens)
+{
+    std::vector<peer_tokens> out;
+    out.reserve(tokens.size());
+    for (const workspace_tokens& w : tokens)
+        out.push_back({w.m_workspace, w.m_count, to_milliseconds(w.m_wait)});
+    return out;
+}
+
+std::vector<workspace_tokens> from_wire(std::span<const peer_tokens> tokens)
+{
+    std::vector<workspace_tokens> out;
+    out.reserve(tokens.size());
+    for (const peer_tokens& w : tokens)
+        out.push_back(
+            {w.m_workspace, w.m_count, std::chrono::milliseconds(w.m_wait_ms)});
+    return out;
+}
+
+}
+
+bool has_cells(const site_task_state& t)
+{
+    return t.m_cell.m_state != cell_state::single;
+}
+
+std::uint64_t weights_incarnation(const site_task_state& t)
+{
+    return has_cells(t) ? t.m_cell.m_incarnation : t.m_incarnation;
+}
+
+bool keeps_cell(const site_task_state& t, time_point now)
+{
+    return t.m_cell.m_state == cell_state::keeping && now < kept_until(t);
+}
+
+std::set<std::string, std::less<>> members_of_cell(const site_task_state& t)
+{
+    std::set<std::string, std::less<>> names;
+    for (const auto& [name, m] : t.m_members)
+        if (m.m_zone == t.m_settings.m_zone)
+            names.insert(name);
+    return names;
+}
+
+fleet_changed describe_fleet(const site_task_state& t)
+{
+    fleet_changed m;
+    m.m_processes = t.m_members.size();
+    m.m_kept = has_cells(t);
+    m.m_self = m.m_kept ? t.m_settings.m_zone : t.m_settings.m_name;
+    if (m.m_kept)
+        m.m_cells = cells_of(t);
+    else
+        for (const auto& [name, member] : t.m_members)
+            m.m_cells.insert(name);
+    return m;
+}
+
+void update_cell(site_task_state& t)
+{
+    const bool large = t.m_members.size() >= least_for_cells;
+    if (large == has_cells(t))
+        return;
+    if (large)
+        t.m_cell.m_heard_at = boot_now();
+    fire(t, large ? cell_event::joined : cell_event::left);
+}
+
+void tend_cell(site_task_state& t, time_point now)
+{
+    if (t.m_ending)
+        return;
+    switch (t.m_cell.m_state)
+    {
+    case cell_state::single:
+        return;
+    case cell_state::following:
+        if (now - t.m_started_at < vote_promise ||
+            now - t.m_cell.m_heard_at < keeper_silence + stand_delay(t))
+            return;
+        t.m_cell.m_poll.clear();
+        t.m_cell.m_keeper.clear();
+        fire(t, cell_event::unheard);
+        return ask_cell(t, now);
+    case cell_state::standing:
+    case cell_state::keeping:
+        return ask_cell(t, now);
+    }
+}
+
+peer_vote take_vote_wanted(site_task_state& t, const peer_vote_wanted& m)
+{
+    const time_point now = boot_now();
+    const auto p = t.m_peers.find(m.m_address);
+    if (p != t.m_peers.end())
+    {
+        p->second.m_heard_at = now;
+        catch_up(t, p->second, m.m_store_answers, m.m_store_revision,
+                 m.m_config_version);
+    }
+    const peer_vote_wanted own = vote_question(t);
+    peer_vote answer{own.m_name, false, own.m_store_answers,
+                     own.m_store_revision, own.m_config_version};
+    if (m.m_ending)
+    {
+        release_vote(t.m_cell.m_vote, m.m_name);
+        // Nobody is waited for, but those that go before.
+        if (t.m_cell.m_keeper == m.m_address)
+        {
+            t.m_cell.m_keeper.clear();
+            t.m_cell.m_heard_at = now - keeper_silence;
+        }
+        return answer;
+    }
+    answer.m_granted = grant_vote(t.m_cell.m_vote, m.m_name, m.m_incarnation,
+                                  t.m_started_at, now);
+    const bool to_follow = m.m_keeps || goes_before(t, m.m_name);
+    if (to_follow)
+        t.m_cell.m_heard_at = now;
+    if (to_follow && t.m_cell.m_state == cell_state::standing)
+        fire(t, cell_event::outranked);
+    if (m.m_keeps && t.m_cell.m_state == cell_state::following)
+        t.m_cell.m_keeper = m.m_address;
+    return answer;
+}
+
+peer_message take_cell_digest(site_task_state& t, const peer_site_digest& m)
+{
+    if (!keeps_cell(t, boot_now()))
+        return peer_referral{t.m_cell.m_keeper};
+    // Its weights are taken in before they are said to be.
+    const auto found = t.m_peers.find(m.m_address);
+    if (found != t.m_peers.end())
+        learn(t, found->second, m);
+    return digest_for(t, m);
+}
+
+void send_cell_digests(site_task_state& t, time_point now)
+{
+    if (!keeps_cell(t, now))
+        return;
+    for (const std::string& zone : cells_of(t))
+    {
+        if (zone == t.m_settings.m_zone)
+            continue;
+        cell_contact& other = t.m_cell.m_others[zone];
+        // One side of each pair asks; the answer tells the other's news.
+        const bool other_asks = zone < t.m_settings.m_zone && other.m_last &&
+                                other.m_told >= t.m_weights.m_number;
+        // One whose keeper isn't known is looked for at once.
+        const duration period = other.m_address.empty()
+                                    ? duration(urgent_digest_period)
+                                    : digest_period_of(t, other.m_told);
+        if (!other.m_asking && !other_asks && now - other.m_asked_at >= period)
+            send_cell_digest(t, zone, other);
+    }
+}
+
+void leave_cell(site_task_state& t)
+{
+    if (t.m_cell.m_state == cell_state::keeping)
+        for (auto& [zone, other] : t.m_cell.m_others)
+            send_cell_digest(t, zone, other);
+    for_mates(t,
+              [&](site_peer& p)
+              {
+                  p.m_asking = false;
+                  ask_for_vote(t, p);
+              });
+}
+
+void ask_for_tokens(site_task_state& t, const tokens_wanted& m)
+{
+    const auto keeper = t.m_peers.find(t.m_cell.m_keeper);
+    if (keeper == t.m_peers.end())
+    {
+        t.m_boxes.m_session.post(tokens_given());
+        return;
+    }
+    call_peer(*keeper->second.m_client, peer_tokens_wanted{to_wire(m.m_tokens)},
+              [&t](std::optional<peer_message>& answer)
+              {
+                  const auto* given =
+                      answer ? std::get_if<peer_tokens_given>(&*answer)
+                             : nullptr;
+                  if (given != nullptr && given->m_kept)
+                      t.m_boxes.m_session.post(
+                          tokens_given{true, from_wire(given->m_tokens)});
+                  else
+                      t.m_boxes.m_session.post(tokens_given());
+              });
+}
+
+void take_tokens_wanted(site_task_state& t, exchange_id exchange,
+                        const peer_tokens_wanted& m)
+{
+    t.m_boxes.m_session.post(tokens_asked{exchange, from_wire(m.m_tokens)});
+}
+
+void answer_tokens(site_task_state& t, const tokens_answered& m)
+{
+    answer_peer(*t.m_peer_server, m.m_exchange,
+                peer_tokens_given{m.m_kept, to_wire(m.m_tokens)});
+}
+
+}
--- a/Source/session/site_charts.cpp
+++ b/Source/session/site_charts.cpp
@@ -22,6 +22,11 @@
 constexpr std::array<std::string_view, 8> takeover_actions{
     "touch", "record",  "resume",   "wait",
     "order", "confirm", "announce", "let_go"};
+constexpr std::array<std::string_view, 4> cell_states{"single", "following",
+                                                      "standing", "keeping"};
+constexpr std::array<std::string_view, 6> cell_events{
+    "joined", "left", "unheard", "outranked", "chosen", "lapsed"};
+constexpr std::array<std::string_view, 2> cell_actions{"keep", "yield"};
 
 }
 
@@ -32,11 +37,13 @@
 
 site_charts load_site_charts(const std::filesystem::path& folder)
 {
-    return {load_session_charts(folder),
-            {load_chart(folder,
-                        {"watch", watch_states, watch_events, watch_actions})},
-            {load_chart(folder, {"takeover", takeover_states, takeover_events,
-                                 takeover_actions})}};
+    return {
+        load_session_charts(folder),
+        {load_chart(folder,
+                    {"watch", watch_states, watch_events, watch_actions})},
+        {load_chart(folder, {"takeover", takeover_states, takeover_events,
+                             takeover_actions})},
+        {load_chart(folder, {"cell", cell_states, cell_events, cell_actions})}};
 }
 
 }
--- a/Source/session/site_charts.hpp
+++ b/Source/session/site_charts.hpp
@@ -70,11 +70,36 @@
     let_go,
 };
 
+enum class cell_state : std::uint8_t
+{
+    single,
+    following,
+    standing,
+    keeping,
+};
+
+enum class cell_event : std::uint8_t
+{
+    joined,
+    left,
+    unheard,
+    outranked,
+    chosen,
+    lapsed,
+};
+
+enum class cell_action : std::uint8_t
+{
+    keep,
+    yield,
+};
+
 std::string_view to_string(takeover_state state) noexcept;
 
 using watch_chart = typed_chart<watch_state, watch_event, watch_action>;
 using takeover_chart =
     typed_chart<takeover_state, takeover_event, takeover_action>;
+using cell_chart = typed_chart<cell_state, cell_event, cell_action>;
 
 /// All charts of a process on a site.
 struct site_charts
@@ -82,6 +107,7 @@
     session_charts m_session;
     watch_chart m_watch;
     takeover_chart m_takeover;
+    cell_chart m_cell;
 };
 
 /// Throws chart_error.
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -110,10 +110,8 @@
 void publish_fleet(site_task_state& t)
 {
     update_peers(t);
-    fleet_changed m;
-    for (const auto& [name, member] : t.m_members)
-        m.m_members.insert(name);
-    t.m_boxes.m_session.post(std::move(m));
+    update_cell(t);
+    t.m_boxes.m_session.post(describe_fleet(t));
 }
 
 void take_members(site_task_state& t, std::span<const stored_change> changes,
@@ -178,7 +176,7 @@
 void register_member(site_task_state& t)
 {
     const member_record self{t.m_settings.m_name, t.m_settings.m_peer_listen,
-                             t.m_settings.m_zone};
+                             t.m_settings.m_zone, t.m_settings.m_processor};
     const auto found = t.m_members.find(self.m_name);
     if (found != t.m_members.end() && found->second == self)
         return;
@@ -200,12 +198,18 @@
 void remove_lapsed_members(site_task_state& t)
 {
     const time_point now = boot_now();
+    const bool cells = has_cells(t);
+    // A keeper hears a majority of its cell, and asks nobody else.
+    if (!store_answers(t) || (cells && !keeps_cell(t, now)))
+        return;
     std::vector<std::string> lapsed;
     std::size_t heard = 1;
     std::string first_heard = t.m_settings.m_name;
     for (const auto& [at, p] : t.m_peers)
     {
-        if (!t.m_members.contains(p.m_name))
+        const auto member = t.m_members.find(p.m_name);
+        if (member == t.m_members.end() ||
+            (cells && member->second.m_zone != t.m_settings.m_zone))
             continue;
         if (now - p.m_heard_at >= member_lapse)
             lapsed.push_back(p.m_name);
@@ -215,9 +219,10 @@
             first_heard = std::min(first_heard, p.m_name);
         }
     }
-    // One of those that hear each other does it, if they are a majority.
-    if (lapsed.empty() || first_heard != t.m_settings.m_name ||
-        2 * heard <= t.m_members.size() || !store_answers(t))
+    // Without cells one of those that hear each other does it, if they are a
+    // majority.
+    if (lapsed.empty() || (!cells && (first_heard != t.m_settings.m_name ||
+                                      2 * heard <= t.m_members.size())))
         return;
     for (const std::string& name : lapsed)
     {
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -13,58 +13,6 @@
 namespace
 {
 
-// What the peer is told; a peer that isn't known yet has nothing to be seen.
-peer_site_digest digest_for(const site_task_state& t,
-                            const std::optional<peer_site_digest>& heard)
-{
-    peer_site_digest d;
-    d.m_name = t.m_settings.m_name;
-    d.m_address = to_string(t.m_settings.m_peer_listen);
-    d.m_zone = t.m_settings.m_zone;
-    d.m_store_answers = store_answers(t);
-    d.m_store_revision = store_revision(t);
-    d.m_config_version = t.m_config ? t.m_config->m_version : 0;
-    d.m_incarnation = t.m_incarnation;
-    d.m_weights_number = t.m_weights.m_number;
-    d.m_ending = t.m_ending;
-    constexpr double tenths = 10;
-    for (const auto& [workspace, weight] : t.m_weights.m_weights)
-        if (weight > 0)
-            d.m_weights.push_back({workspace, static_cast<std::uint32_t>(
-                                                  std::ceil(weight * tenths))});
-    if (heard)
-    {
-        d.m_seen_incarnation = heard->m_incarnation;
-        d.m_seen_number = heard->m_weights_number;
-    }
-    return d;
-}
-
-demand_news news_of(const site_task_state& t, const peer_site_digest& d)
-{
-    demand_news news;
-    news.m_incarnation = d.m_incarnation;
-    news.m_number = d.m_weights_number;
-    constexpr double tenths = 10;
-    for (const peer_weight& w : d.m_weights)
-        news.m_weights[w.m_workspace] = w.m_tenths / tenths;
-    // It may have seen the weights of the process before this one.
-    if (d.m_seen_incarnation == t.m_incarnation)
-        news.m_acked = d.m_seen_number;
-    return news;
-}
-
-// What a peer has heard and this process hasn't, because the store doesn't
-// answer it or a watch went silent.
-bool knows_more(const site_task_state& t, const peer_site_digest& d)
-{
-    const std::uint64_t own = t.m_config ? t.m_config->m_version : 0;
-    if (d.m_config_version > own)
-        return true;
-    return !store_answers(t) && d.m_store_answers &&
-           d.m_store_revision > store_revision(t);
-}
-
 void fetch_from(site_task_state& t, site_peer& p)
 {
     if (std::exchange(t.m_asking_peer, true))
@@ -80,15 +28,6 @@
               });
 }
 
-void note_reached(site_peer& p, std::string_view at, bool reached)
-{
-    if (p.m_reached == reached)
-        return;
-    p.m_reached = reached;
-    log_event(reached ? event_id::peer_reached : event_id::peer_lost,
-              {{"peer", p.m_name}, {"address", std::string(at)}});
-}
-
 void learn(site_task_state& t, site_peer& p, const peer_site_digest& d)
 {
     ++t.m_digests_received;
@@ -101,8 +40,7 @@
         return;
     }
     t.m_boxes.m_session.post(weights_heard{d.m_name, news_of(t, d)});
-    if (knows_more(t, d))
-        fetch_from(t, p);
+    catch_up(t, p, d.m_store_answers, d.m_store_revision, d.m_config_version);
 }
 
 void take_message(site_task_state& t, exchange_id exchange,
@@ -112,6 +50,9 @@
         overloaded{
             [&](const peer_site_digest& m)
             {
+                if (has_cells(t))
+                    return answer_peer(*t.m_peer_server, exchange,
+                                       take_cell_digest(t, m));
                 // Its weights are taken in before they are said to be.
                 const auto found = t.m_peers.find(m.m_address);
                 if (found != t.m_peers.end())
@@ -123,6 +64,14 @@
                 answer_peer(*t.m_peer_server, exchange,
                             describe_for_peer(t, m.m_after));
             },
+            [&](const peer_vote_wanted& m)
+            {
+                answer_peer(*t.m_peer_server, exchange, take_vote_wanted(t, m));
+            },
+            [&](const peer_tokens_wanted& m)
+            {
+                take_tokens_wanted(t, exchange, m);
+            },
             [&](const auto&)
             {
                 answer_peer(*t.m_peer_server, exchange,
@@ -144,20 +93,20 @@
         t.m_boxes.m_session.post(peer_ended{p.m_name});
 }
 
-void send_digest(site_task_state& t, site_peer& p, const std::string& at)
+void send_digest(site_task_state& t, site_peer& p)
 {
     ++t.m_digests_sent;
     p.m_asking = true;
     p.m_asked_at = boot_now();
     p.m_told = t.m_weights.m_number;
     call_peer(*p.m_client, digest_for(t, p.m_last),
-              [&t, &p, &at](std::optional<peer_message>& answer)
+              [&t, &p](std::optional<peer_message>& answer)
               {
                   p.m_asking = false;
                   const auto* m = answer
                                       ? std::get_if<peer_site_digest>(&*answer)
                                       : nullptr;
-                  note_reached(p, at, m != nullptr);
+                  note_reached(p, m != nullptr);
                   if (m != nullptr)
                       learn(t, p, *m);
                   note_refusals(t, p, m != nullptr);
@@ -180,6 +129,72 @@
 
 }
 
+peer_site_digest digest_for(const site_task_state& t,
+                            const std::optional<peer_site_digest>& heard)
+{
+    peer_site_digest d;
+    d.m_name = t.m_settings.m_name;
+    d.m_address = to_string(t.m_settings.m_peer_listen);
+    d.m_zone = t.m_settings.m_zone;
+    d.m_store_answers = store_answers(t);
+    d.m_store_revision = store_revision(t);
+    d.m_config_version = t.m_config ? t.m_config->m_version : 0;
+    d.m_incarnation = weights_incarnation(t);
+    d.m_weights_number = t.m_weights.m_number;
+    d.m_ending = t.m_ending;
+    constexpr double tenths = 10;
+    for (const auto& [workspace, weight] : t.m_weights.m_weights)
+        if (weight > 0)
+            d.m_weights.push_back({workspace, static_cast<std::uint32_t>(
+                                                  std::ceil(weight * tenths))});
+    if (heard)
+    {
+        d.m_seen_incarnation = heard->m_incarnation;
+        d.m_seen_number = heard->m_weights_number;
+    }
+    return d;
+}
+
+demand_news news_of(const site_task_state& t, const peer_site_digest& d)
+{
+    demand_news news;
+    news.m_incarnation = d.m_incarnation;
+    news.m_number = d.m_weights_number;
+    constexpr double tenths = 10;
+    for (const peer_weight& w : d.m_weights)
+        news.m_weights[w.m_workspace] = w.m_tenths / tenths;
+    // It may have seen the weights of the process before this one.
+    if (d.m_seen_incarnation == weights_incarnation(t))
+        news.m_acked = d.m_seen_number;
+    return news;
+}
+
+void catch_up(site_task_state& t, site_peer& p, bool store_answers_it,
+              std::uint64_t revision, std::uint64_t config_version)
+{
+    const std::uint64_t own = t.m_config ? t.m_config->m_version : 0;
+    // The store doesn't answer this process, or a watch went silent.
+    if (config_version > own ||
+        (!store_answers(t) && store_answers_it && revision > store_revision(t)))
+        fetch_from(t, p);
+}
+
+void note_reached(site_peer& p, bool reached)
+{
+    if (p.m_reached == reached)
+        return;
+    p.m_reached = reached;
+    log_event(
+        reached ? event_id::peer_reached : event_id::peer_lost,
+        {{"peer", p.m_name}, {"address", to_string(p.m_client->server())}});
+}
+
+duration digest_period_of(const site_task_state& t, std::uint64_t told)
+{
+    const bool urgent = t.m_weights_urgent && told < t.m_weights.m_number;
+    return urgent ? duration(urgent_digest_period) : duration(digest_period);
+}
+
 void start_peers(site_task_state& t)
 {
     http2_server_handlers handlers;
@@ -211,6 +226,8 @@
 void send_digests(site_task_state& t)
 {
     const time_point now = boot_now();
+    if (has_cells(t))
+        return send_cell_digests(t, now);
     for (auto& [at, p] : t.m_peers)
     {
         const bool news = p.m_told < t.m_weights.m_number;
@@ -218,23 +235,26 @@
         const bool other_asks = !p.m_name.empty() &&
                                 p.m_name < t.m_settings.m_name &&
                                 store_answers(t) && p.m_last && !news;
-        const duration period = news && t.m_weights_urgent
-                                    ? duration(urgent_digest_period)
-                                    : duration(digest_period);
-        if (!p.m_asking && !other_asks && now - p.m_asked_at >= period)
-            send_digest(t, p, at);
+        if (!p.m_asking && !other_asks &&
+            now - p.m_asked_at >= digest_period_of(t, p.m_told))
+            send_digest(t, p);
     }
 }
 
 void say_goodbye(site_task_state& t)
 {
     t.m_ending = true;
+    if (has_cells(t))
+        return leave_cell(t);
     for (auto& [at, p] : t.m_peers)
-        send_digest(t, p, at);
+        send_digest(t, p);
 }
 
 void tell_weights(site_task_state& t, const weights_told& m)
 {
+    // Of a time before, in which this process didn't keep the cell.
+    if (has_cells(t) && m.m_incarnation != t.m_cell.m_incarnation)
+        return;
     t.m_weights = m.m_telling;
     t.m_weights_urgent = m.m_urgent;
     send_digests(t);
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -20,6 +20,7 @@
     note_tick(t.m_usage, now);
     if (expire_missing(t.m_list, now))
         publish_endpoints(t);
+    tend_cell(t, now);
     send_digests(t);
     remove_lapsed_members(t);
 }
@@ -73,6 +74,14 @@
             {
                 tell_weights(t, m);
             },
+            [&](const tokens_wanted& m)
+            {
+                ask_for_tokens(t, m);
+            },
+            [&](const tokens_answered& m)
+            {
+                answer_tokens(t, m);
+            },
             [&](const stop_begun&) {},
             [&](const process_ending&)
             {
@@ -103,7 +112,7 @@
                                                           {
                                                               tick(*this);
                                                           }),
-      m_incarnation(random_loan_number())
+      m_started_at(boot_now()), m_incarnation(random_loan_number())
 {
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -8,11 +8,13 @@
 #include <set>
 #include <string>
 
+#include <decide/cell_vote.hpp>
 #include <decide/endpoint_list.hpp>
 #include <peer/peer_call.hpp>
 #include <report/task_usage.hpp>
 #include <session/object_store.hpp>
 #include <session/session_messages.hpp>
+#include <session/site_charts.hpp>
 #include <session/site_task.hpp>
 #include <task/loop.hpp>
 #include <wire/http2_client.hpp>
@@ -62,6 +64,30 @@
     std::uint64_t m_told = 0; ///< Newest weights that it has been sent.
 };
 
+/// Another cell, and what is known of its keeper.
+struct cell_contact
+{
+    std::string m_address;   ///< Of its keeper, as far as is known; for peers.
+    std::size_t m_tries = 0; ///< Members that didn't know one, in a row.
+    std::optional<peer_site_digest> m_last;
+    bool m_asking = false;
+    time_point m_asked_at{};
+    std::uint64_t m_told = 0; ///< Newest weights that it has been sent.
+};
+
+/// This process's part in its cell; decide/cell_vote.hpp says what a cell is.
+struct cell_part
+{
+    cell_state m_state = cell_state::single;
+    cell_vote m_vote;                ///< That it has given.
+    cell_poll m_poll;                ///< Votes that it was given.
+    time_point m_asked_at{};         ///< Of its last round of questions.
+    time_point m_heard_at{};         ///< Last question of one to follow.
+    std::string m_keeper;            ///< Its address; empty: none is known.
+    std::uint64_t m_incarnation = 0; ///< Another one for each time it keeps.
+    std::map<std::string, cell_contact, std::less<>> m_others; ///< By zone.
+};
+
 /// Everything that the site task owns.
 struct site_task_state
 {
@@ -96,6 +122,8 @@
     task_usage m_usage{.m_task = "site", .m_tick = site_tick};
 
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
+    cell_part m_cell;
+    time_point m_started_at{};
     bool m_asking_peer = false;
     std::uint64_t m_incarnation = 0;
     bool m_ending = false;
@@ -123,6 +151,15 @@
 void remove_lapsed_members(site_task_state& t);
 
 // site_peers.cpp
+/// What a peer is told; one that isn't known yet has nothing to be seen.
+peer_site_digest digest_for(const site_task_state& t,
+                            const std::optional<peer_site_digest>& heard);
+demand_news news_of(const site_task_state& t, const peer_site_digest& d);
+/// Takes the store's objects from a peer that has heard more of it.
+void catch_up(site_task_state& t, site_peer& p, bool store_answers,
+              std::uint64_t store_revision, std::uint64_t config_version);
+void note_reached(site_peer& p, bool reached);
+duration digest_period_of(const site_task_state& t, std::uint64_t told);
 void start_peers(site_task_state& t);
 void add_seeds(site_task_state& t);
 void update_peers(site_task_state& t);
@@ -132,6 +169,30 @@
 /// Takes what the peers are to know of this process's needs.
 void tell_weights(site_task_state& t, const weights_told& m);
 
+// site_cells.cpp
+/// The cells are those of zones, with keepers.
+bool has_cells(const site_task_state& t);
+/// Under which weights are told: of the process, or of its time as a keeper.
+std::uint64_t weights_incarnation(const site_task_state& t);
+/// This process keeps its cell's rates.
+bool keeps_cell(const site_task_state& t, time_point now);
+/// Members of this process's zone, itself included.
+std::set<std::string, std::less<>> members_of_cell(const site_task_state& t);
+/// The members have changed: enters or leaves the division into cells.
+void update_cell(site_task_state& t);
+fleet_changed describe_fleet(const site_task_state& t);
+void tend_cell(site_task_state& t, time_point now);
+peer_vote take_vote_wanted(site_task_state& t, const peer_vote_wanted& m);
+/// Answers another cell's keeper.
+peer_message take_cell_digest(site_task_state& t, const peer_site_digest& m);
+void send_cell_digests(site_task_state& t, time_point now);
+/// Tells the cell, and the others if this process keeps it, that it ends.
+void leave_cell(site_task_state& t);
+void ask_for_tokens(site_task_state& t, const tokens_wanted& m);
+void take_tokens_wanted(site_task_state& t, exchange_id exchange,
+                        const peer_tokens_wanted& m);
+void answer_tokens(site_task_state& t, const tokens_answered& m);
+
 }
 
 #endif
