--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -147,6 +147,9 @@
     metric_entry{metric_id::status_questions, metric_type::counter,
                  "bluebellspoke_status_questions_total", "",
                  "questions for the status of endpoints"},
+    metric_entry{metric_id::cell_kept, metric_type::gauge,
+                 "bluebellspoke_cell_kept", "",
+                 "1 while this process keeps the rates of its zone, else 0"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -61,6 +61,7 @@
     task_processor,
     peer_digests,
     status_questions,
+    cell_kept,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -57,6 +57,8 @@
     };
     add_digests("sent", t.m_digests_sent);
     add_digests("received", t.m_digests_received);
+    add_value(families, metric_id::cell_kept, {},
+              keeps_cell(t, boot_now()) ? 1 : 0);
     collect_usage(families, t.m_usage);
     return families;
 }
