tests: Put each child of a test into a process group of its own

Known red until now: in standing, a daemon that is cut off was not refusing within 20 s, once beside load and not traced.

Cause: the harness. The peers that the test had stopped went on. When the group that a test was started in loses its last parent outside, as it does when the shell that started it in the background ends, the kernel sends SIGHUP and SIGCONT to a group with stopped members, and the test's children were members. The dump of the failed run shows it: both stopped peers were heard 48 ms before. It has nothing to do with load.

Ruled out: shared addresses (a test has its own loopback IP number) and the decision, which lapses when the peers are really stopped (16 of 16 runs, eight at a time beside other work).

--- a/Tests/support/child_process.cpp
+++ b/Tests/support/child_process.cpp
@@ -32,12 +32,20 @@
     // A relay's socket that a child also holds isn't closed when the relay
     // closes it: its far side never learns, and the loop goes on being woken.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+    // When a group of processes loses its last parent outside, the kernel lets
+    // those of its members go on that are stopped. A test's own group may lose
+    // it at any time, that of the child has the test.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP);
+    posix_spawnattr_setpgroup(&attributes, 0);
     std::vector<char*> arguments;
     for (const std::string& word : command)
         arguments.push_back(const_cast<char*>(word.c_str()));
     arguments.push_back(nullptr);
-    const int failed = posix_spawn(&m_id, arguments.front(), &actions, nullptr,
-                                   arguments.data(), environ);
+    const int failed = posix_spawn(&m_id, arguments.front(), &actions,
+                                   &attributes, arguments.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     close(pipe_ends[1]);
     m_output = pipe_ends[0];
