session: Abort a transaction whose connection breaks between two tries

Worse than the rule says: a transaction went on without its earlier writes, and its commit succeeded.

Cause: a statement inside a transaction that finds the endpoint full is sent again on the same connection 30 ms later. Between the two tries it counts as not sent. When the connection broke in that time, as it does when the full primary crashes, it was tried elsewhere like a statement that begins a transaction.

Evidence: 'A connection is lost while a statement waits to be sent on it again' in Tests/site: before, the read is answered by a new connection and the commit succeeds without the write; after, the transaction is aborted. Ruled out: the commit that is refused as full, whose transaction is rolled back.

Why it works: only the first statement of a transaction has nothing behind it.

--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -111,6 +111,11 @@
     const bool in_transaction = s.m_transaction.has_value();
     if (in_transaction && begun)
         s.m_transaction->m_link = nullptr;
+    // One that waits to be sent again has a transaction behind it, which is
+    // rolled back with the connection.
+    const bool goes_on = in_transaction && begun && !w->m_first_of_transaction;
+    if (!sent && goes_on)
+        return fail_work(t, w, session_fault::aborted, "connection lost");
     if (!sent)
         return retry_work(t, w, session_fault::busy, "connection lost");
     if (w->m_kind == statement_kind::commit)
--- a/Tests/site/site_path_test.cpp
+++ b/Tests/site/site_path_test.cpp
@@ -230,3 +230,34 @@
                         "ROW brown | COMPLETE | READY I"));
     }
 }
+
+SCENARIO("A connection is lost while a statement waits to be sent on it again")
+{
+    site s(1);
+    REQUIRE(answers(s, 0, "ledger", "WRITE bear brown", "COMPLETE | READY I"));
+    line_caller c(s.callers_of(0));
+    REQUIRE(c.start("ledger", "ward-key") == "READY");
+    REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+
+    GIVEN("a transaction that has run a statement there")
+    {
+        REQUIRE(c.ask("WRITE fox red") == "COMPLETE | READY T");
+        s.set_full("i-1", true);
+        c.send("QUERY second READ fox");
+        wait_a_moment();
+        s.set_full("i-1", false);
+        s.set_endpoint("i-1", false);
+        s.set_endpoint("i-1", true);
+
+        THEN("it is aborted, and doesn't go on elsewhere")
+        {
+            const auto answer = c.line();
+            REQUIRE(answer);
+            CHECK(answer->starts_with("ERROR ABORTED"));
+            CHECK(c.line()->starts_with("READY E"));
+            CHECK(c.ask("COMMIT").starts_with("ERROR ABORTED"));
+            CHECK(answers(s, 0, "ledger", "READ fox",
+                          "ROW - | COMPLETE | READY I"));
+        }
+    }
+}
--- a/Tests/standin/site_group.cpp
+++ b/Tests/standin/site_group.cpp
@@ -174,6 +174,11 @@
         return say_status(s);
     if (e.m_mute)
         return;
+    if (e.m_full && s.m_state == 'T' && verb != "ROLLBACK")
+    {
+        say(s, "ERROR BUSY standin");
+        return say_ready(s);
+    }
     if (verb == "PAUSE")
     {
         in >> e.m_held;
--- a/Tests/standin/site_group.hpp
+++ b/Tests/standin/site_group.hpp
@@ -47,6 +47,7 @@
     address m_address;
     bool m_up = true;
     bool m_mute = false; ///< Answers questions for its status only.
+    bool m_full = false; ///< Has no room for statements of transactions.
     bool m_primary = false;
     std::uint64_t m_term = 1;
     std::uint64_t m_held = 0;
--- a/Tests/standin/site_standin.cpp
+++ b/Tests/standin/site_standin.cpp
@@ -56,6 +56,8 @@
         return missing;
     if (body.contains("mute"))
         e->m_mute = body["mute"].get<bool>();
+    if (body.contains("full"))
+        e->m_full = body["full"].get<bool>();
     if (body.contains("up"))
         standin::set_up(*e, body["up"].get<bool>());
     return ok;
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -306,6 +306,12 @@
               json{{"id", id}, {"mute", mute}}.dump());
 }
 
+void site::set_full(const std::string& id, bool full) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"full", full}}.dump());
+}
+
 void site::set_store(bool down) const
 {
     call_http(m_platform, "POST", "/standin/store",
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -80,6 +80,8 @@
     void set_endpoint(const std::string& id, bool up) const;
     /// A mute endpoint answers questions for its status only.
     void set_mute(const std::string& id, bool mute) const;
+    /// A full endpoint has no room for statements inside transactions.
+    void set_full(const std::string& id, bool full) const;
     void set_store(bool down) const;
     void start_daemon(std::size_t number);
     /// Writes the daemon's settings file anew, with another zone.
