session: Let the keeper of a cell pass the store's changes on

The same cause as SHORT's in another place: each process watched four kinds of the store's objects, so calls grew with the fleet.

Now the processes of a cell ask nothing while a keeper that hears the store asks for their votes, four times a second. Its question names the revision of the newest change of the configuration, the endpoints or the evacuations, and who has less takes them from it. When the keeper falls silent for 0.9 s, or hears the store no more, each goes back to the store by itself (chart watch, state relayed). The members of the fleet are watched by each, now for 10 s a call.

Evidence: Tests/fleet: a process makes at most one call in 4 s, where four watches of 2.4 s each made six or seven; a withdrawn key is refused everywhere, also when the keeper is killed just before and after the store was away.

--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -101,14 +101,15 @@
     {
         return json::array({m.m_name, m.m_address, m.m_incarnation, m.m_keeps,
                             m.m_ending, m.m_store_answers, m.m_store_revision,
-                            m.m_config_version});
+                            m.m_config_version, m.m_content});
     }
     static peer_vote_wanted read(const json& j)
     {
         return {j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
                 j.at(2).get<std::uint64_t>(), j.at(3).get<bool>(),
                 j.at(4).get<bool>(),          j.at(5).get<bool>(),
-                j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>()};
+                j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>(),
+                j.at(8).get<std::uint64_t>()};
     }
 };
 
@@ -366,7 +367,8 @@
         return {{"version", m.m_version},
                 {"objects", std::move(objects)},
                 {"vms", std::move(vms)},
-                {"secrets", m.m_secrets}};
+                {"secrets", m.m_secrets},
+                {"content", m.m_content}};
     }
     static peer_settings read(const json& j)
     {
@@ -381,6 +383,7 @@
                 {vm.at(0).get<std::string>(), vm.at(1).get<std::string>(),
                  vm.at(2).get<std::string>(), vm.at(3).get<bool>()});
         m.m_secrets = j.at("secrets").get<std::vector<std::string>>();
+        m.m_content = j.value("content", std::uint64_t{0});
         return m;
     }
 };
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -68,6 +68,7 @@
     bool m_store_answers = false;
     std::uint64_t m_store_revision = 0; ///< Up to which it has heard.
     std::uint64_t m_config_version = 0;
+    std::uint64_t m_content = 0; ///< Revision of what it would pass on.
 };
 
 struct peer_vote
@@ -194,6 +195,7 @@
     std::vector<peer_object> m_objects;
     std::vector<peer_vm> m_vms;
     std::vector<std::string> m_secrets; ///< For session tokens.
+    std::uint64_t m_content = 0;        ///< Revision of the newest change.
 };
 
 /// Asks a daemon how it stands.
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -95,6 +95,7 @@
     m.m_store_answers = store_answers(t);
     m.m_store_revision = store_revision(t);
     m.m_config_version = t.m_config ? t.m_config->m_version : 0;
+    m.m_content = t.m_content;
     return m;
 }
 
@@ -281,6 +282,13 @@
     return t.m_cell.m_state == cell_state::keeping && now < kept_until(t);
 }
 
+bool is_relayed(const site_task_state& t, time_point now)
+{
+    return t.m_cell.m_state == cell_state::following &&
+           !t.m_cell.m_keeper.empty() &&
+           now - t.m_cell.m_relayed_at < keeper_silence;
+}
+
 std::set<std::string, std::less<>> members_of_cell(const site_task_state& t)
 {
     std::set<std::string, std::less<>> names;
@@ -368,7 +376,13 @@
     if (to_follow && t.m_cell.m_state == cell_state::standing)
         fire(t, cell_event::outranked);
     if (m.m_keeps && t.m_cell.m_state == cell_state::following)
+    {
         t.m_cell.m_keeper = m.m_address;
+        if (m.m_store_answers)
+            t.m_cell.m_relayed_at = now;
+        if (m.m_store_answers && p != t.m_peers.end())
+            follow_content(t, p->second, m.m_content);
+    }
     return answer;
 }
 
--- a/Source/session/site_charts.cpp
+++ b/Source/session/site_charts.cpp
@@ -8,10 +8,11 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> watch_states{"listing", "watching",
-                                                       "resting"};
-constexpr std::array<std::string_view, 5> watch_events{
-    "listed", "changed", "history_gone", "failed", "rested"};
+constexpr std::array<std::string_view, 4> watch_states{"listing", "watching",
+                                                       "relayed", "resting"};
+constexpr std::array<std::string_view, 7> watch_events{
+    "listed", "changed", "history_gone", "failed",
+    "rested", "relayed", "unrelayed"};
 constexpr std::array<std::string_view, 3> watch_actions{"read_all", "watch",
                                                         "rest"};
 constexpr std::array<std::string_view, 6> takeover_states{
--- a/Source/session/site_charts.hpp
+++ b/Source/session/site_charts.hpp
@@ -15,6 +15,7 @@
 {
     listing,
     watching,
+    relayed,
     resting,
 };
 
@@ -25,6 +26,8 @@
     history_gone,
     failed,
     rested,
+    relayed,
+    unrelayed,
 };
 
 enum class watch_action : std::uint8_t
--- a/Source/session/site_feeds.cpp
+++ b/Source/session/site_feeds.cpp
@@ -11,6 +11,18 @@
 namespace
 {
 
+// Who belongs to the cell is watched by each: it says whose word counts.
+bool may_relay(const store_feed& f)
+{
+    return f.m_kind != stored_kind::members;
+}
+
+// Who belongs to the fleet changes seldom, and nothing waits for it.
+duration wait_of(const store_feed& f)
+{
+    return may_relay(f) ? duration(watch_wait) : duration(members_watch_wait);
+}
+
 void run_action(site_task_state& t, store_feed& f, watch_action action);
 
 void fire(site_task_state& t, store_feed& f, watch_event event)
@@ -65,7 +77,13 @@
     note_answer(t, f);
     f.m_revision = std::max(f.m_revision, a.m_revision);
     if (whole || !a.m_changes.empty())
+    {
+        if (f.m_kind != stored_kind::members)
+            t.m_content = std::max(t.m_content, a.m_revision);
         take_objects(t, f.m_kind, a.m_changes, whole);
+    }
+    if (!whole && may_relay(f) && is_relayed(t, boot_now()))
+        return fire(t, f, watch_event::relayed);
     fire(t, f, whole ? watch_event::listed : watch_event::changed);
 }
 
@@ -85,7 +103,7 @@
     case watch_action::read_all:
         return read_all(t, f);
     case watch_action::watch:
-        t.m_store.m_watch(f.m_kind, f.m_revision, watch_wait,
+        t.m_store.m_watch(f.m_kind, f.m_revision, wait_of(f),
                           [&t, &f](store_answer& a)
                           {
                               take_answer(t, f, a, false);
@@ -118,6 +136,16 @@
     }
 }
 
+void tend_feeds(site_task_state& t, time_point now)
+{
+    const bool relayed = is_relayed(t, now);
+    for (store_feed& f : t.m_feeds)
+        if (f.m_state == watch_state::relayed && !relayed)
+            fire(t, f, watch_event::unrelayed);
+        else if (f.m_state == watch_state::relayed)
+            f.m_confirmed_at = t.m_cell.m_relayed_at;
+}
+
 bool store_answers(const site_task_state& t)
 {
     return std::ranges::all_of(t.m_feeds,
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -88,9 +88,28 @@
     publish_endpoints(t);
 }
 
+void log_zones(const site_task_state& t,
+               const std::set<std::string, std::less<>>& before)
+{
+    const auto log = [&](const std::string& zone, std::string_view state)
+    {
+        log_event(event_id::zone_changed,
+                  {{"zone", zone},
+                   {"state", std::string(state)},
+                   {"revision", std::to_string(store_revision(t))}});
+    };
+    for (const std::string& zone : t.m_evacuated)
+        if (!before.contains(zone))
+            log(zone, "evacuated");
+    for (const std::string& zone : before)
+        if (!t.m_evacuated.contains(zone))
+            log(zone, "in");
+}
+
 void take_evacuations(site_task_state& t,
                       std::span<const stored_change> changes, bool whole)
 {
+    const auto before = t.m_evacuated;
     if (whole)
         t.m_evacuated.clear();
     for (const stored_change& c : changes)
@@ -99,11 +118,8 @@
             t.m_evacuated.erase(c.m_object.m_name);
         else
             t.m_evacuated.insert(c.m_object.m_name);
-        log_event(event_id::zone_changed,
-                  {{"zone", c.m_object.m_name},
-                   {"state", c.m_deleted ? "in" : "evacuated"},
-                   {"revision", std::to_string(c.m_object.m_revision)}});
     }
+    log_zones(t, before);
     publish_endpoints(t);
 }
 
@@ -239,6 +255,7 @@
 {
     peer_settings m;
     m.m_version = store_revision(t);
+    m.m_content = t.m_content;
     if (t.m_config && t.m_config_object.m_revision > after)
         m.m_objects.push_back({std::string(config_name),
                                t.m_config_object.m_revision,
@@ -254,10 +271,13 @@
     return m;
 }
 
-void adopt_from_peer(site_task_state& t, const peer_settings& m)
+namespace
+{
+
+// The configuration, the endpoints and the evacuated zones as a peer knows
+// them.
+void take_passed_on(site_task_state& t, const peer_settings& m)
 {
-    if (m.m_version <= store_revision(t) && t.m_config)
-        return;
     std::vector<stored_change> endpoints;
     std::vector<stored_change> evacuations;
     for (const peer_object& o : m.m_objects)
@@ -276,12 +296,22 @@
                   o.m_version, o.m_value},
                  false});
     }
+    take_endpoints(t, endpoints, true);
+    take_evacuations(t, evacuations, true);
+    t.m_content = std::max(t.m_content, m.m_content);
+}
+
+}
+
+void adopt_from_peer(site_task_state& t, const peer_settings& m)
+{
+    if (m.m_version <= store_revision(t) && t.m_config)
+        return;
     log_event(event_id::settings_adopted,
               {{"revision", std::to_string(m.m_version)},
                {"had", std::to_string(store_revision(t))}});
     t.m_adopted_revision = m.m_version;
-    take_endpoints(t, endpoints, true);
-    take_evacuations(t, evacuations, true);
+    take_passed_on(t, m);
     if (!t.m_members.empty())
         return;
     for (const peer_vm& vm : m.m_vms)
@@ -291,4 +321,10 @@
     publish_fleet(t);
 }
 
+void adopt_from_keeper(site_task_state& t, const peer_settings& m)
+{
+    if (m.m_content > t.m_content)
+        take_passed_on(t, m);
+}
+
 }
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -13,18 +13,20 @@
 namespace
 {
 
-void fetch_from(site_task_state& t, site_peer& p)
+using adopt_settings = void (*)(site_task_state&, const peer_settings&);
+
+void fetch_from(site_task_state& t, site_peer& p, adopt_settings adopt)
 {
     if (std::exchange(t.m_asking_peer, true))
         return;
     call_peer(*p.m_client, peer_settings_wanted{t.m_config_object.m_revision},
-              [&t](std::optional<peer_message>& answer)
+              [&t, adopt](std::optional<peer_message>& answer)
               {
                   t.m_asking_peer = false;
                   const auto* m =
                       answer ? std::get_if<peer_settings>(&*answer) : nullptr;
                   if (m != nullptr)
-                      adopt_from_peer(t, *m);
+                      adopt(t, *m);
               });
 }
 
@@ -176,7 +178,14 @@
     // The store doesn't answer this process, or a watch went silent.
     if (config_version > own ||
         (!store_answers(t) && store_answers_it && revision > store_revision(t)))
-        fetch_from(t, p);
+        fetch_from(t, p, adopt_from_peer);
+}
+
+void follow_content(site_task_state& t, site_peer& keeper,
+                    std::uint64_t content)
+{
+    if (content > t.m_content)
+        fetch_from(t, keeper, adopt_from_keeper);
 }
 
 void note_reached(site_peer& p, bool reached)
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -21,6 +21,7 @@
     if (expire_missing(t.m_list, now))
         publish_endpoints(t);
     tend_cell(t, now);
+    tend_feeds(t, now);
     send_digests(t);
     remove_lapsed_members(t);
 }
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -27,6 +27,9 @@
 /// within the 4 s in which a configuration has to be in force, together with
 /// the read that follows.
 inline constexpr std::chrono::milliseconds watch_wait{2400};
+/// The same for the members of the fleet, when there are cells or not: a change
+/// is told at once, and a member that is gone is noticed by its silence.
+inline constexpr std::chrono::seconds members_watch_wait{10};
 /// From a failed call to the next try, doubled with each failure.
 inline constexpr std::chrono::milliseconds first_rest{150};
 inline constexpr std::chrono::milliseconds longest_rest{1200};
@@ -79,11 +82,13 @@
 struct cell_part
 {
     cell_state m_state = cell_state::single;
-    cell_vote m_vote;                ///< That it has given.
-    cell_poll m_poll;                ///< Votes that it was given.
-    time_point m_asked_at{};         ///< Of its last round of questions.
-    time_point m_heard_at{};         ///< Last question of one to follow.
-    std::string m_keeper;            ///< Its address; empty: none is known.
+    cell_vote m_vote;        ///< That it has given.
+    cell_poll m_poll;        ///< Votes that it was given.
+    time_point m_asked_at{}; ///< Of its last round of questions.
+    time_point m_heard_at{}; ///< Last question of one to follow.
+    std::string m_keeper;    ///< Its address; empty: none is known.
+    time_point
+        m_relayed_at{}; ///< Last word of a keeper that the store answers.
     std::uint64_t m_incarnation = 0; ///< Another one for each time it keeps.
     std::map<std::string, cell_contact, std::less<>> m_others; ///< By zone.
 };
@@ -113,6 +118,8 @@
     std::map<std::string, member_record, std::less<>> m_members;
     std::map<std::string, std::uint64_t, std::less<>> m_member_revisions;
     std::uint64_t m_adopted_revision = 0; ///< Of what a peer has passed on.
+    /// Of the newest change of the configuration, endpoints or evacuations.
+    std::uint64_t m_content = 0;
     bool m_lists_published = false;
     std::uint64_t m_store_answers = 0;
     std::uint64_t m_store_failures = 0;
@@ -133,6 +140,8 @@
 
 // site_feeds.cpp
 void start_feeds(site_task_state& t);
+/// Goes back to the store when the keeper passes nothing on any more.
+void tend_feeds(site_task_state& t, time_point now);
 bool store_answers(const site_task_state& t);
 std::uint64_t store_revision(const site_task_state& t);
 
@@ -146,6 +155,8 @@
 /// What this process knows, for one that the store turns away.
 peer_settings describe_for_peer(const site_task_state& t, std::uint64_t after);
 void adopt_from_peer(site_task_state& t, const peer_settings& m);
+/// Takes the changes that the keeper has passed on.
+void adopt_from_keeper(site_task_state& t, const peer_settings& m);
 
 /// Takes members that nobody hears out of the store's list.
 void remove_lapsed_members(site_task_state& t);
@@ -158,6 +169,9 @@
 /// Takes the store's objects from a peer that has heard more of it.
 void catch_up(site_task_state& t, site_peer& p, bool store_answers,
               std::uint64_t store_revision, std::uint64_t config_version);
+/// Takes what the keeper has heard of, if it is newer.
+void follow_content(site_task_state& t, site_peer& keeper,
+                    std::uint64_t content);
 void note_reached(site_peer& p, bool reached);
 duration digest_period_of(const site_task_state& t, std::uint64_t told);
 void start_peers(site_task_state& t);
@@ -176,6 +190,8 @@
 std::uint64_t weights_incarnation(const site_task_state& t);
 /// This process keeps its cell's rates.
 bool keeps_cell(const site_task_state& t, time_point now);
+/// The keeper hears the store, and passes its changes on.
+bool is_relayed(const site_task_state& t, time_point now);
 /// Members of this process's zone, itself included.
 std::set<std::string, std::less<>> members_of_cell(const site_task_state& t);
 /// The members have changed: enters or leaves the division into cells.
--- a/Tests/fleet/keeper_test.cpp
+++ b/Tests/fleet/keeper_test.cpp
@@ -1,8 +1,11 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <memory>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <catch2/catch.hpp>
 #include <support/site.hpp>
@@ -42,6 +45,41 @@
            c.ask("READ bear") == "ROW - | COMPLETE | READY I";
 }
 
+// Answers of the store that a daemon has counted.
+double store_answers(const site& s, std::size_t daemon)
+{
+    const std::string text =
+        call_http(s.metrics_of(daemon), "GET", "/metrics").m_body;
+    const std::string name =
+        "bluebellspoke_store_calls_total{result=\"answered\"} ";
+    const std::size_t at = text.find(name);
+    REQUIRE(at != std::string::npos);
+    return std::stod(text.substr(at + name.size()));
+}
+
+// Longer than a watch of the store.
+void wait_a_while()
+{
+    std::this_thread::sleep_for(4s);
+}
+
+// Every daemon but one refuses the key.
+bool all_refuse(const site& s, const std::string& key, std::size_t but)
+{
+    for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
+        if (i != but &&
+            line_caller(s.callers_of(i)).start("browse", key) != "UNAUTH")
+            return false;
+    return true;
+}
+
+void withdraw_key(site& s, std::size_t workspace)
+{
+    nlohmann::json change = s.config();
+    change["tenants"][workspace]["api-keys"] = nlohmann::json::array();
+    s.configure({{"tenants", change["tenants"]}});
+}
+
 // Statements that were served of as many as can be asked within the span.
 std::size_t flood(const site& s, std::size_t workspace,
                   test_clock::duration span)
@@ -174,4 +212,52 @@
                 }));
         }
     }
+    GIVEN("a keeper that passes the store's changes on")
+    {
+        wait_a_while();
+        const double before = store_answers(s, other);
+        wait_a_while();
+
+        THEN("its cell hardly asks the store, and follows all the same")
+        {
+            // One watch of the members.
+            CHECK(store_answers(s, other) - before <= 1);
+            withdraw_key(s, 3);
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return all_refuse(s, key_of(3), two_cells.m_daemons);
+                }));
+        }
+        WHEN("it is killed just before a change")
+        {
+            s.daemon(keeper).send_signal(SIGKILL);
+            withdraw_key(s, 3);
+
+            THEN("the others hear of it from the store")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return all_refuse(s, key_of(3), keeper);
+                    }));
+            }
+        }
+        WHEN("the store is away for a while, and a change comes after it")
+        {
+            s.set_store(true);
+            wait_a_while();
+            s.set_store(false);
+            withdraw_key(s, 3);
+
+            THEN("all hear of it")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return all_refuse(s, key_of(3), two_cells.m_daemons);
+                    }));
+            }
+        }
+    }
 }
