--- a/Source/session/site_feeds.cpp
+++ b/Source/session/site_feeds.cpp
@@ -17,10 +17,10 @@
     return f.m_kind != stored_kind::members;
 }
 
-// Who belongs to the fleet changes seldom, and nothing waits for it.
-duration wait_of(const store_feed& f)
+duration wait_of(const site_task_state& t, const store_feed& f)
 {
-    return may_relay(f) ? duration(watch_wait) : duration(members_watch_wait);
+    return may_relay(f) || !has_cells(t) ? duration(watch_wait)
+                                         : duration(members_watch_wait);
 }
 
 void run_action(site_task_state& t, store_feed& f, watch_action action);
@@ -103,7 +103,7 @@
     case watch_action::read_all:
         return read_all(t, f);
     case watch_action::watch:
-        t.m_store.m_watch(f.m_kind, f.m_revision, wait_of(f),
+        t.m_store.m_watch(f.m_kind, f.m_revision, wait_of(t, f),
                           [&t, &f](store_answer& a)
                           {
                               take_answer(t, f, a, false);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -27,8 +27,8 @@
 /// within the 4 s in which a configuration has to be in force, together with
 /// the read that follows.
 inline constexpr std::chrono::milliseconds watch_wait{2400};
-/// The same for the members of the fleet, when there are cells or not: a change
-/// is told at once, and a member that is gone is noticed by its silence.
+/// The same for the members of a fleet with cells: a change is told at once,
+/// and a member that is gone is noticed by its silence.
 inline constexpr std::chrono::seconds members_watch_wait{10};
 /// From a failed call to the next try, doubled with each failure.
 inline constexpr std::chrono::milliseconds first_rest{150};
