--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -124,7 +124,7 @@
     address m_orders;             ///< Where a promotion is ordered.
     bool m_first_start = false;   ///< Of the whole deployment.
     std::vector<address> m_seeds; ///< Peers to ask when the store is away.
-    double m_processor = 0; ///< Cores that the VM may use; 0: unknown.
+    double m_processor = 0;       ///< Cores that the VM may use; 0: unknown.
     duration m_stop_grace{};
     duration m_rate_window{};    ///< Over which rates are judged.
     double m_rate_overage = 0;   ///< The part by which they may be passed.
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <decide/cell_vote.hpp>
 #include <decide/endpoint_list.hpp>
@@ -194,16 +196,25 @@
 bool is_relayed(const site_task_state& t, time_point now);
 /// Members of this process's zone, itself included.
 std::set<std::string, std::less<>> members_of_cell(const site_task_state& t);
+/// Zones that have members, this process's included.
+std::set<std::string, std::less<>> cells_of(const site_task_state& t);
+/// The members of a zone in the order in which they stand for keeper.
+std::vector<cell_rank> ranks_of(const site_task_state& t,
+                                std::string_view zone);
 /// The members have changed: enters or leaves the division into cells.
 void update_cell(site_task_state& t);
 fleet_changed describe_fleet(const site_task_state& t);
 void tend_cell(site_task_state& t, time_point now);
 peer_vote take_vote_wanted(site_task_state& t, const peer_vote_wanted& m);
+/// Tells the cell, and the others if this process keeps it, that it ends.
+void leave_cell(site_task_state& t);
+
+// site_cell_peers.cpp
 /// Answers another cell's keeper.
 peer_message take_cell_digest(site_task_state& t, const peer_site_digest& m);
 void send_cell_digests(site_task_state& t, time_point now);
-/// Tells the cell, and the others if this process keeps it, that it ends.
-void leave_cell(site_task_state& t);
+/// Tells the other keepers that this process ends.
+void end_cell_digests(site_task_state& t);
 void ask_for_tokens(site_task_state& t, const tokens_wanted& m);
 void take_tokens_wanted(site_task_state& t, exchange_id exchange,
                         const peer_tokens_wanted& m);
