--- /dev/null
+++ b/Tests/peer/peer_codec_test.cpp
@@ -0,0 +1,72 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <peer/peer_codec.hpp>
+
+using namespace bluebellspoke;
+
+namespace
+{
+
+template <class Message>
+Message carried(const Message& m)
+{
+    return std::get<Message>(decode_peer_message(encode_peer_message(m)));
+}
+
+}
+
+SCENARIO("The processes of a cell understand each other")
+{
+    GIVEN("a question for a vote")
+    {
+        peer_vote_wanted m{
+            "vm-1", "10.1.0.26:8462", 7, true, false, true, 90, 12, 88};
+        const peer_vote_wanted read = carried(m);
+
+        THEN("it says who asks, and what it knows of the store")
+        {
+            CHECK(read.m_name == "vm-1");
+            CHECK(read.m_address == "10.1.0.26:8462");
+            CHECK(read.m_incarnation == 7);
+            CHECK(read.m_keeps);
+            CHECK_FALSE(read.m_ending);
+            CHECK(read.m_store_answers);
+            CHECK(read.m_store_revision == 90);
+            CHECK(read.m_config_version == 12);
+            CHECK(read.m_content == 88);
+        }
+    }
+    GIVEN("a vote")
+    {
+        const peer_vote read = carried(peer_vote{"vm-2", true, false, 5, 3});
+        CHECK(read.m_name == "vm-2");
+        CHECK(read.m_granted);
+        CHECK_FALSE(read.m_store_answers);
+        CHECK(read.m_store_revision == 5);
+        CHECK(read.m_config_version == 3);
+    }
+    GIVEN("a referral to nobody")
+    {
+        CHECK(carried(peer_referral()).m_address.empty());
+    }
+    GIVEN("operations that are asked for and given")
+    {
+        const peer_tokens_wanted asked =
+            carried(peer_tokens_wanted{{{"ward", 3, 0}, {"depot", 1, 0}}});
+        REQUIRE(asked.m_tokens.size() == 2);
+        CHECK(asked.m_tokens[0].m_workspace == "ward");
+        CHECK(asked.m_tokens[0].m_count == 3);
+        const peer_tokens_given given =
+            carried(peer_tokens_given{true, {{"ward", 2, 140}}});
+        CHECK(given.m_kept);
+        REQUIRE(given.m_tokens.size() == 1);
+        CHECK(given.m_tokens[0].m_wait_ms == 140);
+    }
+    GIVEN("bytes that hold no message")
+    {
+        const std::string whole = encode_peer_message(peer_vote{"vm-2"});
+        CHECK_THROWS_AS(decode_peer_message(whole.substr(0, whole.size() / 2)),
+                        peer_protocol_error);
+    }
+}
