session: Log what a process does with a peer's newer settings

A configuration that stays old showed in no log line: a fetch from a peer that failed, or gave nothing newer, left no trace, and neither did a watch that stopped because the cell leader relays changes.

Events 2017 to 2020 report both ends of a fetch and of a relayed watch; settings_in_force says for how long a newer version was known of; the metrics relayed_watches and settings_behind_seconds show the same while it lasts. Nothing else changes.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -93,6 +93,18 @@
     event_entry{event_id::cell_yielded, event_level::warning, "cell_yielded",
                 "it has no majority of its zone any more, or there are too "
                 "few processes for cells"},
+    event_entry{event_id::settings_fetch_failed, event_level::warning,
+                "settings_fetch_failed",
+                "a peer that has newer settings or lists gave no answer"},
+    event_entry{event_id::settings_fetch_useless, event_level::warning,
+                "settings_fetch_useless",
+                "nothing in a peer's settings and lists was newer"},
+    event_entry{event_id::watch_relayed, event_level::info, "watch_relayed",
+                "a kind of object is no longer watched in the store, because "
+                "the cell leader relays its changes"},
+    event_entry{event_id::watch_resumed, event_level::info, "watch_resumed",
+                "a kind of object is read from the store again, because the "
+                "cell leader no longer relays its changes"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -150,6 +150,13 @@
     metric_entry{metric_id::cell_kept, metric_type::gauge,
                  "bluebellspoke_cell_kept", "",
                  "1 while this process keeps the rates of its zone, else 0"},
+    metric_entry{metric_id::relayed_watches, metric_type::gauge,
+                 "bluebellspoke_relayed_watches", "",
+                 "kinds of objects whose changes the cell leader relays"},
+    metric_entry{metric_id::settings_behind, metric_type::gauge,
+                 "bluebellspoke_settings_behind_seconds", "",
+                 "time since a peer first reported a newer version than the "
+                 "one in force; 0 if none did"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -62,6 +62,8 @@
     peer_digests,
     status_questions,
     cell_kept,
+    relayed_watches,
+    settings_behind,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -17,6 +17,12 @@
 constexpr std::string_view endpoint_prefix = "endpoint/";
 constexpr std::string_view evacuation_prefix = "evacuation/";
 
+std::string to_milliseconds_text(duration d)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 void apply_config(site_task_state& t, const stored_object& o)
 {
     const site_config_ptr config = t.m_codec.m_read_config(o.m_value);
@@ -39,10 +45,12 @@
     log_event(event_id::settings_in_force,
               {{"version", std::to_string(config->m_version)},
                {"revision", std::to_string(o.m_revision)},
+               {"behind_ms", to_milliseconds_text(time_behind(t))},
                {"routes", std::to_string(config->m_routes.size())}});
     t.m_boxes.m_session.post(config_changed{config});
     t.m_boxes.m_failover.post(config_changed{config});
     t.m_boxes.m_life.post(config_changed{config});
+    t.m_behind_since = {};
 }
 
 std::optional<site_endpoint> read_endpoint(site_task_state& t,
@@ -304,28 +312,31 @@
 
 }
 
-void adopt_from_peer(site_task_state& t, const peer_settings& m)
+bool adopt_from_peer(site_task_state& t, const peer_settings& m)
 {
     if (m.m_version <= store_revision(t) && t.m_config)
-        return;
+        return false;
     log_event(event_id::settings_adopted,
               {{"revision", std::to_string(m.m_version)},
                {"had", std::to_string(store_revision(t))}});
     t.m_adopted_revision = m.m_version;
     apply_peer_objects(t, m);
     if (!t.m_members.empty())
-        return;
+        return true;
     for (const peer_vm& vm : m.m_vms)
         t.m_members.insert_or_assign(
             vm.m_name,
             member_record{vm.m_name, parse_address(vm.m_address), vm.m_zone});
     publish_fleet(t);
+    return true;
 }
 
-void adopt_from_leader(site_task_state& t, const peer_settings& m)
+bool adopt_from_leader(site_task_state& t, const peer_settings& m)
 {
-    if (m.m_content_revision > t.m_content_revision)
-        apply_peer_objects(t, m);
+    if (m.m_content_revision <= t.m_content_revision)
+        return false;
+    apply_peer_objects(t, m);
+    return true;
 }
 
 }
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -13,20 +13,30 @@
 namespace
 {
 
-using adopt_settings = void (*)(site_task_state&, const peer_settings&);
+using adopt_settings = bool (*)(site_task_state&, const peer_settings&);
+
+void log_fetch(const site_task_state& t, const site_peer& p, event_id id)
+{
+    log_event(id, {{"peer", p.m_name},
+                   {"version",
+                    std::to_string(t.m_config ? t.m_config->m_version : 0)},
+                   {"revision", std::to_string(store_revision(t))}});
+}
 
 void fetch_from(site_task_state& t, site_peer& p, adopt_settings adopt)
 {
     if (std::exchange(t.m_settings_fetch_pending, true))
         return;
     call_peer(*p.m_client, peer_settings_request{t.m_config_object.m_revision},
-              [&t, adopt](std::optional<peer_message>& answer)
+              [&t, &p, adopt](std::optional<peer_message>& answer)
               {
                   t.m_settings_fetch_pending = false;
                   const auto* m =
                       answer ? std::get_if<peer_settings>(&*answer) : nullptr;
-                  if (m != nullptr)
-                      adopt(t, *m);
+                  if (m == nullptr)
+                      log_fetch(t, p, event_id::settings_fetch_failed);
+                  else if (!adopt(t, *m))
+                      log_fetch(t, p, event_id::settings_fetch_useless);
               });
 }
 
@@ -180,6 +190,8 @@
                      std::uint64_t revision, std::uint64_t config_version)
 {
     const std::uint64_t own = t.m_config ? t.m_config->m_version : 0;
+    if (config_version > own && t.m_behind_since == time_point{})
+        t.m_behind_since = boot_now();
     // The store doesn't answer this process, or a watch has stalled.
     if (config_version > own || (!is_store_available(t) && peer_has_store &&
                                  revision > store_revision(t)))
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -1,5 +1,6 @@
 #include <session/site_task.hpp>
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -60,6 +61,11 @@
     add_digests("received", t.m_digests_received);
     add_value(families, metric_id::cell_kept, {},
               leads_cell(t, boot_now()) ? 1 : 0);
+    add_value(families, metric_id::relayed_watches, {},
+              static_cast<double>(std::ranges::count(
+                  t.m_watches, watch_state::relayed, &store_watch::m_state)));
+    add_value(families, metric_id::settings_behind, {},
+              to_seconds(time_behind(t)));
     collect_usage(families, t.m_usage);
     return families;
 }
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -132,6 +132,8 @@
     /// evacuations.
     std::uint64_t m_content_revision = 0;
     bool m_lists_published = false;
+    /// When a peer first reported a newer configuration; zero if none did.
+    time_point m_behind_since{};
     std::uint64_t m_answered_calls = 0;
     std::uint64_t m_failed_calls = 0;
     std::uint64_t m_history_gone_calls = 0;
@@ -153,6 +155,8 @@
 void start_watches(site_task_state& t);
 /// Watches the store again when the cell leader no longer passes changes on.
 void update_relayed_watches(site_task_state& t, time_point now);
+/// Time since a peer first reported a newer configuration; zero if none did.
+duration time_behind(const site_task_state& t);
 /// Returns true if the last call of every watch succeeded.
 bool is_store_available(const site_task_state& t);
 std::uint64_t store_revision(const site_task_state& t);
@@ -168,9 +172,11 @@
 /// doesn't serve or that leaves watching it to this process.
 peer_settings make_peer_settings(const site_task_state& t, std::uint64_t after);
 /// Applies objects from a peer that has seen a newer revision of the store.
-void adopt_from_peer(site_task_state& t, const peer_settings& m);
-/// Applies the changes that the cell leader passed on.
-void adopt_from_leader(site_task_state& t, const peer_settings& m);
+/// Returns false if nothing was newer.
+bool adopt_from_peer(site_task_state& t, const peer_settings& m);
+/// Applies the changes that the cell leader passed on. Returns false if nothing
+/// was newer.
+bool adopt_from_leader(site_task_state& t, const peer_settings& m);
 
 /// Removes members that have stopped answering from the store.
 void remove_silent_members(site_task_state& t);
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -86,7 +86,13 @@
         apply_objects(t, w.m_kind, a.m_changes, complete);
     }
     if (!complete && can_be_relayed(w) && is_relayed_by_leader(t, boot_now()))
+    {
+        log_event(event_id::watch_relayed,
+                  {{"kind", std::string(to_string(w.m_kind))},
+                   {"leader", t.m_cell.m_leader_address},
+                   {"revision", std::to_string(w.m_revision)}});
         return fire(t, w, watch_event::relayed);
+    }
     fire(t, w, complete ? watch_event::listed : watch_event::changed);
 }
 
@@ -146,11 +152,22 @@
     const bool relayed = is_relayed_by_leader(t, now);
     for (store_watch& w : t.m_watches)
         if (w.m_state == watch_state::relayed && !relayed)
+        {
+            log_event(event_id::watch_resumed,
+                      {{"kind", std::string(to_string(w.m_kind))},
+                       {"leader", t.m_cell.m_leader_address}});
             fire(t, w, watch_event::relay_lost);
+        }
         else if (w.m_state == watch_state::relayed)
             w.m_confirmed_at = t.m_cell.m_last_relay_at;
 }
 
+duration time_behind(const site_task_state& t)
+{
+    return t.m_behind_since == time_point{} ? duration()
+                                            : boot_now() - t.m_behind_since;
+}
+
 bool is_store_available(const site_task_state& t)
 {
     return std::ranges::all_of(t.m_watches,
