wire: Give up a connection on which a PING isn't answered

Cause: a request that timed out ended its stream and left the connection open. A connection that has lost its path without a reset answers nothing until the kernel gives it up, minutes later, and takes every later request until then. A follower in a cell hears its leader on a connection that the leader opened, so it went on leaving the watches to the leader, and each fetch of what the leader had took the dead connection.

Change: when a request times out and nothing has arrived since it was sent, the client sends a PING; if nothing arrives within 500 ms either, it closes the connection, and the next request opens another. A server that is only slow answers the PING, so that its connection stays.

--- a/Source/wire/http2_client.cpp
+++ b/Source/wire/http2_client.cpp
@@ -1,6 +1,7 @@
 #include <wire/http2_client.hpp>
 
 #include <charconv>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +21,8 @@
 constexpr std::size_t max_streams = 1024;
 constexpr std::size_t max_response_bytes = 16U << 20U;
 constexpr std::chrono::seconds connect_time_limit{2};
+/// Time allowed for anything to arrive on a connection after a PING.
+constexpr std::chrono::milliseconds ping_timeout{500};
 
 struct client_stream : intrusive::list_base_hook<>
 {
@@ -30,6 +33,7 @@
     http2_response m_response;
     http2_done m_done;
     std::unique_ptr<timer> m_limit;
+    std::uint64_t m_reads_when_sent = 0; ///< The client's m_reads at that time.
     http2_failure m_failure = http2_failure::not_sent;
 };
 
@@ -50,6 +54,9 @@
     timer m_reaper;
     stream_list m_failed;
     bool m_reset_wanted = false;
+    std::uint64_t m_reads = 0; ///< Counts what arrived, over all connections.
+    timer m_ping_limit;
+    std::optional<std::uint64_t> m_reads_when_pinged; ///< Set while one waits.
 
     tls_context_ptr m_tls;
 
@@ -85,6 +92,8 @@
     s.m_connected = false;
     s.m_transport.m_direct = false;
     s.m_connect_limit.cancel();
+    s.m_ping_limit.cancel();
+    s.m_reads_when_pinged.reset();
     s.m_transport.m_session.reset();
     s.m_transport.m_stream.reset();
     while (!s.m_streams.empty())
@@ -186,6 +195,7 @@
 void on_readable(bufferevent*, void* user)
 {
     auto& s = *static_cast<client_state*>(user);
+    ++s.m_reads;
     if (s.m_transport.m_session && !feed(s.m_transport))
         fail_all(s);
 }
@@ -248,6 +258,26 @@
         has_body ? &provider : nullptr, &stream);
 }
 
+// A connection whose path was lost without a reset stays open for minutes and
+// answers nothing; a server that is only slow still answers a PING.
+void ping_if_silent(client_state& s, const client_stream& stream)
+{
+    if (!s.m_connected || s.m_reads_when_pinged ||
+        s.m_reads != stream.m_reads_when_sent)
+        return;
+    s.m_reads_when_pinged = s.m_reads;
+    nghttp2_submit_ping(s.m_transport.m_session.get(), NGHTTP2_FLAG_NONE,
+                        nullptr);
+    s.m_ping_limit.start_once(ping_timeout);
+}
+
+void check_ping(client_state& s)
+{
+    const auto reads_when_pinged = std::exchange(s.m_reads_when_pinged, {});
+    if (reads_when_pinged == s.m_reads)
+        fail_all(s);
+}
+
 void time_out(client_stream& stream)
 {
     client_state& s = *stream.m_client;
@@ -261,6 +291,7 @@
     s.m_streams.erase(s.m_streams.iterator_to(stream));
     const http2_failure reason =
         s.m_connected ? http2_failure::timed_out : http2_failure::not_sent;
+    ping_if_silent(s, stream);
     pump_or_fail(s);
     finish(&stream, reason);
 }
@@ -279,6 +310,11 @@
                {
                    report_failed(*this);
                }),
+      m_ping_limit(l,
+                   [this]
+                   {
+                       check_ping(*this);
+                   }),
       m_tls(std::move(tls))
 {
 }
@@ -335,6 +371,7 @@
         return;
     }
     s.m_streams.push_back(stream);
+    stream.m_reads_when_sent = s.m_reads;
     submit(s, stream);
     stream.m_limit = std::make_unique<timer>(s.m_loop,
                                              [&stream]
--- a/Tests/support/relay.cpp
+++ b/Tests/support/relay.cpp
@@ -33,10 +33,14 @@
 struct drop_wanted
 {
 };
+struct silence_wanted
+{
+};
 struct relay_stop
 {
 };
-using relay_message = std::variant<cut_wanted, drop_wanted, relay_stop>;
+using relay_message =
+    std::variant<cut_wanted, drop_wanted, silence_wanted, relay_stop>;
 
 struct relayed;
 
@@ -56,6 +60,7 @@
     bufferevent_ptr m_target;
     way m_forth;
     way m_back;
+    bool m_silent = false; ///< Carries nothing any more.
 };
 
 constexpr std::size_t mailbox_size = 64;
@@ -132,13 +137,15 @@
 void on_caller_bytes(bufferevent* from, void* user)
 {
     auto& c = *static_cast<relayed*>(user);
-    take_bytes(from, c.m_forth, *c.m_relay);
+    if (!c.m_silent)
+        take_bytes(from, c.m_forth, *c.m_relay);
 }
 
 void on_target_bytes(bufferevent* from, void* user)
 {
     auto& c = *static_cast<relayed*>(user);
-    take_bytes(from, c.m_back, *c.m_relay);
+    if (!c.m_silent)
+        take_bytes(from, c.m_back, *c.m_relay);
 }
 
 void drop(relayed& c)
@@ -157,7 +164,7 @@
     auto& c = *static_cast<relayed*>(user);
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
         return;
-    if (!c.m_relay->m_cut_forth && !c.m_relay->m_cut_back)
+    if (!c.m_relay->m_cut_forth && !c.m_relay->m_cut_back && !c.m_silent)
         drop(c);
 }
 
@@ -210,6 +217,12 @@
         s.m_connections.clear();
         return;
     }
+    if (std::holds_alternative<silence_wanted>(message))
+    {
+        for (const auto& c : s.m_connections)
+            c->m_silent = true;
+        return;
+    }
     const auto& wanted = std::get<cut_wanted>(message);
     s.m_cut_forth = wanted.m_to_target;
     s.m_cut_back = wanted.m_from_target;
@@ -282,4 +295,9 @@
     m_state->m_box.post(drop_wanted());
 }
 
+void relay::silence_connections()
+{
+    m_state->m_box.post(silence_wanted());
+}
+
 }
--- a/Tests/support/relay.hpp
+++ b/Tests/support/relay.hpp
@@ -33,6 +33,9 @@
     bool passed(std::string_view bytes) const;
     /// Closes every connection that runs through it.
     void drop_connections();
+    /// The open connections carry nothing from now on, not even their end;
+    /// new ones work.
+    void silence_connections();
 
     struct state;
 
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -341,6 +341,29 @@
     return m_nodes.at(daemon).m_metrics;
 }
 
+const address& site::peers_of(std::size_t daemon) const
+{
+    return m_nodes.at(daemon).m_peers;
+}
+
+void site::add_member(const std::string& name, const address& peers) const
+{
+    const json body{
+        {"meta", {{"name", name}}},
+        {"spec",
+         {{"peer", to_string(peers)}, {"place", "zone-1"}, {"cores", 1.0}}}};
+    call_http(m_platform, "POST", "/api/objects/bluebellspoke-members",
+              body.dump());
+}
+
+std::uint64_t site::store_revision() const
+{
+    return json::parse(
+               call_http(m_platform, "GET", "/api/objects/config").m_body)
+        .at("at-revision")
+        .get<std::uint64_t>();
+}
+
 child_process& site::daemon(std::size_t number)
 {
     return *m_nodes.at(number).m_process;
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -97,6 +97,11 @@
     const address& callers_of(std::size_t daemon) const;
     const address& probes_of(std::size_t daemon) const;
     const address& metrics_of(std::size_t daemon) const;
+    const address& peers_of(std::size_t daemon) const;
+    /// Registers a member of the fleet in the store, in the first zone.
+    void add_member(const std::string& name, const address& peers) const;
+    /// The store's newest revision.
+    std::uint64_t store_revision() const;
     child_process& daemon(std::size_t number);
     bool is_ready(std::size_t daemon) const;
     nlohmann::json& config() noexcept;
--- a/Tests/wire/exchange_test.cpp
+++ b/Tests/wire/exchange_test.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <support/relay.hpp>
 #include <wire/http2_client.hpp>
 #include <wire/http2_server.hpp>
 
@@ -184,3 +185,41 @@
         REQUIRE(server->m_server->open_exchanges() == 0);
     }
 }
+
+TEST_CASE("A client isn't kept on a connection that has gone silent")
+{
+    loop l = make_loop();
+    talker server(l);
+    support::relay network(server.m_server->local());
+    http2_client client(l, network.local());
+    constexpr std::chrono::milliseconds short_limit{200};
+    REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+    const connection_id first = server.m_arrived.back().m_connection;
+
+    SECTION("the open connection carries nothing any more")
+    {
+        network.silence_connections();
+        std::size_t lost = 0;
+        while (status_of(ask(l, client, "/echo", {}, short_limit)) != 200)
+            REQUIRE(++lost < 20);
+
+        SECTION("and requests are answered on a new one")
+        {
+            REQUIRE(server.m_arrived.back().m_connection != first);
+        }
+    }
+    SECTION("only one answer is late")
+    {
+        REQUIRE(failed_as(ask(l, client, "/silent", {}, short_limit),
+                          http2_failure::timed_out));
+        for (std::size_t i = 0; i < 10; ++i)
+            REQUIRE(failed_as(ask(l, client, "/silent", {}, short_limit),
+                              http2_failure::timed_out));
+
+        SECTION("and the connection is kept")
+        {
+            REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+            REQUIRE(server.m_arrived.back().m_connection == first);
+        }
+    }
+}
