session: Judge each kind of a peer's objects by its own revision

What callers saw: a route that was added isn't served, or a removed one is, though the process hears of the newer version four times a second.

Cause: one revision, the newest of all watches, stood for the configuration, the endpoints, the evacuated zones and the members together. A process that had seen a later change of any of them took what a peer knew for older than its own and dropped it, configuration and all. The other way round, a peer that was ahead in one kind replaced the lists in which it was behind: an evacuated zone came back, and the watch, which goes on from its own newer revision, never reported it again.

Change: each watch's revision says up to where its kind is known, from the store or from a peer. A claim of a cell leader and the settings of a peer carry the revisions of each list; a list is taken over only if its own revision is newer, a configuration if its version is. An answer of the store that is older than a list adopted meanwhile is left out. Builds that send one revision are still understood, and still find theirs.

--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -102,15 +102,25 @@
         return json::array({m.m_name, m.m_address, m.m_incarnation,
                             m.m_leads_cell, m.m_shutting_down,
                             m.m_store_is_available, m.m_store_revision,
-                            m.m_config_version, m.m_content_revision});
+                            m.m_config_version, m.m_content_revision,
+                            m.m_endpoints_revision, m.m_evacuations_revision});
     }
     static peer_vote_request read(const json& j)
     {
-        return {j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
-                j.at(2).get<std::uint64_t>(), j.at(3).get<bool>(),
-                j.at(4).get<bool>(),          j.at(5).get<bool>(),
-                j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>(),
-                j.at(8).get<std::uint64_t>()};
+        peer_vote_request m{
+            j.at(0).get<std::string>(),   j.at(1).get<std::string>(),
+            j.at(2).get<std::uint64_t>(), j.at(3).get<bool>(),
+            j.at(4).get<bool>(),          j.at(5).get<bool>(),
+            j.at(6).get<std::uint64_t>(), j.at(7).get<std::uint64_t>(),
+            j.at(8).get<std::uint64_t>()};
+        // Earlier builds send one revision for both lists.
+        constexpr std::size_t single_revision_size = 9;
+        const bool has_each = j.size() > single_revision_size;
+        m.m_endpoints_revision =
+            has_each ? j.at(9).get<std::uint64_t>() : m.m_content_revision;
+        m.m_evacuations_revision =
+            has_each ? j.at(10).get<std::uint64_t>() : m.m_content_revision;
+        return m;
     }
 };
 
@@ -369,7 +379,21 @@
                 {"objects", std::move(objects)},
                 {"vms", std::move(vms)},
                 {"secrets", m.m_secrets},
-                {"content", m.m_content_revision}};
+                {"content", m.m_content_revision},
+                {"known",
+                 json::array({m.m_known.m_configuration, m.m_known.m_endpoints,
+                              m.m_known.m_evacuations})}};
+    }
+    // Earlier builds send one revision for both lists, which says nothing of
+    // the configuration.
+    static peer_known_revisions read_known(const json& j, std::uint64_t content)
+    {
+        if (!j.contains("known"))
+            return {0, content, content};
+        const json& known = j["known"];
+        return {known.at(0).get<std::uint64_t>(),
+                known.at(1).get<std::uint64_t>(),
+                known.at(2).get<std::uint64_t>()};
     }
     static peer_settings read(const json& j)
     {
@@ -385,6 +409,7 @@
                  vm.at(2).get<std::string>(), vm.at(3).get<bool>()});
         m.m_secrets = j.at("secrets").get<std::vector<std::string>>();
         m.m_content_revision = j.value("content", std::uint64_t{0});
+        m.m_known = read_known(j, m.m_content_revision);
         return m;
     }
 };
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -48,7 +48,8 @@
     std::string m_address; ///< Address of the sender for peers, IP:port.
     std::string m_zone;
     bool m_store_is_available = false;
-    std::uint64_t m_store_revision = 0; ///< Newest revision received.
+    /// Revision up to which the sender knows all that it would relay.
+    std::uint64_t m_store_revision = 0;
     std::uint64_t m_config_version = 0;
     std::uint64_t m_incarnation = 0;      ///< Differs after each restart.
     std::uint64_t m_weights_version = 0;  ///< Version of m_weights.
@@ -71,10 +72,14 @@
     bool m_shutting_down =
         false; ///< Last message; the process is shutting down.
     bool m_store_is_available = false;
-    std::uint64_t m_store_revision = 0; ///< Newest revision received.
+    /// Revision up to which the sender knows all that it would relay.
+    std::uint64_t m_store_revision = 0;
     std::uint64_t m_config_version = 0;
-    /// Revision of the content that the sender would relay.
+    /// Revision of the newest change that the sender would relay. Only read by
+    /// processes that don't know the two that follow.
     std::uint64_t m_content_revision = 0;
+    std::uint64_t m_endpoints_revision = 0;   ///< Newest change of the list.
+    std::uint64_t m_evacuations_revision = 0; ///< Newest change of the list.
 };
 
 /// Grants or refuses a vote, with what the sender knows of the store.
@@ -83,7 +88,8 @@
     std::string m_name;
     bool m_granted = false;
     bool m_store_is_available = false;
-    std::uint64_t m_store_revision = 0; ///< Newest revision received.
+    /// Revision up to which the sender knows all that it would relay.
+    std::uint64_t m_store_revision = 0;
     std::uint64_t m_config_version = 0;
 };
 
@@ -203,6 +209,14 @@
     std::uint64_t m_after = 0;
 };
 
+/// The store revisions up to which a process knows each kind of object.
+struct peer_known_revisions
+{
+    std::uint64_t m_configuration = 0;
+    std::uint64_t m_endpoints = 0;
+    std::uint64_t m_evacuations = 0;
+};
+
 /// The platform's objects as a daemon knows them.
 struct peer_settings
 {
@@ -211,6 +225,7 @@
     std::vector<peer_vm> m_vms;
     std::vector<std::string> m_secrets;   ///< For session tokens.
     std::uint64_t m_content_revision = 0; ///< Revision of the newest change.
+    peer_known_revisions m_known;
 };
 
 /// Asks a daemon for its status.
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -82,9 +82,13 @@
     m.m_leads_cell = t.m_cell.m_state == cell_state::leader;
     m.m_shutting_down = t.m_ending;
     m.m_store_is_available = is_store_available(t);
-    m.m_store_revision = store_revision(t);
+    m.m_store_revision = known_revision(t);
     m.m_config_version = t.m_config ? t.m_config->m_version : 0;
-    m.m_content_revision = t.m_content_revision;
+    m.m_content_revision = changed_revision(t);
+    m.m_endpoints_revision =
+        watch_of(t, stored_kind::endpoints).m_changed_revision;
+    m.m_evacuations_revision =
+        watch_of(t, stored_kind::evacuations).m_changed_revision;
     return m;
 }
 
@@ -293,7 +297,7 @@
         if (m.m_store_is_available)
             t.m_cell.m_last_relay_at = now;
         if (m.m_store_is_available && p != t.m_peers.end())
-            fetch_newer_content(t, p->second, m.m_content_revision);
+            fetch_newer_content(t, p->second, m);
     }
     return answer;
 }
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -105,7 +105,7 @@
         log_event(event_id::zone_changed,
                   {{"zone", zone},
                    {"state", std::string(state)},
-                   {"revision", std::to_string(store_revision(t))}});
+                   {"revision", std::to_string(known_revision(t))}});
     };
     for (const std::string& zone : t.m_evacuated_zones)
         if (!before.contains(zone))
@@ -263,8 +263,11 @@
 peer_settings make_peer_settings(const site_task_state& t, std::uint64_t after)
 {
     peer_settings m;
-    m.m_version = store_revision(t);
-    m.m_content_revision = t.m_content_revision;
+    m.m_known = {watch_of(t, stored_kind::configuration).m_revision,
+                 watch_of(t, stored_kind::endpoints).m_revision,
+                 watch_of(t, stored_kind::evacuations).m_revision};
+    m.m_version = known_revision(t);
+    m.m_content_revision = changed_revision(t);
     if (t.m_config && t.m_config_object.m_revision > after)
         m.m_objects.push_back({std::string(config_name),
                                t.m_config_object.m_revision,
@@ -283,44 +286,66 @@
 namespace
 {
 
-// Applies the configuration, the endpoints and the evacuated zones that a peer
-// knows.
-void apply_peer_objects(site_task_state& t, const peer_settings& m)
+// Returns the peer's objects whose names begin with `prefix`, without it.
+std::vector<stored_change> objects_of(const peer_settings& m,
+                                      std::string_view prefix)
 {
-    std::vector<stored_change> endpoints;
-    std::vector<stored_change> evacuations;
+    std::vector<stored_change> found;
     for (const peer_object& o : m.m_objects)
-    {
-        const std::string_view name = o.m_name;
-        if (name == config_name)
-            apply_config(t, {std::string(name), o.m_version, o.m_value});
-        else if (name.starts_with(endpoint_prefix))
-            endpoints.push_back(
-                {{std::string(name.substr(endpoint_prefix.size())), o.m_version,
-                  o.m_value},
-                 false});
-        else if (name.starts_with(evacuation_prefix))
-            evacuations.push_back(
-                {{std::string(name.substr(evacuation_prefix.size())),
-                  o.m_version, o.m_value},
+        if (o.m_name.starts_with(prefix))
+            found.push_back(
+                {{o.m_name.substr(prefix.size()), o.m_version, o.m_value},
                  false});
-    }
-    apply_endpoints(t, endpoints, true);
-    apply_evacuations(t, evacuations, true);
-    t.m_content_revision = std::max(t.m_content_revision, m.m_content_revision);
+    return found;
+}
+
+// Each kind is judged by its own revision: a peer may be ahead in one and
+// behind in another.
+bool adopt_list(site_task_state& t, stored_kind kind, std::string_view prefix,
+                std::uint64_t known, const peer_settings& m)
+{
+    store_watch& w = watch_of(t, kind);
+    if (known <= w.m_revision)
+        return false;
+    w.m_revision = known;
+    w.m_changed_revision = known;
+    apply_objects(t, kind, objects_of(m, prefix), true);
+    return true;
+}
+
+bool adopt_configuration(site_task_state& t, const peer_settings& m)
+{
+    store_watch& w = watch_of(t, stored_kind::configuration);
+    const std::uint64_t before = t.m_config ? t.m_config->m_version : 0;
+    for (const peer_object& o : m.m_objects)
+        if (o.m_name == config_name)
+            apply_config(t, {o.m_name, o.m_version, o.m_value});
+    const bool newer = t.m_config && t.m_config->m_version > before;
+    if (newer)
+        w.m_changed_revision =
+            std::max(w.m_changed_revision, t.m_config_object.m_revision);
+    const bool knows_more = m.m_known.m_configuration > w.m_revision;
+    if (knows_more)
+        w.m_revision = m.m_known.m_configuration;
+    return newer || knows_more;
 }
 
 }
 
 bool adopt_from_peer(site_task_state& t, const peer_settings& m)
 {
-    if (m.m_version <= store_revision(t) && t.m_config)
+    const std::uint64_t before = known_revision(t);
+    const bool configuration = adopt_configuration(t, m);
+    const bool endpoints = adopt_list(
+        t, stored_kind::endpoints, endpoint_prefix, m.m_known.m_endpoints, m);
+    const bool evacuations =
+        adopt_list(t, stored_kind::evacuations, evacuation_prefix,
+                   m.m_known.m_evacuations, m);
+    if (!configuration && !endpoints && !evacuations)
         return false;
     log_event(event_id::settings_adopted,
-              {{"revision", std::to_string(m.m_version)},
-               {"had", std::to_string(store_revision(t))}});
-    t.m_adopted_revision = m.m_version;
-    apply_peer_objects(t, m);
+              {{"revision", std::to_string(known_revision(t))},
+               {"had", std::to_string(before)}});
     if (!t.m_members.empty())
         return true;
     for (const peer_vm& vm : m.m_vms)
@@ -331,12 +356,4 @@
     return true;
 }
 
-bool adopt_from_leader(site_task_state& t, const peer_settings& m)
-{
-    if (m.m_content_revision <= t.m_content_revision)
-        return false;
-    apply_peer_objects(t, m);
-    return true;
-}
-
 }
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -13,29 +13,27 @@
 namespace
 {
 
-using adopt_settings = bool (*)(site_task_state&, const peer_settings&);
-
 void log_fetch(const site_task_state& t, const site_peer& p, event_id id)
 {
     log_event(id, {{"peer", p.m_name},
                    {"version",
                     std::to_string(t.m_config ? t.m_config->m_version : 0)},
-                   {"revision", std::to_string(store_revision(t))}});
+                   {"revision", std::to_string(known_revision(t))}});
 }
 
-void fetch_from(site_task_state& t, site_peer& p, adopt_settings adopt)
+void fetch_from(site_task_state& t, site_peer& p)
 {
     if (std::exchange(t.m_settings_fetch_pending, true))
         return;
     call_peer(*p.m_client, peer_settings_request{t.m_config_object.m_revision},
-              [&t, &p, adopt](std::optional<peer_message>& answer)
+              [&t, &p](std::optional<peer_message>& answer)
               {
                   t.m_settings_fetch_pending = false;
                   const auto* m =
                       answer ? std::get_if<peer_settings>(&*answer) : nullptr;
                   if (m == nullptr)
                       log_fetch(t, p, event_id::settings_fetch_failed);
-                  else if (!adopt(t, *m))
+                  else if (!adopt_from_peer(t, *m))
                       log_fetch(t, p, event_id::settings_fetch_useless);
               });
 }
@@ -153,7 +151,7 @@
     d.m_address = to_string(t.m_settings.m_peer_listen);
     d.m_zone = t.m_settings.m_zone;
     d.m_store_is_available = is_store_available(t);
-    d.m_store_revision = store_revision(t);
+    d.m_store_revision = known_revision(t);
     d.m_config_version = t.m_config ? t.m_config->m_version : 0;
     d.m_incarnation = weights_incarnation(t);
     d.m_weights_version = t.m_weights.m_version;
@@ -194,15 +192,18 @@
         t.m_behind_since = boot_now();
     // The store doesn't answer this process, or a watch has stalled.
     if (config_version > own || (!is_store_available(t) && peer_has_store &&
-                                 revision > store_revision(t)))
-        fetch_from(t, p, adopt_from_peer);
+                                 revision > known_revision(t)))
+        fetch_from(t, p);
 }
 
 void fetch_newer_content(site_task_state& t, site_peer& leader,
-                         std::uint64_t content_revision)
+                         const peer_vote_request& claim)
 {
-    if (content_revision > t.m_content_revision)
-        fetch_from(t, leader, adopt_from_leader);
+    if (claim.m_endpoints_revision >
+            watch_of(t, stored_kind::endpoints).m_revision ||
+        claim.m_evacuations_revision >
+            watch_of(t, stored_kind::evacuations).m_revision)
+        fetch_from(t, leader);
 }
 
 void set_reachable(site_peer& p, bool reachable)
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -49,7 +49,10 @@
 {
     stored_kind m_kind = stored_kind::configuration;
     watch_state m_state = watch_state::listing;
-    std::uint64_t m_revision = 0; ///< The newest one received.
+    /// All changes up to this store revision are known, from the store or from
+    /// a peer.
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_changed_revision = 0; ///< Of the newest change known.
     duration m_retry_delay{};
     bool m_is_available = false;
     time_point m_confirmed_at{}; ///< When its objects were last current.
@@ -127,10 +130,6 @@
     std::set<std::string, std::less<>> m_evacuated_zones;
     std::map<std::string, member_record, std::less<>> m_members;
     std::map<std::string, std::uint64_t, std::less<>> m_member_revisions;
-    std::uint64_t m_adopted_revision = 0; ///< Of objects adopted from a peer.
-    /// Revision of the newest change to the configuration, endpoints or
-    /// evacuations.
-    std::uint64_t m_content_revision = 0;
     bool m_lists_published = false;
     /// When a peer first reported a newer configuration; zero if none did.
     time_point m_behind_since{};
@@ -159,7 +158,13 @@
 duration time_behind(const site_task_state& t);
 /// Returns true if the last call of every watch succeeded.
 bool is_store_available(const site_task_state& t);
-std::uint64_t store_revision(const site_task_state& t);
+/// Returns the store revision up to which this process knows every change of
+/// what it would relay.
+std::uint64_t known_revision(const site_task_state& t);
+/// Returns the revision of the newest change that this process would relay.
+std::uint64_t changed_revision(const site_task_state& t);
+store_watch& watch_of(site_task_state& t, stored_kind kind);
+const store_watch& watch_of(const site_task_state& t, stored_kind kind);
 
 // site_objects.cpp
 /// Applies changes to the objects of one kind. If `complete` is true, objects
@@ -171,12 +176,9 @@
 /// Returns the objects that this process knows, for a peer that the store
 /// doesn't serve or that leaves watching it to this process.
 peer_settings make_peer_settings(const site_task_state& t, std::uint64_t after);
-/// Applies objects from a peer that has seen a newer revision of the store.
-/// Returns false if nothing was newer.
+/// Applies each kind of object that the peer knows up to a newer revision.
+/// Returns false if there is none.
 bool adopt_from_peer(site_task_state& t, const peer_settings& m);
-/// Applies the changes that the cell leader passed on. Returns false if nothing
-/// was newer.
-bool adopt_from_leader(site_task_state& t, const peer_settings& m);
 
 /// Removes members that have stopped answering from the store.
 void remove_silent_members(site_task_state& t);
@@ -194,7 +196,7 @@
                      std::uint64_t peer_revision, std::uint64_t config_version);
 /// Fetches the objects from the cell leader if it has newer ones.
 void fetch_newer_content(site_task_state& t, site_peer& leader,
-                         std::uint64_t content_revision);
+                         const peer_vote_request& claim);
 void set_reachable(site_peer& p, bool reachable);
 duration digest_interval_for(const site_task_state& t,
                              std::uint64_t announced_version);
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -1,6 +1,7 @@
 #include <session/site_task_state.hpp>
 
 #include <algorithm>
+#include <limits>
 
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
@@ -25,6 +26,14 @@
                : duration(members_watch_timeout);
 }
 
+// A list that was adopted from a peer meanwhile may be newer than the answer.
+// Configurations are compared by their versions.
+bool is_outdated(const store_watch& w, const store_answer& a)
+{
+    return can_be_relayed(w) && w.m_kind != stored_kind::configuration &&
+           a.m_revision < w.m_revision;
+}
+
 void run_action(site_task_state& t, store_watch& w, watch_action action);
 
 void fire(site_task_state& t, store_watch& w, watch_event event)
@@ -78,13 +87,12 @@
         return fire(t, w, watch_event::failed);
     }
     record_answer(t, w);
-    w.m_revision = std::max(w.m_revision, a.m_revision);
-    if (complete || !a.m_changes.empty())
+    if ((complete || !a.m_changes.empty()) && !is_outdated(w, a))
     {
-        if (w.m_kind != stored_kind::members)
-            t.m_content_revision = std::max(t.m_content_revision, a.m_revision);
+        w.m_changed_revision = a.m_revision;
         apply_objects(t, w.m_kind, a.m_changes, complete);
     }
+    w.m_revision = std::max(w.m_revision, a.m_revision);
     if (!complete && can_be_relayed(w) && is_relayed_by_leader(t, boot_now()))
     {
         log_event(event_id::watch_relayed,
@@ -177,12 +185,32 @@
                                });
 }
 
-std::uint64_t store_revision(const site_task_state& t)
+std::uint64_t known_revision(const site_task_state& t)
 {
-    std::uint64_t newest = t.m_adopted_revision;
+    std::uint64_t known = std::numeric_limits<std::uint64_t>::max();
     for (const store_watch& w : t.m_watches)
-        newest = std::max(newest, w.m_revision);
-    return newest;
+        if (can_be_relayed(w))
+            known = std::min(known, w.m_revision);
+    return known;
+}
+
+std::uint64_t changed_revision(const site_task_state& t)
+{
+    std::uint64_t changed = 0;
+    for (const store_watch& w : t.m_watches)
+        if (can_be_relayed(w))
+            changed = std::max(changed, w.m_changed_revision);
+    return changed;
+}
+
+store_watch& watch_of(site_task_state& t, stored_kind kind)
+{
+    return *std::ranges::find(t.m_watches, kind, &store_watch::m_kind);
+}
+
+const store_watch& watch_of(const site_task_state& t, stored_kind kind)
+{
+    return *std::ranges::find(t.m_watches, kind, &store_watch::m_kind);
 }
 
 }
--- a/Tests/peer/peer_codec_test.cpp
+++ b/Tests/peer/peer_codec_test.cpp
@@ -1,6 +1,7 @@
 #include <string>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <peer/peer_codec.hpp>
 
 using namespace bluebellspoke;
@@ -21,7 +22,7 @@
     GIVEN("a vote request")
     {
         peer_vote_request m{
-            "vm-1", "10.1.0.26:8462", 7, true, false, true, 90, 12, 88};
+            "vm-1", "10.1.0.26:8462", 7, true, false, true, 90, 12, 88, 86, 87};
         const peer_vote_request read = round_trip(m);
 
         THEN("the sender and its knowledge of the store are kept")
@@ -35,6 +36,40 @@
             CHECK(read.m_store_revision == 90);
             CHECK(read.m_config_version == 12);
             CHECK(read.m_content_revision == 88);
+            CHECK(read.m_endpoints_revision == 86);
+            CHECK(read.m_evacuations_revision == 87);
+        }
+    }
+    GIVEN("a vote request of a build that sends one revision for both lists")
+    {
+        const nlohmann::json fields{
+            "vm-1", "10.1.0.26:8462", 7, true, false, true, 90, 12, 88};
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({"vote_wanted", fields}),
+                                bytes);
+        const auto read =
+            std::get<peer_vote_request>(decode_peer_message(bytes));
+
+        THEN("it stands for each of them")
+        {
+            CHECK(read.m_config_version == 12);
+            CHECK(read.m_endpoints_revision == 88);
+            CHECK(read.m_evacuations_revision == 88);
+        }
+    }
+    GIVEN("the settings that a process knows")
+    {
+        peer_settings m;
+        m.m_version = 80;
+        m.m_objects = {{"config", 70, "{}"}};
+        m.m_known = {80, 81, 82};
+        const peer_settings read = round_trip(m);
+
+        THEN("each kind has a revision of its own")
+        {
+            CHECK(read.m_known.m_configuration == 80);
+            CHECK(read.m_known.m_endpoints == 81);
+            CHECK(read.m_known.m_evacuations == 82);
         }
     }
     GIVEN("a vote")
--- a/Tests/site/relayed_changes_test.cpp
+++ b/Tests/site/relayed_changes_test.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -31,23 +32,30 @@
         s.add_member("absent-" + std::to_string(i), {"127.0.0.1", 1});
 }
 
-// What a leader says that knows all that is in the store.
-leader_script current_script(site& s)
+// What a leader says that knows all that is in the store, up to a revision.
+leader_script script_at(site& s, std::uint64_t revision)
 {
     leader_script script;
     peer_vote_request& claim = script.m_claim;
     claim.m_store_is_available = true;
-    claim.m_store_revision = s.store_revision();
-    claim.m_content_revision = claim.m_store_revision;
+    claim.m_store_revision = revision;
+    claim.m_content_revision = revision;
+    claim.m_endpoints_revision = revision;
+    claim.m_evacuations_revision = revision;
     claim.m_config_version = s.config()["version"].get<std::uint64_t>();
     peer_settings& settings = script.m_settings;
-    settings.m_version = claim.m_store_revision;
-    settings.m_content_revision = claim.m_content_revision;
-    settings.m_objects = {
-        {"config", claim.m_store_revision, s.config().dump()}};
+    settings.m_version = revision;
+    settings.m_content_revision = revision;
+    settings.m_known = {revision, revision, revision};
+    settings.m_objects = {{"config", revision, s.config().dump()}};
     return script;
 }
 
+leader_script current_script(site& s)
+{
+    return script_at(s, s.store_revision());
+}
+
 void add_route(site& s, const std::string& database)
 {
     json change = s.config();
@@ -58,6 +66,12 @@
     s.configure({{"routes", change["routes"]}});
 }
 
+std::string stop_and_read_log(site& s)
+{
+    s.daemon(0).send_signal(SIGTERM);
+    return s.daemon(0).read_rest();
+}
+
 bool knows_route(const site& s, const std::string& database)
 {
     return line_caller(s.callers_of(0)).start(database, "ward-key") == "READY";
@@ -109,5 +123,65 @@
                     }));
             }
         }
+        WHEN("the leader relays a later change of other objects before it")
+        {
+            s.add_member("late", {"127.0.0.1", 1});
+            const std::uint64_t revision = s.store_revision();
+            leader_script without_route = script_at(s, revision);
+            without_route.m_claim.m_config_version = 0;
+            without_route.m_settings.m_objects.clear();
+            without_route.m_settings.m_known.m_configuration = 1;
+            leader.follow(without_route);
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return leader.fetches() > 0;
+                }));
+            leader.follow(script_at(s, revision));
+
+            THEN("the route is served once the leader has it")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return knows_route(s, "attic");
+                    }));
+            }
+        }
+    }
+
+    GIVEN("a zone that is evacuated, as the leader relays")
+    {
+        s.add_member("late", {"127.0.0.1", 1});
+        leader_script evacuated = current_script(s);
+        evacuated.m_settings.m_objects.push_back(
+            {"evacuation/zone-1", 0, "{}"});
+        leader.follow(evacuated);
+        REQUIRE(comes_true(
+            [&]
+            {
+                return leader.fetches() > 0;
+            }));
+
+        WHEN("a leader has newer endpoints and older evacuated zones")
+        {
+            s.add_member("later", {"127.0.0.1", 1});
+            leader_script half = current_script(s);
+            half.m_claim.m_evacuations_revision = 1;
+            half.m_settings.m_known.m_evacuations = 1;
+            leader.follow(half);
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return leader.fetches() > 0;
+                }));
+
+            THEN("the zone stays evacuated")
+            {
+                const std::string log = stop_and_read_log(s);
+                CHECK(log.find(R"("state":"evacuated")") != std::string::npos);
+                CHECK(log.find(R"("state":"in")") == std::string::npos);
+            }
+        }
     }
 }
--- a/Tests/support/scripted_leader.cpp
+++ b/Tests/support/scripted_leader.cpp
@@ -1,6 +1,7 @@
 #include <support/scripted_leader.hpp>
 
 #include <atomic>
+#include <future>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -17,10 +18,15 @@
 namespace
 {
 
+struct script_change
+{
+    leader_script m_script;
+    std::promise<void>* m_done;
+};
 struct leader_stop
 {
 };
-using leader_message = std::variant<leader_script, leader_stop>;
+using leader_message = std::variant<script_change, leader_stop>;
 
 constexpr std::size_t mailbox_size = 16;
 
@@ -59,8 +65,10 @@
     {
         if (std::holds_alternative<leader_stop>(message))
             return stop(m_loop);
-        m_script = std::move(std::get<leader_script>(message));
+        auto& change = std::get<script_change>(message);
+        m_script = std::move(change.m_script);
         m_fetches = 0;
+        change.m_done->set_value();
     }
 
     void send_claim()
@@ -122,7 +130,9 @@
 
 void scripted_leader::follow(const leader_script& script)
 {
-    m_state->m_box.post(leader_script(script));
+    std::promise<void> done;
+    m_state->m_box.post(script_change{script, &done});
+    done.get_future().wait();
 }
 
 std::size_t scripted_leader::fetches() const
