session: Let a fetch of settings wait for one peer only

One flag covered the fetches from all peers, so that a call to a peer that gives no answer held up, for its second, the fetch from every other one. Each peer has a flag of its own now.

--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -23,12 +23,12 @@
 
 void fetch_from(site_task_state& t, site_peer& p)
 {
-    if (std::exchange(t.m_settings_fetch_pending, true))
+    if (std::exchange(p.m_fetch_pending, true))
         return;
     call_peer(*p.m_client, peer_settings_request{t.m_config_object.m_revision},
               [&t, &p](std::optional<peer_message>& answer)
               {
-                  t.m_settings_fetch_pending = false;
+                  p.m_fetch_pending = false;
                   const auto* m =
                       answer ? std::get_if<peer_settings>(&*answer) : nullptr;
                   if (m == nullptr)
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -70,6 +70,7 @@
         m_last_contact_at{};      ///< Initially the time at which it was added.
     std::uint32_t m_refusals = 0; ///< Consecutive refused connections.
     bool m_request_pending = false;
+    bool m_fetch_pending = false; ///< Its settings have been requested.
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -143,7 +144,6 @@
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
     cell_membership m_cell;
     time_point m_started_at{};
-    bool m_settings_fetch_pending = false;
     std::uint64_t m_incarnation = 0;
     bool m_ending = false;
     bool m_weights_urgent = false;
