session: Let a cell leader notice sooner that the store is silent

A leader whose connection to the store goes silent reported it after 2.4 s and a margin of 0.8 s, so that a change could take 4.2 s to followers that nothing was wrong with; the target is 4 s. Leaders, one a zone, watch for 1.2 s at a time now: 3.0 s in all.

The sum is read in the code; no run shows it as the cause of a late change, and no test fails without it.

--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -29,6 +29,9 @@
 /// time; together with the list that follows, that stays within the 4 s in
 /// which a configuration must be in force.
 inline constexpr std::chrono::milliseconds watch_timeout{2400};
+/// The same for a cell leader, whose followers read the store themselves only
+/// once it has reported a failure and cell_election_timeout has passed.
+inline constexpr std::chrono::milliseconds leader_watch_timeout{1200};
 /// The same for the members of a fleet with zone cells. It may be longer: a
 /// live watch reports a change at once, and a member that is gone is noticed
 /// because it stops answering.
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -21,9 +21,11 @@
 
 duration watch_timeout_of(const site_task_state& t, const store_watch& w)
 {
-    return can_be_relayed(w) || !has_zone_cells(t)
-               ? duration(watch_timeout)
-               : duration(members_watch_timeout);
+    if (!has_zone_cells(t))
+        return watch_timeout;
+    if (!can_be_relayed(w))
+        return members_watch_timeout;
+    return leads_cell(t, boot_now()) ? leader_watch_timeout : watch_timeout;
 }
 
 // A list that was adopted from a peer meanwhile may be newer than the answer.
