--- a/Source/session/object_store.hpp
+++ b/Source/session/object_store.hpp
@@ -60,6 +60,7 @@
 {
     std::optional<store_failure> m_failure;
     std::vector<stored_change> m_changes;
+    std::size_t m_unreadable = 0; ///< Objects without a readable name.
     std::uint64_t m_revision = 0; ///< Of the store; the next watch's start.
 };
 
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -89,6 +89,11 @@
         return fire(t, w, watch_event::failed);
     }
     record_answer(t, w);
+    if (a.m_unreadable > 0)
+        log_event(event_id::store_entry_unreadable,
+                  {{"kind", std::string(to_string(w.m_kind))},
+                   {"objects", std::to_string(a.m_unreadable)},
+                   {"revision", std::to_string(a.m_revision)}});
     if ((complete || !a.m_changes.empty()) && !is_outdated(w, a))
     {
         w.m_changed_revision = a.m_revision;
