platform: Refuse numbers that would turn into others

In an endpoint's entry, a start time of -5, 1.5 or 2^64 was taken for another number without an error, and port 0 for a port. In an endpoint's status, a lag of inf or 1e300 was converted to an integer that can't hold it, which C++ leaves undefined. Such an entry names no endpoint now, and such a status is unreadable.

--- a/Tests/platform/line_codec_test.cpp
+++ b/Tests/platform/line_codec_test.cpp
@@ -85,6 +85,9 @@
         REQUIRE(s->m_paused_term == 4);
         REQUIRE_FALSE(codec.m_read_status("witness 3 3.1209 0 12 2 17"));
         REQUIRE_FALSE(codec.m_read_status(""));
+        for (const char* lag : {"inf", "nan", "1e300", "1e999"})
+            REQUIRE_FALSE(codec.m_read_status("replica 3 3.1209 4 " +
+                                              std::string(lag) + " 2 17"));
     }
     GIVEN("random lines")
     {
--- a/Tests/platform/store_value_codec_test.cpp
+++ b/Tests/platform/store_value_codec_test.cpp
@@ -89,6 +89,46 @@
     }
 }
 
+SCENARIO("An odd entry names no endpoint")
+{
+    const site_codec& codec = store_value_codec();
+    const auto entry = [](const std::string& address, const std::string& more)
+    {
+        return R"({"service":"huvo11a","zone":"seoul-a","state":"ready",)"
+               R"("address":")" +
+               address + "\"" + more + "}";
+    };
+    const std::string good_address = "10.128.0.9:8080";
+    REQUIRE(codec.m_read_endpoint("i-1", entry(good_address, "")));
+
+    GIVEN("a port out of range")
+    {
+        for (const char* port : {"0", "-1", "65536", "8080000000000000000000"})
+            CHECK_FALSE(codec.m_read_endpoint(
+                "i-1", entry("10.128.0.9:" + std::string(port), "")));
+    }
+    GIVEN("a number that isn't what it should be")
+    {
+        for (const char* born :
+             {"-5", "1e999", "1.5", "18446744073709551616", "\"1700\"", "[]"})
+            CHECK_FALSE(codec.m_read_endpoint(
+                "i-1", entry(good_address, R"(,"born":)" + std::string(born))));
+    }
+    GIVEN("a field that is too large")
+    {
+        CHECK_FALSE(codec.m_read_endpoint(
+            "i-1", entry(good_address,
+                         R"(,"x":")" + std::string(70'000, 'x') + "\"")));
+    }
+    GIVEN("a field that is nested as deeply as its size allows")
+    {
+        constexpr std::size_t depth = 30'000;
+        CHECK(codec.m_read_endpoint(
+            "i-1", entry(good_address, R"(,"x":)" + std::string(depth, '[') +
+                                           std::string(depth, ']'))));
+    }
+}
+
 SCENARIO("Duty and member records survive a round trip")
 {
     const site_codec& codec = store_value_codec();
