wire: Close connections whose client vanished

A client that gives up a connection which has gone silent can't tell the server, whose end stays open: each loss of a path left as many descriptors behind as there were peers. The kernel probes connections after 15 s without traffic and closes them after 30 s. Tests/wire passes; loopback loses no packets, so that no test shows the closing.

--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -420,6 +420,8 @@
         return;
     }
     set_no_delay(descriptor);
+    // A client that gave up a silent connection can't tell this end.
+    set_keep_alive(descriptor);
     const std::size_t slot = take_slot(s);
     auto made = std::make_unique<connection>();
     connection& c = *made;
--- a/Source/wire/http2_transport.cpp
+++ b/Source/wire/http2_transport.cpp
@@ -235,6 +235,19 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void set_keep_alive(int descriptor) noexcept
+{
+    const int on = 1;
+    const int idle_s = 15;
+    const int interval_s = 5;
+    const int probes = 3;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+               sizeof(interval_s));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 std::vector<nghttp2_nv> to_fields(const header_list& pseudo,
                                   const header_list& headers)
 {
--- a/Source/wire/http2_transport.hpp
+++ b/Source/wire/http2_transport.hpp
@@ -90,6 +90,9 @@
 bool pump(http2_transport& t);
 /// Switches off Nagle's algorithm: answers are small and wanted now.
 void set_no_delay(int descriptor) noexcept;
+/// Closes the connection when its other end is gone without a reset: after 30 s
+/// in which nothing arrives, probes included.
+void set_keep_alive(int descriptor) noexcept;
 
 /// Views of header fields for nghttp2; they live as long as the arguments.
 std::vector<nghttp2_nv> to_fields(const header_list& pseudo,
