--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -75,8 +75,8 @@
     /// Revision up to which the sender knows all that it would relay.
     std::uint64_t m_store_revision = 0;
     std::uint64_t m_config_version = 0;
-    /// Revision of the newest change that the sender would relay. Only read by
-    /// processes that don't know the two that follow.
+    /// Revision of the newest change that the sender would relay. Earlier
+    /// builds have no other; this one reads the two that follow.
     std::uint64_t m_content_revision = 0;
     std::uint64_t m_endpoints_revision = 0;   ///< Newest change of the list.
     std::uint64_t m_evacuations_revision = 0; ///< Newest change of the list.
@@ -223,8 +223,10 @@
     std::uint64_t m_version = 0; ///< Version of the settings as a whole.
     std::vector<peer_object> m_objects;
     std::vector<peer_vm> m_vms;
-    std::vector<std::string> m_secrets;   ///< For session tokens.
-    std::uint64_t m_content_revision = 0; ///< Revision of the newest change.
+    std::vector<std::string> m_secrets; ///< For session tokens.
+    /// Revision of the newest change. Earlier builds have no other; this one
+    /// reads m_known.
+    std::uint64_t m_content_revision = 0;
     peer_known_revisions m_known;
 };
 
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -83,12 +83,6 @@
 
 }
 
-std::string milliseconds_of(duration d)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
 std::string describe_group(const session_task_state& t, const work& w,
                            time_point now)
 {
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -12,6 +12,7 @@
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
 #include <report/task_usage.hpp>
+#include <session/milliseconds_of.hpp>
 #include <session/session_messages.hpp>
 #include <session/session_types.hpp>
 
@@ -178,8 +179,6 @@
 void check_deadlines(session_task_state& t, time_point now);
 
 // session_log.cpp
-/// Formats a duration in whole milliseconds for log lines.
-std::string milliseconds_of(duration d);
 /// Describes the known state of the group that the work waits for.
 std::string describe_group(const session_task_state& t, const work& w,
                            time_point now);
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <report/event.hpp>
+#include <session/milliseconds_of.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -17,12 +18,6 @@
 constexpr std::string_view endpoint_prefix = "endpoint/";
 constexpr std::string_view evacuation_prefix = "evacuation/";
 
-std::string to_milliseconds_text(duration d)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
 void apply_config(site_task_state& t, const stored_object& o)
 {
     const site_config_ptr config = t.m_codec.m_read_config(o.m_value);
@@ -45,7 +40,7 @@
     log_event(event_id::settings_in_force,
               {{"version", std::to_string(config->m_version)},
                {"revision", std::to_string(o.m_revision)},
-               {"behind_ms", to_milliseconds_text(time_behind(t))},
+               {"behind_ms", milliseconds_of(time_behind(t))},
                {"routes", std::to_string(config->m_routes.size())}});
     t.m_boxes.m_session.post(config_changed{config});
     t.m_boxes.m_failover.post(config_changed{config});
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -166,6 +166,7 @@
 std::uint64_t known_revision(const site_task_state& t);
 /// Returns the revision of the newest change that this process would relay.
 std::uint64_t changed_revision(const site_task_state& t);
+/// Returns the watch of a kind that this process watches.
 store_watch& watch_of(site_task_state& t, stored_kind kind);
 const store_watch& watch_of(const site_task_state& t, stored_kind kind);
 
--- a/Source/wire/http2_client.hpp
+++ b/Source/wire/http2_client.hpp
@@ -29,7 +29,9 @@
 using http2_done = sigc::slot<void(http2_result&)>;
 
 /// A client of one server: one connection, many requests at once. It connects
-/// when there is something to send, and again after a loss.
+/// when there is something to send, and again after a loss. A connection on
+/// which nothing arrives while a request times out is lost too, unless it
+/// answers a PING.
 class http2_client
 {
 public:
