tests: Let a relay's connections be silent once the call returns

The relay's thread silenced them some time after; a request sent meanwhile could still be answered, and the section on the silent connection then failed or tested nothing. Seen by reading, not in a run.

--- a/Tests/support/relay.cpp
+++ b/Tests/support/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <deque>
+#include <future>
 #include <list>
 #include <mutex>
 #include <string>
@@ -35,6 +36,7 @@
 };
 struct silence_wanted
 {
+    std::promise<void>* m_done;
 };
 struct relay_stop
 {
@@ -217,10 +219,11 @@
         s.m_connections.clear();
         return;
     }
-    if (std::holds_alternative<silence_wanted>(message))
+    if (const auto* silence = std::get_if<silence_wanted>(&message))
     {
         for (const auto& c : s.m_connections)
             c->m_silent = true;
+        silence->m_done->set_value();
         return;
     }
     const auto& wanted = std::get<cut_wanted>(message);
@@ -297,7 +300,9 @@
 
 void relay::silence_connections()
 {
-    m_state->m_box.post(silence_wanted());
+    std::promise<void> done;
+    m_state->m_box.post(silence_wanted{&done});
+    done.get_future().wait();
 }
 
 }
