session: Let a promotion order expire

Cause: a process that takes the failover duty kept the successor it found in the duty's record for as long as no new primary was seen, stored it again with each renewal, and preferred it in the next takeover without comparing the logs.

An order now has a lifetime, promotion_order_lifetime: its time in transit and the time a promotion may take. While it may take effect, the members stay fenced, and only that endpoint can be ordered, and only if no fenced log is more advanced; an order that has expired counts for nothing. A takeover that began for want of an answer yields to the primary when the order has expired, instead of giving up at once and letting the order pass the resumed replicas.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -18,6 +18,8 @@
         return "leaving";
     case takeover_reason::missing:
         return "missing";
+    case takeover_reason::order_pending:
+        return "order_pending";
     case takeover_reason::none:
         break;
     }
@@ -64,9 +66,39 @@
     return wanted;
 }
 
+namespace
+{
+
+// Returns `ordered` if it is one of the fenced members and no eligible one has
+// a more advanced log.
+std::optional<std::string>
+choose_ordered(std::span<const takeover_member* const> fenced,
+               std::span<const takeover_member* const> eligible,
+               std::string_view ordered)
+{
+    const auto found = std::ranges::find(fenced, ordered,
+                                         [](const takeover_member* m)
+                                         {
+                                             return std::string_view(m->m_id);
+                                         });
+    if (found == fenced.end())
+        return std::nullopt;
+    const bool is_behind = std::ranges::any_of(
+        eligible,
+        [&](const takeover_member* m)
+        {
+            return m->m_status.m_position > (*found)->m_status.m_position;
+        });
+    if (is_behind)
+        return std::nullopt;
+    return (*found)->m_id;
+}
+
+}
+
 std::optional<std::string>
 choose_successor(std::span<const takeover_member> members, term_number term,
-                 std::uint32_t sync_replicas)
+                 std::uint32_t sync_replicas, std::string_view ordered)
 {
     const std::size_t needed = fence_quorum(members.size(), sync_replicas);
     std::vector<const takeover_member*> fenced;
@@ -84,6 +116,8 @@
                              return !m->m_leaving;
                          });
     const auto& eligible = staying.size() >= needed ? staying : fenced;
+    if (!ordered.empty())
+        return choose_ordered(fenced, eligible, ordered);
     const auto best = std::ranges::max_element(
         eligible,
         [](const takeover_member* a, const takeover_member* b)
@@ -94,4 +128,11 @@
     return (*best)->m_id;
 }
 
+std::string_view pending_endpoint(const ordered_promotion& o,
+                                  time_point now) noexcept
+{
+    return now < o.m_expires_at ? std::string_view(o.m_endpoint)
+                                : std::string_view();
+}
+
 }
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include <decide/duty_lease.hpp>
 #include <model/clock.hpp>
 #include <model/endpoint_status.hpp>
 
@@ -20,6 +21,12 @@
 /// How long commits may stay unfinished while the primary responds before it is
 /// assumed to be cut off from its replicas.
 inline constexpr std::chrono::milliseconds commit_stall_timeout{1500};
+/// How long a promoted endpoint may take to become the primary before it is
+/// ordered again.
+inline constexpr std::chrono::milliseconds promotion_timeout{2000};
+/// How long after an order was sent its promotion may still take effect.
+inline constexpr std::chrono::milliseconds promotion_order_lifetime =
+    max_order_delay + promotion_timeout;
 
 /// A member of a group as seen by the process that runs the takeover.
 struct takeover_member
@@ -35,10 +42,12 @@
 enum class takeover_reason : std::uint8_t
 {
     none,
-    silent,  ///< It doesn't respond to this process.
-    starved, ///< It responds, but its commits don't finish.
-    leaving, ///< It drains, or its zone is evacuated.
-    missing, ///< No endpoint leads.
+    silent,        ///< It doesn't respond to this process.
+    starved,       ///< It responds, but its commits don't finish.
+    leaving,       ///< It drains, or its zone is evacuated.
+    missing,       ///< No endpoint leads.
+    order_pending, ///< A promotion that an earlier duty holder ordered may
+                   ///< still take effect.
 };
 
 std::string_view to_string(takeover_reason reason) noexcept;
@@ -78,9 +87,26 @@
 /// Returns the id of the member to promote, or nullopt when too few members are
 /// fenced for `term`. Chooses the most advanced log, and prefers members that
 /// stay over members that leave.
+///
+/// While the promotion of `ordered` may still take effect, only that endpoint
+/// is chosen, and only if it's fenced and no eligible member's log is more
+/// advanced: an order for another one could be followed by the earlier
+/// promotion. Empty: no promotion is under way.
 std::optional<std::string>
 choose_successor(std::span<const takeover_member> members, term_number term,
-                 std::uint32_t sync_replicas);
+                 std::uint32_t sync_replicas, std::string_view ordered = {});
+
+/// A promotion that was ordered and may still take effect.
+struct ordered_promotion
+{
+    std::string m_endpoint; ///< Empty: none.
+    time_point m_expires_at{};
+};
+
+/// Returns the endpoint whose promotion may take effect after `now`, or an
+/// empty string.
+std::string_view pending_endpoint(const ordered_promotion& o,
+                                  time_point now) noexcept;
 
 }
 
--- a/Source/session/failover_duty.cpp
+++ b/Source/session/failover_duty.cpp
@@ -53,14 +53,11 @@
         failover_group& g = t.m_groups[service];
         g.m_size = std::max(g.m_size, size);
     }
-    // Promotions that the previous holder ordered may still be pending.
+    // The previous holder sends no order after this process has the duty.
+    const time_point expires_at = boot_now() + promotion_order_lifetime;
     for (const auto& [service, ordered] :
          t.m_duty->m_record.m_pending_promotions)
-    {
-        failover_group& g = t.m_groups[service];
-        g.m_successor = ordered.m_endpoint;
-        g.m_promotion_may_be_pending = true;
-    }
+        t.m_groups[service].m_ordered = {ordered.m_endpoint, expires_at};
 }
 
 void observe_record(failover_task_state& t, const stored_object& o)
@@ -87,8 +84,12 @@
     record.m_pending_promotions.clear();
     for (const auto& [service, g] : t.m_groups)
     {
-        if (!g.m_successor.empty())
-            record.m_pending_promotions[service] = {g.m_successor, g.m_term};
+        const std::string_view ordered =
+            g.m_successor.empty() ? pending_endpoint(g.m_ordered, boot_now())
+                                  : std::string_view(g.m_successor);
+        if (!ordered.empty())
+            record.m_pending_promotions[service] = {std::string(ordered),
+                                                    g.m_term};
         record.m_group_sizes[service] = g.m_size;
     }
     return record;
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -32,31 +32,36 @@
     return members;
 }
 
-// Returns true if the takeover began because the primary didn't answer. An
-// answer of the primary then ends it.
-bool caused_by_unresponsive_primary(const failover_group& g)
+// Returns true if the takeover is needless as soon as the primary answers.
+bool yields_to_primary(const failover_group& g)
 {
     return g.m_reason == takeover_reason::silent ||
-           g.m_reason == takeover_reason::missing;
+           g.m_reason == takeover_reason::missing ||
+           g.m_reason == takeover_reason::order_pending;
 }
 
-// Returns the primary whose silence began the takeover, if it answers this
-// task.
-const takeover_participant* find_live_primary(const failover_group& g)
+const takeover_participant* find_primary(const failover_group& g,
+                                         term_number lowest_term)
 {
-    if (!caused_by_unresponsive_primary(g))
-        return nullptr;
     const auto found = std::ranges::find_if(
         g.m_members,
         [&](const takeover_participant& m)
         {
             return m.m_member.m_reachable &&
                    m.m_member.m_status.m_role == endpoint_role::primary &&
-                   m.m_member.m_status.m_term >= g.m_report.m_term;
+                   m.m_member.m_status.m_term >= lowest_term;
         });
     return found == g.m_members.end() ? nullptr : &*found;
 }
 
+// Returns the primary that an order which is still pending has promoted.
+const takeover_participant* find_ordered_primary(const failover_group& g,
+                                                 std::string_view ordered)
+{
+    const takeover_participant* const lead = find_primary(g, g.m_old_term);
+    return lead != nullptr && lead->m_endpoint.m_id == ordered ? lead : nullptr;
+}
+
 std::string describe_member(const takeover_participant& m)
 {
     const endpoint_status& s = m.m_member.m_status;
@@ -142,6 +147,19 @@
         });
 }
 
+namespace
+{
+
+// A primary that a takeover yields to isn't told to step down.
+group_order fencing_order(const failover_group& g, endpoint_role role)
+{
+    if (role == endpoint_role::replica)
+        return group_order::pause;
+    return yields_to_primary(g) ? group_order::status : group_order::step_down;
+}
+
+}
+
 void fence_members(failover_task_state& t, const std::string& service,
                    failover_group& g)
 {
@@ -152,9 +170,7 @@
         const takeover_member& seen = m.m_member;
         group_order order = group_order::status;
         if (seen.m_reachable && !is_fenced(seen, g.m_term))
-            order = seen.m_status.m_role == endpoint_role::primary
-                        ? group_order::step_down
-                        : group_order::pause;
+            order = fencing_order(g, seen.m_status.m_role);
         send_group_order(t, service, g, m, order);
     }
 }
@@ -190,25 +206,22 @@
 
 bool has_new_primary(const failover_group& g)
 {
-    return std::ranges::any_of(
-        g.m_members,
-        [&](const takeover_participant& m)
-        {
-            return m.m_member.m_reachable &&
-                   m.m_member.m_status.m_role == endpoint_role::primary &&
-                   m.m_member.m_status.m_term > g.m_old_term;
-        });
+    return find_primary(g, g.m_old_term + 1) != nullptr;
 }
 
 void advance_fencing(failover_task_state& t, const std::string& service,
                      failover_group& g, time_point now)
 {
+    const std::string_view ordered = pending_endpoint(g.m_ordered, now);
+    const bool may_yield = yields_to_primary(g) && ordered.empty();
     // The session task has had contact with the primary meanwhile.
     const primary_evidence& e = g.m_report.m_evidence;
-    if (caused_by_unresponsive_primary(g) && e.m_known &&
-        e.m_last_contact_at > g.m_began_at)
+    if (may_yield && e.m_known && e.m_last_contact_at > g.m_began_at)
         return fire(t, service, g, takeover_event::given_up);
-    if (const takeover_participant* const lead = find_live_primary(g))
+    const takeover_participant* const live = find_primary(g, g.m_report.m_term);
+    const takeover_participant* const lead =
+        may_yield ? live : find_ordered_primary(g, ordered);
+    if (lead != nullptr)
     {
         t.m_boxes.m_session.post(
             primary_promoted{service, lead->m_endpoint.m_id,
@@ -217,7 +230,7 @@
     }
     const std::vector<takeover_member> members = decision_members(g);
     const auto successor =
-        choose_successor(members, g.m_term, sync_replicas(t, service));
+        choose_successor(members, g.m_term, sync_replicas(t, service), ordered);
     // A member that hasn't answered yet may have the longer log.
     const bool waits =
         now - g.m_began_at < group_order_timeout &&
@@ -226,18 +239,17 @@
                             {
                                 return m.m_fenced_at == time_point{};
                             });
-    if (successor && !waits)
+    // The members stay fenced until the order has taken effect or expired. Then
+    // the takeover yields.
+    const bool will_yield =
+        yields_to_primary(g) && live != nullptr && !ordered.empty();
+    if (successor && !waits && !will_yield)
     {
-        // A promotion that may be pending is completed first.
-        const takeover_participant* const pending =
-            g.m_promotion_may_be_pending ? find_member(g, g.m_successor)
-                                         : nullptr;
-        if (pending == nullptr || !is_fenced(pending->m_member, g.m_term))
-            g.m_successor = *successor;
+        g.m_successor = *successor;
         log_fenced(service, g);
         return fire(t, service, g, takeover_event::fenced);
     }
-    if (now - g.m_began_at >= fencing_timeout && !g.m_promotion_may_be_pending)
+    if (now - g.m_began_at >= fencing_timeout && ordered.empty())
         return fire(t, service, g, takeover_event::given_up);
     if (now >= g.m_next_action_at)
     {
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -35,7 +35,7 @@
     g.m_next_action_at = now + order_retry_interval;
     if (!holds_duty(t, now))
         return;
-    g.m_promotion_may_be_pending = true;
+    g.m_ordered = {g.m_successor, now + promotion_order_lifetime};
     const std::uint64_t token = t.m_duty->m_record.m_token;
     log_event(event_id::promotion_ordered, {{"service", service},
                                             {"endpoint", g.m_successor},
@@ -53,7 +53,7 @@
                 return fire(t, service, group, takeover_event::ordered);
             if (outcome == promotion_order_result::not_running)
             {
-                group.m_promotion_may_be_pending = false;
+                group.m_ordered = {};
                 return fire(t, service, group,
                             takeover_event::successor_not_running);
             }
@@ -113,17 +113,17 @@
 
 void end_takeover(failover_task_state& t, failover_group& g)
 {
-    g.m_next_action_at = boot_now() + takeover_retry_delay;
-    if (!g.m_promotion_may_be_pending || has_new_primary(g))
-    {
-        g.m_promotion_may_be_pending = false;
-        g.m_successor.clear();
-        if (holds_duty(t, boot_now()))
-            record_orders(t);
-    }
+    const time_point now = boot_now();
+    g.m_next_action_at = now + takeover_retry_delay;
+    const bool was_recorded = !g.m_successor.empty();
+    g.m_successor.clear();
+    if (has_new_primary(g))
+        g.m_ordered = {};
+    if (was_recorded && holds_duty(t, now))
+        record_orders(t);
     // The session task may not have reported the result yet. Counting this as a
     // contact keeps the old report from starting another takeover at once.
-    g.m_report.m_evidence.m_last_contact_at = boot_now();
+    g.m_report.m_evidence.m_last_contact_at = now;
 }
 
 void run_action(failover_task_state& t, const std::string& service,
@@ -174,9 +174,11 @@
                   is_leaving(*t.m_endpoints, primary->second) &&
                   can_hand_over(t, service);
     takeover_reason reason = evaluate_primary(e, now);
-    if (g.m_promotion_may_be_pending && reason == takeover_reason::none &&
-        !e.m_known)
-        reason = takeover_reason::missing;
+    const std::string_view ordered = pending_endpoint(g.m_ordered, now);
+    if (!ordered.empty() && ordered == g.m_report.m_primary)
+        g.m_ordered = {};
+    else if (!ordered.empty())
+        reason = takeover_reason::order_pending;
     if (reason != takeover_reason::none)
         begin_takeover(t, service, g, reason);
 }
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -33,9 +33,6 @@
 inline constexpr std::chrono::seconds fencing_timeout{3};
 /// The delay before the next attempt after a takeover that was given up.
 inline constexpr std::chrono::milliseconds takeover_retry_delay{500};
-/// How long a promoted endpoint may take to become the primary before it is
-/// ordered again.
-inline constexpr std::chrono::milliseconds promotion_timeout{2000};
 /// How long the log of an endpoint that is gone counts towards the size of its
 /// group, after a drain or without one. Until then that log may be the only one
 /// besides the primary's that holds a commit.
@@ -76,9 +73,8 @@
     term_number m_term = 0;        ///< The term that members are fenced for.
     term_number m_old_term = 0;    ///< The term to be ended.
     std::string m_old_primary;
-    std::string m_successor;
-    bool m_promotion_may_be_pending =
-        false; ///< By this or the last duty holder.
+    std::string m_successor;     ///< Chosen by the current takeover.
+    ordered_promotion m_ordered; ///< By this or the last duty holder.
     std::vector<takeover_participant> m_members;
     std::unique_ptr<order_connection> m_step_down;
     time_point m_step_down_until{};
--- a/Tests/decide/takeover_test.cpp
+++ b/Tests/decide/takeover_test.cpp
@@ -159,6 +159,68 @@
     }
 }
 
+// Guards against the promotion of a successor that was chosen long ago: its
+// order may only be repeated while an earlier one may still take effect.
+SCENARIO("A promotion is under way when the successor is chosen")
+{
+    constexpr term_number next = 4;
+    constexpr time_point now{std::chrono::hours(1)};
+
+    GIVEN("members of which one was ordered to lead")
+    {
+        std::vector<takeover_member> members{
+            {}, replica("b", 10, next), replica("c", 10, next)};
+
+        THEN("it is chosen before one with the same log")
+        {
+            REQUIRE(choose_successor(members, next, 1, "b") == "b");
+            REQUIRE(choose_successor(members, next, 1, "c") == "c");
+        }
+        WHEN("another member's log is more advanced")
+        {
+            members[2].m_status.m_position.m_offset = 11;
+
+            THEN("no order is sent until the earlier one has expired")
+            {
+                REQUIRE_FALSE(choose_successor(members, next, 1, "b"));
+                REQUIRE(choose_successor(members, next, 1) == "c");
+            }
+        }
+        WHEN("it isn't fenced")
+        {
+            members[1].m_status.m_paused_term = 0;
+            members[0] = stepped_down("a", 10);
+            REQUIRE_FALSE(choose_successor(members, next, 1, "b"));
+        }
+        WHEN("the more advanced log is that of a member that leaves")
+        {
+            members[0] = stepped_down("a", 12);
+            members[0].m_leaving = true;
+
+            THEN("the two that stay hold every acknowledged commit")
+            {
+                REQUIRE(choose_successor(members, next, 1, "b") == "b");
+            }
+        }
+    }
+    GIVEN("an order that was sent a while ago")
+    {
+        const ordered_promotion o{"b", now};
+
+        THEN("it counts until it has expired")
+        {
+            REQUIRE(pending_endpoint(o, now - milliseconds(1)) == "b");
+            REQUIRE(pending_endpoint(o, now).empty());
+            REQUIRE(pending_endpoint({}, now).empty());
+        }
+        THEN("its lifetime covers its time in transit and its effect")
+        {
+            REQUIRE(promotion_order_lifetime >=
+                    max_order_delay + promotion_timeout);
+        }
+    }
+}
+
 SCENARIO("No takeover loses an acknowledged commit")
 {
     // Guards against a successor that lacks an acknowledged commit. In random
--- /dev/null
+++ b/Tests/site/takeover_test.cpp
@@ -0,0 +1,105 @@
+#include <csignal>
+#include <string>
+
+#include <catch2/catch.hpp>
+#include <support/site.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+
+namespace
+{
+
+// Repeats a statement, each time in a new session, until it is answered.
+bool eventually_answers(const site& s, std::size_t daemon,
+                        const std::string& statement, const std::string& answer)
+{
+    return comes_true(
+        [&]
+        {
+            line_caller c(s.callers_of(daemon));
+            return c.start("ledger", "ward-key") == "READY" &&
+                   c.ask(statement) == answer;
+        });
+}
+
+bool eventually_writes(const site& s, const std::string& data,
+                       std::size_t daemon = 0)
+{
+    return eventually_answers(s, daemon, "WRITE bear " + data,
+                              "COMPLETE | READY I");
+}
+
+bool eventually_reads(const site& s, const std::string& data,
+                      std::size_t daemon = 0)
+{
+    return eventually_answers(s, daemon, "READ bear",
+                              "ROW " + data + " | COMPLETE | READY I");
+}
+
+// Waits until the daemon has stored whom it is going to promote.
+std::string await_decision(const site& s)
+{
+    std::string successor;
+    REQUIRE(comes_true(
+        [&]
+        {
+            successor = s.decided_successor();
+            return !successor.empty();
+        }));
+    return successor;
+}
+
+// Sets a time limit of statements that is shorter than commit_stall_timeout, so
+// that stalled commits alone don't start a takeover.
+void shorten_statements(site& s)
+{
+    nlohmann::json routes = s.config()["routes"];
+    for (nlohmann::json& route : routes)
+        route["timeout-ms"] = 800;
+    s.configure({{"routes", routes}});
+}
+
+bool holds_duty(const site& s, std::size_t daemon)
+{
+    return call_http(s.metrics_of(daemon), "GET", "/metrics")
+               .m_body.find("\nbluebellspoke_duty_held 1\n") !=
+           std::string::npos;
+}
+
+}
+
+// Guards against a promotion decided on by an ended process that is carried out
+// by its successor long after, when another replica has the longer log.
+SCENARIO("A takeover is abandoned after its successor was stored")
+{
+    site s(1);
+    shorten_statements(s);
+    REQUIRE(eventually_writes(s, "brown"));
+    s.set_dark("i-1", true);
+    const std::string successor = await_decision(s);
+    s.daemon(0).send_signal(SIGKILL);
+    s.daemon(0).wait();
+    s.start_daemon(0);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return holds_duty(s, 0);
+        }));
+    s.set_dark("i-1", false);
+    REQUIRE(eventually_writes(s, "white"));
+
+    WHEN("a replica misses commits, and the primary is lost")
+    {
+        const std::string primary = s.primary();
+        const std::string behind = successor == primary ? "i-1" : successor;
+        s.set_deaf(behind, true);
+        REQUIRE(eventually_writes(s, "black"));
+        s.set_endpoint(primary, false);
+
+        THEN("the one that has them is promoted")
+        {
+            CHECK(eventually_reads(s, "black"));
+        }
+    }
+}
--- a/Tests/standin/site_group.cpp
+++ b/Tests/standin/site_group.cpp
@@ -46,7 +46,8 @@
 
 bool receives(const line_endpoint& e, const line_endpoint& from)
 {
-    return e.m_up && !e.m_primary && e.m_held == 0 && e.m_term == from.m_term;
+    return e.m_up && !e.m_deaf && !e.m_primary && e.m_held == 0 &&
+           e.m_term == from.m_term;
 }
 
 // A commit needs one replica.
@@ -191,7 +192,10 @@
     }
     if (verb == "PAUSE")
     {
-        in >> e.m_held;
+        std::uint64_t term = 0;
+        in >> term;
+        if (term > e.m_term && !e.m_primary)
+            e.m_held = term;
         return say_status(s);
     }
     if (verb == "RESUME")
@@ -278,7 +282,7 @@
 
 void read_lines(line_session& s)
 {
-    while (!s.m_over)
+    while (!s.m_over && !s.m_endpoint->m_dark)
     {
         const auto line = s.m_stream->next_line();
         if (!line)
@@ -371,6 +375,24 @@
     e.m_sessions.clear();
 }
 
+void set_dark(line_endpoint& e, bool dark)
+{
+    e.m_dark = dark;
+    for (const auto& s : e.m_sessions)
+        read_lines(*s);
+}
+
+bool write_directly(site_group& g, const std::string& item,
+                    const std::string& data)
+{
+    const auto lead = std::ranges::find_if(g.m_endpoints,
+                                           [](const auto& e)
+                                           {
+                                               return e->m_up && e->m_primary;
+                                           });
+    return lead != g.m_endpoints.end() && commit(**lead, {{0, item, data}});
+}
+
 line_endpoint* find_endpoint(site_group& g, std::string_view id)
 {
     const auto found = std::ranges::find_if(g.m_endpoints,
--- a/Tests/standin/site_group.hpp
+++ b/Tests/standin/site_group.hpp
@@ -48,6 +48,8 @@
     bool m_up = true;
     bool m_mute = false; ///< Answers questions for its status only.
     bool m_full = false; ///< Has no room for statements of transactions.
+    bool m_dark = false; ///< Answers nothing; what arrives is kept for later.
+    bool m_deaf = false; ///< Receives no commits.
     bool m_primary = false;
     std::size_t m_limit = 0; ///< Most connections; 0: any number.
     std::uint64_t m_term = 1;
@@ -70,6 +72,12 @@
 /// Closes every connection and its listener, or listens again as a replica
 /// with its log.
 void set_up(line_endpoint& e, bool up);
+/// Ends or begins a time in which it answers nothing.
+void set_dark(line_endpoint& e, bool dark);
+/// Commits a write as a caller of another process would. False when there is no
+/// primary, or nobody receives the write.
+bool write_directly(site_group& g, const std::string& item,
+                    const std::string& data);
 line_endpoint* find_endpoint(site_group& g, std::string_view id);
 /// The endpoint leads the next term. False when it isn't running.
 bool promote(site_group& g, std::string_view id);
--- a/Tests/standin/site_standin.cpp
+++ b/Tests/standin/site_standin.cpp
@@ -48,6 +48,11 @@
         s.m_down = body.at("down").get<bool>();
         return ok;
     }
+    if (path == "/standin/write")
+        return standin::write_directly(g, body.at("item").get<std::string>(),
+                                       body.at("data").get<std::string>())
+                   ? ok
+                   : conflict;
     if (path != "/standin/endpoint")
         return missing;
     standin::line_endpoint* const e =
@@ -58,6 +63,10 @@
         e->m_mute = body["mute"].get<bool>();
     if (body.contains("full"))
         e->m_full = body["full"].get<bool>();
+    if (body.contains("dark"))
+        standin::set_dark(*e, body["dark"].get<bool>());
+    if (body.contains("deaf"))
+        e->m_deaf = body["deaf"].get<bool>();
     if (body.contains("limit"))
         e->m_limit = body["limit"].get<std::size_t>();
     if (body.contains("up"))
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -62,6 +63,26 @@
     }
 }
 
+// Sends an order to an endpoint. Returns its status afterwards, or nothing if
+// it can't be reached.
+std::optional<std::string> send_order(const address& endpoint,
+                                      const std::string& order)
+{
+    try
+    {
+        line_caller c(endpoint);
+        c.send(std::string("STARTUP ") + service + " ward");
+        if (!c.line())
+            return std::nullopt;
+        c.send("QUERY - " + order);
+        return c.line();
+    }
+    catch (const std::runtime_error&)
+    {
+        return std::nullopt;
+    }
+}
+
 std::string workspace_name(std::size_t number)
 {
     constexpr std::array first{"ward", "depot"};
@@ -343,6 +364,87 @@
               json{{"id", id}, {"full", full}}.dump());
 }
 
+void site::set_dark(const std::string& id, bool dark) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"dark", dark}}.dump());
+}
+
+void site::set_deaf(const std::string& id, bool deaf) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"deaf", deaf}}.dump());
+}
+
+bool site::write_directly(const std::string& item,
+                          const std::string& data) const
+{
+    constexpr int ok = 200;
+    return call_http(m_platform, "POST", "/standin/write",
+                     json{{"item", item}, {"data", data}}.dump())
+               .m_status == ok;
+}
+
+address site::address_of(const std::string& id) const
+{
+    const json servers = json::parse(
+        call_http(m_platform, "GET", "/api/objects/servers").m_body);
+    for (const json& e : servers.at("items"))
+        if (e.at("meta").at("name") == id)
+            return parse_address(e.at("spec").at("address").get<std::string>());
+    throw std::runtime_error("no endpoint " + id);
+}
+
+void site::pause(const std::string& id) const
+{
+    constexpr const char* above_all_terms = "99";
+    send_order(address_of(id), std::string("PAUSE ") + above_all_terms);
+}
+
+bool site::is_paused(const std::string& id) const
+{
+    std::istringstream status(
+        send_order(address_of(id), "STATUS").value_or(std::string()));
+    std::string word;
+    std::string role;
+    std::string term;
+    std::string position;
+    std::string paused_term;
+    status >> word >> role >> term >> position >> paused_term;
+    return role == "replica" && paused_term != "0";
+}
+
+std::string site::primary() const
+{
+    std::string found;
+    std::string newest;
+    for (const char* id : {"i-1", "i-2", "i-3"})
+    {
+        const std::string status =
+            send_order(address_of(id), "STATUS").value_or(std::string());
+        if (status.starts_with("ROW primary ") && status > newest)
+        {
+            newest = status;
+            found = id;
+        }
+    }
+    return found;
+}
+
+std::string site::decided_successor() const
+{
+    const json duties = json::parse(
+        call_http(m_platform, "GET", "/api/objects/bluebellspoke-duties")
+            .m_body);
+    for (const json& duty : duties.at("items"))
+    {
+        const json ordered = duty.at("spec").value("ordered", json::object());
+        if (ordered.contains(service))
+            return ordered.at(service).at("endpoint").get<std::string>();
+    }
+    return {};
+}
+
 void site::limit_connections(std::size_t most)
 {
     for (const char* id : {"i-1", "i-2", "i-3"})
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -91,6 +91,22 @@
     void set_mute(const std::string& id, bool mute) const;
     /// A full endpoint has no room for statements inside transactions.
     void set_full(const std::string& id, bool full) const;
+    /// A dark endpoint answers nothing to the daemons.
+    void set_dark(const std::string& id, bool dark) const;
+    /// A deaf endpoint receives no commits.
+    void set_deaf(const std::string& id, bool deaf) const;
+    /// Writes to the primary as a caller of a process would that isn't one of
+    /// the daemons. Returns true if it was committed.
+    bool write_directly(const std::string& item, const std::string& data) const;
+    /// Pauses a replica as a takeover would.
+    void pause(const std::string& id) const;
+    bool is_paused(const std::string& id) const;
+    /// The endpoint that says it is the primary of the newest term; empty:
+    /// none.
+    std::string primary() const;
+    /// The endpoint of which the store says that its promotion was decided on;
+    /// empty: none.
+    std::string decided_successor() const;
     /// Limits the connections of each endpoint, and tells the daemons so.
     void limit_connections(std::size_t most);
     void set_store(bool down) const;
@@ -127,6 +143,8 @@
         std::unique_ptr<child_process> m_process;
     };
 
+    /// An endpoint's address, by the store.
+    address address_of(const std::string& id) const;
     void write_node_file(std::size_t number, node& n) const;
     void change_node_file(std::size_t daemon,
                           const nlohmann::json& change) const;
