session: Check the fence again before a promotion

Callers lost acknowledged commits: between the moment at which a takeover had paused the replicas and the promotion, the replica that wasn't chosen restarted.

Cause: the states after "touching" compared times only. The members' answers that the decision rests on were 1.5 s old when the order was sent, and those of an order that is repeated older still.

Members are now polled every 100 ms until one of them leads. An order is sent, also for another time, only while answers of the last 300 ms show the quorum fenced and the successor's log as the most advanced one. Otherwise the chart goes back to "touching": the replica is paused again, the leases that it may have proved are waited for anew, and the successor is chosen by the logs as they are then. A member that has learned of a newer term is no loss of the fence.

Between the order and its effect, some hundred ms, the platform offers no check: a replica that restarts then is paused again at the next poll.

Tests/site, "A fenced replica restarts before the promotion", failed before: the write "white" was lost, and the other replica led.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -54,6 +54,25 @@
     return m.m_stepped_down || m.m_status.m_paused_term >= term;
 }
 
+void record_response(takeover_member& m, const endpoint_status& status,
+                     term_number term, time_point asked_at, time_point now)
+{
+    // A promotion ends the pauses of its group.
+    const bool learned_new_term = status.m_term > m.m_status.m_term;
+    m.m_reachable = true;
+    m.m_status = status;
+    m.m_asked_at = asked_at;
+    if (is_fenced(m, term))
+    {
+        if (m.m_fenced_at == time_point{})
+            m.m_fenced_at = now;
+        return;
+    }
+    if (m.m_fenced_at != time_point{} && !learned_new_term)
+        m.m_fence_lost = true;
+    m.m_fenced_at = {};
+}
+
 term_number next_term(std::span<const takeover_member> members,
                       term_number wanted) noexcept
 {
@@ -128,6 +147,29 @@
     return (*best)->m_id;
 }
 
+fence_state evaluate_fence(std::span<const takeover_member> members,
+                           term_number term, std::uint32_t sync_replicas,
+                           std::string_view successor, time_point since)
+{
+    std::vector<takeover_member> recent(members.begin(), members.end());
+    for (takeover_member& m : recent)
+    {
+        if (m.m_fence_lost)
+            return fence_state::lost;
+        m.m_reachable = m.m_reachable && m.m_asked_at >= since;
+    }
+    if (choose_successor(recent, term, sync_replicas, successor))
+        return fence_state::confirmed;
+    const bool is_behind = choose_successor(recent, term, sync_replicas) &&
+                           std::ranges::any_of(recent,
+                                               [&](const takeover_member& m)
+                                               {
+                                                   return m.m_id == successor &&
+                                                          is_fenced(m, term);
+                                               });
+    return is_behind ? fence_state::lost : fence_state::unconfirmed;
+}
+
 std::string_view pending_endpoint(const ordered_promotion& o,
                                   time_point now) noexcept
 {
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -27,6 +27,9 @@
 /// How long after an order was sent its promotion may still take effect.
 inline constexpr std::chrono::milliseconds promotion_order_lifetime =
     max_order_delay + promotion_timeout;
+/// How long ago a member may have been asked for the status that shows that it
+/// is still fenced: three of the intervals at which members are polled.
+inline constexpr std::chrono::milliseconds max_fence_age{300};
 
 /// A member of a group as seen by the process that runs the takeover.
 struct takeover_member
@@ -36,6 +39,11 @@
     bool m_reachable = false;    ///< It responded in this round.
     bool m_stepped_down = false; ///< It led and obeyed a step-down order.
     endpoint_status m_status;    ///< Its last response of this round.
+    time_point m_asked_at{};     ///< When m_status was requested.
+    time_point m_fenced_at{};    ///< When its fence was first seen; zero: it
+                                 ///< isn't fenced.
+    bool m_fence_lost = false;   ///< It was fenced, and a later response showed
+                                 ///< that it isn't, in the same term.
 };
 
 /// Why a primary is replaced.
@@ -78,6 +86,11 @@
 /// stepped down.
 bool is_fenced(const takeover_member& m, term_number term) noexcept;
 
+/// Records a member's response to an order that was sent at `asked_at` to fence
+/// it for `term`, or to ask whether it is fenced.
+void record_response(takeover_member& m, const endpoint_status& status,
+                     term_number term, time_point asked_at, time_point now);
+
 /// Returns the lowest term, `wanted` or above, for which the members can be
 /// fenced: it is above every term that one of them leads or follows, and not
 /// below any term for which one of them is paused already.
@@ -96,6 +109,20 @@
 choose_successor(std::span<const takeover_member> members, term_number term,
                  std::uint32_t sync_replicas, std::string_view ordered = {});
 
+/// What the responses of the members show about the fence of a takeover.
+enum class fence_state : std::uint8_t
+{
+    confirmed,   ///< It holds, and the successor is still the one to choose.
+    unconfirmed, ///< Too few members have responded lately.
+    lost,        ///< A member takes part in commits again, or another
+                 ///< successor is to be chosen.
+};
+
+/// Evaluates the fence by the members that were asked at `since` or later.
+fence_state evaluate_fence(std::span<const takeover_member> members,
+                           term_number term, std::uint32_t sync_replicas,
+                           std::string_view successor, time_point since);
+
 /// A promotion that was ordered and may still take effect.
 struct ordered_promotion
 {
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -161,6 +161,10 @@
                 "takeover_touched",
                 "enough endpoints were taken out of the old term, and a "
                 "successor was chosen"},
+    event_entry{event_id::takeover_fence_lost, event_level::warning,
+                "takeover_fence_lost",
+                "an endpoint came back into the old term before the promotion; "
+                "it is fenced again"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -74,17 +74,17 @@
                 : " paused for " + std::to_string(s.m_paused_term));
 }
 
-void log_fenced(const std::string& service, const failover_group& g)
+}
+
+void log_fence(event_id id, const std::string& service, const failover_group& g)
 {
     std::string members;
     for (const takeover_participant& m : g.m_members)
         members.append(members.empty() ? "" : "; ").append(describe_member(m));
-    log_event(event_id::takeover_touched, {{"service", service},
-                                           {"term", std::to_string(g.m_term)},
-                                           {"successor", g.m_successor},
-                                           {"members", members}});
-}
-
+    log_event(id, {{"service", service},
+                   {"term", std::to_string(g.m_term)},
+                   {"successor", g.m_successor},
+                   {"members", members}});
 }
 
 std::unique_ptr<order_connection> open_order_connection(failover_task_state& t,
@@ -126,8 +126,8 @@
     m.m_reply_pending = true;
     m.m_connection->send(
         order, g.m_term, group_order_timeout,
-        [&t, service, order, id = m.m_endpoint.m_id,
-         term = g.m_term](const std::optional<endpoint_status>& status)
+        [&t, service, order, id = m.m_endpoint.m_id, term = g.m_term,
+         asked_at = boot_now()](const std::optional<endpoint_status>& status)
         {
             takeover_participant* const member =
                 find_member(t.m_groups[service], id);
@@ -137,13 +137,11 @@
             member->m_member.m_reachable = status.has_value();
             if (!status)
                 return;
-            member->m_member.m_status = *status;
             if (order == group_order::step_down &&
                 status->m_role == endpoint_role::replica)
                 member->m_member.m_stepped_down = true;
-            if (member->m_fenced_at == time_point{} &&
-                is_fenced(member->m_member, term))
-                member->m_fenced_at = boot_now();
+            record_response(member->m_member, *status, term, asked_at,
+                            boot_now());
         });
 }
 
@@ -167,7 +165,10 @@
     g.m_term = next_term(members, g.m_term);
     for (takeover_participant& m : g.m_members)
     {
+        m.m_member.m_fence_lost = false;
         const takeover_member& seen = m.m_member;
+        if (seen.m_reachable)
+            g.m_old_term = std::max(g.m_old_term, seen.m_status.m_term);
         group_order order = group_order::status;
         if (seen.m_reachable && !is_fenced(seen, g.m_term))
             order = fencing_order(g, seen.m_status.m_role);
@@ -204,9 +205,28 @@
     fire(t, service, g, takeover_event::primary_suspected);
 }
 
-bool has_new_primary(const failover_group& g)
+void poll_members(failover_task_state& t, const std::string& service,
+                  failover_group& g, time_point now)
+{
+    if (now < g.m_next_poll_at)
+        return;
+    g.m_next_poll_at = now + fence_poll_interval;
+    for (takeover_participant& m : g.m_members)
+        send_group_order(t, service, g, m, group_order::status);
+}
+
+const takeover_participant* find_new_primary(const failover_group& g)
+{
+    return find_primary(g, g.m_old_term + 1);
+}
+
+fence_state check_fence(const failover_task_state& t,
+                        const std::string& service, const failover_group& g,
+                        time_point now)
 {
-    return find_primary(g, g.m_old_term + 1) != nullptr;
+    return evaluate_fence(decision_members(g), g.m_term,
+                          sync_replicas(t, service), g.m_successor,
+                          now - max_fence_age);
 }
 
 void advance_fencing(failover_task_state& t, const std::string& service,
@@ -237,7 +257,7 @@
         std::ranges::any_of(g.m_members,
                             [&](const takeover_participant& m)
                             {
-                                return m.m_fenced_at == time_point{};
+                                return m.m_member.m_fenced_at == time_point{};
                             });
     // The members stay fenced until the order has taken effect or expired. Then
     // the takeover yields.
@@ -246,7 +266,7 @@
     if (successor && !waits && !will_yield)
     {
         g.m_successor = *successor;
-        log_fenced(service, g);
+        log_fence(event_id::takeover_touched, service, g);
         return fire(t, service, g, takeover_event::fenced);
     }
     if (now - g.m_began_at >= fencing_timeout && ordered.empty())
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -17,15 +17,35 @@
 {
     time_point last{};
     for (const takeover_participant& m : g.m_members)
-        last = std::max(last, m.m_fenced_at);
+        last = std::max(last, m.m_member.m_fenced_at);
     return last + leader_lease_duration + leader_lease_clock_margin;
 }
 
-void check_lease_expiry(failover_task_state& t, const std::string& service,
-                        failover_group& g, time_point now)
+// Ends the wait for a promotion whose fence doesn't hold any more: a replica
+// may have restarted, which ends its pause, and may hold newer commits than the
+// successor.
+void lose_fence(failover_task_state& t, const std::string& service,
+                failover_group& g)
 {
-    if (now >= leases_expire_at(g) && holds_duty(t, now))
-        fire(t, service, g, takeover_event::leases_expired);
+    log_fence(event_id::takeover_fence_lost, service, g);
+    fire(t, service, g, takeover_event::fence_lost);
+}
+
+// Polls the members of a takeover whose successor was chosen. From `due_at` on,
+// fires `next` as soon as the fence is confirmed. A fence that is lost, or
+// isn't confirmed within fencing_timeout, is renewed.
+void advance_fenced(failover_task_state& t, const std::string& service,
+                    failover_group& g, takeover_event next, time_point due_at,
+                    time_point now)
+{
+    if (find_new_primary(g) != nullptr)
+        return fire(t, service, g, takeover_event::primary_confirmed);
+    poll_members(t, service, g, now);
+    const fence_state fence = check_fence(t, service, g, now);
+    if (fence == fence_state::lost || now >= due_at + fencing_timeout)
+        return lose_fence(t, service, g);
+    if (fence == fence_state::confirmed && now >= due_at && holds_duty(t, now))
+        fire(t, service, g, next);
 }
 
 void send_promotion_order(failover_task_state& t, const std::string& service,
@@ -61,44 +81,33 @@
         });
 }
 
-void request_successor_status(failover_task_state& t,
-                              const std::string& service, failover_group& g)
-{
-    if (takeover_participant* const m = find_member(g, g.m_successor))
-        send_group_order(t, service, g, *m, group_order::status);
-}
-
-void check_confirmation(failover_task_state& t, const std::string& service,
-                        failover_group& g, time_point now)
-{
-    if (has_new_primary(g))
-        return fire(t, service, g, takeover_event::primary_confirmed);
-    if (now - g.m_began_at >= promotion_timeout)
-        return fire(t, service, g, takeover_event::timed_out);
-    if (now >= g.m_next_action_at)
-    {
-        g.m_next_action_at = now + failover_tick;
-        request_successor_status(t, service, g);
-    }
-}
-
 void announce(failover_task_state& t, const std::string& service,
               failover_group& g)
 {
-    const takeover_participant* const lead = find_member(g, g.m_successor);
+    const takeover_participant* const lead = find_new_primary(g);
     if (lead == nullptr)
         return;
+    const std::string& id = lead->m_endpoint.m_id;
     ++t.m_promotions;
     log_event(event_id::takeover_done,
               {{"service", service},
-               {"endpoint", g.m_successor},
+               {"endpoint", id},
                {"term", std::to_string(lead->m_member.m_status.m_term)}});
-    t.m_boxes.m_session.post(primary_promoted{
-        service, g.m_successor, lead->m_member.m_status, boot_now()});
-    if (g.m_old_primary != g.m_successor && !g.m_old_primary.empty())
+    t.m_boxes.m_session.post(
+        primary_promoted{service, id, lead->m_member.m_status, boot_now()});
+    if (g.m_old_primary != id && !g.m_old_primary.empty())
         g.m_step_down_until = boot_now() + step_down_timeout;
 }
 
+// Fences the members again after one of them has left the fence.
+void renew_fence(failover_task_state& t, const std::string& service,
+                 failover_group& g)
+{
+    g.m_began_at = boot_now();
+    g.m_next_action_at = g.m_began_at + order_retry_interval;
+    fence_members(t, service, g);
+}
+
 void resume_members(const std::string& service, failover_group& g)
 {
     log_event(event_id::takeover_given_up,
@@ -117,7 +126,7 @@
     g.m_next_action_at = now + takeover_retry_delay;
     const bool was_recorded = !g.m_successor.empty();
     g.m_successor.clear();
-    if (has_new_primary(g))
+    if (find_new_primary(g) != nullptr)
         g.m_ordered = {};
     if (was_recorded && holds_duty(t, now))
         record_orders(t);
@@ -143,8 +152,9 @@
         return send_promotion_order(t, service, g);
     case takeover_action::confirm:
         g.m_began_at = boot_now();
-        g.m_next_action_at = {};
         return;
+    case takeover_action::renew_fence:
+        return renew_fence(t, service, g);
     case takeover_action::announce:
         return announce(t, service, g);
     case takeover_action::end_takeover:
@@ -228,13 +238,14 @@
     case takeover_state::recording:
         return;
     case takeover_state::waiting:
-        return check_lease_expiry(t, service, g, now);
+        return advance_fenced(t, service, g, takeover_event::leases_expired,
+                              leases_expire_at(g), now);
     case takeover_state::ordering:
-        if (now >= g.m_next_action_at)
-            fire(t, service, g, takeover_event::timed_out);
-        return;
+        return advance_fenced(t, service, g, takeover_event::timed_out,
+                              g.m_next_action_at, now);
     case takeover_state::confirming:
-        return check_confirmation(t, service, g, now);
+        return advance_fenced(t, service, g, takeover_event::timed_out,
+                              g.m_began_at + promotion_timeout, now);
     }
 }
 
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -12,6 +12,7 @@
 #include <decide/duty_lease.hpp>
 #include <decide/group_view.hpp>
 #include <decide/takeover.hpp>
+#include <report/event.hpp>
 #include <report/task_usage.hpp>
 #include <session/failover_task.hpp>
 #include <session/order_connection.hpp>
@@ -31,6 +32,8 @@
 /// A takeover that hasn't fenced enough members within this time gives up and
 /// resumes them.
 inline constexpr std::chrono::seconds fencing_timeout{3};
+/// The interval at which fenced members are polled until one of them leads.
+inline constexpr std::chrono::milliseconds fence_poll_interval{100};
 /// The delay before the next attempt after a takeover that was given up.
 inline constexpr std::chrono::milliseconds takeover_retry_delay{500};
 /// How long the log of an endpoint that is gone counts towards the size of its
@@ -49,7 +52,6 @@
     takeover_member m_member;
     std::unique_ptr<order_connection> m_connection;
     bool m_reply_pending = false;
-    time_point m_fenced_at{};
 };
 
 /// The address at which one log of a group is kept. The log outlives its
@@ -76,6 +78,7 @@
     std::string m_successor;     ///< Chosen by the current takeover.
     ordered_promotion m_ordered; ///< By this or the last duty holder.
     std::vector<takeover_participant> m_members;
+    time_point m_next_poll_at{}; ///< When fenced members are polled next.
     std::unique_ptr<order_connection> m_step_down;
     time_point m_step_down_until{};
 };
@@ -139,8 +142,19 @@
 void send_group_order(failover_task_state& t, const std::string& service,
                       failover_group& g, takeover_participant& m,
                       group_order order);
-/// Returns true if a member reports that it is the primary of a newer term.
-bool has_new_primary(const failover_group& g);
+/// Asks all members for their statuses, at most once each
+/// fence_poll_interval.
+void poll_members(failover_task_state& t, const std::string& service,
+                  failover_group& g, time_point now);
+/// Returns the member that reports to be the primary of a newer term, or null.
+const takeover_participant* find_new_primary(const failover_group& g);
+/// Logs the state of all members of a takeover.
+void log_fence(event_id id, const std::string& service,
+               const failover_group& g);
+/// Evaluates the fence by what the members have reported lately.
+fence_state check_fence(const failover_task_state& t,
+                        const std::string& service, const failover_group& g,
+                        time_point now);
 
 // failover_groups.cpp
 /// Fires an event on the group's takeover chart.
--- a/Source/session/site_charts.hpp
+++ b/Source/session/site_charts.hpp
@@ -62,6 +62,7 @@
     timed_out,
     successor_not_running,
     primary_confirmed,
+    fence_lost,
 };
 
 enum class takeover_action : std::uint8_t
@@ -74,6 +75,7 @@
     confirm,
     announce,
     end_takeover,
+    renew_fence,
 };
 
 enum class cell_state : std::uint8_t
--- a/Tests/decide/takeover_test.cpp
+++ b/Tests/decide/takeover_test.cpp
@@ -221,6 +221,99 @@
     }
 }
 
+// Guards against a promotion on a quorum that was fenced when the successor was
+// chosen and isn't any more: a replica's restart ends its pause.
+SCENARIO("The fence is checked before the promotion is ordered")
+{
+    constexpr term_number next = 4;
+    constexpr time_point start{std::chrono::hours(1)};
+    constexpr time_point later = start + milliseconds(100);
+    std::vector<takeover_member> members(3);
+    const auto respond = [&](std::size_t which, std::uint64_t offset,
+                             term_number paused, time_point asked_at)
+    {
+        const endpoint_status status{
+            endpoint_role::replica, 3, {3, offset}, paused, 0, 0, 0};
+        record_response(members[which], status, next, asked_at, asked_at);
+    };
+    members[1].m_id = "b";
+    members[2].m_id = "c";
+    respond(1, 10, next, start);
+    respond(2, 12, next, start);
+    REQUIRE(choose_successor(members, next, 1) == "c");
+
+    GIVEN("members that respond as before")
+    {
+        respond(1, 10, next, later);
+        respond(2, 12, next, later);
+
+        THEN("the fence is confirmed, and as old as the first responses")
+        {
+            REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                    fence_state::confirmed);
+            REQUIRE(members[1].m_fenced_at == start);
+        }
+    }
+    GIVEN("a member that hasn't responded lately")
+    {
+        respond(2, 12, next, later);
+
+        THEN("the fence is neither confirmed nor lost")
+        {
+            REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                    fence_state::unconfirmed);
+        }
+    }
+    GIVEN("the successor itself, which hasn't responded lately")
+    {
+        respond(1, 10, next, later);
+        members[0] = stepped_down("a", 12);
+        members[0].m_asked_at = later;
+        REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                fence_state::unconfirmed);
+    }
+    GIVEN("a member that has restarted and isn't paused any more")
+    {
+        respond(1, 10, 0, later);
+        respond(2, 12, next, later);
+
+        THEN("the fence is lost")
+        {
+            REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                    fence_state::lost);
+            REQUIRE(members[1].m_fenced_at == time_point{});
+        }
+        WHEN("it is paused again")
+        {
+            const time_point again = later + milliseconds(100);
+            members[1].m_fence_lost = false;
+            respond(1, 13, next, again);
+
+            THEN("its leases count from then, and its newer log is chosen")
+            {
+                REQUIRE(members[1].m_fenced_at == again);
+                REQUIRE(choose_successor(members, next, 1) == "b");
+                REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                        fence_state::lost);
+            }
+        }
+    }
+    GIVEN("a member that has learned of the promotion")
+    {
+        const endpoint_status follows{
+            endpoint_role::replica, next, {next, 12}, 0, 0, 0, 0};
+        record_response(members[1], follows, next, later, later);
+        record_response(members[1], follows, next, later, later);
+
+        THEN("the fence isn't lost: the promotion has ended the pauses")
+        {
+            REQUIRE_FALSE(members[1].m_fence_lost);
+            REQUIRE(evaluate_fence(members, next, 1, "c", later) ==
+                    fence_state::unconfirmed);
+        }
+    }
+}
+
 SCENARIO("No takeover loses an acknowledged commit")
 {
     // Guards against a successor that lacks an acknowledged commit. In random
--- a/Tests/site/takeover_test.cpp
+++ b/Tests/site/takeover_test.cpp
@@ -50,6 +50,11 @@
     return successor;
 }
 
+std::string other_replica(const std::string& successor)
+{
+    return successor == "i-2" ? "i-3" : "i-2";
+}
+
 // Sets a time limit of statements that is shorter than commit_stall_timeout, so
 // that stalled commits alone don't start a takeover.
 void shorten_statements(site& s)
@@ -103,3 +108,27 @@
         }
     }
 }
+
+// Guards against a successor that lacks commits: a replica that restarts is no
+// longer paused, and acknowledges commits of the old primary again.
+SCENARIO("A fenced replica restarts before the promotion")
+{
+    site s(1);
+    REQUIRE(eventually_writes(s, "brown"));
+
+    GIVEN("a primary that the daemon doesn't reach, but others do")
+    {
+        s.set_dark("i-1", true);
+        const std::string successor = await_decision(s);
+        const std::string other = other_replica(successor);
+        s.set_endpoint(other, false);
+        s.set_endpoint(other, true);
+        REQUIRE(s.write_directly("bear", "white"));
+
+        THEN("its new commit is in the promoted log")
+        {
+            CHECK(eventually_reads(s, "white"));
+            CHECK(s.primary() == other);
+        }
+    }
+}
