session: End pauses that no takeover ends

Cause: only the process that had paused a replica ended the pause, and only over the connection that it had used. A process that took the duty and found the primary alive began no takeover, so nobody resumed the replicas; a takeover that ended with the duty left them paused, too. Commits that stall don't start a takeover where statements end before commit_stall_timeout.

While no takeover is in progress, no order may be under way and the primary is known, it resumes those that are paused (event 3027). So a pause has an end whoever began it, and whichever connection is gone.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -1,7 +1,6 @@
 #include <decide/group_view.hpp>
 
 #include <algorithm>
-#include <vector>
 
 namespace bluebellspoke
 {
@@ -225,6 +224,16 @@
     return std::max(*floor, *own);
 }
 
+std::vector<std::string> paused_replicas(const group_view& g)
+{
+    std::vector<std::string> paused;
+    for (const auto& [id, seen] : g.m_observations)
+        if (seen.m_status.m_role == endpoint_role::replica &&
+            seen.m_status.m_paused_term != 0)
+            paused.push_back(id);
+    return paused;
+}
+
 bool needs_status(const group_view& g, time_point now, duration margin)
 {
     return g.m_primary.empty() || g.m_lease_until < now + margin;
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <model/clock.hpp>
 #include <model/endpoint_status.hpp>
@@ -120,6 +121,8 @@
 std::optional<log_position>
 session_floor(const group_view& g, const std::optional<log_position>& floor,
               const std::optional<log_position>& own);
+/// Returns the replicas whose last status showed them paused, by id.
+std::vector<std::string> paused_replicas(const group_view& g);
 /// Returns true when the primary is unknown or the lease ends within `margin`.
 bool needs_status(const group_view& g, time_point now,
                   duration margin = leader_lease_renewal_margin);
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -165,6 +165,9 @@
                 "takeover_fence_lost",
                 "an endpoint came back into the old term before the promotion; "
                 "it is fenced again"},
+    event_entry{event_id::replica_resumed, event_level::info, "replica_resumed",
+                "a replica was paused although no takeover is in progress; it "
+                "is resumed"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -64,6 +64,7 @@
     endpoint_part_changed = 3024,
     takeover_touched = 3025,
     takeover_fence_lost = 3026,
+    replica_resumed = 3027,
     session_refused = 4001,
     statement_failed = 4002,
     transaction_expired = 4003,
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -186,6 +186,7 @@
     g.m_term = g.m_old_term + 1;
     g.m_old_primary = g.m_report.m_primary;
     g.m_members.clear();
+    g.m_resumed.clear();
     for (const auto& [id, e] : t.m_endpoints->m_endpoints)
         if (e.m_service == service)
         {
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -108,18 +108,6 @@
     fence_members(t, service, g);
 }
 
-void resume_members(const std::string& service, failover_group& g)
-{
-    log_event(event_id::takeover_given_up,
-              {{"service", service}, {"term", std::to_string(g.m_term)}});
-    for (takeover_participant& m : g.m_members)
-        if (m.m_member.m_reachable &&
-            m.m_member.m_status.m_role == endpoint_role::replica &&
-            m.m_connection && m.m_connection->is_open())
-            m.m_connection->send(group_order::resume, 0, group_order_timeout,
-                                 [](const std::optional<endpoint_status>&) {});
-}
-
 void end_takeover(failover_task_state& t, failover_group& g)
 {
     const time_point now = boot_now();
@@ -232,7 +220,10 @@
         if (g.m_step_down && !g.m_step_down->is_open())
             g.m_step_down.reset();
         advance_step_down(t, service, g, now);
-        return check_primary(t, service, g, now);
+        check_primary(t, service, g, now);
+        if (g.m_state == takeover_state::led)
+            advance_pauses(t, service, g, now);
+        return;
     case takeover_state::touching:
         return advance_fencing(t, service, g, now);
     case takeover_state::recording:
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -81,6 +81,9 @@
     time_point m_next_poll_at{}; ///< When fenced members are polled next.
     std::unique_ptr<order_connection> m_step_down;
     time_point m_step_down_until{};
+    /// Replicas that stayed paused without a takeover, and are resumed.
+    std::map<std::string, std::unique_ptr<order_connection>> m_resumed;
+    time_point m_next_resume_at{};
 };
 
 /// The state that the failover task owns.
@@ -156,6 +159,14 @@
                         const std::string& service, const failover_group& g,
                         time_point now);
 
+// failover_pauses.cpp
+/// Resumes the members that a takeover paused before it was given up.
+void resume_members(const std::string& service, failover_group& g);
+/// Resumes replicas that are paused although no takeover is in progress: the
+/// process that paused them has ended, or lost the duty.
+void advance_pauses(failover_task_state& t, const std::string& service,
+                    failover_group& g, time_point now);
+
 // failover_groups.cpp
 /// Fires an event on the group's takeover chart.
 void fire(failover_task_state& t, const std::string& service, failover_group& g,
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -195,6 +195,23 @@
                {"paused_for", std::to_string(status.m_paused_term)}});
 }
 
+// Asks every replica now and then, also while leases need no proof, and one
+// that is paused until it isn't any more.
+void find_paused_replicas(session_task_state& t, time_point now)
+{
+    for (auto& [id, p] : t.m_endpoint_pools)
+    {
+        const auto& observations = p.m_group->m_view.m_observations;
+        const auto seen = observations.find(id);
+        const bool is_paused = seen != observations.end() &&
+                               seen->second.m_status.m_paused_term != 0;
+        const duration interval = is_paused ? duration(status_interval)
+                                            : duration(own_replica_interval);
+        if (p.m_is_listed && now - p.m_status_requested_at >= interval)
+            request_status(t, p, now);
+    }
+}
+
 time_point oldest_pending_commit(const session_task_state& t,
                                  const service_group& g)
 {
@@ -268,6 +285,8 @@
             now - g.m_primary_contact_at >= status_interval)
             request_status(t, primary->second, now);
     }
+    if (t.m_reporting)
+        find_paused_replicas(t, now);
 }
 
 void ask_status(session_task_state& t, link& k)
@@ -335,13 +354,14 @@
     for (const auto& [name, g] : t.m_groups)
     {
         const group_view& view = g.m_view;
-        primary_report r{name, view.m_primary, view.m_term, {}};
+        primary_report r{name, view.m_primary, view.m_term, {}, {}};
         r.m_evidence.m_known = !view.m_primary.empty();
         r.m_evidence.m_last_contact_at = r.m_evidence.m_known
                                              ? g.m_primary_contact_at
                                              : g.m_primary_missing_since;
         r.m_evidence.m_takeover_interrupted = view.m_paused_term > view.m_term;
         r.m_evidence.m_commits_stalled_since = oldest_pending_commit(t, g);
+        r.m_paused_replicas = paused_replicas(view);
         t.m_mailboxes.m_failover.post(std::move(r));
     }
 }
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -159,6 +159,8 @@
     std::string m_primary; ///< Empty if none is known.
     term_number m_term = 0;
     primary_evidence m_evidence;
+    /// Replicas whose last status showed them paused.
+    std::vector<std::string> m_paused_replicas;
 };
 
 /// site → session: the process of a peer has ended.
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -262,3 +262,19 @@
         }
     }
 }
+
+SCENARIO("Replicas of a group are found paused")
+{
+    constexpr time_point start{std::chrono::hours(1)};
+    group_view g;
+    observe(g, "a", leads(3, 10), start);
+    observe(g, "b", follows(3, 10), start);
+    observe(g, "c", follows(3, 9, 4), start);
+    REQUIRE(paused_replicas(g) == std::vector<std::string>{"c"});
+
+    WHEN("the paused one has been resumed")
+    {
+        observe(g, "c", follows(3, 10), start + seconds(1));
+        REQUIRE(paused_replicas(g).empty());
+    }
+}
--- a/Tests/site/takeover_test.cpp
+++ b/Tests/site/takeover_test.cpp
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <csignal>
 #include <string>
 
@@ -10,6 +11,9 @@
 namespace
 {
 
+// The time in which a deployment has to recover.
+constexpr std::chrono::seconds recovery_time{12};
+
 // Repeats a statement, each time in a new session, until it is answered.
 bool eventually_answers(const site& s, std::size_t daemon,
                         const std::string& statement, const std::string& answer)
@@ -132,3 +136,48 @@
         }
     }
 }
+
+// Guards against replicas that stay paused when the process that paused them
+// has ended and its successor finds the primary alive: no commit is possible.
+SCENARIO("The holder of the duty ends during a takeover")
+{
+    site s(2);
+    shorten_statements(s);
+    REQUIRE(eventually_writes(s, "brown"));
+    s.set_dark("i-1", true);
+    await_decision(s);
+    const std::size_t holder = holds_duty(s, 0) ? 0 : 1;
+    const std::size_t other = 1 - holder;
+    s.daemon(holder).send_signal(SIGKILL);
+    s.daemon(holder).wait();
+
+    WHEN("the primary answers before the other process has the duty")
+    {
+        s.set_dark("i-1", false);
+        const auto begin = std::chrono::steady_clock::now();
+
+        THEN("writes are served again")
+        {
+            CHECK(eventually_writes(s, "white", other));
+            CHECK(std::chrono::steady_clock::now() - begin <= recovery_time);
+        }
+    }
+}
+
+// Guards against a replica that stays paused, while the other one alone keeps
+// the group writable until it is lost too.
+SCENARIO("A replica is paused without a takeover")
+{
+    site s(1);
+    REQUIRE(eventually_writes(s, "brown"));
+    s.pause("i-2");
+
+    THEN("it receives commits again")
+    {
+        REQUIRE(comes_true(
+            [&]
+            {
+                return !s.is_paused("i-2");
+            }));
+    }
+}
