session: Reset connections with an unanswered order

An order to a member of a group (pause, resume, step down) that was given up for want of an answer stayed in its connection, which was closed in order: the kernel went on sending it, and it could arrive after orders on a later connection, for instance a RESUME after the PAUSE of the next takeover.

A connection whose order is unanswered is reset when it is closed, at the latest when the order times out.

--- a/Source/session/line_stream.cpp
+++ b/Source/session/line_stream.cpp
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 
 #include <session/session_codec.hpp>
+#include <wire/reset_when_closed.hpp>
 #include <wire/socket_address.hpp>
 
 namespace bluebellspoke
@@ -107,6 +108,11 @@
     return evbuffer_get_length(bufferevent_get_input(m_buffer.get()));
 }
 
+void line_stream::reset_at_end() noexcept
+{
+    reset_when_closed(bufferevent_getfd(m_buffer.get()));
+}
+
 void line_stream::finish()
 {
     m_finishing = true;
--- a/Source/session/line_stream.hpp
+++ b/Source/session/line_stream.hpp
@@ -52,6 +52,9 @@
     std::size_t unsent() const noexcept;
     /// Number of received bytes that next_line() has not returned yet.
     std::size_t unread() const noexcept;
+    /// Makes the end of this object reset the connection, so that bytes on
+    /// their way to the peer are dropped.
+    void reset_at_end() noexcept;
     /// Shuts down the sending side once the queued bytes are sent. The caller
     /// destroys the stream when m_on_end is called.
     void finish();
--- a/Source/session/order_connection.cpp
+++ b/Source/session/order_connection.cpp
@@ -11,8 +11,7 @@
     : m_codec(codec), m_timeout(l,
                                 [this]
                                 {
-                                    m_open = false;
-                                    finish(std::nullopt);
+                                    time_out();
                                 })
 {
     m_stream = std::make_unique<line_stream>(
@@ -31,6 +30,12 @@
     m_stream->write(out);
 }
 
+order_connection::~order_connection()
+{
+    if (m_callback && m_stream)
+        m_stream->reset_at_end();
+}
+
 void order_connection::send(group_order order, term_number term, duration limit,
                             order_callback done)
 {
@@ -52,6 +57,14 @@
     return m_open;
 }
 
+void order_connection::time_out()
+{
+    m_open = false;
+    m_stream->reset_at_end();
+    m_stream.reset();
+    finish(std::nullopt);
+}
+
 void order_connection::read()
 {
     while (m_open)
--- a/Source/session/order_connection.hpp
+++ b/Source/session/order_connection.hpp
@@ -27,6 +27,11 @@
     order_connection(loop& l, const session_codec& codec,
                      const site_endpoint& endpoint,
                      const std::string& workspace);
+    /// Resets the connection if an order is unanswered: it must not reach the
+    /// endpoint after orders on a later connection.
+    ~order_connection();
+    order_connection(const order_connection&) = delete;
+    order_connection& operator=(const order_connection&) = delete;
 
     /// Sends an order. Calls `done` once, within `limit`, unless the connection
     /// is destroyed first. Only one order may be pending at a time.
@@ -36,6 +41,7 @@
     bool is_open() const noexcept;
 
 private:
+    void time_out();
     void read();
     void handle_reply(const endpoint_reply& r);
     void finish(const std::optional<endpoint_status>& status);
