--- a/Source/task/loop.cpp
+++ b/Source/task/loop.cpp
@@ -46,7 +46,8 @@
     // wait, most of these changes cancel out before they reach the kernel.
     event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     event_base_ptr base(event_base_new_with_config(config.get()));
-    if (!base)
+    // Events have the second of two priorities unless it is set.
+    if (!base || event_base_priority_init(base.get(), 2) != 0)
         throw loop_error();
     return {std::move(base)};
 }
@@ -81,6 +82,11 @@
     arm(period);
 }
 
+void timer::run_before_others() noexcept
+{
+    event_priority_set(m_event.get(), 0);
+}
+
 void timer::cancel() noexcept
 {
     m_period = std::chrono::microseconds::zero();
--- a/Source/task/loop.hpp
+++ b/Source/task/loop.hpp
@@ -58,6 +58,9 @@
     /// Calls again and again, `period` apart.
     void start_periodic(std::chrono::microseconds period);
     void cancel() noexcept;
+    /// When the loop wakes up late, this timer's slot is called before those of
+    /// all sockets and ordinary timers. Call before the timer is started.
+    void run_before_others() noexcept;
 
 private:
     static void on_event(evutil_socket_t socket, short what, void* self);
