--- a/Tests/platform/http1_client_test.cpp
+++ b/Tests/platform/http1_client_test.cpp
@@ -31,8 +31,8 @@
         REQUIRE(bind(m_listener,
                      reinterpret_cast<const sockaddr*>(&any.m_storage),
                      any.m_length) == 0);
-        setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
-                   sizeof receive_buffer);
+        const int size = receive_buffer;
+        setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
         REQUIRE(listen(m_listener, 1) == 0);
         m_address = local_address(m_listener);
     }
@@ -45,7 +45,7 @@
     late_server& operator=(const late_server&) = delete;
 
     /// The kernel doubles it.
-    static constexpr int receive_buffer = 8192;
+    static constexpr std::size_t receive_buffer = 8192;
 
     void accept_one()
     {
@@ -113,7 +113,7 @@
     GIVEN("a request of which a part is still with the sender")
     {
         constexpr std::size_t past_the_servers_buffer =
-            16U * late_server::receive_buffer;
+            16 * late_server::receive_buffer;
         http1_client client(l, server.m_address);
         http1_request call;
         call.m_method = EVHTTP_REQ_POST;
@@ -133,7 +133,7 @@
         THEN("the rest isn't sent when the server reads again")
         {
             server.accept_one();
-            CHECK(server.read_all() <= 2U * late_server::receive_buffer);
+            CHECK(server.read_all() <= 2 * late_server::receive_buffer);
         }
     }
 }
