session: Relay only what changed between processes

A process that was behind fetched the complete list of endpoints, all members and the whole configuration from its leader, up to four times a second, and again when the answer took longer than a second; the bytes grew with processes x length of the lists.

A request now names the revision of each kind that its sender has, and the answer holds what changed since. The configuration goes as edits of the one that the sender has. Configuration and lists are fetched separately, so that neither waits for the other. A relay tree was ruled out: as many bytes in all, and later. Requests and answers of earlier builds keep their meaning.

--- a/Source/peer/peer_call.cpp
+++ b/Source/peer/peer_call.cpp
@@ -15,36 +15,41 @@
 
 }
 
-void call_peer(http2_client& peer, const peer_message& message,
-               peer_callback done)
+std::size_t call_peer(http2_client& peer, const peer_message& message,
+                      peer_callback done)
 {
-    peer.send(
-        {"POST", std::string(peer_path), {}, encode_peer_message(message)},
-        peer_call_timeout,
-        [done = std::move(done)](http2_result& result)
-        {
-            std::optional<peer_message> answer;
-            const auto* response = std::get_if<http2_response>(&result);
-            try
-            {
-                if (response != nullptr && response->m_status == status_ok)
-                    answer = decode_peer_message(response->m_body);
-            }
-            catch (const peer_protocol_error&)
-            {
-                answer.reset();
-            }
-            done(answer);
-        });
+    std::string body = encode_peer_message(message);
+    const std::size_t bytes = body.size();
+    peer.send({"POST", std::string(peer_path), {}, std::move(body)},
+              peer_call_timeout,
+              [done = std::move(done)](http2_result& result)
+              {
+                  std::optional<peer_message> answer;
+                  const auto* response = std::get_if<http2_response>(&result);
+                  try
+                  {
+                      if (response != nullptr &&
+                          response->m_status == status_ok)
+                          answer = decode_peer_message(response->m_body);
+                  }
+                  catch (const peer_protocol_error&)
+                  {
+                      answer.reset();
+                  }
+                  done(answer);
+              });
+    return bytes;
 }
 
-void answer_peer(http2_server& server, exchange_id exchange,
-                 const peer_message& message)
+std::size_t answer_peer(http2_server& server, exchange_id exchange,
+                        const peer_message& message)
 {
     http2_response response;
     response.m_status = status_ok;
     response.m_body = encode_peer_message(message);
+    const std::size_t bytes = response.m_body.size();
     server.respond(exchange, std::move(response));
+    return bytes;
 }
 
 std::optional<peer_message> decode_peer_request(http2_server& server,
--- a/Source/peer/peer_call.hpp
+++ b/Source/peer/peer_call.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_PEER_PEER_CALL_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string_view>
@@ -21,12 +22,13 @@
 /// Receives the answer, or nothing if none arrived or it can't be decoded.
 using peer_callback = std::function<void(std::optional<peer_message>&)>;
 
-/// Sends one message and passes its answer to `done`.
-void call_peer(http2_client& peer, const peer_message& message,
-               peer_callback done);
-/// Answers a peer's request with `message`.
-void answer_peer(http2_server& server, exchange_id exchange,
-                 const peer_message& message);
+/// Sends one message and passes its answer to `done`. Returns the message's
+/// size in bytes.
+std::size_t call_peer(http2_client& peer, const peer_message& message,
+                      peer_callback done);
+/// Answers a peer's request with `message`. Returns its size in bytes.
+std::size_t answer_peer(http2_server& server, exchange_id exchange,
+                        const peer_message& message);
 /// Decodes the message of a request. Answers a malformed request with status
 /// 400 and returns nothing.
 std::optional<peer_message> decode_peer_request(http2_server& server,
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -442,6 +442,25 @@
     }
 };
 
+json write_known(const peer_known_revisions& k)
+{
+    return json::array({k.m_configuration, k.m_endpoints, k.m_evacuations});
+}
+
+peer_known_revisions read_known(const json& j)
+{
+    return {j.at(0).get<std::uint64_t>(), j.at(1).get<std::uint64_t>(),
+            j.at(2).get<std::uint64_t>()};
+}
+
+peer_settings_part read_part_of_settings(const json& j)
+{
+    const auto part = j.value("part", std::uint8_t{0});
+    if (part > static_cast<std::uint8_t>(peer_settings_part::lists))
+        throw peer_protocol_error();
+    return static_cast<peer_settings_part>(part);
+}
+
 template <>
 struct format<peer_settings_request>
 {
@@ -449,14 +468,60 @@
 
     static json write(const peer_settings_request& m)
     {
-        return {{"after", m.m_after}};
+        json out{{"after", m.m_after},
+                 {"part", static_cast<std::uint8_t>(m.m_part)},
+                 {"members", m.m_wants_members}};
+        if (m.m_known)
+            out["known"] = write_known(*m.m_known);
+        return out;
     }
     static peer_settings_request read(const json& j)
     {
-        return {j.at("after").get<std::uint64_t>()};
+        peer_settings_request m{j.at("after").get<std::uint64_t>(),
+                                read_part_of_settings(j), std::nullopt,
+                                j.value("members", true)};
+        if (j.contains("known"))
+            m.m_known = read_known(j["known"]);
+        return m;
     }
 };
 
+json write_list_base(const peer_list_base& b)
+{
+    return json::array({b.m_since, b.m_removed});
+}
+
+// Earlier builds send complete lists.
+peer_list_base read_list_base(const json& j, const char* name)
+{
+    if (!j.contains(name))
+        return {};
+    const json& base = j[name];
+    return {base.at(0).get<std::uint64_t>(),
+            base.at(1).get<std::vector<std::string>>()};
+}
+
+json write_config_delta(const peer_config_delta& d)
+{
+    json edits = json::array();
+    for (const text_edit& e : d.m_delta.m_edits)
+        edits.push_back({e.m_from, e.m_length, e.m_text});
+    return json::array({d.m_base_revision, d.m_revision, d.m_delta.m_base_hash,
+                        std::move(edits)});
+}
+
+peer_config_delta read_config_delta(const json& j)
+{
+    peer_config_delta d{j.at(0).get<std::uint64_t>(),
+                        j.at(1).get<std::uint64_t>(),
+                        {j.at(2).get<std::uint64_t>(), {}}};
+    for (const json& e : j.at(3))
+        d.m_delta.m_edits.push_back({e.at(0).get<std::uint64_t>(),
+                                     e.at(1).get<std::uint64_t>(),
+                                     e.at(2).get<std::string>()});
+    return d;
+}
+
 template <>
 struct format<peer_settings>
 {
@@ -470,25 +535,17 @@
         json vms = json::array();
         for (const peer_vm& vm : m.m_vms)
             vms.push_back({vm.m_name, vm.m_address, vm.m_zone, vm.m_leaving});
-        return {{"version", m.m_version},
-                {"objects", std::move(objects)},
-                {"vms", std::move(vms)},
-                {"secrets", m.m_secrets},
-                {"content", m.m_content_revision},
-                {"known",
-                 json::array({m.m_known.m_configuration, m.m_known.m_endpoints,
-                              m.m_known.m_evacuations})}};
-    }
-    // Earlier builds send one revision for both lists, which says nothing of
-    // the configuration.
-    static peer_known_revisions read_known(const json& j, std::uint64_t content)
-    {
-        if (!j.contains("known"))
-            return {0, content, content};
-        const json& known = j["known"];
-        return {known.at(0).get<std::uint64_t>(),
-                known.at(1).get<std::uint64_t>(),
-                known.at(2).get<std::uint64_t>()};
+        json out{{"version", m.m_version},
+                 {"objects", std::move(objects)},
+                 {"vms", std::move(vms)},
+                 {"secrets", m.m_secrets},
+                 {"content", m.m_content_revision},
+                 {"known", write_known(m.m_known)},
+                 {"endpoints", write_list_base(m.m_endpoints)},
+                 {"evacuations", write_list_base(m.m_evacuations)}};
+        if (m.m_config_delta)
+            out["config_delta"] = write_config_delta(*m.m_config_delta);
+        return out;
     }
     static peer_settings read(const json& j)
     {
@@ -504,7 +561,16 @@
                  vm.at(2).get<std::string>(), vm.at(3).get<bool>()});
         m.m_secrets = j.at("secrets").get<std::vector<std::string>>();
         m.m_content_revision = j.value("content", std::uint64_t{0});
-        m.m_known = read_known(j, m.m_content_revision);
+        // Earlier builds send one revision for both lists, which says nothing
+        // of the configuration.
+        m.m_known = j.contains("known")
+                        ? read_known(j["known"])
+                        : peer_known_revisions{0, m.m_content_revision,
+                                               m.m_content_revision};
+        m.m_endpoints = read_list_base(j, "endpoints");
+        m.m_evacuations = read_list_base(j, "evacuations");
+        if (j.contains("config_delta"))
+            m.m_config_delta = read_config_delta(j["config_delta"]);
         return m;
     }
 };
@@ -589,6 +655,16 @@
 
 }
 
+std::string_view peer_message_kind(const peer_message& message) noexcept
+{
+    return std::visit(
+        [](const auto& m)
+        {
+            return std::string_view(format<std::decay_t<decltype(m)>>::tag);
+        },
+        message);
+}
+
 const char* peer_protocol_error::what() const noexcept
 {
     return "malformed message from a peer";
--- a/Source/peer/peer_codec.hpp
+++ b/Source/peer/peer_codec.hpp
@@ -17,6 +17,8 @@
     const char* what() const noexcept override;
 };
 
+/// The name of the message's type on the wire.
+std::string_view peer_message_kind(const peer_message& message) noexcept;
 /// Encodes a message as CBOR.
 std::string encode_peer_message(const peer_message& message);
 /// Decodes one message. Throws peer_protocol_error.
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -2,12 +2,14 @@
 #define BLUEBELLSPOKE_PEER_PEER_MESSAGE_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include <model/relayed_group.hpp>
 #include <model/share_kind.hpp>
+#include <peer/text_delta.hpp>
 
 namespace bluebellspoke
 {
@@ -222,18 +224,48 @@
     bool m_leaving = false;
 };
 
+/// The store revisions up to which a process knows each kind of object.
+struct peer_known_revisions
+{
+    std::uint64_t m_configuration = 0;
+    std::uint64_t m_endpoints = 0;
+    std::uint64_t m_evacuations = 0;
+};
+
+/// What a peer_settings_request asks for.
+enum class peer_settings_part : std::uint8_t
+{
+    all,
+    configuration,
+    lists, ///< Endpoints and evacuated zones.
+};
+
 /// Asks for the settings objects that are newer than a version.
 struct peer_settings_request
 {
+    /// Revision of the configuration object that the sender has.
     std::uint64_t m_after = 0;
+    peer_settings_part m_part = peer_settings_part::all;
+    /// What the sender has of each kind: the answer may leave it out. Earlier
+    /// builds don't say it, and are answered in full.
+    std::optional<peer_known_revisions> m_known = {};
+    bool m_wants_members = true; ///< The sender knows no members.
 };
 
-/// The store revisions up to which a process knows each kind of object.
-struct peer_known_revisions
+/// Says to which list the objects of one kind in a peer_settings belong.
+struct peer_list_base
 {
-    std::uint64_t m_configuration = 0;
-    std::uint64_t m_endpoints = 0;
-    std::uint64_t m_evacuations = 0;
+    /// The objects are the changes after this revision; 0: the complete list.
+    std::uint64_t m_since = 0;
+    std::vector<std::string> m_removed; ///< Names removed since then.
+};
+
+/// A configuration object as a change of an earlier one.
+struct peer_config_delta
+{
+    std::uint64_t m_base_revision = 0; ///< Of the object that it changes.
+    std::uint64_t m_revision = 0;      ///< Of the object that results.
+    text_delta m_delta = {};
 };
 
 /// The platform's objects as a daemon knows them.
@@ -247,6 +279,9 @@
     /// reads m_known.
     std::uint64_t m_content_revision = 0;
     peer_known_revisions m_known;
+    peer_list_base m_endpoints;
+    peer_list_base m_evacuations;
+    std::optional<peer_config_delta> m_config_delta = {};
 };
 
 /// Asks a daemon for its status.
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -105,6 +105,13 @@
     event_entry{event_id::watch_resumed, event_level::info, "watch_resumed",
                 "a kind of object is read from the store again, because the "
                 "cell leader no longer relays its changes"},
+    event_entry{event_id::peer_traffic, event_level::info, "peer_traffic",
+                "messages and bytes sent to peers in a period, and by kind "
+                "since the start"},
+    event_entry{event_id::settings_delta_refused, event_level::warning,
+                "settings_delta_refused",
+                "a peer sent the configuration as a change of one that isn't "
+                "the one in force; it is fetched as a whole"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -42,6 +42,8 @@
     settings_fetch_useless = 2018,
     watch_relayed = 2019,
     watch_resumed = 2020,
+    peer_traffic = 2021,
+    settings_delta_refused = 2022,
     fleet_epoch_followed = 2101,
     fleet_epoch_refused = 2102,
     endpoint_reached = 3001,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -163,6 +163,12 @@
                  "bluebellspoke_settings_behind_seconds", "",
                  "time since a peer first reported a newer version than the "
                  "one in force; 0 if none did"},
+    metric_entry{metric_id::peer_messages, metric_type::counter,
+                 "bluebellspoke_peer_messages_total", "kind",
+                 "messages sent to peers, by kind"},
+    metric_entry{metric_id::peer_bytes, metric_type::counter,
+                 "bluebellspoke_peer_bytes_total", "kind",
+                 "bytes of the messages sent to peers, by kind"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -66,6 +66,8 @@
     cell_kept,
     relayed_watches,
     settings_behind,
+    peer_messages,
+    peer_bytes,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/site_cell_peers.cpp
+++ b/Source/session/site_cell_peers.cpp
@@ -65,19 +65,20 @@
     other.m_requested_at = boot_now();
     other.m_announced_version = t.m_weights.m_version;
     site_peer& peer = p->second;
-    call_peer(*peer.m_client, make_digest(t, other.m_last_digest),
-              [&t, &peer, &other](std::optional<peer_message>& answer)
-              {
-                  other.m_request_pending = false;
-                  if (!answer)
-                      return record_miss(other);
-                  const auto* digest = std::get_if<peer_site_digest>(&*answer);
-                  if (digest != nullptr && digest->m_leads_cell)
-                      return apply_digest(t, peer, *digest);
-                  record_miss(other);
-                  if (const auto* m = std::get_if<peer_referral>(&*answer))
-                      other.m_leader_address = m->m_leader_address;
-              });
+    send_to_peer(t, *peer.m_client, make_digest(t, other.m_last_digest),
+                 [&t, &peer, &other](std::optional<peer_message>& answer)
+                 {
+                     other.m_request_pending = false;
+                     if (!answer)
+                         return record_miss(other);
+                     const auto* digest =
+                         std::get_if<peer_site_digest>(&*answer);
+                     if (digest != nullptr && digest->m_leads_cell)
+                         return apply_digest(t, peer, *digest);
+                     record_miss(other);
+                     if (const auto* m = std::get_if<peer_referral>(&*answer))
+                         other.m_leader_address = m->m_leader_address;
+                 });
 }
 
 constexpr auto to_milliseconds = [](duration d)
@@ -162,18 +163,18 @@
         t.m_boxes.m_session.post(token_response());
         return;
     }
-    call_peer(*leader->second.m_client, peer_token_request{to_wire(m.m_tokens)},
-              [&t](std::optional<peer_message>& answer)
-              {
-                  const auto* grant =
-                      answer ? std::get_if<peer_token_grant>(&*answer)
-                             : nullptr;
-                  if (grant != nullptr && grant->m_from_leader)
-                      t.m_boxes.m_session.post(
-                          token_response{true, from_wire(grant->m_tokens)});
-                  else
-                      t.m_boxes.m_session.post(token_response());
-              });
+    send_to_peer(
+        t, *leader->second.m_client, peer_token_request{to_wire(m.m_tokens)},
+        [&t](std::optional<peer_message>& answer)
+        {
+            const auto* grant =
+                answer ? std::get_if<peer_token_grant>(&*answer) : nullptr;
+            if (grant != nullptr && grant->m_from_leader)
+                t.m_boxes.m_session.post(
+                    token_response{true, from_wire(grant->m_tokens)});
+            else
+                t.m_boxes.m_session.post(token_response());
+        });
 }
 
 void forward_token_request(site_task_state& t, exchange_id exchange,
@@ -185,7 +186,7 @@
 
 void answer_token_request(site_task_state& t, const outgoing_token_grant& m)
 {
-    answer_peer(*t.m_peer_server, m.m_exchange,
+    send_answer(t, m.m_exchange,
                 peer_token_grant{m.m_is_leader, to_wire(m.m_tokens)});
 }
 
@@ -199,18 +200,18 @@
         t.m_boxes.m_session.post(group_response{{}, requested_at});
         return;
     }
-    call_peer(*leader->second.m_client,
-              peer_group_request{m.m_services,
-                                 m.m_source == group_source::other_leaders},
-              [&t, requested_at](std::optional<peer_message>& answer)
-              {
-                  group_response response{{}, requested_at};
-                  auto* groups =
-                      answer ? std::get_if<peer_groups>(&*answer) : nullptr;
-                  if (groups != nullptr && groups->m_from_leader)
-                      response.m_groups = std::move(groups->m_groups);
-                  t.m_boxes.m_session.post(std::move(response));
-              });
+    send_to_peer(t, *leader->second.m_client,
+                 peer_group_request{m.m_services,
+                                    m.m_source == group_source::other_leaders},
+                 [&t, requested_at](std::optional<peer_message>& answer)
+                 {
+                     group_response response{{}, requested_at};
+                     auto* groups =
+                         answer ? std::get_if<peer_groups>(&*answer) : nullptr;
+                     if (groups != nullptr && groups->m_from_leader)
+                         response.m_groups = std::move(groups->m_groups);
+                     t.m_boxes.m_session.post(std::move(response));
+                 });
 }
 
 void request_groups(site_task_state& t, const group_request& m)
@@ -231,8 +232,7 @@
 
 void answer_group_request(site_task_state& t, const outgoing_groups& m)
 {
-    answer_peer(*t.m_peer_server, m.m_exchange,
-                peer_groups{m.m_is_leader, m.m_groups});
+    send_answer(t, m.m_exchange, peer_groups{m.m_is_leader, m.m_groups});
 }
 
 }
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -110,26 +110,26 @@
     if (std::exchange(p.m_request_pending, true))
         return;
     p.m_requested_at = boot_now();
-    call_peer(*p.m_client, make_vote_request(t),
-              [&t, &p](std::optional<peer_message>& answer)
-              {
-                  p.m_request_pending = false;
-                  const auto* m =
-                      answer ? std::get_if<peer_vote>(&*answer) : nullptr;
-                  set_reachable(p, m != nullptr);
-                  if (m == nullptr)
-                      return;
-                  p.m_last_contact_at = boot_now();
-                  fetch_if_behind(t, p, m->m_store_is_available,
-                                  m->m_store_revision, m->m_config_version);
-                  const bool collects_votes =
-                      t.m_cell.m_state == cell_state::candidate ||
-                      t.m_cell.m_state == cell_state::leader;
-                  if (!m->m_granted || !collects_votes)
-                      return;
-                  t.m_cell.m_received_votes[m->m_name] = p.m_requested_at;
-                  update_leadership(t, boot_now());
-              });
+    send_to_peer(t, *p.m_client, make_vote_request(t),
+                 [&t, &p](std::optional<peer_message>& answer)
+                 {
+                     p.m_request_pending = false;
+                     const auto* m =
+                         answer ? std::get_if<peer_vote>(&*answer) : nullptr;
+                     set_reachable(p, m != nullptr);
+                     if (m == nullptr)
+                         return;
+                     p.m_last_contact_at = boot_now();
+                     fetch_if_behind(t, p, m->m_store_is_available,
+                                     m->m_store_revision, m->m_config_version);
+                     const bool collects_votes =
+                         t.m_cell.m_state == cell_state::candidate ||
+                         t.m_cell.m_state == cell_state::leader;
+                     if (!m->m_granted || !collects_votes)
+                         return;
+                     t.m_cell.m_received_votes[m->m_name] = p.m_requested_at;
+                     update_leadership(t, boot_now());
+                 });
 }
 
 // Calls `use` for each other member of the cell that is a known peer.
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view config_name = "config";
 constexpr std::string_view endpoint_prefix = "endpoint/";
 constexpr std::string_view evacuation_prefix = "evacuation/";
+// Configurations that are kept for peers that have one of them. A peer is at
+// most a second behind, in which an operator's tool may write three.
+constexpr std::size_t max_earlier_configs = 4;
 
 void apply_config(site_task_state& t, const stored_object& o)
 {
@@ -37,7 +40,12 @@
         return;
     }
     t.m_config = config;
+    if (!t.m_config_object.m_value.empty())
+        t.m_earlier_configs.push_front(std::move(t.m_config_object));
+    if (t.m_earlier_configs.size() > max_earlier_configs)
+        t.m_earlier_configs.pop_back();
     t.m_config_object = o;
+    t.m_wants_full_config = false;
     log_event(event_id::settings_in_force,
               {{"version", std::to_string(config->m_version)},
                {"revision", std::to_string(o.m_revision)},
@@ -65,9 +73,14 @@
                      bool complete)
 {
     const time_point now = boot_now();
+    const std::uint64_t revision =
+        watch_of(t, stored_kind::endpoints).m_changed_revision;
     std::map<std::string, site_endpoint, std::less<>> listed;
     if (complete)
+    {
         t.m_endpoint_objects.clear();
+        restart_history(t.m_endpoint_history, revision);
+    }
     for (const stored_change& c : changes)
     {
         const std::string& id = c.m_object.m_name;
@@ -76,10 +89,14 @@
         if (endpoint)
         {
             t.m_endpoint_objects[id] = c.m_object;
+            record_presence(t.m_endpoint_history, id);
             listed.insert_or_assign(id, *endpoint);
         }
         else
+        {
             t.m_endpoint_objects.erase(id);
+            record_removal(t.m_endpoint_history, id, revision);
+        }
         if (complete)
             continue;
         if (endpoint)
@@ -257,35 +274,96 @@
     publish_fleet(t);
 }
 
-peer_settings make_peer_settings(const site_task_state& t, std::uint64_t after)
+namespace
 {
-    peer_settings m;
-    m.m_known = {watch_of(t, stored_kind::configuration).m_revision,
-                 watch_of(t, stored_kind::endpoints).m_revision,
-                 watch_of(t, stored_kind::evacuations).m_revision};
-    m.m_version = known_revision(t);
-    m.m_content_revision = changed_revision(t);
-    if (t.m_config && t.m_config_object.m_revision > after)
-        m.m_objects.push_back({std::string(config_name),
-                               t.m_config_object.m_revision,
-                               t.m_config_object.m_value});
+
+// The configuration is sent as a difference if the peer has one that is kept
+// here.
+void add_configuration(const site_task_state& t, std::uint64_t after,
+                       bool accepts_delta, peer_settings& m)
+{
+    const stored_object& current = t.m_config_object;
+    if (!t.m_config || current.m_revision <= after)
+        return;
+    const auto base = std::ranges::find(t.m_earlier_configs, after,
+                                        &stored_object::m_revision);
+    if (accepts_delta && base != t.m_earlier_configs.end())
+        if (auto delta = make_text_delta(base->m_value, current.m_value))
+        {
+            m.m_config_delta = {after, current.m_revision, std::move(*delta)};
+            return;
+        }
+    m.m_objects.push_back(
+        {std::string(config_name), current.m_revision, current.m_value});
+}
+
+void add_endpoints(const site_task_state& t, std::uint64_t known,
+                   peer_settings& m)
+{
+    auto removed = removed_after(t.m_endpoint_history, known);
+    if (known != 0 && removed)
+        m.m_endpoints = {known, std::move(*removed)};
     for (const auto& [id, o] : t.m_endpoint_objects)
-        m.m_objects.push_back(
-            {std::string(endpoint_prefix) + id, o.m_revision, o.m_value});
+        if (o.m_revision > m.m_endpoints.m_since)
+            m.m_objects.push_back(
+                {std::string(endpoint_prefix) + id, o.m_revision, o.m_value});
+}
+
+// The evacuated zones are few: all of them, unless nothing has changed.
+void add_evacuations(const site_task_state& t, std::uint64_t known,
+                     peer_settings& m)
+{
+    if (known >= watch_of(t, stored_kind::evacuations).m_changed_revision)
+    {
+        m.m_evacuations.m_since = known;
+        if (known != 0)
+            return;
+    }
     for (const std::string& zone : t.m_evacuated_zones)
         m.m_objects.push_back({std::string(evacuation_prefix) + zone, 0, "{}"});
-    for (const auto& [name, member] : t.m_members)
-        m.m_vms.push_back(
-            {name, to_string(member.m_address), member.m_zone, false});
+}
+
+}
+
+peer_settings make_peer_settings(const site_task_state& t,
+                                 const peer_settings_request& request)
+{
+    const bool wants_lists =
+        request.m_part != peer_settings_part::configuration;
+    const peer_known_revisions known =
+        request.m_known.value_or(peer_known_revisions());
+    peer_settings m;
+    m.m_version = known_revision(t);
+    m.m_content_revision = changed_revision(t);
+    if (request.m_part != peer_settings_part::lists)
+    {
+        m.m_known.m_configuration =
+            watch_of(t, stored_kind::configuration).m_revision;
+        add_configuration(t, request.m_after, request.m_known.has_value(), m);
+    }
+    if (wants_lists)
+    {
+        m.m_known.m_endpoints = watch_of(t, stored_kind::endpoints).m_revision;
+        m.m_known.m_evacuations =
+            watch_of(t, stored_kind::evacuations).m_revision;
+        add_endpoints(t, known.m_endpoints, m);
+        add_evacuations(t, known.m_evacuations, m);
+    }
+    if (wants_lists && request.m_wants_members)
+        for (const auto& [name, member] : t.m_members)
+            m.m_vms.push_back(
+                {name, to_string(member.m_address), member.m_zone, false});
     return m;
 }
 
 namespace
 {
 
-// Returns the peer's objects whose names begin with `prefix`, without it.
-std::vector<stored_change> objects_of(const peer_settings& m,
-                                      std::string_view prefix)
+// Returns the peer's objects whose names begin with `prefix`, without it, and
+// those that were removed.
+std::vector<stored_change> changes_in(const peer_settings& m,
+                                      std::string_view prefix,
+                                      const peer_list_base& base)
 {
     std::vector<stored_change> found;
     for (const peer_object& o : m.m_objects)
@@ -293,23 +371,51 @@
             found.push_back(
                 {{o.m_name.substr(prefix.size()), o.m_version, o.m_value},
                  false});
+    for (const std::string& name : base.m_removed)
+        found.push_back({{name, 0, {}}, true});
     return found;
 }
 
 // Each kind is judged by its own revision: a peer may be ahead in one and
 // behind in another.
 bool adopt_list(site_task_state& t, stored_kind kind, std::string_view prefix,
-                std::uint64_t known, const peer_settings& m)
+                std::uint64_t known, const peer_list_base& base,
+                const peer_settings& m)
 {
     store_watch& w = watch_of(t, kind);
-    if (known <= w.m_revision)
+    // Changes after a revision say nothing of what happened before it.
+    if (known <= w.m_revision || base.m_since > w.m_revision)
         return false;
+    const std::vector<stored_change> changes = changes_in(m, prefix, base);
+    const bool is_complete = base.m_since == 0;
     w.m_revision = known;
+    if (!is_complete && changes.empty())
+        return true;
     w.m_changed_revision = known;
-    apply_objects(t, kind, objects_of(m, prefix), true);
+    apply_objects(t, kind, changes, is_complete);
     return true;
 }
 
+// Returns false if the difference is of another configuration.
+bool apply_config_delta(site_task_state& t, const peer_config_delta& d)
+{
+    const stored_object& base = t.m_config_object;
+    const auto text = base.m_revision == d.m_base_revision
+                          ? apply_text_delta(base.m_value, d.m_delta)
+                          : std::nullopt;
+    if (text)
+    {
+        apply_config(t, {std::string(config_name), d.m_revision, *text});
+        return true;
+    }
+    t.m_wants_full_config = true;
+    log_event(event_id::settings_delta_refused,
+              {{"base", std::to_string(d.m_base_revision)},
+               {"had", std::to_string(base.m_revision)},
+               {"revision", std::to_string(d.m_revision)}});
+    return false;
+}
+
 bool adopt_configuration(site_task_state& t, const peer_settings& m)
 {
     store_watch& w = watch_of(t, stored_kind::configuration);
@@ -317,6 +423,8 @@
     for (const peer_object& o : m.m_objects)
         if (o.m_name == config_name)
             apply_config(t, {o.m_name, o.m_version, o.m_value});
+    if (m.m_config_delta && !apply_config_delta(t, *m.m_config_delta))
+        return false;
     const bool newer = t.m_config && t.m_config->m_version > before;
     if (newer)
         w.m_changed_revision =
@@ -350,11 +458,12 @@
 {
     const std::uint64_t before = known_revision(t);
     const bool configuration = adopt_configuration(t, m);
-    const bool endpoints = adopt_list(
-        t, stored_kind::endpoints, endpoint_prefix, m.m_known.m_endpoints, m);
+    const bool endpoints =
+        adopt_list(t, stored_kind::endpoints, endpoint_prefix,
+                   m.m_known.m_endpoints, m.m_endpoints, m);
     const bool evacuations =
         adopt_list(t, stored_kind::evacuations, evacuation_prefix,
-                   m.m_known.m_evacuations, m);
+                   m.m_known.m_evacuations, m.m_evacuations, m);
     if (!configuration && !endpoints && !evacuations)
         return false;
     log_event(event_id::settings_adopted,
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <model/overloaded.hpp>
+#include <peer/peer_codec.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -21,21 +22,40 @@
                    {"revision", std::to_string(known_revision(t))}});
 }
 
-void fetch_from(site_task_state& t, site_peer& p)
+peer_settings_request make_settings_request(const site_task_state& t,
+                                            peer_settings_part part)
 {
-    if (std::exchange(p.m_fetch_pending, true))
+    peer_settings_request m;
+    m.m_after = t.m_wants_full_config ? 0 : t.m_config_object.m_revision;
+    m.m_part = part;
+    m.m_known = {watch_of(t, stored_kind::configuration).m_revision,
+                 watch_of(t, stored_kind::endpoints).m_revision,
+                 watch_of(t, stored_kind::evacuations).m_revision};
+    m.m_wants_members = t.m_members.empty();
+    return m;
+}
+
+// The configuration and the lists are fetched separately, so that neither
+// waits until the other has arrived.
+void fetch_part(site_task_state& t, site_peer& p, peer_settings_part part)
+{
+    bool& pending = part == peer_settings_part::configuration
+                        ? p.m_config_fetch_pending
+                        : p.m_lists_fetch_pending;
+    if (std::exchange(pending, true))
         return;
-    call_peer(*p.m_client, peer_settings_request{t.m_config_object.m_revision},
-              [&t, &p](std::optional<peer_message>& answer)
-              {
-                  p.m_fetch_pending = false;
-                  const auto* m =
-                      answer ? std::get_if<peer_settings>(&*answer) : nullptr;
-                  if (m == nullptr)
-                      log_fetch(t, p, event_id::settings_fetch_failed);
-                  else if (!adopt_from_peer(t, *m))
-                      log_fetch(t, p, event_id::settings_fetch_useless);
-              });
+    send_to_peer(t, *p.m_client, make_settings_request(t, part),
+                 [&t, &p, &pending](std::optional<peer_message>& answer)
+                 {
+                     pending = false;
+                     const auto* m = answer
+                                         ? std::get_if<peer_settings>(&*answer)
+                                         : nullptr;
+                     if (m == nullptr)
+                         log_fetch(t, p, event_id::settings_fetch_failed);
+                     else if (!adopt_from_peer(t, *m))
+                         log_fetch(t, p, event_id::settings_fetch_useless);
+                 });
 }
 
 void apply_digest(site_task_state& t, site_peer& p, const peer_site_digest& d)
@@ -63,23 +83,20 @@
             [&](const peer_site_digest& m)
             {
                 if (has_zone_cells(t))
-                    return answer_peer(*t.m_peer_server, exchange,
-                                       answer_cell_digest(t, m));
+                    return send_answer(t, exchange, answer_cell_digest(t, m));
                 // Applied first, because the answer acknowledges these weights.
                 const auto found = t.m_peers.find(m.m_address);
                 if (found != t.m_peers.end())
                     apply_digest(t, found->second, m);
-                answer_peer(*t.m_peer_server, exchange, make_digest(t, m));
+                send_answer(t, exchange, make_digest(t, m));
             },
             [&](const peer_settings_request& m)
             {
-                answer_peer(*t.m_peer_server, exchange,
-                            make_peer_settings(t, m.m_after));
+                send_answer(t, exchange, make_peer_settings(t, m));
             },
             [&](const peer_vote_request& m)
             {
-                answer_peer(*t.m_peer_server, exchange,
-                            answer_vote_request(t, m));
+                send_answer(t, exchange, answer_vote_request(t, m));
             },
             [&](const peer_token_request& m)
             {
@@ -91,8 +108,7 @@
             },
             [&](const auto&)
             {
-                answer_peer(*t.m_peer_server, exchange,
-                            peer_declined{t.m_settings.m_name});
+                send_answer(t, exchange, peer_declined{t.m_settings.m_name});
             },
         },
         message);
@@ -117,18 +133,18 @@
     p.m_request_pending = true;
     p.m_requested_at = boot_now();
     p.m_announced_version = t.m_weights.m_version;
-    call_peer(*p.m_client, make_digest(t, p.m_last_digest),
-              [&t, &p](std::optional<peer_message>& answer)
-              {
-                  p.m_request_pending = false;
-                  const auto* m = answer
-                                      ? std::get_if<peer_site_digest>(&*answer)
-                                      : nullptr;
-                  set_reachable(p, m != nullptr);
-                  if (m != nullptr)
-                      apply_digest(t, p, *m);
-                  record_refusal(t, p, m != nullptr);
-              });
+    send_to_peer(t, *p.m_client, make_digest(t, p.m_last_digest),
+                 [&t, &p](std::optional<peer_message>& answer)
+                 {
+                     p.m_request_pending = false;
+                     const auto* m =
+                         answer ? std::get_if<peer_site_digest>(&*answer)
+                                : nullptr;
+                     set_reachable(p, m != nullptr);
+                     if (m != nullptr)
+                         apply_digest(t, p, *m);
+                     record_refusal(t, p, m != nullptr);
+                 });
 }
 
 void add_peer(site_task_state& t, const address& at, std::string_view name)
@@ -151,6 +167,20 @@
 
 }
 
+void send_to_peer(site_task_state& t, http2_client& peer,
+                  const peer_message& message, peer_callback done)
+{
+    const std::size_t bytes = call_peer(peer, message, std::move(done));
+    record_sent(t.m_traffic, peer_message_kind(message), bytes);
+}
+
+void send_answer(site_task_state& t, exchange_id exchange,
+                 const peer_message& message)
+{
+    const std::size_t bytes = answer_peer(*t.m_peer_server, exchange, message);
+    record_sent(t.m_traffic, peer_message_kind(message), bytes);
+}
+
 peer_site_digest make_digest(const site_task_state& t,
                              const std::optional<peer_site_digest>& received)
 {
@@ -207,10 +237,16 @@
     const std::uint64_t own = t.m_config ? t.m_config->m_version : 0;
     if (config_version > own && t.m_behind_since == time_point{})
         t.m_behind_since = boot_now();
-    // The store doesn't answer this process, or a watch has stalled.
-    if (config_version > own || (!is_store_available(t) && peer_has_store &&
-                                 revision > known_revision(t)))
-        fetch_from(t, p);
+    // A watch has stalled.
+    if (config_version > own)
+        fetch_part(t, p, peer_settings_part::configuration);
+    // The store doesn't answer this process.
+    if (!is_store_available(t) && peer_has_store &&
+        revision > known_revision(t))
+    {
+        fetch_part(t, p, peer_settings_part::configuration);
+        fetch_part(t, p, peer_settings_part::lists);
+    }
 }
 
 void fetch_newer_content(site_task_state& t, site_peer& leader,
@@ -220,7 +256,7 @@
             watch_of(t, stored_kind::endpoints).m_revision ||
         claim.m_evacuations_revision >
             watch_of(t, stored_kind::evacuations).m_revision)
-        fetch_from(t, leader);
+        fetch_part(t, leader, peer_settings_part::lists);
 }
 
 void set_reachable(site_peer& p, bool reachable)
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -19,6 +19,7 @@
 {
     const time_point now = boot_now();
     note_tick(t.m_usage, now);
+    log_traffic(t.m_traffic, now);
     if (expire_missing(t.m_list, now))
         publish_endpoints(t);
     advance_cell(t, now);
@@ -66,6 +67,7 @@
                   t.m_watches, watch_state::relayed, &store_watch::m_state)));
     add_value(families, metric_id::settings_behind, {},
               to_seconds(time_behind(t)));
+    collect_traffic(families, t.m_traffic);
     collect_usage(families, t.m_usage);
     return families;
 }
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -12,7 +13,9 @@
 
 #include <decide/cell_vote.hpp>
 #include <decide/endpoint_list.hpp>
+#include <decide/list_history.hpp>
 #include <peer/peer_call.hpp>
+#include <report/peer_traffic.hpp>
 #include <report/task_usage.hpp>
 #include <session/object_store.hpp>
 #include <session/session_messages.hpp>
@@ -75,7 +78,8 @@
         m_last_contact_at{};      ///< Initially the time at which it was added.
     std::uint32_t m_refusals = 0; ///< Consecutive refused connections.
     bool m_request_pending = false;
-    bool m_fetch_pending = false; ///< Its settings have been requested.
+    bool m_config_fetch_pending = false; ///< Its configuration was requested.
+    bool m_lists_fetch_pending = false;  ///< Its lists were requested.
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -130,8 +134,13 @@
     std::array<store_watch, 4> m_watches;
 
     stored_object m_config_object; ///< As it was read; passed on to peers.
+    /// The objects before it, newest first: a peer that has one of them gets
+    /// the difference.
+    std::deque<stored_object> m_earlier_configs;
+    bool m_wants_full_config = false; ///< A difference couldn't be applied.
     site_config_ptr m_config;
     std::map<std::string, stored_object, std::less<>> m_endpoint_objects;
+    list_history m_endpoint_history; ///< Of m_endpoint_objects.
     endpoint_list m_list;
     std::set<std::string, std::less<>> m_evacuated_zones;
     std::map<std::string, member_record, std::less<>> m_members;
@@ -144,6 +153,7 @@
     std::uint64_t m_history_gone_calls = 0;
     std::uint64_t m_digests_sent = 0;
     std::uint64_t m_digests_received = 0;
+    peer_traffic m_traffic;
     task_usage m_usage{.m_task = "site", .m_tick = site_tick};
 
     std::map<std::string, site_peer, std::less<>> m_peers; ///< By address.
@@ -182,9 +192,10 @@
                    std::span<const stored_change> changes, bool complete);
 void publish_endpoints(site_task_state& t);
 void register_member(site_task_state& t);
-/// Returns the objects that this process knows, for a peer that the store
-/// doesn't serve or that leaves watching it to this process.
-peer_settings make_peer_settings(const site_task_state& t, std::uint64_t after);
+/// Returns what this process knows and the peer that asks doesn't: the store
+/// doesn't serve it, or it leaves watching the store to this process.
+peer_settings make_peer_settings(const site_task_state& t,
+                                 const peer_settings_request& request);
 /// Applies each kind of object that the peer knows up to a newer revision.
 /// Returns false if there is none.
 bool adopt_from_peer(site_task_state& t, const peer_settings& m);
@@ -203,6 +214,12 @@
 /// Returns the weights and the acknowledgement in a peer's digest.
 demand_update make_demand_update(const site_task_state& t,
                                  const peer_site_digest& d);
+/// Sends a message to a peer, and counts it. `done` gets the answer.
+void send_to_peer(site_task_state& t, http2_client& peer,
+                  const peer_message& message, peer_callback done);
+/// Answers a peer's request, and counts the answer.
+void send_answer(site_task_state& t, exchange_id exchange,
+                 const peer_message& message);
 /// Fetches the store's objects from a peer that has seen a newer revision.
 void fetch_if_behind(site_task_state& t, site_peer& p, bool peer_has_store,
                      std::uint64_t peer_revision, std::uint64_t config_version);
--- a/Tests/support/scripted_leader.cpp
+++ b/Tests/support/scripted_leader.cpp
@@ -90,8 +90,11 @@
             return;
         if (!m_script ||
             !std::holds_alternative<peer_settings_request>(*message))
-            return answer_peer(*m_server, request.m_exchange,
-                               peer_declined{"leader"});
+        {
+            answer_peer(*m_server, request.m_exchange,
+                        peer_declined{"leader"});
+            return;
+        }
         answer_peer(*m_server, request.m_exchange, m_script->m_settings);
         ++m_fetches;
     }
