platform: Read the slots of an endpoint's entry

The entry of an endpoint says how many statements it runs at once, and nothing read it, so endpoints of different sizes looked alike to the choice.

An entry with slots that are missing, negative, fractional or absurdly large still names an endpoint, with unknown slots: the number only weighs a choice, and refusing the entry would take the endpoint out of service.

--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -92,6 +92,7 @@
     bool m_draining = false;
     bool m_claims_primary = false;
     std::uint64_t m_started_ms = 0; ///< Unix time at which its process started.
+    std::uint32_t m_slots = 0; ///< Statements that it runs at once; 0: unknown.
 
     friend bool operator==(const site_endpoint&,
                            const site_endpoint&) = default;
--- a/Tests/platform/store_value_codec_test.cpp
+++ b/Tests/platform/store_value_codec_test.cpp
@@ -74,8 +74,28 @@
         REQUIRE(e->m_draining);
         REQUIRE(e->m_claims_primary);
         REQUIRE(e->m_started_ms == 1700);
+        REQUIRE(e->m_slots == 5);
         REQUIRE(to_string(e->m_address) == "10.128.0.9:8080");
     }
+    GIVEN("slots that are missing, or no whole number that makes sense")
+    {
+        THEN("the endpoint is used all the same, with unknown slots")
+        {
+            for (const char* slots :
+                 {"", R"("capacity":-1,)", R"("capacity":2.5,)",
+                  R"("capacity":"4",)", R"("capacity":null,)",
+                  R"("capacity":4294967300,)"})
+            {
+                CAPTURE(slots);
+                const auto e = codec.m_read_endpoint(
+                    "i-1", std::string("{") + slots +
+                               R"("service":"a","address":"10.0.0.1:1",
+                                  "zone":"z","state":"ready"})");
+                REQUIRE(e);
+                CHECK(e->m_slots == 0);
+            }
+        }
+    }
     GIVEN("entries that don't follow the schema")
     {
         REQUIRE_FALSE(codec.m_read_endpoint("i-1", "\"text\""));
