peer: Relay the busy slots of endpoints with their age

A process that isn't its cell's leader asks no endpoint for its status, so it knows nothing of how full an endpoint is.

The count and its age are appended to an endpoint's array. Earlier builds read the first three elements only, and what they send is read as an unknown count. The age of the last contact wasn't reused: any reply renews it, a status alone brings a count.

--- a/Source/model/relayed_group.hpp
+++ b/Source/model/relayed_group.hpp
@@ -17,6 +17,9 @@
 {
     duration m_ago{};                ///< Since its last reply.
     std::uint32_t m_connections = 0; ///< Of all processes, by its last status.
+    /// Slots in use, by its last status; a peer of an earlier build sends none.
+    std::optional<std::uint32_t> m_busy{};
+    duration m_busy_ago{}; ///< Since the request for that status.
 };
 
 /// What one process tells others of a group that they don't ask themselves.
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -262,11 +262,35 @@
     return std::chrono::milliseconds(std::min(max_ms, j.get<std::uint64_t>()));
 }
 
+// Earlier builds read the first three elements.
+json write_endpoint(const std::string& id, const relayed_endpoint& e)
+{
+    json out = json::array({id, write_span(e.m_ago), e.m_connections});
+    if (e.m_busy)
+    {
+        out.push_back(*e.m_busy);
+        out.push_back(write_span(e.m_busy_ago));
+    }
+    return out;
+}
+
+relayed_endpoint read_endpoint(const json& j)
+{
+    relayed_endpoint e{read_span(j.at(1)), j.at(2).get<std::uint32_t>()};
+    constexpr std::size_t size_without_busy = 3;
+    if (j.size() > size_without_busy)
+    {
+        e.m_busy = j.at(3).get<std::uint32_t>();
+        e.m_busy_ago = read_span(j.at(4));
+    }
+    return e;
+}
+
 json write_group(const relayed_group& g)
 {
     json endpoints = json::array();
     for (const auto& [id, e] : g.m_endpoints)
-        endpoints.push_back({id, write_span(e.m_ago), e.m_connections});
+        endpoints.push_back(write_endpoint(id, e));
     json lease;
     if (g.m_lease_proven_ago)
         lease = write_span(*g.m_lease_proven_ago);
@@ -295,9 +319,7 @@
         g.m_position_asked_ago = read_span(position.at(2));
     }
     for (const json& e : j.at(6))
-        g.m_endpoints.emplace(
-            e.at(0).get<std::string>(),
-            relayed_endpoint{read_span(e.at(1)), e.at(2).get<std::uint32_t>()});
+        g.m_endpoints.emplace(e.at(0).get<std::string>(), read_endpoint(e));
     return g;
 }
 
--- a/Tests/peer/peer_codec_test.cpp
+++ b/Tests/peer/peer_codec_test.cpp
@@ -161,6 +161,7 @@
         g.m_position = log_position{7, 1207};
         g.m_position_asked_ago = milliseconds(5);
         g.m_endpoints["i-2"] = {milliseconds(900), 44};
+        g.m_endpoints["i-3"] = {milliseconds(10), 9, 3, microseconds(250'001)};
         const peer_groups read = round_trip(peer_groups{true, {g}});
 
         THEN("everything is kept, with spans rounded up")
@@ -178,6 +179,14 @@
             REQUIRE(r.m_endpoints.contains("i-2"));
             CHECK(r.m_endpoints.at("i-2").m_ago == milliseconds(900));
             CHECK(r.m_endpoints.at("i-2").m_connections == 44);
+            CHECK(r.m_endpoints.at("i-3").m_connections == 9);
+        }
+        THEN("busy slots keep their own age, and unknown ones stay unknown")
+        {
+            const relayed_group& r = read.m_groups.front();
+            CHECK_FALSE(r.m_endpoints.at("i-2").m_busy);
+            CHECK(r.m_endpoints.at("i-3").m_busy == 3U);
+            CHECK(r.m_endpoints.at("i-3").m_busy_ago == milliseconds(251));
         }
     }
     GIVEN("requests of the own cell and of another one's leader")
