--- a/Source/decide/endpoint_choice.cpp
+++ b/Source/decide/endpoint_choice.cpp
@@ -10,12 +10,17 @@
     return average_ms + latency_smoothing_weight * (latency_ms - average_ms);
 }
 
-double expected_cost_ms(const endpoint_candidate& candidate, time_point now)
+double expected_latency_ms(const endpoint_candidate& candidate, time_point now)
 {
     const bool known = candidate.m_latency_ms > 0 &&
                        now - candidate.m_responded_at < max_average_age;
-    double cost = known ? candidate.m_latency_ms : default_latency_ms;
-    cost *= 1 + candidate.m_running / 2.0;
+    const double latency = known ? candidate.m_latency_ms : default_latency_ms;
+    return latency * (1 + candidate.m_running / 2.0);
+}
+
+double extra_cost_ms(const endpoint_candidate& candidate) noexcept
+{
+    double cost = 0;
     if (!candidate.m_has_idle_connection)
         cost += connect_cost_ms;
     if (candidate.m_in_other_region)
@@ -25,6 +30,11 @@
     return cost;
 }
 
+double expected_cost_ms(const endpoint_candidate& candidate, time_point now)
+{
+    return expected_latency_ms(candidate, now) + extra_cost_ms(candidate);
+}
+
 bool is_unresponsive(time_point responded_at, time_point now) noexcept
 {
     return now - responded_at >= unresponsive_after;
--- a/Source/decide/endpoint_choice.hpp
+++ b/Source/decide/endpoint_choice.hpp
@@ -52,8 +52,13 @@
 /// that there was no response yet.
 double smooth_latency(double average_ms, double latency_ms) noexcept;
 
-/// Returns the expected latency of a statement at the endpoint plus its extra
-/// costs.
+/// Returns the expected latency of a statement at the endpoint, by its recent
+/// responses and the statements that it runs for this process.
+double expected_latency_ms(const endpoint_candidate& candidate, time_point now);
+/// Returns what differences in kind cost: a connection that has to be opened,
+/// another region, a primary that others could spare.
+double extra_cost_ms(const endpoint_candidate& candidate) noexcept;
+/// Returns the sum of both.
 double expected_cost_ms(const endpoint_candidate& candidate, time_point now);
 
 /// Returns the index of the candidate with the lowest expected cost, or nothing
