session: Send statements to endpoints by drawn choice

Uses choose_by_load where a statement's endpoint is chosen. Its inputs are the slots of the entries, the busy slots of statuses, own or relayed with their age, statements refused as busy, and what the choice went by before. A draw belongs to a statement, so that serve_waiting, which chooses several times for one, gets the same answer; choosing has no side effects, and a choice is counted and logged when the statement is started.

A refusal isn't counted as a response time any more: an endpoint that refused at once looked like the fastest one.

Not measured on the users' platform.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -168,6 +168,8 @@
     event_entry{event_id::replica_resumed, event_level::info, "replica_resumed",
                 "a replica was paused although no takeover is in progress; it "
                 "is resumed"},
+    event_entry{event_id::endpoint_drawn, event_level::detail, "endpoint_drawn",
+                "a statement goes to one of several endpoints near the best"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -163,6 +163,14 @@
                  "bluebellspoke_settings_behind_seconds", "",
                  "time since a peer first reported a newer version than the "
                  "one in force; 0 if none did"},
+    metric_entry{metric_id::endpoint_choices, metric_type::counter,
+                 "bluebellspoke_endpoint_choices_total", "rank",
+                 "statements sent to the endpoint with the lowest expected "
+                 "cost (best) or to another one near it (other)"},
+    metric_entry{metric_id::endpoint_busy, metric_type::counter,
+                 "bluebellspoke_endpoint_busy_total", "",
+                 "statements that an endpoint refused as its slots were in "
+                 "use"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -66,6 +66,8 @@
     cell_kept,
     relayed_watches,
     settings_behind,
+    endpoint_choices,
+    endpoint_busy,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -55,7 +55,10 @@
         log_primary_change(t, *p.m_group);
     }
     if (fault == session_fault::busy)
+    {
+        record_busy_refusal(t, p);
         p.m_busy_until = boot_now() + busy_endpoint_pause;
+    }
     // The missing log entries arrive within about the interval between position
     // samples.
     constexpr std::chrono::milliseconds lag_retry_delay{150};
@@ -107,6 +110,7 @@
 
 void schedule_resend(session_task_state& t, link& k, work& w)
 {
+    record_busy_refusal(t, *k.m_endpoint_pool);
     w.m_answer.clear();
     w.m_sent_at = {};
     w.m_resend_at = boot_now() + busy_endpoint_pause;
@@ -191,11 +195,15 @@
     endpoint_pool& p = *k.m_endpoint_pool;
     const time_point now = boot_now();
     --p.m_statements_in_flight;
-    p.m_latency_ms = smooth_latency(
-        p.m_latency_ms,
-        std::chrono::duration<double, std::milli>(now - e.m_requested_at)
-            .count());
-    p.m_responded_at = now;
+    // An endpoint that refuses at once isn't a fast one.
+    if (!e.m_failed || !has_not_run(e.m_fault))
+    {
+        p.m_latency_ms = smooth_latency(
+            p.m_latency_ms,
+            std::chrono::duration<double, std::milli>(now - e.m_requested_at)
+                .count());
+        p.m_responded_at = now;
+    }
     if (!k.m_work || !k.m_work->m_session)
         return finish_abandoned_statement(t, k);
     if (!e.m_failed)
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -127,6 +127,14 @@
               static_cast<double>(c.m_links_opened));
     add_value(families, metric_id::endpoint_links_refused, {},
               static_cast<double>(c.m_full_endpoints));
+    add_value(families, metric_id::endpoint_busy, {},
+              static_cast<double>(c.m_busy_endpoints));
+    add_value(families, metric_id::endpoint_choices,
+              std::array{std::string_view("best")},
+              static_cast<double>(c.m_best_choices));
+    add_value(families, metric_id::endpoint_choices,
+              std::array{std::string_view("other")},
+              static_cast<double>(c.m_other_choices));
     add_value(families, metric_id::group_requests, {},
               static_cast<double>(c.m_relay_requests));
     add_value(families, metric_id::session_reads,
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <decide/endpoint_choice.hpp>
+#include <decide/load/load_choice.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -53,12 +53,6 @@
     return (leads || now >= p.m_lags_until) && meets_consistency(w, p);
 }
 
-struct pool_candidate
-{
-    endpoint_pool* m_endpoint_pool = nullptr;
-    endpoint_candidate m_endpoint_candidate;
-};
-
 std::vector<pool_candidate> find_candidates(session_task_state& t,
                                             const work& w, time_point now)
 {
@@ -78,7 +72,7 @@
         candidate.m_in_other_region = p.m_region != t.m_settings.m_region;
         candidate.m_is_avoidable_primary =
             !w.m_needs_primary && p.m_group->m_view.m_primary == id;
-        found.push_back({&p, candidate});
+        found.push_back({&p, {candidate, p.m_load}});
     }
     return found;
 }
@@ -86,16 +80,24 @@
 endpoint_pool* choose_pool(session_task_state& t, const work& w, time_point now)
 {
     const std::vector<pool_candidate> found = find_candidates(t, w, now);
-    std::vector<endpoint_candidate> candidates;
-    candidates.reserve(found.size());
-    for (const pool_candidate& c : found)
-        candidates.push_back(c.m_endpoint_candidate);
-    const auto best = choose_candidate(candidates, now);
-    return best ? found[*best].m_endpoint_pool : nullptr;
+    const auto choice = choose_for(w, found, now);
+    return choice ? found[choice->m_index].m_endpoint_pool : nullptr;
+}
+
+// Choosing has no side effects, as serve_waiting chooses several times for one
+// statement; the choice is noted once it is carried out.
+void note_start(session_task_state& t, const work& w, const endpoint_pool& p)
+{
+    const time_point now = boot_now();
+    const std::vector<pool_candidate> found = find_candidates(t, w, now);
+    const auto choice = choose_for(w, found, now);
+    if (choice && found[choice->m_index].m_endpoint_pool == &p)
+        note_choice(t, w, found, *choice, now);
 }
 
 void start_on_pool(session_task_state& t, const work_ptr& w, endpoint_pool& p)
 {
+    note_start(t, *w, p);
     const link_ptr k =
         obtain_link(t, p, w->m_session->m_workspace, w->m_session.get());
     if (!k)
--- a/Source/session/session_endpoints.cpp
+++ b/Source/session/session_endpoints.cpp
@@ -116,6 +116,12 @@
                {"paused_ms", milliseconds_of(p.m_full_pause)}});
 }
 
+void record_busy_refusal(session_task_state& t, endpoint_pool& p)
+{
+    ++t.m_counts.m_busy_endpoints;
+    record_full_slots(p.m_load, boot_now());
+}
+
 void record_refused_connection(session_task_state& t, const link& k)
 {
     endpoint_pool& p = *k.m_endpoint_pool;
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -43,6 +43,7 @@
     p.m_is_avoided = false;
     p.m_avoid_until = {};
     p.m_avoid_interval = {};
+    p.m_load = {};
 }
 
 void update_pool(session_task_state& t, const site_endpoint& e)
@@ -60,6 +61,7 @@
     else
         handle_endpoint_restart(t, p, e);
     p.m_endpoint = e;
+    p.m_load.m_slots = e.m_slots;
     p.m_is_listed = true;
     const auto region = t.m_settings.m_region_of_zone.find(e.m_zone);
     if (region != t.m_settings.m_region_of_zone.end())
@@ -315,6 +317,7 @@
     }
     log_role_change(p, *status);
     record_connection_count(p, status->m_connections, boot_now());
+    record_busy_slots(p.m_load, status->m_busy, e.m_requested_at);
     record_status(p.m_group->m_view, p.m_endpoint.m_id, *status,
                   e.m_requested_at, boot_now());
     log_primary_change(t, *p.m_group);
--- a/Source/session/session_relay.cpp
+++ b/Source/session/session_relay.cpp
@@ -34,9 +34,17 @@
     relayed_group m = make_relayed_group(g.m_view, now);
     m.m_service = name;
     for (const auto& [id, p] : t.m_endpoint_pools)
-        if (p.m_group == &g && p.m_last_contact_at != time_point{})
-            m.m_endpoints[id] = {now - p.m_last_contact_at,
-                                 p.m_open_connections};
+    {
+        if (p.m_group != &g || p.m_last_contact_at == time_point{})
+            continue;
+        relayed_endpoint& e = m.m_endpoints[id];
+        e = {now - p.m_last_contact_at, p.m_open_connections};
+        const auto seen = g.m_view.m_observations.find(id);
+        if (seen == g.m_view.m_observations.end())
+            continue;
+        e.m_busy = seen->second.m_status.m_busy;
+        e.m_busy_ago = now - seen->second.m_asked_at;
+    }
     return m;
 }
 
@@ -104,9 +112,13 @@
         for (const auto& [id, e] : relayed.m_endpoints)
         {
             const auto p = t.m_endpoint_pools.find(id);
-            if (p != t.m_endpoint_pools.end())
-                record_relayed_contact(p->second, m.m_requested_at - e.m_ago,
-                                       e.m_connections);
+            if (p == t.m_endpoint_pools.end())
+                continue;
+            record_relayed_contact(p->second, m.m_requested_at - e.m_ago,
+                                   e.m_connections);
+            if (e.m_busy)
+                record_busy_slots(p->second.m_load, *e.m_busy,
+                                  m.m_requested_at - e.m_busy_ago);
         }
         serve_waiting(t, g);
     }
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -143,6 +143,7 @@
                                 "execute");
     const time_point now = boot_now();
     const work_ptr w = make_statement_work(s, id, q);
+    w->m_draw = std::uniform_real_distribution<double>(0, 1)(t.m_random);
     set_deadlines(*w, s, now);
     s.m_work = w;
     t.m_pending_work.push_back(*w);
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -6,10 +6,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include <decide/load/load_choice.hpp>
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
 #include <report/task_usage.hpp>
@@ -78,6 +81,10 @@
     std::uint64_t m_relay_requests = 0; ///< To the cell leader.
     std::uint64_t m_full_endpoints = 0; ///< Connections refused for want of
                                         ///< room.
+    std::uint64_t m_busy_endpoints = 0; ///< Statements refused for want of a
+                                        ///< free slot.
+    std::uint64_t m_best_choices = 0;   ///< Sent to the lowest expected cost.
+    std::uint64_t m_other_choices = 0;  ///< Sent to another one near the best.
 };
 
 struct listener_deleter
@@ -123,7 +130,7 @@
     time_point m_next_report_at{};
     time_point m_relay_requested_at{}; ///< Last request to the cell leader.
     bool m_relay_is_pending = false;   ///< It isn't answered yet.
-    std::minstd_rand m_random;         ///< Spreads pauses.
+    std::minstd_rand m_random;         ///< Spreads pauses and statements.
     time_point m_stopping_since{};     ///< Zero if not shutting down.
     bool m_stop_reported = false;
     session_counts m_counts;
@@ -168,6 +175,22 @@
                 std::string_view detail);
 void check_deadlines(session_task_state& t, time_point now);
 
+// session_choice.cpp
+/// An endpoint that may run a statement, and what the choice goes by.
+struct pool_candidate
+{
+    endpoint_pool* m_endpoint_pool = nullptr;
+    loaded_candidate m_loaded;
+};
+/// Chooses one of the endpoints for the work; nothing if none can take it.
+std::optional<load_choice> choose_for(const work& w,
+                                      std::span<const pool_candidate> found,
+                                      time_point now);
+/// Counts and logs that the work is sent to the one that was chosen.
+void note_choice(session_task_state& t, const work& w,
+                 std::span<const pool_candidate> found,
+                 const load_choice& choice, time_point now);
+
 // session_log.cpp
 /// Describes the known state of the group that the work waits for.
 std::string describe_group(const session_task_state& t, const work& w,
@@ -243,6 +266,8 @@
 void avoid_endpoint(endpoint_pool& p, std::string_view cause);
 /// Opens no connection to the endpoint for a while, since it has no room.
 void record_full(session_task_state& t, endpoint_pool& p);
+/// Records that the endpoint refused a statement, as its slots were all in use.
+void record_busy_refusal(session_task_state& t, endpoint_pool& p);
 /// Handles the end of a connection that wasn't established.
 void record_refused_connection(session_task_state& t, const link& k);
 
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -18,6 +18,7 @@
 #include <decide/connection_budget.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/group_view.hpp>
+#include <decide/load/endpoint_load.hpp>
 #include <decide/rate_bucket.hpp>
 #include <model/site.hpp>
 #include <session/line_stream.hpp>
@@ -80,6 +81,8 @@
     time_point m_attempt_deadline{}; ///< Timeout of the current attempt.
     time_point m_resend_at{};        ///< Zero if no retry is scheduled.
     std::uint32_t m_attempts = 0;
+    double m_draw = 0; ///< Random number in [0, 1) by which it is sent to one
+                       ///< of several endpoints.
     /// Endpoints where an attempt failed.
     std::set<std::string, std::less<>> m_tried_endpoints;
     link_ptr m_link;
@@ -172,6 +175,7 @@
     /// Connections of all processes, by its latest status.
     std::uint32_t m_open_connections = 0;
     time_point m_counted_at{}; ///< When that status was received.
+    endpoint_load m_load;      ///< By statuses, here or relayed, and refusals.
     intrusive_list<link> m_links;
     std::uint32_t m_link_count = 0;
     std::uint32_t m_statements_in_flight = 0; ///< Statements awaiting a reply.
