session: Log each choice of an endpoint that others could have run

Event 3040 was written only where several endpoints were near the best, so a choice that an endpoint's kind or load decided left no line with its inputs. It is written now whenever more than one endpoint may run the statement, says how many were drawn from, and names those without a connection. It is called endpoint_chosen accordingly.

--- a/Source/decide/load/load_choice.cpp
+++ b/Source/decide/load/load_choice.cpp
@@ -14,11 +14,6 @@
     return c.m_load_ms + c.m_extra_ms;
 }
 
-bool can_run(const loaded_candidate& c)
-{
-    return c.m_candidate.m_has_idle_connection || c.m_candidate.m_can_connect;
-}
-
 // The rate at which the candidate can take further statements, relative to the
 // others; zero if it isn't drawn.
 double weight_of(const loaded_candidate& c, const load_cost& cost,
@@ -32,6 +27,11 @@
 
 }
 
+bool can_run(const loaded_candidate& c)
+{
+    return c.m_candidate.m_has_idle_connection || c.m_candidate.m_can_connect;
+}
+
 double believed_used(const endpoint_load& load, double mean, time_point now)
 {
     return mean + load_trust(load, now) * (load.m_used - mean);
--- a/Source/decide/load/load_choice.hpp
+++ b/Source/decide/load/load_choice.hpp
@@ -40,6 +40,8 @@
     std::size_t m_near_best = 0; ///< Candidates that were drawn from.
 };
 
+/// True if it has an idle connection or one may be opened.
+bool can_run(const loaded_candidate& c);
 /// Returns the part of the slots that is believed to be in use: the average of
 /// the reports, the closer to the mean of the candidates the older it is.
 double believed_used(const endpoint_load& load, double mean, time_point now);
@@ -50,8 +52,8 @@
 load_cost expected_load_cost(const loaded_candidate& c, double mean,
                              time_point now);
 
-/// Chooses one of the candidates that have an idle connection or may open one;
-/// nothing if there is none. `draw` is a random number in [0, 1): the same
+/// Chooses one of the candidates that can run a statement; nothing if there is
+/// none. `draw` is a random number in [0, 1): the same
 /// arguments give the same choice.
 ///
 /// Answers the load of many processes that choose by the same old reports: if
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -168,8 +168,9 @@
     event_entry{event_id::replica_resumed, event_level::info, "replica_resumed",
                 "a replica was paused although no takeover is in progress; it "
                 "is resumed"},
-    event_entry{event_id::endpoint_drawn, event_level::detail, "endpoint_drawn",
-                "a statement goes to one of several endpoints near the best"},
+    event_entry{
+        event_id::endpoint_chosen, event_level::detail, "endpoint_chosen",
+        "an endpoint was chosen for a statement that others may run too"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -65,7 +65,7 @@
     takeover_touched = 3025,
     takeover_fence_lost = 3026,
     replica_resumed = 3027,
-    endpoint_drawn = 3040,
+    endpoint_chosen = 3040,
     session_refused = 4001,
     statement_failed = 4002,
     transaction_expired = 4003,
--- a/Source/session/session_choice.cpp
+++ b/Source/session/session_choice.cpp
@@ -1,6 +1,9 @@
 #include <session/session_task_state.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cstdio>
+#include <string>
 #include <vector>
 
 #include <decide/load/load_choice.hpp>
@@ -44,6 +47,8 @@
         text.append(found[i].m_endpoint_pool->m_endpoint.m_id).append(": ");
         text.append(one_decimal(cost.m_load_ms)).append(" + ");
         text.append(one_decimal(cost.m_extra_ms)).append(" ms, ");
+        if (!can_run(candidates[i]))
+            text.append("no connection, ");
         if (load.m_measured_at == time_point{} || load.m_slots == 0)
         {
             text.append("load unknown");
@@ -72,11 +77,11 @@
 {
     ++(choice.m_is_best ? t.m_counts.m_best_choices
                         : t.m_counts.m_other_choices);
-    // Without others near the best, statement_sent says all there is.
-    if (choice.m_near_best < 2 || !is_logged(event_id::endpoint_drawn))
+    // Where no other endpoint may run it, statement_sent says all there is.
+    if (found.size() < 2 || !is_logged(event_id::endpoint_chosen))
         return;
     log_event(
-        event_id::endpoint_drawn,
+        event_id::endpoint_chosen,
         {{"request", w.m_id},
          {"endpoint", found[choice.m_index].m_endpoint_pool->m_endpoint.m_id},
          {"is_best", choice.m_is_best ? "true" : "false"},
