--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -175,6 +175,9 @@
     event_entry{event_id::replica_resumed, event_level::info, "replica_resumed",
                 "a replica was paused although no takeover is in progress; it "
                 "is resumed"},
+    event_entry{
+        event_id::endpoint_chosen, event_level::detail, "endpoint_chosen",
+        "an endpoint was chosen for a statement that others may run too"},
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -169,6 +169,14 @@
     metric_entry{metric_id::peer_bytes, metric_type::counter,
                  "bluebellspoke_peer_bytes_total", "kind",
                  "bytes of the messages sent to peers, by kind"},
+    metric_entry{metric_id::endpoint_choices, metric_type::counter,
+                 "bluebellspoke_endpoint_choices_total", "rank",
+                 "statements sent to the endpoint with the lowest expected "
+                 "cost (best) or to another one near it (other)"},
+    metric_entry{metric_id::endpoint_busy, metric_type::counter,
+                 "bluebellspoke_endpoint_busy_total", "",
+                 "statements that an endpoint refused as its slots were in "
+                 "use"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -68,6 +68,8 @@
     settings_behind,
     peer_messages,
     peer_bytes,
+    endpoint_choices,
+    endpoint_busy,
 };
 
 enum class metric_type : std::uint8_t
