site: Check that the log says why a read went where it went

The line of event 3040 was written by no test. The story of a request found by its id reads it now: the endpoint is that of statement_sent, and the busy slots of the statuses reached the choice.

--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -76,6 +76,12 @@
         REQUIRE(served.is_object());
         CHECK(served.at("endpoint") == sent.at("endpoint"));
         CHECK(served.at("session") == sent.at("session"));
+        const json chosen =
+            find_request(events_named(log, "endpoint_chosen"), "q2");
+        REQUIRE(chosen.is_object());
+        CHECK(chosen.at("endpoint") == sent.at("endpoint"));
+        const std::string candidates = chosen.at("candidates");
+        CHECK(candidates.find(" of 4 slots ") != std::string::npos);
         CHECK(events_named(log, "session_started").size() == 1);
         const json opened =
             find_request(events_named(log, "connection_opened"), "q1");
