homes: Run sessions at the home process of their workspace

The accepting process keeps the caller's connection, the session's values, prepared names and last commit position, and passes statements on over a line connection between the session tasks, with id and text unchanged.

The peers' HTTP/2 connection was ruled out: it belongs to the site task, so that a large answer would hold up votes, and each statement would pass two mailboxes on either side. How a lost statement ends moved into one function for endpoints and homes. The platform's settings file gives the port: the first internal one without another use; members announce it in their record.

--- a/Source/decide/settings_reload.cpp
+++ b/Source/decide/settings_reload.cpp
@@ -34,6 +34,7 @@
     keep_until_restart("probe address", &site_settings::m_ready_listen);
     keep_until_restart("peer address", &site_settings::m_peer_listen);
     keep_until_restart("metrics address", &site_settings::m_metrics_listen);
+    keep_until_restart("session address", &site_settings::m_session_listen);
     keep_until_restart("store", &site_settings::m_store);
     keep_until_restart("orders", &site_settings::m_promotion_address);
     keep_until_restart("processor", &site_settings::m_cores);
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -123,6 +123,9 @@
     address m_ready_listen;
     address m_peer_listen;
     address m_metrics_listen;
+    /// Where other processes pass their sessions on to this one; port 0:
+    /// nowhere.
+    address m_session_listen;
     address m_store;
     address m_promotion_address;  ///< Service that runs promotions.
     bool m_first_start = false;   ///< First start of the deployment.
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -194,6 +194,32 @@
     event_entry{event_id::connection_closed, event_level::detail,
                 "connection_closed",
                 "a connection to an endpoint is closed, and why"},
+    event_entry{event_id::session_passed_on, event_level::detail,
+                "session_passed_on",
+                "a session runs at its home process from this statement on, "
+                "and by what it was chosen"},
+    event_entry{event_id::session_left_home, event_level::detail,
+                "session_left_home",
+                "a session no longer runs at that home process, and why"},
+    event_entry{event_id::home_lost, event_level::warning, "home_lost",
+                "a home process failed, or gave its sessions back; sessions "
+                "run elsewhere for a while"},
+    event_entry{event_id::statement_passed_on, event_level::detail,
+                "statement_passed_on",
+                "a statement was sent to the home process of its session"},
+    event_entry{event_id::relayed_session_accepted, event_level::detail,
+                "relayed_session_accepted",
+                "a session that another process accepted runs here"},
+    event_entry{event_id::relayed_session_released, event_level::detail,
+                "relayed_session_released",
+                "a relayed session at rest was given back to the process that "
+                "accepted it"},
+    event_entry{event_id::homes_chosen, event_level::info, "homes_chosen",
+                "this process is a home of other groups than before"},
+    event_entry{event_id::session_address_unusable, event_level::error,
+                "session_address_unusable",
+                "the address for sessions of other processes can't be listened "
+                "on; none are accepted"},
 };
 
 const event_entry& entry_of(event_id id)
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -75,6 +75,14 @@
     statement_served = 4008,
     connection_opened = 4009,
     connection_closed = 4010,
+    session_passed_on = 4040,
+    session_left_home = 4041,
+    home_lost = 4042,
+    statement_passed_on = 4043,
+    relayed_session_accepted = 4044,
+    relayed_session_released = 4045,
+    homes_chosen = 4046,
+    session_address_unusable = 4047,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -163,6 +163,19 @@
                  "bluebellspoke_settings_behind_seconds", "",
                  "time since a peer first reported a newer version than the "
                  "one in force; 0 if none did"},
+    metric_entry{metric_id::relayed_sessions, metric_type::gauge,
+                 "bluebellspoke_relayed_sessions", "direction",
+                 "sessions that run at their home process: passed on by this "
+                 "one (out), or accepted from others (in)"},
+    metric_entry{metric_id::relayed_statements, metric_type::counter,
+                 "bluebellspoke_relayed_statements_total", "",
+                 "statements that were passed on to home processes"},
+    metric_entry{metric_id::home_moves, metric_type::counter,
+                 "bluebellspoke_home_moves_total", "",
+                 "sessions at rest that moved to another home process or back"},
+    metric_entry{metric_id::homes_lost, metric_type::counter,
+                 "bluebellspoke_homes_lost_total", "",
+                 "times that a home process failed or gave its sessions back"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -66,6 +66,10 @@
     cell_kept,
     relayed_watches,
     settings_behind,
+    relayed_sessions,
+    relayed_statements,
+    home_moves,
+    homes_lost,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/object_store.hpp
+++ b/Source/session/object_store.hpp
@@ -97,6 +97,8 @@
     address m_address; ///< Where its peers reach it.
     std::string m_zone;
     double m_cores = 0; ///< CPU cores available to its VM; 0 if unknown.
+    /// Where it accepts sessions of other processes; port 0: nowhere.
+    address m_session_address{};
 
     friend bool operator==(const member_record&,
                            const member_record&) = default;
--- /dev/null
+++ b/Source/session/relayed_sessions.cpp
@@ -0,0 +1,127 @@
+#include <session/session_homes.hpp>
+
+#include <algorithm>
+#include <unistd.h>
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <report/event.hpp>
+#include <wire/socket_address.hpp>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
+               void* context)
+{
+    session_task_state& t = *static_cast<session_task_state*>(context);
+    const auto accepted = static_cast<std::size_t>(
+        std::ranges::count_if(t.m_sessions,
+                              [](const session& s)
+                              {
+                                  return s.m_is_relayed;
+                              }));
+    // The other process serves the session itself.
+    if (accepted >= max_relayed_sessions)
+    {
+        evutil_closesocket(socket);
+        return;
+    }
+    accept_session(t, socket, true);
+}
+
+void resume_session(session& s, const caller_message& m)
+{
+    if (m.m_position)
+        s.m_commit_position = std::max(
+            s.m_commit_position.value_or(log_position{}), *m.m_position);
+    log_event(event_id::relayed_session_accepted,
+              {{"session", std::to_string(s.m_number)},
+               {"from", std::string(m.m_process)},
+               {"from_session", std::string(m.m_id)},
+               {"database", s.m_database},
+               {"has_written", m.m_position ? "yes" : "no"}});
+}
+
+// True if the session is now as the statement asks.
+bool has_taken_effect(const session& s, const session_statement& q)
+{
+    switch (q.m_kind)
+    {
+    case statement_kind::set:
+        return s.m_values.contains(q.m_name);
+    case statement_kind::prepare_read:
+    case statement_kind::prepare_write:
+        return s.m_prepared.contains(q.m_name);
+    case statement_kind::deallocate:
+        return !s.m_prepared.contains(q.m_name);
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+        return s.m_state == session_state::in_transaction;
+    case statement_kind::rollback:
+        return s.m_state == session_state::idle;
+    default:
+        return false;
+    }
+}
+
+}
+
+void listen_for_sessions(session_task_state& t)
+{
+    const address& listen = t.m_settings.m_session_listen;
+    if (listen.m_port == 0)
+        return;
+    constexpr int backlog = 128;
+    const socket_address at = to_socket_address(listen);
+    t.m_session_listener.reset(evconnlistener_new_bind(
+        t.m_loop.m_base.get(), &on_accept, &t,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog, reinterpret_cast<const sockaddr*>(&at.m_storage),
+        static_cast<int>(at.m_length)));
+    // Without it this process still serves its own callers.
+    if (!t.m_session_listener)
+        log_event(event_id::session_address_unusable,
+                  {{"address", to_string(listen)}});
+}
+
+bool handle_relayed_message(session_task_state& t, session& s,
+                            const caller_message& m)
+{
+    if (m.m_kind == caller_message_kind::resume)
+    {
+        resume_session(s, m);
+        return true;
+    }
+    if (m.m_kind != caller_message_kind::setup)
+        return false;
+    handle_statement(t, s, m.m_id, m.m_statement);
+    // What follows relies on it: without the transaction that it begins, a
+    // statement would take effect by itself.
+    if (s.m_state != session_state::closed &&
+        !has_taken_effect(s, m.m_statement))
+        release_relayed_session(t, s, "setup refused");
+    return true;
+}
+
+void release_relayed_session(session_task_state& t, session& s,
+                             std::string_view cause)
+{
+    if (s.m_is_closing)
+        return;
+    log_event(event_id::relayed_session_released,
+              {{"session", std::to_string(s.m_number)},
+               {"database", s.m_database},
+               {"cause", std::string(cause)}});
+    std::string out;
+    t.m_codec.m_write_release(out);
+    s.m_is_closing = true;
+    s.m_stream->write(out);
+    s.m_stream->finish();
+}
+
+}
--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <utility>
 
@@ -73,6 +73,8 @@
             return start_session(t, s, m);
         return refuse_session(t, s, session_fault::malformed, "startup first");
     }
+    if (handle_relayed_message(t, s, m))
+        return;
     if (m.m_kind != caller_message_kind::query)
     {
         log_refused(t, s, m.m_id, session_fault::malformed, "unknown message");
@@ -83,9 +85,10 @@
 
 }
 
-void accept_session(session_task_state& t, int socket)
+void accept_session(session_task_state& t, int socket, bool is_relayed)
 {
     const session_ptr s(new session);
+    s->m_is_relayed = is_relayed;
     s->m_number = ++t.m_last_session_number;
     session& added = *s;
     s->m_stream = std::make_unique<line_stream>(
@@ -113,7 +116,9 @@
         const auto line = s.m_stream->next_line();
         if (!line)
             return close_if_stopping(t, s);
-        handle_message(t, s, t.m_codec.m_read_caller(*line));
+        const auto read =
+            s.m_is_relayed ? t.m_codec.m_read_relayed : t.m_codec.m_read_caller;
+        handle_message(t, s, read(*line));
     }
 }
 
@@ -147,6 +152,7 @@
             }
         }
     }
+    close_home_link(t, s, "session ended");
     abort_transaction(t, s);
     s.auto_unlink_hook::unlink();
     s.m_stream.reset();
@@ -155,7 +161,11 @@
 void answer_ready(session_task_state& t, session& s, std::string_view answer)
 {
     std::string out(answer);
-    t.m_codec.m_write_ready(out, transaction_status_of(s));
+    if (s.m_is_relayed)
+        t.m_codec.m_write_position(out, transaction_status_of(s),
+                                   s.m_commit_position);
+    else
+        t.m_codec.m_write_ready(out, transaction_status_of(s));
     s.m_stream->write(out);
     if (s.m_stream->unsent() > max_unsent_bytes)
         close_session(t, s);
--- a/Source/session/session_charts.hpp
+++ b/Source/session/session_charts.hpp
@@ -47,6 +47,25 @@
     rollback_sent,
 };
 
+enum class home_link_state : std::uint8_t
+{
+    opening,
+    at_rest,
+    running,
+    in_transaction,
+    closed,
+};
+
+enum class home_link_event : std::uint8_t
+{
+    lost,
+    accepted,
+    sent,
+    answered,
+    kept_open,
+    rolled_back,
+};
+
 /// The action type of charts without actions.
 enum class no_action : std::uint8_t
 {
@@ -54,14 +73,17 @@
 
 using session_chart = typed_chart<session_state, session_event, no_action>;
 using link_chart = typed_chart<link_state, link_event, no_action>;
+using home_link_chart =
+    typed_chart<home_link_state, home_link_event, no_action>;
 
 struct session_charts
 {
     session_chart m_session;
     link_chart m_link;
+    home_link_chart m_home_link;
 };
 
-/// Reads session.scxml and link.scxml. Throws chart_error.
+/// Reads session.scxml, link.scxml and home_link.scxml. Throws chart_error.
 session_charts load_session_charts(const std::filesystem::path& folder);
 
 }
--- a/Source/session/session_codec.hpp
+++ b/Source/session/session_codec.hpp
@@ -52,6 +52,8 @@
     startup,
     query,
     terminate,
+    resume, ///< Of a process that passes a session on.
+    setup,  ///< A statement of such a process itself, without an id.
 };
 
 struct caller_message
@@ -61,6 +63,8 @@
     std::string_view m_key;
     std::string_view m_id;
     session_statement m_statement;
+    std::string_view m_process; ///< The process that resumes a session.
+    std::optional<log_position> m_position; ///< The session's last commit.
 };
 
 /// Error codes of the session protocol.
@@ -149,6 +153,24 @@
     void (*m_write_discard)(std::string& out);
     void (*m_write_order)(std::string& out, group_order order,
                           term_number term);
+
+    /// Between the process that accepted a session and its home. The session's
+    /// number at the accepting process is the id of `resume`.
+    void (*m_write_session)(std::string& out, std::string_view database,
+                            std::string_view key);
+    void (*m_write_resume)(std::string& out, std::string_view process,
+                           std::string_view session,
+                           const std::optional<log_position>& position);
+    /// As m_write_ready, with the position of the session's last commit.
+    void (*m_write_position)(std::string& out, transaction_status state,
+                             const std::optional<log_position>& position);
+    void (*m_write_deallocate)(std::string& out, std::string_view name);
+    /// Says that no statement without an answer has run or will run.
+    void (*m_write_release)(std::string& out);
+    bool (*m_is_release)(std::string_view line);
+    /// Reads what the accepting process sends: the messages of callers, resume
+    /// and setup. m_read_caller takes the latter two for malformed.
+    caller_message (*m_read_relayed)(std::string_view line);
 };
 
 /// Longest line that a caller or an endpoint may send, in bytes.
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <algorithm>
 #include <array>
@@ -139,6 +139,7 @@
               static_cast<double>(c.m_retries));
     add_value(families, metric_id::status_questions, {},
               static_cast<double>(c.m_status_requests));
+    collect_home_metrics(families, t);
     collect_usage(families, t.m_usage);
     collect_groups_and_rates(families, t, boot_now());
     return families;
--- a/Source/session/session_endpoints.cpp
+++ b/Source/session/session_endpoints.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <algorithm>
 
@@ -33,9 +33,9 @@
 void update_connection_budget(session_task_state& t, endpoint_pool& p,
                               time_point now)
 {
-    p.m_budget =
-        choose_connection_budget(p.m_group->m_service.m_connections,
-                                 t.m_process_count, p.m_open_connections);
+    p.m_budget = choose_connection_budget(
+        p.m_group->m_service.m_connections,
+        connection_users(t, p.m_group->m_service), p.m_open_connections);
     // Who keeps others informed needs a connection also in the last tenth, and
     // a count that nobody renews must not keep everybody out.
     const bool counted = now - p.m_counted_at < max_count_age;
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -105,48 +105,53 @@
 // had an effect is retried.
 void handle_lost_work(session_task_state& t, const work_ptr& w, bool begun)
 {
-    const bool sent = w->m_sent_at != time_point{};
     if (!w->m_session)
     {
         w->auto_unlink_hook::unlink();
         return;
     }
     session& s = *w->m_session;
-    const bool past_deadline = boot_now() >= w->m_deadline;
-    const bool in_transaction = s.m_transaction.has_value();
-    if (in_transaction && begun)
+    if (s.m_transaction && begun)
         s.m_transaction->m_link = nullptr;
+    const lost_statement lost = judge_lost_statement(*w, begun);
+    if (lost.m_may_be_retried)
+        retry_work(t, w, lost.m_fault, lost.m_detail);
+    else
+        fail_work(t, w, lost.m_fault, lost.m_detail);
+}
+
+}
+
+lost_statement judge_lost_statement(const work& w, bool begun)
+{
+    const session& s = *w.m_session;
+    constexpr std::string_view lost = "connection lost";
+    const bool sent = w.m_sent_at != time_point{};
+    const bool past_deadline = boot_now() >= w.m_deadline;
+    const std::string_view detail = past_deadline ? "no answer in time" : lost;
+    const bool in_transaction = s.m_transaction.has_value();
     // A statement that waits to be resent belongs to a transaction that has
     // already run statements; the lost connection rolls them back.
     const bool has_earlier_statements =
-        in_transaction && begun && !w->m_starts_transaction;
+        in_transaction && begun && !w.m_starts_transaction;
     if (!sent && has_earlier_statements)
-        return fail_work(t, w, session_fault::aborted, "connection lost");
+        return {session_fault::aborted, false, lost};
     if (!sent)
-        return retry_work(t, w, session_fault::busy, "connection lost");
-    if (w->m_kind == statement_kind::commit)
+        return {session_fault::busy, true, lost};
+    if (w.m_kind == statement_kind::commit)
     {
-        const bool wrote = s.m_transaction && s.m_transaction->m_has_written;
-        return fail_work(
-            t, w,
-            wrote ? session_fault::unknown_outcome : session_fault::failed,
-            past_deadline ? "no answer in time" : "connection lost");
+        const bool wrote = in_transaction && s.m_transaction->m_has_written;
+        return {wrote ? session_fault::unknown_outcome : session_fault::failed,
+                false, detail};
     }
     if (in_transaction)
-        return fail_work(t, w, session_fault::aborted,
-                         past_deadline ? "no answer in time"
-                                       : "connection lost");
-    if (w->m_writes)
-        return fail_work(t, w,
-                         past_deadline ? session_fault::timed_out
-                                       : session_fault::unknown_outcome,
-                         past_deadline ? "no answer in time"
-                                       : "connection lost");
-    retry_work(t, w,
-               past_deadline ? session_fault::timed_out : session_fault::failed,
-               past_deadline ? "no answer in time" : "connection lost");
-}
-
+        return {session_fault::aborted, false, detail};
+    if (w.m_writes)
+        return {past_deadline ? session_fault::timed_out
+                              : session_fault::unknown_outcome,
+                false, detail};
+    return {past_deadline ? session_fault::timed_out : session_fault::failed,
+            true, detail};
 }
 
 void apply_link_event(session_task_state& t, link& k, link_event event)
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -212,18 +212,32 @@
     metric_families m_families;
 };
 
+/// A process of the fleet that accepts sessions of other processes.
+struct session_member
+{
+    std::string m_name;
+    std::string m_zone;
+    double m_cores = 0; ///< Cores of its VM; 0: unknown.
+    address m_address;  ///< Where it accepts them.
+};
+
+/// site → session: the processes of the fleet that may be homes of sessions.
+struct members_changed
+{
+    std::vector<session_member> m_members;
+};
+
 /// The settings file was reloaded.
 struct settings_changed
 {
     site_settings m_settings;
 };
 
-using session_message =
-    std::variant<settings_changed, config_changed, endpoints_changed,
-                 fleet_changed, cell_leadership, token_response,
-                 incoming_token_request, group_response, incoming_group_request,
-                 peer_demand_changed, peer_ended, reporting_changed,
-                 primary_promoted, stop_begun, metrics_request, task_stop>;
+using session_message = std::variant<
+    settings_changed, config_changed, endpoints_changed, fleet_changed,
+    cell_leadership, token_response, incoming_token_request, group_response,
+    incoming_group_request, peer_demand_changed, peer_ended, reporting_changed,
+    primary_promoted, stop_begun, metrics_request, task_stop, members_changed>;
 using site_message =
     std::variant<settings_changed, local_demand_changed, token_request,
                  outgoing_token_grant, group_request, outgoing_groups,
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -118,6 +118,7 @@
     {
         const prepared_statement& p = s.m_prepared.find(q.m_name)->second;
         w->m_prepared = p;
+        w->m_prepared_name = q.m_name;
         w->m_arguments = q.m_arguments;
         w->m_writes = p.m_writes;
     }
@@ -145,6 +146,15 @@
     const work_ptr w = make_statement_work(s, id, q);
     set_deadlines(*w, s, now);
     s.m_work = w;
+    if (!pass_on_statement(t, w))
+        serve_here(t, w);
+}
+
+}
+
+void serve_here(session_task_state& t, const work_ptr& w)
+{
+    const session& s = *w->m_session;
     t.m_pending_work.push_back(*w);
     const bool new_operation = !s.m_transaction || w->m_starts_transaction;
     if (new_operation && !s.m_workspace.empty())
@@ -162,8 +172,6 @@
     dispatch(t, w);
 }
 
-}
-
 void handle_statement(session_task_state& t, session& s, std::string_view id,
                       const session_statement& q)
 {
@@ -216,6 +224,7 @@
     s.m_transaction.reset();
     if (k)
         roll_back(t, *k);
+    roll_back_at_home(t, s);
 }
 
 }
--- a/Source/session/session_stop.cpp
+++ b/Source/session/session_stop.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <event2/listener.h>
 
@@ -31,10 +31,21 @@
            now - t.m_stopping_since >= balancer_detection_time;
 }
 
-void finish_session(session& s)
+// A relayed session moves back to the process that accepted it, so it doesn't
+// wait for the load balancer.
+bool closes_when_idle(const session_task_state& t, const session& s,
+                      time_point now)
+{
+    return s.m_is_relayed ? t.m_stopping_since != time_point{}
+                          : closes_idle_sessions(t, now);
+}
+
+void finish_session(session_task_state& t, session& s)
 {
     if (s.m_is_closing)
         return;
+    if (s.m_is_relayed)
+        return release_relayed_session(t, s, "process ends");
     s.m_is_closing = true;
     s.m_stream->finish();
 }
@@ -45,20 +56,24 @@
 {
     if (t.m_stopping_since == time_point{})
         t.m_stopping_since = boot_now();
+    t.m_session_listener.reset();
 }
 
 // The caller learns of the close together with its answer, before it sends
 // another statement.
 void close_if_stopping(session_task_state& t, session& s)
 {
-    if (is_idle(s) && closes_idle_sessions(t, boot_now()))
-        finish_session(s);
+    if (is_idle(s) && closes_when_idle(t, s, boot_now()))
+        finish_session(t, s);
 }
 
 void tick_stop(session_task_state& t, time_point now)
 {
     if (t.m_stopping_since == time_point{} || t.m_stop_reported)
         return;
+    for (session& s : t.m_sessions)
+        if (s.m_is_relayed && is_idle(s))
+            finish_session(t, s);
     if (!closes_idle_sessions(t, now))
         return;
     t.m_listener.reset();
@@ -71,7 +86,7 @@
     for (const session_ptr& s : sessions)
     {
         if (is_idle(*s))
-            finish_session(*s);
+            finish_session(t, *s);
         else if (transactions_expired && s->m_transaction && !s->m_work &&
                  !s->m_transaction->m_is_aborted)
         {
@@ -80,6 +95,7 @@
             if (s->m_transaction->m_link)
                 roll_back(t, *s->m_transaction->m_link);
             s->m_transaction->m_link = nullptr;
+            roll_back_at_home(t, *s);
         }
     }
     bool busy = false;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -6,7 +6,7 @@
 
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 #include <task/boot_clock.hpp>
 #include <wire/socket_address.hpp>
 
@@ -65,6 +65,7 @@
     note_tick(t.m_usage, now);
     check_deadlines(t, now);
     check_links(t, now);
+    check_home_links(t, now);
     for (auto& [name, g] : t.m_groups)
         if (g.m_queue.m_backlog > 0)
             serve_waiting(t, g);
@@ -81,6 +82,7 @@
     t.m_config = config;
     update_rates(t);
     update_groups(t);
+    update_homes(t);
 }
 
 void apply_promotion(session_task_state& t, const primary_promoted& m)
@@ -101,6 +103,7 @@
             {
                 t.m_settings = m.m_settings;
                 update_groups(t);
+                update_homes(t);
             },
             [&](const config_changed& m)
             {
@@ -164,6 +167,10 @@
             {
                 stop(t.m_loop);
             },
+            [&](const members_changed& m)
+            {
+                apply_members(t, m);
+            },
         },
         message);
 }
@@ -205,6 +212,7 @@
                                    handle_message(t, m);
                                });
     listen(t);
+    listen_for_sessions(t);
     t.m_tick.start_periodic(session_tick_interval);
     run(t.m_loop);
     close_all(t);
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -13,6 +13,7 @@
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
 #include <report/task_usage.hpp>
+#include <session/home_types.hpp>
 #include <session/milliseconds_of.hpp>
 #include <session/session_messages.hpp>
 #include <session/session_types.hpp>
@@ -126,12 +127,15 @@
     std::minstd_rand m_random;         ///< Spreads pauses.
     time_point m_stopping_since{};     ///< Zero if not shutting down.
     bool m_stop_reported = false;
+    home_directory m_homes;
+    /// Accepts sessions that other processes pass on.
+    std::unique_ptr<evconnlistener, listener_deleter> m_session_listener;
     session_counts m_counts;
     task_usage m_usage{.m_task = "session", .m_tick = session_tick_interval};
 };
 
 // session_callers.cpp
-void accept_session(session_task_state& t, int socket);
+void accept_session(session_task_state& t, int socket, bool is_relayed = false);
 /// Processes the received lines of a session until one starts an operation
 /// that has to finish first.
 void read_session(session_task_state& t, session& s);
@@ -146,6 +150,8 @@
 // session_statements.cpp
 void handle_statement(session_task_state& t, session& s, std::string_view id,
                       const session_statement& statement);
+/// Runs the work in this process: counts it against its rate and dispatches it.
+void serve_here(session_task_state& t, const work_ptr& w);
 /// Rolls back and removes the session's transaction, if it has one.
 void abort_transaction(session_task_state& t, session& s);
 
@@ -190,6 +196,15 @@
 void log_served(const session& s, const work& w, std::string_view endpoint);
 
 // session_links.cpp
+/// How a statement ends whose connection, to an endpoint or a home, was lost.
+struct lost_statement
+{
+    session_fault m_fault = session_fault::busy;
+    bool m_may_be_retried = false;
+    std::string_view m_detail;
+};
+/// `begun`: its transaction had begun on that connection.
+lost_statement judge_lost_statement(const work& w, bool begun);
 /// Returns an idle connection for the workspace, or opens one, in place of an
 /// idle connection if the limit is reached; null if neither is possible.
 link_ptr obtain_link(session_task_state& t, endpoint_pool& p,
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -29,6 +29,7 @@
 
 struct session;
 struct link;
+struct home_link;
 struct endpoint_pool;
 struct service_group;
 
@@ -46,6 +47,7 @@
 
 using link_ptr = boost::intrusive_ptr<link>;
 using session_ptr = boost::intrusive_ptr<session>;
+using home_link_ptr = boost::intrusive_ptr<home_link>;
 
 /// A prepared statement without its name, which each caller chooses for itself.
 /// Endpoint connections compare prepared statements by these fields.
@@ -68,6 +70,7 @@
     std::string m_text;
     statement_kind m_kind = statement_kind::unknown;
     std::optional<prepared_statement> m_prepared; ///< What EXECUTE runs.
+    std::string m_prepared_name;                  ///< Its name for the caller.
     std::string m_arguments;                      ///< Arguments of EXECUTE.
     bool m_writes = false;
     bool m_needs_primary = false;
@@ -101,6 +104,32 @@
     link_ptr m_link; ///< Null before its first statement.
 };
 
+/// What the next reply of a home answers.
+enum class home_reply_kind : std::uint8_t
+{
+    startup,
+    setup, ///< Session values, prepared statements and BEGIN.
+    statement,
+    rollback,
+};
+
+/// The connection from the process that accepted a session to its home.
+struct home_link : counted<home_link>, auto_unlink_hook
+{
+    session* m_session = nullptr;
+    std::string m_home; ///< Name of the process.
+    std::unique_ptr<line_stream> m_stream;
+    home_link_state m_state = home_link_state::opening;
+    time_point m_state_since{}; ///< Entry time of m_state.
+    /// What the home has been told of the session.
+    session_values m_values;
+    std::map<std::string, prepared_statement, std::less<>> m_prepared;
+    std::deque<home_reply_kind> m_expected_replies;
+    /// The error in the reply that is being read.
+    std::optional<session_fault> m_fault;
+    std::string m_fault_detail;
+};
+
 /// A caller's connection and its session state.
 struct session : counted<session>, auto_unlink_hook
 {
@@ -119,6 +148,8 @@
     std::optional<session_transaction> m_transaction;
     work_ptr m_work; ///< The statement that is being processed.
     bool m_is_closing = false;
+    home_link_ptr m_home_link; ///< Null while the session runs here.
+    bool m_is_relayed = false; ///< Accepted by another process.
 };
 
 /// What the next reply on an endpoint connection answers.
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -128,11 +128,22 @@
     publish_endpoints(t);
 }
 
+members_changed make_members_changed(const site_task_state& t)
+{
+    members_changed m;
+    for (const auto& [name, r] : t.m_members)
+        if (r.m_session_address.m_port != 0)
+            m.m_members.push_back(
+                {name, r.m_zone, r.m_cores, r.m_session_address});
+    return m;
+}
+
 void publish_fleet(site_task_state& t)
 {
     update_peers(t);
     update_cell_mode(t);
     t.m_boxes.m_session.post(make_fleet_changed(t));
+    t.m_boxes.m_session.post(make_members_changed(t));
 }
 
 void apply_members(site_task_state& t, std::span<const stored_change> changes,
@@ -197,7 +208,8 @@
 void register_member(site_task_state& t)
 {
     const member_record self{t.m_settings.m_name, t.m_settings.m_peer_listen,
-                             t.m_settings.m_zone, t.m_settings.m_cores};
+                             t.m_settings.m_zone, t.m_settings.m_cores,
+                             t.m_settings.m_session_listen};
     const auto found = t.m_members.find(self.m_name);
     if (found != t.m_members.end() && found->second == self)
         return;
--- a/Tests/platform/line_codec_test.cpp
+++ b/Tests/platform/line_codec_test.cpp
@@ -102,6 +102,7 @@
             for (unsigned w = generator() % 6; w > 0; --w)
                 line.append(words[generator() % std::size(words)]).append(" ");
             codec.m_read_caller(line);
+            codec.m_read_relayed(line);
             codec.m_read_endpoint(line);
             codec.m_read_status(line);
         }
@@ -138,6 +139,47 @@
         codec.m_write_ready(out, transaction_status::failed);
         REQUIRE(out == "ERROR BUSY -\r\nREADY E -\r\n");
     }
+    GIVEN("a session that is passed on to its home")
+    {
+        codec.m_write_session(out, "ledger", "ward-key");
+        codec.m_write_session(out, "ledger", "");
+        codec.m_write_resume(out, "vm-1", "17", log_position{3, 1207});
+        codec.m_write_resume(out, "vm-1", "17", std::nullopt);
+        codec.m_write_deallocate(out, "q");
+        codec.m_write_position(out, transaction_status::idle,
+                               log_position{3, 1207});
+        codec.m_write_release(out);
+        REQUIRE(out == "STARTUP ledger ward-key\r\n"
+                       "STARTUP ledger -\r\n"
+                       "RESUME vm-1 17 3.1207\r\n"
+                       "RESUME vm-1 17 -\r\n"
+                       "QUERY - DEALLOCATE q\r\n"
+                       "READY I 3.1207\r\n"
+                       "RELEASED\r\n");
+        REQUIRE(codec.m_is_release("RELEASED"));
+        REQUIRE_FALSE(codec.m_is_release("READY I -"));
+
+        THEN("the home reads what the session had")
+        {
+            const auto m = codec.m_read_relayed("RESUME vm-1 17 3.1207");
+            REQUIRE(m.m_kind == caller_message_kind::resume);
+            REQUIRE(m.m_process == "vm-1");
+            REQUIRE(m.m_id == "17");
+            REQUIRE(m.m_position == log_position{3, 1207});
+            REQUIRE_FALSE(codec.m_read_relayed("RESUME vm-1 17 -").m_position);
+            REQUIRE(codec.m_read_relayed("RESUME vm-1").m_kind ==
+                    caller_message_kind::malformed);
+            REQUIRE(codec.m_read_relayed("QUERY - BEGIN").m_kind ==
+                    caller_message_kind::setup);
+            REQUIRE(codec.m_read_relayed("QUERY 5c0e READ a").m_kind ==
+                    caller_message_kind::query);
+        }
+        THEN("callers can't send it")
+        {
+            REQUIRE(codec.m_read_caller("RESUME vm-1 17 3.1207").m_kind ==
+                    caller_message_kind::malformed);
+        }
+    }
     GIVEN("startup lines for an endpoint")
     {
         codec.m_write_startup(out, "huvo11a", "ward", "i-7f");
--- a/Tests/platform/store_value_codec_test.cpp
+++ b/Tests/platform/store_value_codec_test.cpp
@@ -153,7 +153,9 @@
     }
     GIVEN("a member record")
     {
-        const member_record r{"vm-1", parse_address("10.1.0.26:8462"), "a"};
+        member_record r{"vm-1", parse_address("10.1.0.26:8462"), "a"};
+        REQUIRE(codec.m_read_member("vm-1", codec.m_write_member(r)) == r);
+        r.m_session_address = parse_address("10.1.0.26:7500");
         REQUIRE(codec.m_read_member("vm-1", codec.m_write_member(r)) == r);
         REQUIRE_FALSE(codec.m_read_member("vm-1", "7"));
     }
--- /dev/null
+++ b/Tests/site/home_process_test.cpp
@@ -0,0 +1,331 @@
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <catch2/catch.hpp>
+#include <support/loopback.hpp>
+#include <support/site.hpp>
+
+using namespace bluebellspoke;
+using namespace bluebellspoke::support;
+
+namespace
+{
+
+constexpr std::size_t daemons = 4;
+// With members that don't run, in a zone of no known region, the fleet is large
+// enough for zone cells and has more processes than an endpoint connections.
+constexpr std::size_t fleet = 26;
+constexpr std::size_t connections_an_endpoint = 20;
+constexpr std::size_t many_connections = 64;
+const std::string served = " | COMPLETE | READY I";
+
+std::optional<double> metric_of(const site& s, std::size_t daemon,
+                                const std::string& name)
+{
+    const std::string text =
+        call_http(s.metrics_of(daemon), "GET", "/metrics").m_body;
+    const std::string line = "\nbluebellspoke_" + name + " ";
+    const std::size_t at = text.find(line);
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::stod(text.substr(at + line.size()));
+}
+
+double relayed_in(const site& s, std::size_t daemon)
+{
+    return metric_of(s, daemon, "relayed_sessions{direction=\"in\"}")
+        .value_or(0);
+}
+
+double relayed_out(const site& s, std::size_t daemon)
+{
+    return metric_of(s, daemon, "relayed_sessions{direction=\"out\"}")
+        .value_or(0);
+}
+
+void enlarge(site& s)
+{
+    for (std::size_t i = daemons; i < fleet; ++i)
+        s.add_member("absent-" + std::to_string(i), free_address(), "zone-far");
+    s.limit_connections(connections_an_endpoint);
+    REQUIRE(comes_true(
+        [&]
+        {
+            for (std::size_t i = 0; i < daemons; ++i)
+                if (metric_of(s, i, "fleet_members") != fleet)
+                    return false;
+            return true;
+        }));
+}
+
+struct relayed_caller
+{
+    std::unique_ptr<line_caller> m_caller;
+    std::size_t m_accepting = 0;
+    std::size_t m_home = 0;
+};
+
+std::optional<std::size_t> home_of_one(const site& s)
+{
+    for (std::size_t i = 0; i < daemons; ++i)
+        if (relayed_in(s, i) == 1)
+            return i;
+    return std::nullopt;
+}
+
+// A session that runs at another daemon than the one that accepted it.
+relayed_caller start_relayed(const site& s, const std::string& database)
+{
+    relayed_caller r;
+    REQUIRE(comes_true(
+        [&]
+        {
+            for (r.m_accepting = 0; r.m_accepting < 2; ++r.m_accepting)
+            {
+                r.m_caller =
+                    std::make_unique<line_caller>(s.callers_of(r.m_accepting));
+                if (r.m_caller->start(database, "ward-key") != "READY" ||
+                    !r.m_caller->ask("READ bear").starts_with("ROW"))
+                    continue;
+                const auto home = home_of_one(s);
+                if (!home)
+                    continue;
+                r.m_home = *home;
+                return true;
+            }
+            return false;
+        }));
+    REQUIRE(r.m_home != r.m_accepting);
+    return r;
+}
+
+void set_all_mute(const site& s, bool mute)
+{
+    for (const char* id : {"i-1", "i-2", "i-3"})
+        s.set_mute(id, mute);
+}
+
+// Sends a statement that no endpoint answers, and waits until it has passed its
+// home.
+void send_unanswered(const site& s, relayed_caller& r,
+                     const std::string& statement)
+{
+    set_all_mute(s, true);
+    r.m_caller->send("QUERY unanswered " + statement);
+    constexpr std::chrono::milliseconds passing{300};
+    std::this_thread::sleep_for(passing);
+}
+
+// The lines of an answer up to its last.
+std::string read_answer(line_caller& c)
+{
+    std::string all;
+    while (const auto next = c.line())
+    {
+        if (next->starts_with("READY"))
+            return all + next->substr(0, std::string("READY I").size());
+        all.append(next->substr(0, next->find(' ', 6))).append(" | ");
+    }
+    return all + "end";
+}
+
+bool is_served_soon(line_caller& c, const std::string& statement,
+                    const std::string& answer)
+{
+    return comes_true(
+        [&]
+        {
+            return c.ask(statement) == answer;
+        });
+}
+
+}
+
+SCENARIO("Sessions run at the home process of their workspace")
+{
+    site s(daemons);
+    enlarge(s);
+    relayed_caller r = start_relayed(s, "intake");
+    line_caller& c = *r.m_caller;
+
+    THEN("a session reads its own writes")
+    {
+        for (int i = 0; i < 10; ++i)
+        {
+            const std::string data = "d" + std::to_string(i);
+            REQUIRE(c.ask("WRITE bear " + data) == "COMPLETE | READY I");
+            REQUIRE(c.ask("READ bear") == "ROW " + data + served);
+        }
+        CHECK(metric_of(s, r.m_accepting, "relayed_statements_total") >= 20);
+        CHECK(metric_of(s, r.m_accepting, "endpoint_links_opened_total") <=
+              metric_of(s, r.m_home, "endpoint_links_opened_total"));
+    }
+    THEN("transactions end as they do elsewhere")
+    {
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        REQUIRE(c.ask("WRITE bear one") == "COMPLETE | READY T");
+        REQUIRE(c.ask("READ bear") == "ROW one | COMPLETE | READY T");
+        REQUIRE(c.ask("COMMIT") == "COMPLETE | READY I");
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        REQUIRE(c.ask("WRITE bear two") == "COMPLETE | READY T");
+        REQUIRE(c.ask("ROLLBACK") == "COMPLETE | READY I");
+        REQUIRE(c.ask("READ bear") == "ROW one" + served);
+        REQUIRE(c.ask("BEGIN READ") == "COMPLETE | READY T");
+        REQUIRE(c.ask("EXECUTE none bear") == "ERROR NOSTMT | READY E");
+        REQUIRE(c.ask("COMMIT") == "ERROR ABORTED | READY I");
+        REQUIRE(c.ask("READ bear") == "ROW one" + served);
+    }
+    THEN("its prepared names are its own")
+    {
+        REQUIRE(c.ask("SET zone a") == "COMPLETE | READY I");
+        REQUIRE(c.ask("PREPARE p WRITE q") == "COMPLETE | READY I");
+        REQUIRE(c.ask("EXECUTE p bear one") == "COMPLETE | READY I");
+        REQUIRE(c.ask("PREPARE p READ q") == "COMPLETE | READY I");
+        REQUIRE(c.ask("EXECUTE p bear") == "ROW one" + served);
+        REQUIRE(c.ask("DEALLOCATE p") == "COMPLETE | READY I");
+        REQUIRE(c.ask("EXECUTE p bear") == "ERROR NOSTMT | READY I");
+    }
+    THEN("callers can't send what processes send each other")
+    {
+        c.send("RESUME vm 1 9.9");
+        REQUIRE(read_answer(c) == "ERROR MALFORMED | READY I");
+        c.send("QUERY - READ bear");
+        REQUIRE(read_answer(c) == "ERROR MALFORMED | READY I");
+    }
+    WHEN("each process gets a connection of its own")
+    {
+        s.limit_connections(many_connections);
+
+        THEN("it runs where it was accepted")
+        {
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return c.ask("READ bear").starts_with("ROW") &&
+                           relayed_out(s, r.m_accepting) == 0;
+                }));
+        }
+    }
+    GIVEN("a session with a write, a value and a prepared name")
+    {
+        // One replica is behind by more than the route allows.
+        s.set_deaf("i-3", true);
+        REQUIRE(c.ask("SET zone a") == "COMPLETE | READY I");
+        REQUIRE(c.ask("PREPARE p READ q") == "COMPLETE | READY I");
+        REQUIRE(c.ask("EXECUTE p bear").starts_with("ROW"));
+        REQUIRE(c.ask("WRITE bear mine") == "COMPLETE | READY I");
+
+        WHEN("its home is killed")
+        {
+            s.daemon(r.m_home).send_signal(SIGKILL);
+
+            THEN("it goes on elsewhere with all of them")
+            {
+                REQUIRE(
+                    is_served_soon(c, "EXECUTE p bear", "ROW mine" + served));
+                for (int i = 0; i < 10; ++i)
+                    REQUIRE(c.ask("READ bear") == "ROW mine" + served);
+                REQUIRE(relayed_in(s, r.m_accepting) == 0);
+            }
+        }
+        WHEN("its home is told to end")
+        {
+            s.daemon(r.m_home).send_signal(SIGTERM);
+
+            THEN("no statement is lost")
+            {
+                for (int i = 0; i < 20; ++i)
+                {
+                    const std::string data = "d" + std::to_string(i);
+                    REQUIRE(c.ask("WRITE bear " + data) ==
+                            "COMPLETE | READY I");
+                    REQUIRE(c.ask("EXECUTE p bear") == "ROW " + data + served);
+                    wait_a_moment();
+                }
+                CHECK(s.daemon(r.m_home).wait() == 0);
+            }
+        }
+        WHEN("its home is suspended")
+        {
+            s.daemon(r.m_home).send_signal(SIGSTOP);
+
+            THEN("a statement ends in time, and the next ones run elsewhere")
+            {
+                REQUIRE(c.ask("WRITE bear other") == "ERROR TIMEOUT | READY I");
+                REQUIRE(is_served_soon(c, "READ dog", "ROW -" + served));
+            }
+            s.daemon(r.m_home).send_signal(SIGCONT);
+        }
+    }
+    GIVEN("a write that is running")
+    {
+        send_unanswered(s, r, "WRITE bear late");
+        s.daemon(r.m_home).send_signal(SIGKILL);
+
+        THEN("it isn't promised that nothing was kept")
+        {
+            REQUIRE(read_answer(c) == "ERROR UNKNOWN | READY I");
+        }
+    }
+    GIVEN("a read that is running")
+    {
+        send_unanswered(s, r, "READ bear");
+        set_all_mute(s, false);
+        s.daemon(r.m_home).send_signal(SIGKILL);
+
+        THEN("it runs again elsewhere")
+        {
+            REQUIRE(read_answer(c).starts_with("ROW"));
+        }
+    }
+    GIVEN("an open transaction that has written")
+    {
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        REQUIRE(c.ask("WRITE bear lost") == "COMPLETE | READY T");
+
+        WHEN("its home is killed")
+        {
+            s.daemon(r.m_home).send_signal(SIGKILL);
+
+            THEN("it is aborted, and nothing of it is kept")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return relayed_out(s, r.m_accepting) == 0;
+                    }));
+                REQUIRE(c.ask("WRITE bear more") == "ERROR ABORTED | READY E");
+                REQUIRE(c.ask("ROLLBACK") == "COMPLETE | READY I");
+                REQUIRE(is_served_soon(c, "READ bear", "ROW -" + served));
+            }
+        }
+        WHEN("its home is killed while it commits")
+        {
+            send_unanswered(s, r, "COMMIT");
+            s.daemon(r.m_home).send_signal(SIGKILL);
+
+            THEN("the outcome is said to be unknown")
+            {
+                REQUIRE(read_answer(c) == "ERROR UNKNOWN | READY I");
+            }
+        }
+        WHEN("its home is told to end")
+        {
+            s.daemon(r.m_home).send_signal(SIGTERM);
+            wait_a_moment();
+
+            THEN("it can be finished")
+            {
+                REQUIRE(c.ask("WRITE bear kept") == "COMPLETE | READY T");
+                REQUIRE(c.ask("COMMIT") == "COMPLETE | READY I");
+                REQUIRE(is_served_soon(c, "READ bear", "ROW kept" + served));
+                CHECK(s.daemon(r.m_home).wait() == 0);
+            }
+        }
+    }
+}
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -272,6 +272,7 @@
     n.m_callers = free_address();
     n.m_probes = free_address();
     n.m_peers = free_address();
+    n.m_sessions = free_address();
     n.m_metrics = free_address();
     n.m_file = m_folder.m_path / ("node-" + std::to_string(number) + ".json");
     const auto zone_name = [](std::size_t zone)
@@ -287,7 +288,7 @@
         {"region", "region-1"},
         {"zones", zones},
         {"ip-address", n.m_metrics.m_host},
-        {"internal-port-range", {n.m_metrics.m_port, n.m_metrics.m_port}},
+        {"internal-port-range", {n.m_sessions.m_port, n.m_metrics.m_port}},
         {"listen-addresses",
          {{"frontend", to_string(n.m_callers)},
           {"ready", to_string(n.m_probes)},
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -138,6 +138,7 @@
         address m_callers;
         address m_probes;
         address m_peers;
+        address m_sessions; ///< For other daemons' sessions.
         address m_metrics;
         daemon_build m_build = current_build();
         std::unique_ptr<child_process> m_process;
