homes: Keep the group known at the process that accepted a session

A read whose home was killed was refused as busy in 3 of 18 runs of the test, three at a time: the home led its zone's cell, which the accepting process was in, so that it waited for a token of the rate and knew of no primary either.

--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -148,6 +148,11 @@
         }
         if (home.empty() || is_home_congested(t, home))
             return false;
+        // Kept current, so that statements can run here at once if the home
+        // fails.
+        const auto group = t.m_groups.find(s.m_route->m_service);
+        if (group != t.m_groups.end())
+            note_use(group->second, now);
         if (!s.m_home_link)
         {
             if (!open_home_link(t, s, home))
