homes: Leave the home before a statement runs at the accepting process

Beyond the bound of waiting bytes a statement ran here while the connection to the home stayed open. A home learns the position of the last commit when a session is resumed, so a write here and a read there would have missed it. The session now leaves the home first. Found by reading; the bound of 2 MiB isn't reached in a test.

--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -14,6 +14,8 @@
 void log_passed_on(const session_task_state& t, const work& w,
                    std::string_view home, std::string_view from)
 {
+    if (!is_logged(event_id::session_passed_on))
+        return;
     const home_directory& d = t.m_homes;
     const session& s = *w.m_session;
     const auto homes = d.m_table.find(s.m_route->m_service);
@@ -137,16 +139,20 @@
     if (!continues_transaction)
     {
         const time_point now = boot_now();
-        const std::string home(find_home(t, s, now));
+        std::string home(find_home(t, s, now));
+        if (is_home_congested(t, home))
+            home.clear();
         const std::string from =
             s.m_home_link ? s.m_home_link->m_home : std::string();
         if (from != home)
         {
             if (!from.empty())
                 ++t.m_homes.m_moves;
+            // Also before the statement runs here: a home learns of commits
+            // elsewhere only when a session is resumed there.
             close_home_link(t, s, home.empty() ? "runs here" : "home changed");
         }
-        if (home.empty() || is_home_congested(t, home))
+        if (home.empty())
             return false;
         // Kept current, so that statements can run here at once if the home
         // fails.
@@ -189,13 +195,14 @@
     ++t.m_homes.m_passed_on_statements;
     apply_home_link_event(t, h, home_link_event::sent);
     h.m_stream->write(out);
-    log_event(event_id::statement_passed_on,
-              {{"request", w.m_id},
-               {"session", std::to_string(s.m_number)},
-               {"home", h.m_home},
-               {"transaction", s.m_transaction ? "open" : "none"},
-               {"attempt", std::to_string(w.m_attempts)},
-               {"age_ms", milliseconds_of(w.m_sent_at - w.m_received_at)}});
+    if (is_logged(event_id::statement_passed_on))
+        log_event(event_id::statement_passed_on,
+                  {{"request", w.m_id},
+                   {"session", std::to_string(s.m_number)},
+                   {"home", h.m_home},
+                   {"transaction", s.m_transaction ? "open" : "none"},
+                   {"attempt", std::to_string(w.m_attempts)},
+                   {"age_ms", milliseconds_of(w.m_sent_at - w.m_received_at)}});
 }
 
 void finish_home_statement(session_task_state& t, home_link& h,
