--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -70,6 +70,10 @@
     peer_bytes,
     endpoint_choices,
     endpoint_busy,
+    relayed_sessions,
+    relayed_statements,
+    home_moves,
+    homes_lost,
 };
 
 enum class metric_type : std::uint8_t
