--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -237,8 +237,8 @@
 site::site(std::size_t daemons) : site(site_size{.m_daemons = daemons}) {}
 
 site::site(const site_size& size)
-    : m_zones(size.m_zones), m_platform(free_address()),
-      m_config(first_config(size))
+    : m_zones(size.m_zones), m_limits(size.m_limits),
+      m_platform(free_address()), m_config(first_config(size))
 {
     std::vector<std::string> command{
         TEST_SITE, "--listen", to_string(m_platform), "--service", service};
@@ -293,6 +293,7 @@
           {"ready", to_string(n.m_probes)},
           {"control-plane", to_string(n.m_peers)}}},
         {"bootstrap", true},
+        {"limits", m_limits},
         {"bounds",
          {{"grace-period-s", 6},
           {"quota-window-s", 5},
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -68,6 +68,8 @@
     /// Builds of the daemons, in turn; empty: the current one. Read by the
     /// constructor only.
     std::span<const daemon_build> m_builds = {};
+    /// `limits` of the daemons' settings files.
+    nlohmann::json m_limits = nlohmann::json::object();
 };
 
 /// The key of a workspace by its number.
@@ -150,6 +152,7 @@
                           const nlohmann::json& change) const;
 
     std::size_t m_zones = 1;
+    nlohmann::json m_limits;
     scratch_folder m_folder;
     address m_platform;
     nlohmann::json m_config;
