clients: Bound what callers' sessions can take of a process

A flood of statements ended the process with SIGSEGV: fail_work and complete_work read the session's next statement from inside read_session, so each refused statement of those that had collected took three stack frames. Nothing bounded the unread bytes, unsent answers, values and prepared names of a session, or the number of sessions.

Now answers only put the session into a list that the loop's next turn reads, 32 statements a turn. Memory and descriptors of the settings file (`limits`) are divided by decide/load/client_budget: a session isn't read beyond its part unless it gets room for a statement of the largest size, nor while it doesn't read its answers; values and prepared names are bounded; accepting pauses at the bound of connections, and connections without a session, then the oldest at rest, make room. Each close has a cause, an event (4050 to 4052) and a counter. Fields of log lines are cut at 2,048 bytes. An unexpected exception in a caller's callback closes that session and not the process. A line is searched for its end from where the last search stopped, and a line of exactly 1 MiB whose LF arrives alone isn't taken for too long.

--- a/Source/decide/settings_reload.cpp
+++ b/Source/decide/settings_reload.cpp
@@ -37,6 +37,8 @@
     keep_until_restart("store", &site_settings::m_store);
     keep_until_restart("orders", &site_settings::m_promotion_address);
     keep_until_restart("processor", &site_settings::m_cores);
+    keep_until_restart("memory", &site_settings::m_memory_bytes);
+    keep_until_restart("descriptors", &site_settings::m_descriptors);
     return reload;
 }
 
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_MODEL_SITE_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -124,10 +125,12 @@
     address m_peer_listen;
     address m_metrics_listen;
     address m_store;
-    address m_promotion_address;  ///< Service that runs promotions.
-    bool m_first_start = false;   ///< First start of the deployment.
-    std::vector<address> m_seeds; ///< Peers to query while the store is down.
-    double m_cores = 0;           ///< Cores that the VM may use; 0: unknown.
+    address m_promotion_address;    ///< Service that runs promotions.
+    bool m_first_start = false;     ///< First start of the deployment.
+    std::vector<address> m_seeds;   ///< Peers to query while the store is down.
+    double m_cores = 0;             ///< Cores that the VM may use; 0: unknown.
+    std::size_t m_memory_bytes = 0; ///< Of the VM; 0: unknown.
+    std::size_t m_descriptors = 0;  ///< That the VM may have open; 0: unknown.
     duration m_stop_grace{};
     duration m_rate_window{};    ///< Window over which rates are enforced.
     double m_rate_overage = 0;   ///< Fraction by which they may be exceeded.
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -194,8 +194,20 @@
     event_entry{event_id::connection_closed, event_level::detail,
                 "connection_closed",
                 "a connection to an endpoint is closed, and why"},
+    event_entry{event_id::client_closed, event_level::info, "client_closed",
+                "a caller's connection was closed because it passed a limit "
+                "or to make room, and which"},
+    event_entry{event_id::accepting_paused, event_level::warning,
+                "accepting_paused",
+                "no connections of callers are accepted until some end or are "
+                "closed"},
+    event_entry{event_id::session_failed, event_level::error, "session_failed",
+                "an unexpected exception; the session is closed"},
 };
 
+// A client chooses request ids and names of databases, up to a whole message.
+constexpr std::size_t max_field_length = 2048;
+
 const event_entry& entry_of(event_id id)
 {
     return *std::find_if(catalogue.begin(), catalogue.end(),
@@ -299,7 +311,8 @@
         {"process", process()},
     };
     for (const event_field& field : fields)
-        line[std::string(field.m_name)] = field.m_value;
+        line[std::string(field.m_name)] =
+            std::string_view(field.m_value).substr(0, max_field_length);
     logger().log(
         level_of(entry.m_level),
         line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -75,6 +75,9 @@
     statement_served = 4008,
     connection_opened = 4009,
     connection_closed = 4010,
+    client_closed = 4050,
+    accepting_paused = 4051,
+    session_failed = 4052,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -163,6 +163,21 @@
                  "bluebellspoke_settings_behind_seconds", "",
                  "time since a peer first reported a newer version than the "
                  "one in force; 0 if none did"},
+    metric_entry{metric_id::clients_closed, metric_type::counter,
+                 "bluebellspoke_clients_closed_total", "cause",
+                 "connections of callers closed because they passed a limit "
+                 "or to make room, by cause"},
+    metric_entry{metric_id::client_bytes, metric_type::gauge,
+                 "bluebellspoke_client_bytes", "",
+                 "shared memory that sessions take beyond their own part"},
+    metric_entry{metric_id::accepting_pauses, metric_type::counter,
+                 "bluebellspoke_accepting_pauses_total", "",
+                 "times that no connections of callers were accepted for want "
+                 "of descriptors"},
+    metric_entry{metric_id::port_connections_closed, metric_type::counter,
+                 "bluebellspoke_port_connections_closed_total", "port",
+                 "connections that a port (ready or metrics) closed because of "
+                 "a limit"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -66,6 +66,10 @@
     cell_kept,
     relayed_watches,
     settings_behind,
+    clients_closed,
+    client_bytes,
+    accepting_pauses,
+    port_connections_closed,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/line_stream.cpp
+++ b/Source/session/line_stream.cpp
@@ -1,5 +1,7 @@
 #include <session/line_stream.hpp>
 
+#include <algorithm>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -21,6 +23,8 @@
 // connection after 3 s.
 constexpr unsigned unacknowledged_ms = 3000;
 
+constexpr std::size_t line_end_length = 2;
+
 void set_socket_options(evutil_socket_t socket)
 {
     const int on = 1;
@@ -68,18 +72,30 @@
         throw loop_error();
     bufferevent_setcb(m_buffer.get(), &line_stream::on_read,
                       &line_stream::on_written, &line_stream::on_event, this);
+    set_read_limit(max_line_length + line_end_length);
     bufferevent_enable(m_buffer.get(), EV_READ | EV_WRITE);
 }
 
+void line_stream::set_read_limit(std::size_t bytes)
+{
+    bufferevent_setwatermark(m_buffer.get(), EV_READ, 0, bytes);
+}
+
 std::optional<std::string_view> line_stream::next_line()
 {
     evbuffer* input = bufferevent_get_input(m_buffer.get());
     std::size_t end_length = 0;
-    const evbuffer_ptr end = evbuffer_search_eol(input, nullptr, &end_length,
+    evbuffer_ptr start{};
+    evbuffer_ptr_set(input, &start, m_searched, EVBUFFER_PTR_SET);
+    const evbuffer_ptr end = evbuffer_search_eol(input, &start, &end_length,
                                                  EVBUFFER_EOL_CRLF_STRICT);
     if (end.pos < 0)
     {
-        if (evbuffer_get_length(input) > max_line_length && !m_finishing)
+        // The last byte may be the first one of a line's end. A line that
+        // arrives in small pieces isn't searched from its begin each time.
+        const std::size_t length = evbuffer_get_length(input);
+        m_searched = length - std::min<std::size_t>(length, 1);
+        if (length > max_line_length + 1 && !m_finishing)
         {
             const sigc::slot<void(stream_end_reason)> on_end =
                 m_handlers.m_on_end;
@@ -87,12 +103,21 @@
         }
         return std::nullopt;
     }
+    m_searched = 0;
     m_line.resize(static_cast<std::size_t>(end.pos));
     evbuffer_remove(input, m_line.data(), m_line.size());
     evbuffer_drain(input, end_length);
     return m_line;
 }
 
+void line_stream::drop_line() noexcept
+{
+    // Small lines reuse the memory.
+    constexpr std::size_t kept = 1024;
+    if (m_line.capacity() > kept)
+        std::string().swap(m_line);
+}
+
 void line_stream::write(std::string_view bytes)
 {
     bufferevent_write(m_buffer.get(), bytes.data(), bytes.size());
@@ -133,6 +158,9 @@
     auto& s = *static_cast<line_stream*>(context);
     if (s.m_finishing)
         shutdown(bufferevent_getfd(b), SHUT_WR);
+    const sigc::slot<void()> on_sent = s.m_handlers.m_on_sent;
+    if (on_sent)
+        on_sent();
 }
 
 void line_stream::on_event(bufferevent*, short what, void* context)
--- a/Source/session/line_stream.hpp
+++ b/Source/session/line_stream.hpp
@@ -28,6 +28,8 @@
     sigc::slot<void()> m_on_readable;
     /// The stream ended. No more data can be read from it.
     sigc::slot<void(stream_end_reason)> m_on_end;
+    /// All queued bytes were passed to the kernel. May be empty.
+    sigc::slot<void()> m_on_sent{};
 };
 
 /// A TCP connection that carries lines terminated by CR LF.
@@ -46,6 +48,11 @@
     /// Returns the next complete line without its CR LF, valid until the next
     /// call, or nullopt if none has arrived.
     std::optional<std::string_view> next_line();
+    /// Frees the line that next_line() returned last.
+    void drop_line() noexcept;
+    /// Reads no more from the socket while this many bytes are unread. Without
+    /// a call, a line of max_line_length fits.
+    void set_read_limit(std::size_t bytes);
     /// Queues bytes. They are sent as fast as the peer reads them.
     void write(std::string_view bytes);
     /// Number of queued bytes that have not been passed to the kernel yet.
@@ -73,6 +80,7 @@
     line_stream_handlers m_handlers;
     std::unique_ptr<bufferevent, bufferevent_deleter> m_buffer;
     std::string m_line;
+    std::size_t m_searched = 0; ///< Unread bytes without a line's end.
     bool m_finishing = false;
 };
 
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -62,7 +62,10 @@
     if (!was_primary && fault == session_fault::lagging)
         p.m_lags_until = boot_now() + lag_retry_delay;
     if (fault == session_fault::no_statement)
+    {
         k.m_prepared.clear();
+        k.m_prepared_bytes = 0;
+    }
 }
 
 void finish_begin(session_task_state& t, link& k, const expected_reply& e)
--- a/Source/session/session_callers.cpp
+++ b/Source/session/session_callers.cpp
@@ -55,6 +55,7 @@
     if (!route->second.m_public && !t.m_config->m_keys.contains(m.m_key))
         return refuse_session(t, s, session_fault::unauthorized, "key");
     t.m_charts.m_session.fire(s.m_state, session_event::started);
+    s.m_times.m_without_startup_since = {};
     log_event(event_id::session_started,
               {{"session", std::to_string(s.m_number)},
                {"database", s.m_database},
@@ -81,6 +82,53 @@
     handle_statement(t, s, m.m_id, m.m_statement);
 }
 
+bool may_read(const session& s)
+{
+    return s.m_state != session_state::closed && !s.m_work && !s.m_is_closing &&
+           s.m_stream->unsent() < max_unsent_answers;
+}
+
+// Returns how many lines were handled.
+unsigned handle_lines(session_task_state& t, session& s)
+{
+    for (unsigned i = 0; i < max_statements_a_turn; ++i)
+    {
+        const auto line = may_read(s) ? s.m_stream->next_line() : std::nullopt;
+        if (!line)
+            return i;
+        handle_message(t, s, t.m_codec.m_read_caller(*line));
+        if (s.m_stream)
+            s.m_stream->drop_line();
+    }
+    return max_statements_a_turn;
+}
+
+void read_later(session_task_state& t, session& s)
+{
+    if (!s.readable_hook::is_linked())
+        t.m_readable.push_back(s);
+    t.m_turn.start_once(std::chrono::microseconds::zero());
+}
+
+// What a caller sent can't be a reason to end the process: an exception that
+// nothing expects, such as want of memory, drops its session.
+template <class Body>
+void guard_session(session_task_state& t, session& s, Body body)
+{
+    const session_ptr guard(&s);
+    try
+    {
+        body();
+    }
+    catch (const std::exception& e)
+    {
+        log_event(
+            event_id::session_failed,
+            {{"session", std::to_string(s.m_number)}, {"failure", e.what()}});
+        close_client(t, s, client_fault::task_failure);
+    }
+}
+
 }
 
 void accept_session(session_task_state& t, int socket)
@@ -92,13 +140,29 @@
         t.m_loop, socket,
         line_stream_handlers{[&t, &added]
                              {
-                                 read_session(t, added);
+                                 guard_session(t, added,
+                                               [&]
+                                               {
+                                                   read_session(t, added);
+                                               });
                              },
-                             [&t, &added](stream_end_reason)
+                             [&t, &added](stream_end_reason reason)
                              {
-                                 close_session(t, added);
+                                 if (reason == stream_end_reason::line_too_long)
+                                     close_client(t, added,
+                                                  client_fault::message_length);
+                                 else
+                                     close_session(t, added);
+                             },
+                             [&t, &added]
+                             {
+                                 added.m_times.m_unsent_since = {};
+                                 resume_session(t, added);
                              }});
+    s->m_stream->set_read_limit(t.m_clients.m_limits.m_session_bytes);
+    s->m_times.m_without_startup_since = boot_now();
     ++t.m_counts.m_sessions;
+    ++t.m_clients.m_open;
     // The list does not own its elements. This reference, released in
     // close_session, keeps the session alive.
     intrusive_ptr_add_ref(s.get());
@@ -107,13 +171,52 @@
 
 void read_session(session_task_state& t, session& s)
 {
+    if (s.m_is_reading)
+        return;
     const session_ptr guard(&s);
-    while (s.m_state != session_state::closed && !s.m_work && !s.m_is_closing)
+    s.m_is_reading = true;
+    const unsigned handled = handle_lines(t, s);
+    s.m_is_reading = false;
+    if (s.m_state == session_state::closed)
+        return;
+    const bool lacks_bytes = may_read(s) && handled < max_statements_a_turn;
+    if (!lacks_bytes || s.m_stream->unread() == 0)
+        s.m_times.m_in_message_since = {};
+    else if (handled > 0 || s.m_times.m_in_message_since == time_point{})
+        s.m_times.m_in_message_since = boot_now();
+    count_use(t, s);
+    if (lacks_bytes)
     {
-        const auto line = s.m_stream->next_line();
-        if (!line)
-            return close_if_stopping(t, s);
-        handle_message(t, s, t.m_codec.m_read_caller(*line));
+        await_rest(t, s);
+        return close_if_stopping(t, s);
+    }
+    if (may_read(s))
+        read_later(t, s);
+}
+
+void resume_session(session_task_state& t, session& s)
+{
+    if (s.m_is_reading || s.m_state == session_state::closed)
+        return;
+    if (s.m_stream->unread() > 0)
+        return read_later(t, s);
+    count_use(t, s);
+    close_if_stopping(t, s);
+}
+
+void read_sessions(session_task_state& t)
+{
+    decltype(t.m_readable) now;
+    now.swap(t.m_readable);
+    while (!now.empty())
+    {
+        session& s = now.front();
+        now.pop_front();
+        guard_session(t, s,
+                      [&]
+                      {
+                          read_session(t, s);
+                      });
     }
 }
 
@@ -149,6 +252,9 @@
     }
     abort_transaction(t, s);
     s.auto_unlink_hook::unlink();
+    s.readable_hook::unlink();
+    --t.m_clients.m_open;
+    forget_use(t, s);
     s.m_stream.reset();
 }
 
@@ -157,8 +263,9 @@
     std::string out(answer);
     t.m_codec.m_write_ready(out, transaction_status_of(s));
     s.m_stream->write(out);
-    if (s.m_stream->unsent() > max_unsent_bytes)
-        close_session(t, s);
+    if (s.m_times.m_unsent_since == time_point{})
+        s.m_times.m_unsent_since = boot_now();
+    count_use(t, s);
 }
 
 void answer_complete(session_task_state& t, session& s)
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -139,6 +139,14 @@
               static_cast<double>(c.m_retries));
     add_value(families, metric_id::status_questions, {},
               static_cast<double>(c.m_status_requests));
+    for (std::size_t i = 0; i < client_fault_count; ++i)
+        add_value(families, metric_id::clients_closed,
+                  std::array{to_string(static_cast<client_fault>(i))},
+                  static_cast<double>(t.m_clients.m_closed.at(i)));
+    add_value(families, metric_id::client_bytes, {},
+              static_cast<double>(t.m_clients.m_shared_used));
+    add_value(families, metric_id::accepting_pauses, {},
+              static_cast<double>(t.m_clients.m_pauses));
     collect_usage(families, t.m_usage);
     collect_groups_and_rates(families, t, boot_now());
     return families;
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -221,7 +221,7 @@
         end_transaction(t, *s);
     }
     answer_fault(t, *s, fault, detail);
-    read_session(t, *s);
+    resume_session(t, *s);
 }
 
 void complete_work(session_task_state& t, const work_ptr& w)
@@ -244,7 +244,7 @@
             end_transaction(t, *s);
     }
     answer_ready(t, *s, w->m_answer);
-    read_session(t, *s);
+    resume_session(t, *s);
 }
 
 void retry_work(session_task_state& t, const work_ptr& w, session_fault fault,
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -52,6 +52,11 @@
     return oldest;
 }
 
+bool lacks_descriptors(const session_task_state& t)
+{
+    return open_connections(t) >= t.m_clients.m_limits.m_all_connections;
+}
+
 void send_startup(session_task_state& t, link& k)
 {
     std::string out;
@@ -187,7 +192,8 @@
 {
     if (link* k = best_idle_link(p, workspace, s))
         return link_ptr(k);
-    if (p.m_link_count >= p.m_budget.m_limit || boot_now() < p.m_full_until)
+    if (p.m_link_count >= p.m_budget.m_limit || boot_now() < p.m_full_until ||
+        lacks_descriptors(t))
     {
         link* const unused = oldest_idle_link(p);
         if (unused == nullptr)
@@ -283,9 +289,12 @@
 
 void check_links(session_task_state& t, time_point now)
 {
+    const bool no_more = lacks_descriptors(t);
     for (auto& [id, p] : t.m_endpoint_pools)
     {
         update_connection_budget(t, p, now);
+        if (no_more)
+            p.m_budget.m_limit = std::min(p.m_budget.m_limit, p.m_link_count);
         close_spare_links(t, p, now);
     }
     std::vector<link_ptr> overdue;
--- a/Source/session/session_sending.cpp
+++ b/Source/session/session_sending.cpp
@@ -10,9 +10,17 @@
 namespace
 {
 
+// A link's prepared statements are those of all its sessions, of any age.
+bool has_too_much_prepared(const link& k)
+{
+    return !k.m_in_transaction && (k.m_prepared.size() >= max_session_names ||
+                                   k.m_prepared_bytes >= max_kept_bytes);
+}
+
 bool needs_discard(const link& k, const session& s)
 {
-    return std::ranges::any_of(k.m_values,
+    return has_too_much_prepared(k) ||
+           std::ranges::any_of(k.m_values,
                                [&](const auto& value)
                                {
                                    return !s.m_values.contains(value.first);
@@ -28,6 +36,7 @@
         expect_reply(k, expected_reply_kind::setup);
         k.m_values.clear();
         k.m_prepared.clear();
+        k.m_prepared_bytes = 0;
     }
     for (const auto& [name, value] : s.m_values)
     {
@@ -56,6 +65,7 @@
                               w.m_prepared->m_writes, w.m_prepared->m_shape);
     expect_reply(k, expected_reply_kind::setup);
     k.m_prepared.insert(*w.m_prepared);
+    k.m_prepared_bytes += w.m_prepared->m_shape.size();
 }
 
 // Position that the endpoint's log must have reached for this read or
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -38,15 +38,28 @@
     answer_fault(t, s, fault, detail);
 }
 
-void store_session_value(session_task_state& t, session& s,
+void store_session_value(session_task_state& t, session& s, std::string_view id,
                          const session_statement& q)
 {
+    const auto found = s.m_values.find(q.m_name);
+    const bool replaces = found != s.m_values.end();
+    if (!keep_bytes(t, s, s.m_values.size(), q.m_name.size() + q.m_value.size(),
+                    replaces ? q.m_name.size() + found->second.size() : 0))
+        return refuse_statement(t, s, id, session_fault::busy, "values");
     s.m_values.insert_or_assign(std::string(q.m_name), std::string(q.m_value));
     answer_complete(t, s);
 }
 
-void prepare(session_task_state& t, session& s, const session_statement& q)
+void prepare(session_task_state& t, session& s, std::string_view id,
+             const session_statement& q)
 {
+    const auto found = s.m_prepared.find(q.m_name);
+    const bool replaces = found != s.m_prepared.end();
+    if (!keep_bytes(
+            t, s, s.m_prepared.size(), q.m_name.size() + q.m_value.size(),
+            replaces ? q.m_name.size() + found->second.m_shape.size() : 0))
+        return refuse_statement(t, s, id, session_fault::busy,
+                                "prepared statements");
     s.m_prepared.insert_or_assign(
         std::string(q.m_name),
         prepared_statement{q.m_kind == statement_kind::prepare_write,
@@ -61,6 +74,7 @@
     if (found == s.m_prepared.end())
         return refuse_statement(t, s, id, session_fault::no_statement,
                                 "deallocate");
+    s.m_use.m_kept -= found->first.size() + found->second.m_shape.size();
     s.m_prepared.erase(found);
     answer_complete(t, s);
 }
@@ -175,10 +189,10 @@
     switch (q.m_kind)
     {
     case statement_kind::set:
-        return store_session_value(t, s, q);
+        return store_session_value(t, s, id, q);
     case statement_kind::prepare_read:
     case statement_kind::prepare_write:
-        return prepare(t, s, q);
+        return prepare(t, s, id, q);
     case statement_kind::deallocate:
         return deallocate(t, s, id, q);
     case statement_kind::begin:
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -1,14 +1,11 @@
 #include <session/session_task.hpp>
 
-#include <sys/socket.h>
-
 #include <event2/listener.h>
 
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
 #include <session/session_task_state.hpp>
 #include <task/boot_clock.hpp>
-#include <wire/socket_address.hpp>
 
 namespace bluebellspoke
 {
@@ -21,25 +18,6 @@
 namespace
 {
 
-void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
-               void* state)
-{
-    accept_session(*static_cast<session_task_state*>(state), socket);
-}
-
-void listen(session_task_state& t)
-{
-    constexpr int backlog = 512;
-    const socket_address at = to_socket_address(t.m_settings.m_caller_listen);
-    t.m_listener.reset(evconnlistener_new_bind(
-        t.m_loop.m_base.get(), &on_accept, &t,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-        backlog, reinterpret_cast<const sockaddr*>(&at.m_storage),
-        static_cast<int>(at.m_length)));
-    if (!t.m_listener)
-        throw loop_error();
-}
-
 // Aborts transactions that exceed the idle timeout, to free their connections.
 void expire_transactions(session_task_state& t, time_point now)
 {
@@ -69,6 +47,7 @@
         if (g.m_queue.m_backlog > 0)
             serve_waiting(t, g);
     expire_transactions(t, now);
+    tick_clients(t, now);
     tick_relay(t, now);
     ask_statuses(t, now);
     tick_rates(t, now);
@@ -188,8 +167,15 @@
                                                           [this]
                                                           {
                                                               tick(*this);
-                                                          })
+                                                          }),
+      m_turn(m_loop,
+             [this]
+             {
+                 read_sessions(*this);
+             })
 {
+    m_clients.m_limits =
+        make_client_limits(settings.m_memory_bytes, settings.m_descriptors);
 }
 
 void run_session_task(const site_settings& settings, const session_codec& codec,
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -42,9 +42,9 @@
 /// How long an endpoint without free capacity gets no new work: about the time
 /// in which one of its statements finishes.
 inline constexpr std::chrono::milliseconds busy_endpoint_pause{30};
-/// Most response bytes that may be unsent to a caller; beyond that its session
-/// is closed.
-inline constexpr std::size_t max_unsent_bytes = 4U << 20U;
+/// Statements of one session that are read in a turn of the loop, so that a
+/// caller that sends many at once doesn't hold up the others.
+inline constexpr unsigned max_statements_a_turn = 32;
 
 /// How a caller's statement ended.
 enum class session_outcome : std::uint8_t
@@ -99,6 +99,11 @@
     loop m_loop;
     std::unique_ptr<evconnlistener, listener_deleter> m_listener;
     timer m_tick;
+    timer m_turn; ///< Reads m_readable in the loop's next turn.
+    boost::intrusive::list<session, boost::intrusive::base_hook<readable_hook>,
+                           boost::intrusive::constant_time_size<false>>
+        m_readable;
+    session_clients m_clients;
     site_config_ptr m_config;
     endpoint_snapshot_ptr m_endpoints;
     std::map<std::string, service_group, std::less<>> m_groups;
@@ -135,6 +140,11 @@
 /// Processes the received lines of a session until one starts an operation
 /// that has to finish first.
 void read_session(session_task_state& t, session& s);
+/// Continues to read a session whose statement has been answered, in the loop's
+/// next turn: a call of read_session would nest once for each statement.
+void resume_session(session_task_state& t, session& s);
+/// Reads the sessions of m_readable.
+void read_sessions(session_task_state& t);
 void close_session(session_task_state& t, session& s);
 /// Sends an answer, followed by the transaction status of the session.
 void answer_ready(session_task_state& t, session& s, std::string_view answer);
@@ -143,6 +153,26 @@
 void answer_fault(session_task_state& t, session& s, session_fault fault,
                   std::string_view detail);
 
+// session_clients.cpp
+/// Accepts the connections that wait, while there is room.
+void listen(session_task_state& t);
+/// Connections of callers and to endpoints.
+std::size_t open_connections(const session_task_state& t);
+/// Counts what the session holds now.
+void count_use(session_task_state& t, session& s);
+void forget_use(session_task_state& t, session& s);
+/// Lets a session that awaits the rest of a message read it, if that is larger
+/// than usual and there is memory.
+void await_rest(session_task_state& t, session& s);
+/// Closes a caller's connection that doesn't keep to a limit.
+void close_client(session_task_state& t, session& s, client_fault fault);
+/// Closes what passed a time limit or has to make room; accepts again.
+void tick_clients(session_task_state& t, time_point now);
+/// True if the session may keep a name of `added` bytes in place of one of
+/// `replaced` bytes (0: none), and then counts it.
+bool keep_bytes(session_task_state& t, session& s, std::size_t names,
+                std::size_t added, std::size_t replaced);
+
 // session_statements.cpp
 void handle_statement(session_task_state& t, session& s, std::string_view id,
                       const session_statement& statement);
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_SESSION_SESSION_TYPES_HPP
 #define BLUEBELLSPOKE_SESSION_SESSION_TYPES_HPP
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,6 +19,7 @@
 #include <decide/connection_budget.hpp>
 #include <decide/fair_queue.hpp>
 #include <decide/group_view.hpp>
+#include <decide/load/client_budget.hpp>
 #include <decide/rate_bucket.hpp>
 #include <model/site.hpp>
 #include <session/line_stream.hpp>
@@ -36,6 +38,11 @@
 using auto_unlink_hook = boost::intrusive::list_base_hook<
     boost::intrusive::tag<session_task_list>,
     boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+struct readable_sessions;
+/// Membership in the list of sessions that are read in the loop's next turn.
+using readable_hook = boost::intrusive::list_base_hook<
+    boost::intrusive::tag<readable_sessions>,
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 template <class Item>
 using intrusive_list =
     boost::intrusive::list<Item, boost::intrusive::base_hook<auto_unlink_hook>,
@@ -102,7 +109,7 @@
 };
 
 /// A caller's connection and its session state.
-struct session : counted<session>, auto_unlink_hook
+struct session : counted<session>, auto_unlink_hook, readable_hook
 {
     std::uint64_t m_number = 0;
     std::unique_ptr<line_stream> m_stream;
@@ -119,6 +126,24 @@
     std::optional<session_transaction> m_transaction;
     work_ptr m_work; ///< The statement that is being processed.
     bool m_is_closing = false;
+    bool m_is_reading = false; ///< In read_session.
+    client_use m_use;
+    client_times m_times;
+    std::size_t m_shared_use = 0; ///< Counted in m_clients.
+};
+
+/// What the callers' connections take of this process.
+struct session_clients
+{
+    client_limits m_limits;
+    std::size_t m_open = 0;
+    std::size_t m_shared_used = 0; ///< Sum of m_shared_use.
+    bool m_has_waiting = false;    ///< Some session may wait for memory.
+    bool m_accepts = true;         ///< False at the limit.
+    time_point m_next_check_at{};  ///< Of the sessions' time limits.
+    time_point m_pause_logged_at{};
+    std::uint64_t m_pauses = 0;
+    std::array<std::uint64_t, client_fault_count> m_closed{}; ///< By fault.
 };
 
 /// What the next reply on an endpoint connection answers.
@@ -151,6 +176,7 @@
     link_state m_state = link_state::connecting;
     session_values m_values;
     std::set<prepared_statement> m_prepared;
+    std::size_t m_prepared_bytes = 0; ///< Of the shapes in m_prepared.
     std::deque<expected_reply> m_expected_replies;
     work_ptr m_work; ///< What it runs, or was opened for.
     bool m_in_transaction =
