clients: Bound the connections of the ready and metrics ports

libevent's HTTP server bounds neither the connections nor their age, nor the header and body of a request: 300 silent connections kept their descriptors, and 20 clients with a header or body of 8 MiB took 175 MB (and a header 14 s of the thread, as it is searched from its begin with each read). A scrape whose connection ended before its answer left a dangling request.

--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -1,5 +1,6 @@
 #include <session/life_task.hpp>
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <exception>
@@ -10,14 +11,14 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-
+#include <decide/load/client_budget.hpp>
 #include <decide/settings_reload.hpp>
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
+#include <wire/http1_server.hpp>
 
 namespace bluebellspoke
 {
@@ -39,14 +40,6 @@
 // The session, site and failover tasks each report their own metrics.
 constexpr std::size_t metrics_task_count = 3;
 
-struct http_deleter
-{
-    void operator()(evhttp* h) const noexcept
-    {
-        evhttp_free(h);
-    }
-};
-
 struct life_state
 {
     life_state(const site_settings& settings,
@@ -59,16 +52,16 @@
     timer m_stop_timer;
     timer m_settings_timer;
     std::filesystem::file_time_type m_settings_write_time{};
-    std::unique_ptr<evhttp, http_deleter> m_http;
-    std::unique_ptr<evhttp, http_deleter> m_metrics_http;
+    std::unique_ptr<http1_server> m_ready_http;
+    std::unique_ptr<http1_server> m_metrics_http;
     event_ptr m_sigterm_event;
     event_ptr m_sighup_event;
     bool m_configured = false;
     time_point m_stopping_since{};
     time_point m_ending_since{};
     std::set<std::string> m_stopped_tasks;
-    /// The request that waits for the metrics of the tasks.
-    evhttp_request* m_metrics_request = nullptr;
+    /// The request that waits for the metrics of the tasks; 0: none.
+    std::uint64_t m_metrics_exchange = 0;
     metric_families m_families;
     std::size_t m_reported_tasks = 0;
 };
@@ -156,25 +149,32 @@
         stop(s.m_loop);
 }
 
-void answer_ready_probe(evhttp_request* request, void* context)
+constexpr http1_response not_found{404, "Not Found", {}};
+
+void answer_ready_probe(life_state& s, const http1_request& request)
 {
-    const life_state& s = *static_cast<life_state*>(context);
     const bool ready = s.m_configured && s.m_stopping_since == time_point{};
-    if (ready)
-        evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
+    if (request.m_path != s.m_dependencies.m_ready_path)
+        s.m_ready_http->respond(request.m_exchange, not_found);
+    else if (ready)
+        s.m_ready_http->respond(request.m_exchange, {200, "OK", {}});
     else
-        evhttp_send_reply(request, HTTP_SERVUNAVAIL, "Not Ready", nullptr);
+        s.m_ready_http->respond(request.m_exchange, {503, "Not Ready", {}});
 }
 
-void request_metrics(evhttp_request* request, void* context)
+void request_metrics(life_state& s, const http1_request& request)
 {
-    life_state& s = *static_cast<life_state*>(context);
-    if (s.m_metrics_request != nullptr)
+    if (request.m_path != "/metrics")
     {
-        evhttp_send_reply(request, HTTP_SERVUNAVAIL, "Busy", nullptr);
+        s.m_metrics_http->respond(request.m_exchange, not_found);
         return;
     }
-    s.m_metrics_request = request;
+    if (s.m_metrics_exchange != 0)
+    {
+        s.m_metrics_http->respond(request.m_exchange, {503, "Busy", {}});
+        return;
+    }
+    s.m_metrics_exchange = request.m_exchange;
     s.m_families.clear();
     s.m_reported_tasks = 0;
     s.m_boxes.m_session.post(metrics_request());
@@ -184,21 +184,22 @@
 
 void collect_metrics(life_state& s, metrics_response& response)
 {
-    if (s.m_metrics_request == nullptr)
+    if (s.m_metrics_exchange == 0)
         return;
     for (auto& family : response.m_families)
         s.m_families.push_back(std::move(family));
     if (++s.m_reported_tasks < metrics_task_count)
         return;
-    evhttp_request* const request = std::exchange(s.m_metrics_request, nullptr);
     add_value(s.m_families, metric_id::log_lines_dropped, {},
               static_cast<double>(dropped_log_lines()));
-    const std::string text = to_text(s.m_families);
-    evhttp_add_header(evhttp_request_get_output_headers(request),
-                      "Content-Type", "text/plain; version=0.0.4");
-    evbuffer_add(evhttp_request_get_output_buffer(request), text.data(),
-                 text.size());
-    evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
+    add_value(s.m_families, metric_id::port_connections_closed,
+              std::array{std::string_view("ready")},
+              static_cast<double>(s.m_ready_http->closed()));
+    add_value(s.m_families, metric_id::port_connections_closed,
+              std::array{std::string_view("metrics")},
+              static_cast<double>(s.m_metrics_http->closed()));
+    s.m_metrics_http->respond(std::exchange(s.m_metrics_exchange, 0),
+                              {200, "OK", to_text(s.m_families)});
 }
 
 void on_sigterm(evutil_socket_t, short, void* context)
@@ -213,16 +214,6 @@
     reload_settings(s);
 }
 
-std::unique_ptr<evhttp, http_deleter> start_http_server(loop& l,
-                                                        const address& at)
-{
-    std::unique_ptr<evhttp, http_deleter> http(evhttp_new(l.m_base.get()));
-    if (!http ||
-        evhttp_bind_socket(http.get(), at.m_host.c_str(), at.m_port) != 0)
-        throw loop_error();
-    return http;
-}
-
 event_ptr make_signal_event(loop& l, int signal, event_callback_fn callback,
                             life_state& s)
 {
@@ -298,11 +289,22 @@
                         {
                             handle_message(s, m);
                         });
-    s.m_http = start_http_server(s.m_loop, settings.m_ready_listen);
-    evhttp_set_cb(s.m_http.get(), dependencies.m_ready_path.c_str(),
-                  &answer_ready_probe, &s);
-    s.m_metrics_http = start_http_server(s.m_loop, settings.m_metrics_listen);
-    evhttp_set_cb(s.m_metrics_http.get(), "/metrics", &request_metrics, &s);
+    http1_server_limits limits;
+    limits.m_connections =
+        make_client_limits(settings.m_memory_bytes, settings.m_descriptors)
+            .m_port_connections;
+    s.m_ready_http = std::make_unique<http1_server>(
+        s.m_loop, settings.m_ready_listen, limits,
+        [&s](const http1_request& request)
+        {
+            answer_ready_probe(s, request);
+        });
+    s.m_metrics_http = std::make_unique<http1_server>(
+        s.m_loop, settings.m_metrics_listen, limits,
+        [&s](const http1_request& request)
+        {
+            request_metrics(s, request);
+        });
     s.m_sigterm_event = make_signal_event(s.m_loop, SIGTERM, &on_sigterm, s);
     s.m_sighup_event = make_signal_event(s.m_loop, SIGHUP, &on_sighup, s);
     set_life_signals(SIG_UNBLOCK);
