clients: Bound what HTTP/2 connections hold

Bodies of open streams were kept without a bound for the connection or the server (one connection: 198 MB), and so were headers, which a client sends compressed (469 MB from 160 KB). A client that reads no answers had them collect in its output. The peer port took 4,096 connections.

Each server now has a bound for unfinished requests and unsent answers of all connections; beyond it the connection with the most is closed. A request's header has at most 16 KiB uncompressed. The output of a connection is filled up to 1 MiB, the rest waits in the streams, where it is counted; the client side goes on when its output is sent. At the bound of connections the least recently used without a running request is closed. The peer port's bounds come from the process's budget. Accepting pauses for 100 ms without descriptors.

Ruled out: a bound for each connection only, which many connections pass.

--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include <decide/load/client_budget.hpp>
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
@@ -252,9 +253,13 @@
     };
     handlers.m_on_abandoned = [](exchange_id) {};
     handlers.m_on_disconnect = [](connection_id) {};
+    const client_limits budget = make_client_limits(t.m_settings.m_memory_bytes,
+                                                    t.m_settings.m_descriptors);
+    http2_server_limits limits;
+    limits.m_connections = budget.m_peer_connections;
+    limits.m_pending_bytes = budget.m_peer_bytes;
     t.m_peer_server = std::make_unique<http2_server>(
-        t.m_loop, t.m_settings.m_peer_listen, http2_server_limits(),
-        std::move(handlers));
+        t.m_loop, t.m_settings.m_peer_listen, limits, std::move(handlers));
     add_seeds(t);
 }
 
--- a/Source/wire/http2_client.cpp
+++ b/Source/wire/http2_client.cpp
@@ -200,6 +200,12 @@
         fail_all(s);
 }
 
+// pump() stops at a bound of the output.
+void on_flushed(bufferevent*, void* user)
+{
+    pump_or_fail(*static_cast<client_state*>(user));
+}
+
 void on_socket_event(bufferevent* stream, short what, void* user)
 {
     auto& s = *static_cast<client_state*>(user);
@@ -222,7 +228,7 @@
     s.m_transport.m_session = make_http2_session(
         http2_side::client, s.m_callbacks.get(), &s, max_streams);
     bufferevent* stream = s.m_transport.m_stream.get();
-    bufferevent_setcb(stream, on_readable, nullptr, on_socket_event, &s);
+    bufferevent_setcb(stream, on_readable, on_flushed, on_socket_event, &s);
     bufferevent_enable(stream, EV_READ | EV_WRITE);
     s.m_connect_limit.start_once(connect_time_limit);
     const socket_address to = to_socket_address(s.m_server);
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -1,5 +1,6 @@
 #include <wire/http2_server.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <iterator>
@@ -40,6 +41,8 @@
     std::int32_t m_id = 0;
     bool m_asked = false;
     bool m_answered = false;
+    std::size_t m_header_bytes = 0;
+    std::size_t m_pending = 0; ///< Counted for the connection and the server.
     arrived_request m_arrived;
     http2_body m_body;
 };
@@ -60,6 +63,8 @@
     bool m_retiring = false;    ///< Told that it will end.
     bool m_half_closed = false; ///< Everything is sent; the caller's end waits.
     unsigned m_sweeps = 0;      ///< Since it was half closed.
+    std::size_t m_pending = 0;  ///< Bytes of its streams.
+    std::uint64_t m_used = 0;   ///< Order of its last input among all.
 
     ~connection()
     {
@@ -92,7 +97,11 @@
     std::vector<std::size_t> m_free;
     std::size_t m_open_connections = 0;
     std::size_t m_open_exchanges = 0;
+    std::size_t m_pending = 0;      ///< Bytes of all streams.
+    std::uint64_t m_last_used = 0;  ///< Counts inputs.
+    std::uint64_t m_closed = 0;     ///< Because of a limit.
     std::unique_ptr<timer> m_sweep; ///< Ends retiring connections.
+    std::unique_ptr<timer> m_accept_pause;
     tls_context_ptr m_tls;
     /// Connections with answers that this turn of the loop still gathers.
     intrusive::list<connection, intrusive::base_hook<unsent_hook>,
@@ -121,9 +130,27 @@
     return s.m_slots[slot].m_connection.get();
 }
 
+void count_pending(connection& c, server_stream& stream, std::size_t bytes)
+{
+    stream.m_pending += bytes;
+    c.m_pending += bytes;
+    server_state& s = *c.m_server;
+    s.m_pending += bytes;
+    if (s.m_pending > s.m_limits.m_pending_bytes)
+        event_active(s.m_turn_end.get(), EV_TIMEOUT, 0);
+}
+
+void forget_pending(connection& c, server_stream& stream)
+{
+    c.m_pending -= stream.m_pending;
+    c.m_server->m_pending -= stream.m_pending;
+    stream.m_pending = 0;
+}
+
 void drop_connection(connection& c)
 {
     server_state& s = *c.m_server;
+    s.m_pending -= std::exchange(c.m_pending, 0);
     const connection_id id = c.m_id;
     connection_slot& slot = s.m_slots[c.m_slot];
     std::vector<exchange_id> abandoned;
@@ -164,6 +191,48 @@
         drop_connection(c);
 }
 
+// True while the application has a request of the connection.
+bool awaits_answer(const connection& c)
+{
+    return std::any_of(c.m_streams.begin(), c.m_streams.end(),
+                       [](const server_stream& s)
+                       {
+                           return s.m_asked && !s.m_answered;
+                       });
+}
+
+// The connection of which the application has no request that was used least
+// recently; null: none.
+connection* least_used(server_state& s)
+{
+    connection* found = nullptr;
+    for (const connection_slot& slot : s.m_slots)
+    {
+        connection* c = slot.m_connection.get();
+        if (c != nullptr && (found == nullptr || c->m_used < found->m_used) &&
+            !awaits_answer(*c))
+            found = c;
+    }
+    return found;
+}
+
+void drop_largest(server_state& s)
+{
+    while (s.m_pending > s.m_limits.m_pending_bytes)
+    {
+        connection* largest = nullptr;
+        for (const connection_slot& slot : s.m_slots)
+        {
+            connection* c = slot.m_connection.get();
+            if (c != nullptr &&
+                (largest == nullptr || c->m_pending > largest->m_pending))
+                largest = c;
+        }
+        ++s.m_closed;
+        drop_connection(*largest);
+    }
+}
+
 void send_unsent(evutil_socket_t, short, void* user)
 {
     auto& s = *static_cast<server_state*>(user);
@@ -173,6 +242,7 @@
         s.m_unsent.pop_front();
         pump_or_drop(c);
     }
+    drop_largest(s);
 }
 
 bool has_several_streams(const connection& c)
@@ -267,6 +337,13 @@
                                name_length);
     const std::string_view text(reinterpret_cast<const char*>(value),
                                 value_length);
+    // What HTTP/2 itself counts for an entry, besides its text.
+    constexpr std::size_t entry_bytes = 32;
+    const std::size_t bytes = name_length + value_length + entry_bytes;
+    stream->m_header_bytes += bytes;
+    if (stream->m_header_bytes > c.m_server->m_limits.m_header_bytes)
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    count_pending(c, *stream, bytes);
     http2_request& request = stream->m_arrived.m_request;
     if (key == ":method")
         request.m_method = text;
@@ -292,6 +369,7 @@
         return 0;
     }
     body.append(reinterpret_cast<const char*>(bytes), length);
+    count_pending(c, *stream, length);
     return 0;
 }
 
@@ -307,6 +385,7 @@
     if (stream == nullptr)
         return 0;
     stream->m_asked = true;
+    forget_pending(c, *stream);
     ++c.m_server->m_open_exchanges;
     c.m_server->m_handlers.m_on_request(stream->m_arrived);
     return 0;
@@ -320,6 +399,7 @@
     if (stream == nullptr)
         return 0;
     const bool abandoned = stream->m_asked && !stream->m_answered;
+    forget_pending(c, *stream);
     c.m_streams.erase_and_dispose(c.m_streams.iterator_to(*stream),
                                   std::default_delete<server_stream>());
     if (!abandoned)
@@ -347,6 +427,7 @@
 void on_readable(bufferevent*, void* user)
 {
     auto& c = *static_cast<connection*>(user);
+    c.m_used = ++c.m_server->m_last_used;
     if (!feed(c.m_transport))
         c.m_doomed = true;
     pump_or_drop(c);
@@ -381,6 +462,7 @@
         drop_connection(c);
         return;
     }
+    c.m_used = ++c.m_server->m_last_used;
     if (!feed(c.m_transport,
               std::span(bytes).first(static_cast<std::size_t>(count))))
         c.m_doomed = true;
@@ -410,14 +492,38 @@
     return slot;
 }
 
+void pause_accepting(server_state& s, std::chrono::microseconds time)
+{
+    if (!s.m_listener)
+        return;
+    evconnlistener_disable(s.m_listener.get());
+    s.m_accept_pause->start_once(time);
+}
+
+// Without a pause, want of descriptors would be reported with each turn.
+void on_accept_failure(evconnlistener*, void* user)
+{
+    constexpr std::chrono::milliseconds time{100};
+    pause_accepting(*static_cast<server_state*>(user), time);
+}
+
 void on_accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
                void* user)
 {
     auto& s = *static_cast<server_state*>(user);
     if (s.m_open_connections >= s.m_limits.m_connections)
     {
-        evutil_closesocket(descriptor);
-        return;
+        ++s.m_closed;
+        connection* const unused = least_used(s);
+        if (unused == nullptr)
+        {
+            evutil_closesocket(descriptor);
+            return;
+        }
+        drop_connection(*unused);
+        // The event library closes the socket at the end of the loop's turn;
+        // until then no other is accepted.
+        pause_accepting(s, std::chrono::microseconds::zero());
     }
     set_no_delay(descriptor);
     // A client that gave up a silent connection can't tell this end.
@@ -427,6 +533,7 @@
     connection& c = *made;
     c.m_server = &s;
     c.m_slot = slot;
+    c.m_used = ++s.m_last_used;
     c.m_id = s.m_slots[slot].m_generation << generation_shift | slot;
     c.m_transport.m_stream = make_server_stream(s.m_loop, descriptor, s.m_tls);
     c.m_transport.m_session =
@@ -465,6 +572,10 @@
                                             {},
                                             0,
                                             0,
+                                            0,
+                                            0,
+                                            0,
+                                            {},
                                             {},
                                             {},
                                             {},
@@ -479,6 +590,13 @@
                                                {
                                                    sweep(*m_state);
                                                });
+    m_state->m_accept_pause = std::make_unique<timer>(
+        l,
+        [this]
+        {
+            if (m_state->m_listener)
+                evconnlistener_enable(m_state->m_listener.get());
+        });
     m_state->m_callbacks = make_server_callbacks();
     const socket_address bound = to_socket_address(listen);
     constexpr int system_backlog = -1;
@@ -489,6 +607,7 @@
         static_cast<int>(bound.m_length)));
     if (!m_state->m_listener)
         throw loop_error();
+    evconnlistener_set_error_cb(m_state->m_listener.get(), on_accept_failure);
     m_state->m_local =
         local_address(evconnlistener_get_fd(m_state->m_listener.get()));
 }
@@ -516,6 +635,7 @@
     stream->m_answered = true;
     --m_state->m_open_exchanges;
     stream->m_body.m_bytes = std::move(response.m_body);
+    count_pending(*c, *stream, stream->m_body.m_bytes.size());
     const header_list pseudo = status_pseudo(response.m_status);
     const std::vector<nghttp2_nv> fields =
         to_fields(pseudo, response.m_headers);
@@ -585,6 +705,11 @@
     return m_state->m_open_exchanges;
 }
 
+std::uint64_t http2_server::closed() const noexcept
+{
+    return m_state->m_closed;
+}
+
 std::size_t http2_server::open_connections() const noexcept
 {
     return m_state->m_open_connections;
--- a/Source/wire/http2_server.hpp
+++ b/Source/wire/http2_server.hpp
@@ -31,6 +31,12 @@
     std::size_t m_connections = 4096;
     std::size_t m_streams_per_connection = 256;
     std::size_t m_body_bytes = 1U << 20U;
+    /// Names and values of one request. Compressed, they are small: a client
+    /// could send gigabytes in a few frames.
+    std::size_t m_header_bytes = 16U << 10U;
+    /// Requests that aren't complete and responses that aren't sent, of all
+    /// connections; beyond it the connection with the most is closed.
+    std::size_t m_pending_bytes = 64U << 20U;
 };
 
 /// A whole request. `m_oversized` says that its body passed the limit and was
@@ -81,6 +87,8 @@
     /// Requests that wait for their response.
     std::size_t open_exchanges() const noexcept;
     std::size_t open_connections() const noexcept;
+    /// Connections closed because of a limit.
+    std::uint64_t closed() const noexcept;
 
     struct state;
 
--- a/Source/wire/http2_transport.cpp
+++ b/Source/wire/http2_transport.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t connection_window_bytes = 4U << 20U;
 constexpr std::uint32_t stream_window_bytes = 1U << 20U;
 constexpr std::size_t gathered_bytes = 4096;
+constexpr std::size_t most_output_bytes = 1U << 20U;
 
 nghttp2_nv to_field(const std::pair<std::string, std::string>& header)
 {
@@ -213,7 +214,10 @@
     if (t.m_feeding)
         return true;
     outgoing out(t);
-    for (;;)
+    // What a peer doesn't read stays in its streams, which are counted, and not
+    // in the output. The rest follows when the output is sent.
+    const evbuffer* output = bufferevent_get_output(t.m_stream.get());
+    while (evbuffer_get_length(output) < most_output_bytes)
     {
         const std::uint8_t* bytes = nullptr;
         const ssize_t length =
