--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -86,6 +86,9 @@
     relayed_session_released = 4045,
     homes_chosen = 4046,
     session_address_unusable = 4047,
+    client_closed = 4050,
+    accepting_paused = 4051,
+    session_failed = 4052,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -74,6 +74,10 @@
     relayed_statements,
     home_moves,
     homes_lost,
+    clients_closed,
+    client_bytes,
+    accepting_pauses,
+    port_connections_closed,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/home_links.cpp
+++ b/Source/session/home_links.cpp
@@ -20,11 +20,13 @@
     return found == t.m_homes.m_members.end() ? nullptr : &*found;
 }
 
-bool has_room_for(const home_directory& d, std::string_view home)
+bool has_room_for(const session_task_state& t, std::string_view home)
 {
+    if (open_connections(t) >= t.m_clients.m_limits.m_connections)
+        return false;
     std::size_t all = 0;
     std::size_t of_home = 0;
-    for (const home_link& h : d.m_links)
+    for (const home_link& h : t.m_homes.m_links)
     {
         ++all;
         of_home += h.m_home == home ? 1U : 0U;
@@ -174,7 +176,7 @@
 bool open_home_link(session_task_state& t, session& s, std::string_view home)
 {
     const session_member* const member = find_member(t, home);
-    if (member == nullptr || !has_room_for(t.m_homes, home))
+    if (member == nullptr || !has_room_for(t, home))
         return false;
     const home_link_ptr h(new home_link);
     h->m_session = &s;
--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -123,7 +123,7 @@
     }
     w->m_session = nullptr;
     answer_ready(t, *s, w->m_answer);
-    read_session(t, *s);
+    resume_session(t, *s);
 }
 
 }
--- a/Source/session/relayed_sessions.cpp
+++ b/Source/session/relayed_sessions.cpp
@@ -34,7 +34,7 @@
     accept_session(t, socket, true);
 }
 
-void resume_session(session& s, const caller_message& m)
+void restore_position(session& s, const caller_message& m)
 {
     if (m.m_position)
         s.m_commit_position = std::max(
@@ -94,7 +94,7 @@
 {
     if (m.m_kind == caller_message_kind::resume)
     {
-        resume_session(s, m);
+        restore_position(s, m);
         return true;
     }
     if (m.m_kind != caller_message_kind::setup)
