platform: Decode the priority of a route

Statements of all routes wait alike, so the most important kind of new customer 1 is served worst (docs/design/load-and-limits.md). Its configuration names a priority for each route, which wasn't read.

A priority that is missing or no whole number is 0: configurations with one were in effect before, so refusing them now was ruled out. The configuration tells whether any route has a priority other than 0, so that deployments without keep today's behaviour.

--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -44,6 +44,7 @@
     duration m_staleness{};         ///< Zero for read_consistency::primary.
     bool m_public = false;          ///< Callers need no API key.
     region_set m_regions;
+    std::uint32_t m_priority = 0; ///< 0 is the most urgent.
 };
 
 /// A group of endpoints: a primary and its replicas.
@@ -74,6 +75,8 @@
     std::map<std::string, std::string, std::less<>>
         m_keys;                    ///< Workspace by key.
     duration m_transaction_idle{}; ///< Zero: no limit.
+    /// Some route has a priority other than 0.
+    bool m_has_priorities = false;
 };
 
 using site_config_ptr = boost::intrusive_ptr<const site_config>;
--- a/Tests/platform/store_value_codec_test.cpp
+++ b/Tests/platform/store_value_codec_test.cpp
@@ -35,6 +35,21 @@
             REQUIRE(r.m_statement_timeout == milliseconds(3000));
             REQUIRE(r.m_regions.contains("seoul"));
         }
+        THEN("a route's priority orders the statements, a missing one is 0")
+        {
+            REQUIRE(c->m_routes.at("ledger").m_priority == 2);
+            REQUIRE(c->m_has_priorities);
+            for (const char* odd : {"-1", "1.5", "\"1\"", "null", "0"})
+            {
+                std::string other = text;
+                other.replace(other.find("\"priority\":2"), 12,
+                              "\"priority\":" + std::string(odd));
+                const site_config_ptr read = codec.m_read_config(other);
+                REQUIRE(read);
+                CHECK(read->m_routes.at("ledger").m_priority == 0);
+                CHECK_FALSE(read->m_has_priorities);
+            }
+        }
         THEN("a route of unknown type is skipped")
         {
             REQUIRE_FALSE(c->m_routes.contains("later"));
