--- a/Source/decide/fair_queue.cpp
+++ b/Source/decide/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include <decide/fair_queue.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bluebellspoke
@@ -28,11 +29,15 @@
     if (flow == q.m_flows.end())
         flow = q.m_flows.try_emplace(std::string(workspace), q).first;
     fair_queue_flow& f = flow->second;
+    f.m_workspace = flow->first;
     f.m_weight = weight;
     // A flow gets no credit for idle time: it restarts at the virtual time.
     if (f.m_items.empty())
         f.m_virtual_start = std::max(q.m_virtual_time, f.m_virtual_start);
-    f.m_items.push_back(item);
+    auto next = f.m_items.end();
+    while (next != f.m_items.begin() && item.m_due < std::prev(next)->m_due)
+        --next;
+    f.m_items.insert(next, item);
     item.m_flow = &f;
     ++f.m_backlog;
     ++q.m_backlog;
--- a/Source/decide/fair_queue.hpp
+++ b/Source/decide/fair_queue.hpp
@@ -28,13 +28,16 @@
     ~fair_queue_hook();
 
     fair_queue_flow* m_flow = nullptr; ///< Null while not queued.
+    /// Within a flow, the item with the earliest due time is served first, and
+    /// of equal ones the first to arrive. Fixed while queued.
+    time_point m_due{};
 };
 
 using fair_queue_list =
     boost::intrusive::list<fair_queue_hook,
                            boost::intrusive::constant_time_size<false>>;
 
-/// The queued items of one workspace, in order of arrival.
+/// The queued items of one workspace, in the order in which they are served.
 struct fair_queue_flow
 {
     explicit fair_queue_flow(fair_queue& q);
@@ -43,6 +46,7 @@
     ~fair_queue_flow();
 
     fair_queue& m_queue;
+    std::string_view m_workspace; ///< Its key in fair_queue::m_flows.
     fair_queue_list m_items;
     std::size_t m_backlog = 0;  ///< Length of m_items, whose size() is linear.
     double m_virtual_start = 0; ///< Virtual start time of the first item.
@@ -67,8 +71,8 @@
     service_rate m_rate;
 };
 
-/// Appends an item of unit cost to the flow of the workspace. The queue doesn't
-/// own the item: its destructor removes it.
+/// Adds an item of unit cost to the flow of the workspace, by its due time. The
+/// queue doesn't own the item: its destructor removes it.
 void enqueue(fair_queue& q, std::string_view workspace, double weight,
              fair_queue_hook& item);
 /// Returns the item to serve next, without removing it: of the first items of
