--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -239,6 +239,9 @@
                 "closed"},
     event_entry{event_id::session_failed, event_level::error, "session_failed",
                 "an unexpected exception; the session is closed"},
+    event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
+                "a statement may wait while its answer is useful, as its turn "
+                "is expected in time"},
 };
 
 // A client chooses request ids and names of databases, up to a whole message.
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -89,6 +89,7 @@
     client_closed = 4050,
     accepting_paused = 4051,
     session_failed = 4052,
+    wait_extended = 4030,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -78,6 +78,8 @@
     client_bytes,
     accepting_pauses,
     port_connections_closed,
+    session_turn_wait,
+    session_refusals,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_clients.cpp
+++ b/Source/session/session_clients.cpp
@@ -131,9 +131,9 @@
 std::size_t open_connections(const session_task_state& t)
 {
     const auto& at_homes = t.m_homes.m_links;
-    std::size_t open =
-        t.m_clients.m_open + static_cast<std::size_t>(std::distance(
-                                 at_homes.begin(), at_homes.end()));
+    std::size_t open = t.m_clients.m_open +
+                       static_cast<std::size_t>(
+                           std::distance(at_homes.begin(), at_homes.end()));
     for (const auto& [id, p] : t.m_endpoint_pools)
         open += p.m_link_count;
     return open;
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -108,7 +108,8 @@
     answer_complete(t, s);
 }
 
-void set_deadlines(work& w, const session& s, time_point now)
+void set_deadlines(const session_task_state& t, work& w, const session& s,
+                   time_point now)
 {
     const site_route& r = *s.m_route;
     w.m_received_at = now;
@@ -117,6 +118,7 @@
     const auto wait = std::chrono::duration_cast<duration>(
         r.m_latency_objective * max_send_wait_ratio);
     w.m_send_deadline = now + std::min(wait, r.m_statement_timeout);
+    set_turn(t, w, s);
 }
 
 work_ptr make_statement_work(session& s, std::string_view id,
@@ -159,7 +161,7 @@
     const time_point now = boot_now();
     const work_ptr w = make_statement_work(s, id, q);
     w->m_draw = std::uniform_real_distribution<double>(0, 1)(t.m_random);
-    set_deadlines(*w, s, now);
+    set_deadlines(t, *w, s, now);
     s.m_work = w;
     if (!pass_on_statement(t, w))
         serve_here(t, w);
@@ -177,6 +179,7 @@
         switch (admit_operation(t, s.m_workspace, w))
         {
         case rate_decision::refused:
+            count_refusal(t, *w, refusal_cause::rate);
             return fail_work(t, w, session_fault::busy, "rate");
         case rate_decision::waits:
             return;
