clients: Name the limits of a test's VMs by what they bound

The site's test support took a raw table for the settings file; the two limits are named fields now, as the other sizes are. No bound changed.

--- a/Tests/clients/crowd.cpp
+++ b/Tests/clients/crowd.cpp
@@ -51,8 +51,8 @@
 {
     support::site_size size;
     size.m_rate = rate;
-    size.m_limits = {{"memory-mb", memory_mb},
-                     {"max-file-descriptors", max_descriptors}};
+    size.m_memory_mb = memory_mb;
+    size.m_descriptors = max_descriptors;
     return size;
 }
 
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -98,6 +98,16 @@
             {"burst", rate}};
 }
 
+json limits_of(const site_size& size)
+{
+    json limits = json::object();
+    if (size.m_memory_mb > 0)
+        limits["memory-mb"] = size.m_memory_mb;
+    if (size.m_descriptors > 0)
+        limits["max-file-descriptors"] = size.m_descriptors;
+    return limits;
+}
+
 json first_config(const site_size& size)
 {
     json workspaces = json::array();
@@ -237,7 +247,7 @@
 site::site(std::size_t daemons) : site(site_size{.m_daemons = daemons}) {}
 
 site::site(const site_size& size)
-    : m_zones(size.m_zones), m_limits(size.m_limits),
+    : m_zones(size.m_zones), m_limits(limits_of(size)),
       m_platform(free_address()), m_config(first_config(size))
 {
     std::vector<std::string> command{
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -68,8 +68,9 @@
     /// Builds of the daemons, in turn; empty: the current one. Read by the
     /// constructor only.
     std::span<const daemon_build> m_builds = {};
-    /// `limits` of the daemons' settings files.
-    nlohmann::json m_limits = nlohmann::json::object();
+    /// `limits` of the daemons' settings files; 0: not named there.
+    std::size_t m_memory_mb = 0;
+    std::size_t m_descriptors = 0;
 };
 
 /// The key of a workspace by its number.
