session: Take the duty client out of the failover task

The usage reports need a duty of their own that is acquired, renewed, recorded and released as the failover's is. duty_client holds that code for any stored kind; the task says through four handlers what it puts into the record and what it does when the duty changes hands. failover_duty.cpp keeps only what concerns promotions.

Copying the code was ruled out, as was one task for both duties: reports must not wait for takeovers.

Behaviour of the failover is meant to be unchanged.

--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -44,7 +44,8 @@
     const fence_state fence = check_fence(t, service, g, now);
     if (fence == fence_state::lost || now >= due_at + fencing_timeout)
         return lose_fence(t, service, g);
-    if (fence == fence_state::confirmed && now >= due_at && holds_duty(t, now))
+    if (fence == fence_state::confirmed && now >= due_at &&
+        holds_duty(t.m_duty, now))
         fire(t, service, g, next);
 }
 
@@ -53,10 +54,10 @@
 {
     const time_point now = boot_now();
     g.m_next_action_at = now + order_retry_interval;
-    if (!holds_duty(t, now))
+    if (!holds_duty(t.m_duty, now))
         return;
     g.m_ordered = {g.m_successor, now + promotion_order_lifetime};
-    const std::uint64_t token = t.m_duty->m_record.m_token;
+    const std::uint64_t token = t.m_duty.m_seen->m_record.m_token;
     log_event(event_id::promotion_ordered, {{"service", service},
                                             {"endpoint", g.m_successor},
                                             {"term", std::to_string(g.m_term)},
@@ -116,8 +117,8 @@
     g.m_successor.clear();
     if (find_new_primary(g) != nullptr)
         g.m_ordered = {};
-    if (was_recorded && holds_duty(t, now))
-        record_orders(t);
+    if (was_recorded && holds_duty(t.m_duty, now))
+        record_duty(t.m_duty);
     // The session task may not have reported the result yet. Counting this as a
     // contact keeps the old report from starting another takeover at once.
     g.m_report.m_evidence.m_last_contact_at = now;
@@ -131,7 +132,7 @@
     case takeover_action::fence:
         return fence_members(t, service, g);
     case takeover_action::record:
-        return record_orders(t);
+        return record_duty(t.m_duty);
     case takeover_action::resume:
         return resume_members(service, g);
     case takeover_action::wait:
@@ -282,7 +283,8 @@
 
 void advance_groups(failover_task_state& t, time_point now)
 {
-    if (!t.m_config || !t.m_endpoints || t.m_stopping || !holds_duty(t, now))
+    if (!t.m_config || !t.m_endpoints || t.m_stopping ||
+        !holds_duty(t.m_duty, now))
         return;
     update_log_locations(t);
     for (auto& [service, g] : t.m_groups)
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -15,7 +15,7 @@
 {
     const time_point now = boot_now();
     note_tick(t.m_usage, now);
-    advance_duty(t, now);
+    advance_duty(t.m_duty, now);
     advance_groups(t, now);
 }
 
@@ -33,7 +33,7 @@
     add_value(families, metric_id::promotions, {},
               static_cast<double>(t.m_promotions));
     add_value(families, metric_id::duty_held, {},
-              holds_duty(t, boot_now()) ? 1 : 0);
+              holds_duty(t.m_duty, boot_now()) ? 1 : 0);
     collect_usage(families, t.m_usage);
     return families;
 }
@@ -58,7 +58,11 @@
             [&](const stop_begun&)
             {
                 t.m_stopping = true;
-                release_duty(t);
+                release_duty(t.m_duty,
+                             [&t]
+                             {
+                                 t.m_boxes.m_life.post(stop_done{"failover"});
+                             });
             },
             [&](const metrics_request&)
             {
@@ -87,7 +91,13 @@
              {
                  tick(*this);
              }),
-      m_incarnation(random_loan_id())
+      m_duty{.m_name = "failover",
+             .m_kind = stored_kind::duties,
+             .m_settings = m_settings,
+             .m_codec = m_site_codec,
+             .m_store = m_store,
+             .m_handlers = make_duty_handlers(*this),
+             .m_incarnation = random_loan_id()}
 {
 }
 
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -4,16 +4,15 @@
 #include <chrono>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <decide/duty_lease.hpp>
 #include <decide/group_view.hpp>
 #include <decide/takeover.hpp>
 #include <report/event.hpp>
 #include <report/task_usage.hpp>
+#include <session/duty_client.hpp>
 #include <session/failover_task.hpp>
 #include <session/order_connection.hpp>
 #include <session/session_messages.hpp>
@@ -106,26 +105,16 @@
     endpoint_snapshot_ptr m_endpoints;
     std::map<std::string, failover_group, std::less<>> m_groups;
 
-    std::uint64_t m_incarnation = 0;
-    std::optional<duty_observation> m_duty;
-    time_point m_renewed_at{}; ///< Zero if this process doesn't hold the duty.
-    bool m_duty_call_pending = false; ///< A store call for the duty is pending.
-    time_point m_next_duty_call_at{}; ///< When the next call is due.
-    time_point
-        m_avoid_stale_until{}; ///< Until then lists don't allow stale answers.
-    bool m_record_is_outdated = false; ///< The stored orders are out of date.
+    duty_client m_duty;
     bool m_stopping = false;
     std::uint64_t m_promotions = 0;
     task_usage m_usage{.m_task = "failover", .m_tick = failover_tick};
 };
 
 // failover_duty.cpp
-bool holds_duty(const failover_task_state& t, time_point now);
-void advance_duty(failover_task_state& t, time_point now);
-/// Writes the pending promotions to the store, at once if no call is pending.
-/// handle_orders_recorded tells the groups when they are stored.
-void record_orders(failover_task_state& t);
-void release_duty(failover_task_state& t);
+/// What the duty client calls. m_on_recorded continues the takeovers that wait
+/// for their orders to be stored.
+duty_handlers make_duty_handlers(failover_task_state& t);
 
 // failover_fencing.cpp
 /// Starts the replacement of a group's primary.
