--- a/Source/decide/duty_lease.hpp
+++ b/Source/decide/duty_lease.hpp
@@ -8,19 +8,21 @@
 #include <string>
 #include <string_view>
 
+#include <decide/usage_report.hpp>
 #include <model/clock.hpp>
 #include <model/log_position.hpp>
 
 namespace bluebellspoke
 {
 
-/// The duty is the exclusive right of one process to order promotions. Its
-/// holder renews it at this interval.
+/// A duty is the exclusive right of one process to order promotions, or to send
+/// usage reports. Its holder renews it at this interval.
 inline constexpr std::chrono::milliseconds duty_renewal_interval{600};
 /// How long the duty is valid for its holder, counted from before it sent the
 /// last acknowledged renewal: three renewal intervals.
 inline constexpr std::chrono::milliseconds duty_validity{1800};
-/// How long an order may remain in transit after its sender has abandoned it.
+/// How long an order or a report may remain in transit after its sender has
+/// abandoned it.
 inline constexpr std::chrono::milliseconds max_order_delay{1000};
 /// How long another process must see no renewal before it acquires the duty:
 /// duty_validity + max_order_delay, plus 1 % for clock rate differences.
@@ -36,7 +38,8 @@
                            const pending_promotion&) = default;
 };
 
-/// The stored object that records which process may order promotions.
+/// The stored object that records which process holds a duty, and what a
+/// successor has to know of the holder's acts.
 struct duty_record
 {
     std::string m_holder; ///< Node name; empty: released.
@@ -49,6 +52,7 @@
     /// By service: number of logs that may hold its commits. Stored because a
     /// holder that has just started doesn't see unreachable endpoints.
     std::map<std::string, std::uint32_t, std::less<>> m_group_sizes;
+    std::optional<usage_report> m_report; ///< The last one; may be in transit.
 };
 
 /// A revision of the record and when this process first observed it.
@@ -75,7 +79,7 @@
                          std::uint64_t incarnation);
 
 /// Returns true while a renewal sent at `renewed_at` allows the holder to order
-/// promotions.
+/// promotions, or to send usage reports.
 bool may_order_promotion(time_point renewed_at, time_point now) noexcept;
 
 }
--- a/Source/decide/settings_reload.cpp
+++ b/Source/decide/settings_reload.cpp
@@ -37,6 +37,10 @@
     keep_until_restart("store", &site_settings::m_store);
     keep_until_restart("orders", &site_settings::m_promotion_address);
     keep_until_restart("processor", &site_settings::m_cores);
+    keep_until_restart("report window", &site_settings::m_report_window);
+    keep_until_restart("usage tolerance", &site_settings::m_usage_tolerance);
+    keep_until_restart("usage delay", &site_settings::m_usage_delay);
+    keep_until_restart("lease duration", &site_settings::m_lease_duration);
     return reload;
 }
 
--- /dev/null
+++ b/Source/decide/usage_report.cpp
@@ -0,0 +1,49 @@
+#include <decide/usage_report.hpp>
+
+#include <algorithm>
+
+namespace bluebellspoke
+{
+
+namespace
+{
+
+window_id first_window(const collected_windows& collected)
+{
+    const auto counted =
+        std::ranges::find_if(collected,
+                             [](const auto& entry)
+                             {
+                                 return !entry.second.m_counts.empty();
+                             });
+    return counted == collected.end() ? collected.rbegin()->first
+                                      : counted->first;
+}
+
+}
+
+report_choice choose_report(std::optional<window_id> last,
+                            const collected_windows& collected, unix_time now,
+                            const report_timing& timing)
+{
+    if (!last && collected.empty())
+        return {};
+    // A delay beyond the retention leaves no room to report without counts.
+    const duration retention =
+        std::max<duration>(usage_retention, timing.m_delay);
+    const window_id kept = first_kept(now, timing.m_window, retention);
+    if (last && *last + 1 < kept)
+        return {report_step::skip, kept};
+    const window_id next =
+        last ? *last + 1 : std::max(first_window(collected), kept);
+    const auto window = collected.find(next);
+    if (window == collected.end())
+        return {};
+    const unix_time age = now - window_end(next, timing.m_window);
+    const bool is_due = age >= timing.m_delay - incomplete_report_margin;
+    if (window->second.m_missing > 0 && !is_due)
+        return {};
+    return {report_step::report, next};
+}
+
+}
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -129,9 +129,13 @@
     std::vector<address> m_seeds; ///< Peers to query while the store is down.
     double m_cores = 0;           ///< Cores that the VM may use; 0: unknown.
     duration m_stop_grace{};
-    duration m_rate_window{};    ///< Window over which rates are enforced.
-    double m_rate_overage = 0;   ///< Fraction by which they may be exceeded.
-    double m_rate_tolerance = 0; ///< Operations allowed beyond the overage.
+    duration m_rate_window{};     ///< Window over which rates are enforced.
+    double m_rate_overage = 0;    ///< Fraction by which they may be exceeded.
+    double m_rate_tolerance = 0;  ///< Operations allowed beyond the overage.
+    duration m_report_window{};   ///< Of usage reports; zero: none are made.
+    double m_usage_tolerance = 0; ///< Fraction by which a count may be off.
+    duration m_usage_delay{};     ///< From a window's end to its deadline.
+    duration m_lease_duration{};  ///< Holders of a duty don't alternate in it.
 };
 
 }
--- a/Tests/platform/store_value_codec_test.cpp
+++ b/Tests/platform/store_value_codec_test.cpp
@@ -150,6 +150,10 @@
         REQUIRE(decoded->m_pending_promotions == r.m_pending_promotions);
         REQUIRE(decoded->m_group_sizes == r.m_group_sizes);
         REQUIRE_FALSE(codec.m_read_duty("{}"));
+        REQUIRE_FALSE(decoded->m_report);
+        r.m_report = usage_report{353'445'120, {{"miny420", 412}}, false};
+        REQUIRE(codec.m_read_duty(codec.m_write_duty(r))->m_report ==
+                r.m_report);
     }
     GIVEN("a member record")
     {
