peer: Carry clocks and counted requests between processes

Votes and digests have the sender's wall clock, and a leader's vote request what it takes for true time. Each is the last field and is left out without usage reports, so that nothing more is sent then and earlier builds, which read fields by their place, understand the rest. usage_wanted and usage are new messages; an earlier build answers the first one with 400, as any unknown one.

--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -57,6 +57,22 @@
     }
 };
 
+// A time is the last field of its message, and is left out when it is 0: that
+// is what earlier builds send and expect.
+void append_time(json& fields, std::uint64_t ms)
+{
+    if (ms != 0)
+        fields.push_back(ms);
+}
+
+std::uint64_t read_time(const json& j, std::size_t index)
+{
+    // Beyond the year 2200 the time is wrong, and nanoseconds may overflow.
+    constexpr std::uint64_t max_ms = 7'258'118'400'000;
+    return index < j.size() ? std::min(max_ms, j.at(index).get<std::uint64_t>())
+                            : 0;
+}
+
 // Sent to every peer each second; an array without field names keeps it short.
 template <>
 struct format<peer_site_digest>
@@ -68,12 +84,14 @@
         json weights = json::array();
         for (const peer_workspace_demand& w : m.m_weights)
             weights.push_back({w.m_workspace, w.m_operations_per_10s});
-        return json::array({m.m_name, m.m_address, m.m_zone,
-                            m.m_store_is_available, m.m_store_revision,
-                            m.m_config_version, m.m_incarnation,
-                            m.m_weights_version, m.m_seen_incarnation,
-                            m.m_seen_weights_version, weights,
-                            m.m_shutting_down, m.m_leads_cell});
+        json fields = json::array({m.m_name, m.m_address, m.m_zone,
+                                   m.m_store_is_available, m.m_store_revision,
+                                   m.m_config_version, m.m_incarnation,
+                                   m.m_weights_version, m.m_seen_incarnation,
+                                   m.m_seen_weights_version, weights,
+                                   m.m_shutting_down, m.m_leads_cell});
+        append_time(fields, m.m_wall_ms);
+        return fields;
     }
     static peer_site_digest read(const json& j)
     {
@@ -97,6 +115,7 @@
         constexpr std::size_t size_without_leadership = 12;
         m.m_leads_cell = j.size() <= size_without_leadership ||
                          j.at(size_without_leadership).get<bool>();
+        m.m_wall_ms = read_time(j, size_without_leadership + 1);
         return m;
     }
 };
@@ -108,11 +127,13 @@
 
     static json write(const peer_vote_request& m)
     {
-        return json::array({m.m_name, m.m_address, m.m_incarnation,
-                            m.m_leads_cell, m.m_shutting_down,
-                            m.m_store_is_available, m.m_store_revision,
-                            m.m_config_version, m.m_content_revision,
-                            m.m_endpoints_revision, m.m_evacuations_revision});
+        json fields = json::array(
+            {m.m_name, m.m_address, m.m_incarnation, m.m_leads_cell,
+             m.m_shutting_down, m.m_store_is_available, m.m_store_revision,
+             m.m_config_version, m.m_content_revision, m.m_endpoints_revision,
+             m.m_evacuations_revision});
+        append_time(fields, m.m_true_ms);
+        return fields;
     }
     static peer_vote_request read(const json& j)
     {
@@ -129,6 +150,8 @@
             has_each ? j.at(9).get<std::uint64_t>() : m.m_content_revision;
         m.m_evacuations_revision =
             has_each ? j.at(10).get<std::uint64_t>() : m.m_content_revision;
+        constexpr std::size_t size_without_time = 11;
+        m.m_true_ms = read_time(j, size_without_time);
         return m;
     }
 };
@@ -140,14 +163,18 @@
 
     static json write(const peer_vote& m)
     {
-        return json::array({m.m_name, m.m_granted, m.m_store_is_available,
-                            m.m_store_revision, m.m_config_version});
+        json fields =
+            json::array({m.m_name, m.m_granted, m.m_store_is_available,
+                         m.m_store_revision, m.m_config_version});
+        append_time(fields, m.m_wall_ms);
+        return fields;
     }
     static peer_vote read(const json& j)
     {
-        return {j.at(0).get<std::string>(), j.at(1).get<bool>(),
-                j.at(2).get<bool>(), j.at(3).get<std::uint64_t>(),
-                j.at(4).get<std::uint64_t>()};
+        constexpr std::size_t size_without_time = 5;
+        return {j.at(0).get<std::string>(),   j.at(1).get<bool>(),
+                j.at(2).get<bool>(),          j.at(3).get<std::uint64_t>(),
+                j.at(4).get<std::uint64_t>(), read_time(j, size_without_time)};
     }
 };
 
@@ -568,6 +595,50 @@
     }
 };
 
+template <>
+struct format<peer_usage_request>
+{
+    static constexpr const char* tag = "usage_wanted";
+
+    static json write(const peer_usage_request& m)
+    {
+        return json::array({m.m_of_cell, m.m_incarnation, m.m_from});
+    }
+    static peer_usage_request read(const json& j)
+    {
+        return {j.at(0).get<bool>(), j.at(1).get<std::uint64_t>(),
+                j.at(2).get<std::uint64_t>()};
+    }
+};
+
+template <>
+struct format<peer_usage>
+{
+    static constexpr const char* tag = "usage";
+
+    static json write(const peer_usage& m)
+    {
+        const usage_summary& s = m.m_summary;
+        json windows = json::array();
+        for (const auto& [id, w] : s.m_windows)
+            windows.push_back(json::array({id, w.m_missing, w.m_counts}));
+        return json::array({s.m_source, s.m_incarnation, s.m_version,
+                            s.m_final_before, std::move(windows)});
+    }
+    static peer_usage read(const json& j)
+    {
+        usage_summary s{j.at(0).get<std::string>(),
+                        j.at(1).get<std::uint64_t>(),
+                        j.at(2).get<std::uint64_t>(),
+                        j.at(3).get<std::uint64_t>(),
+                        {}};
+        for (const json& w : j.at(4))
+            s.m_windows[w.at(0).get<window_id>()] = {
+                w.at(2).get<usage_counts>(), w.at(1).get<std::uint32_t>()};
+        return {std::move(s)};
+    }
+};
+
 // The messages above nest six levels at the most.
 constexpr std::size_t max_message_nesting = 16;
 
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -8,6 +8,7 @@
 
 #include <model/relayed_group.hpp>
 #include <model/share_kind.hpp>
+#include <model/usage.hpp>
 
 namespace bluebellspoke
 {
@@ -63,6 +64,8 @@
     /// The weights are those of the sender's cell, which it leads. False also
     /// for a process that doesn't know the fleet yet.
     bool m_leads_cell = false;
+    /// The sender's wall clock; 0, which isn't sent, without usage reports.
+    std::uint64_t m_wall_ms = 0;
 };
 
 /// A candidate for leader of its cell, or the present leader, asks for the
@@ -84,6 +87,9 @@
     std::uint64_t m_content_revision = 0;
     std::uint64_t m_endpoints_revision = 0;   ///< Newest change of the list.
     std::uint64_t m_evacuations_revision = 0; ///< Newest change of the list.
+    /// What a cell leader takes for true time, in ms since the start of 1970;
+    /// 0, which isn't sent, without usage reports.
+    std::uint64_t m_true_ms = 0;
 };
 
 /// Grants or refuses a vote, with what the sender knows of the store.
@@ -95,6 +101,8 @@
     /// Revision up to which the sender knows all that it would relay.
     std::uint64_t m_store_revision = 0;
     std::uint64_t m_config_version = 0;
+    /// The sender's wall clock; 0, which isn't sent, without usage reports.
+    std::uint64_t m_wall_ms = 0;
 };
 
 /// Answer to a digest that the answering process isn't responsible for: the
@@ -274,11 +282,30 @@
 {
 };
 
-using peer_message = std::variant<
-    peer_heartbeat, peer_declined, peer_settings_request, peer_settings,
-    peer_status_request, peer_status, peer_drain_request, peer_loan_request,
-    peer_loan, peer_site_digest, peer_vote_request, peer_vote, peer_referral,
-    peer_token_request, peer_token_grant, peer_group_request, peer_groups>;
+/// Asks a process for the requests that it counted, or as the holder of the
+/// usage duty asks another cell's leader for those of its cell; answered by
+/// peer_usage.
+struct peer_usage_request
+{
+    bool m_of_cell = false;
+    std::uint64_t m_incarnation = 0; ///< The one that m_from refers to.
+    window_id m_from = 0;            ///< First window that is wanted.
+};
+
+/// The windows that were asked for; all of them, if the receiver is another
+/// incarnation than the one that was asked.
+struct peer_usage
+{
+    usage_summary m_summary;
+};
+
+using peer_message =
+    std::variant<peer_heartbeat, peer_declined, peer_settings_request,
+                 peer_settings, peer_status_request, peer_status,
+                 peer_drain_request, peer_loan_request, peer_loan,
+                 peer_site_digest, peer_vote_request, peer_vote, peer_referral,
+                 peer_token_request, peer_token_grant, peer_group_request,
+                 peer_groups, peer_usage_request, peer_usage>;
 
 }
 
--- a/Tests/peer/peer_codec_test.cpp
+++ b/Tests/peer/peer_codec_test.cpp
@@ -269,3 +269,65 @@
         }
     }
 }
+
+SCENARIO("Usage travels between processes of this build and earlier ones")
+{
+    GIVEN("the windows of a cell")
+    {
+        const peer_usage m{
+            {"zone-1",
+             7,
+             3,
+             11,
+             {{10, {{{"ward", 5}, {"depot", 70'000}}, 2}}, {11, {}}}}};
+        const usage_summary read = round_trip(m).m_summary;
+
+        THEN("counts and missing processes are kept")
+        {
+            CHECK(read.m_source == "zone-1");
+            CHECK(read.m_incarnation == 7);
+            CHECK(read.m_version == 3);
+            CHECK(read.m_final_before == 11);
+            CHECK(read.m_windows == m.m_summary.m_windows);
+        }
+    }
+    GIVEN("a question for them")
+    {
+        const peer_usage_request read =
+            round_trip(peer_usage_request{true, 7, 11});
+
+        THEN("it names what is known already")
+        {
+            CHECK(read.m_of_cell);
+            CHECK(read.m_incarnation == 7);
+            CHECK(read.m_from == 11);
+        }
+    }
+    GIVEN("messages that carry a time")
+    {
+        peer_vote vote{"vm-1", true, true, 90, 12};
+        peer_vote_request request;
+        peer_site_digest digest;
+        const std::string without[] = {encode_peer_message(vote),
+                                       encode_peer_message(request),
+                                       encode_peer_message(digest)};
+        vote.m_wall_ms = request.m_true_ms = digest.m_wall_ms =
+            1'767'225'600'000;
+
+        THEN("it is kept, and is sent only where there is one")
+        {
+            CHECK(round_trip(vote).m_wall_ms == vote.m_wall_ms);
+            CHECK(round_trip(request).m_true_ms == vote.m_wall_ms);
+            CHECK(round_trip(digest).m_wall_ms == vote.m_wall_ms);
+            constexpr std::size_t time_size = 9;
+            CHECK(encode_peer_message(vote).size() ==
+                  without[0].size() + time_size);
+            CHECK(encode_peer_message(request).size() ==
+                  without[1].size() + time_size);
+            CHECK(encode_peer_message(digest).size() ==
+                  without[2].size() + time_size);
+            CHECK(std::get<peer_vote>(decode_peer_message(without[0]))
+                      .m_wall_ms == 0);
+        }
+    }
+}
