session: Keep a cell leader's own counts when it is killed

A killed leader that held the duty lost all that it had counted since the last report, since nobody asks a leader. It now gives its counts once a second to the two members after it in rank, and a holder without a cell gives them to all. A new holder reported overdue windows before its first requests were answered, with almost no counts; it collects for a second first. Sending the counts of all members along was ruled out for its bytes.

--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -129,6 +129,7 @@
     usage_ledger m_cells;           ///< By zone, of the holder of the duty.
     bool m_is_candidate = false;    ///< May hold the duty.
     bool m_holds_duty = false;
+    time_point m_held_since{};   ///< When it got the duty.
     time_point m_requested_at{}; ///< Last round of requests.
     std::uint64_t m_version = 0; ///< Of this cell's last summary.
 };
--- a/Source/session/site_usage.cpp
+++ b/Source/session/site_usage.cpp
@@ -1,5 +1,6 @@
 #include <session/site_task_state.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <report/event.hpp>
@@ -187,6 +188,39 @@
     t.m_boxes.m_usage.post(usage_collected{std::move(windows)});
 }
 
+void send_own_usage(site_task_state& t, const std::string& name, window_id from)
+{
+    const auto p = t.m_peers.find(to_string(t.m_members.at(name).m_address));
+    if (t.m_collection.m_own.m_version > 0 && name != t.m_settings.m_name &&
+        p != t.m_peers.end())
+        call_peer(*p->second.m_client,
+                  peer_usage{summary_from(t.m_collection.m_own, from)},
+                  [](std::optional<peer_message>&) {});
+}
+
+// Nobody asks a cell leader, or a holder without a cell, for what it counted
+// itself. It gives that to those who may succeed it: the next two in rank, as
+// the next one may be ending too, or else all members.
+void back_up_own_usage(site_task_state& t)
+{
+    constexpr std::size_t successors = 2;
+    // A message may be lost, so the last windows that are final are repeated.
+    constexpr window_id repeated = 2;
+    const usage_summary& own = t.m_collection.m_own;
+    const window_id from =
+        own.m_final_before - std::min(repeated, own.m_final_before);
+    if (!has_zone_cells(t))
+    {
+        for (const std::string& name : counted_members(t))
+            send_own_usage(t, name, from);
+        return;
+    }
+    std::size_t sent = 0;
+    for (const cell_rank& rank : cell_ranks(t, t.m_settings.m_zone))
+        if (rank.m_name != t.m_settings.m_name && sent++ < successors)
+            send_own_usage(t, rank.m_name, from);
+}
+
 void collect_usage_counts(site_task_state& t, time_point now)
 {
     usage_collection& u = t.m_collection;
@@ -197,12 +231,18 @@
     drop_windows_before(u.m_cells, first_counted(t, now));
     const bool leads = leads_cell(t, now);
     if (leads || u.m_holds_duty)
+    {
         request_from_members(t);
+        back_up_own_usage(t);
+    }
     if (!u.m_holds_duty)
         return;
     if (leads)
         request_from_cells(t);
-    post_collected(t, now);
+    // Windows may be due when the duty is gained. What a new holder collects is
+    // passed on once its first requests have been answered.
+    if (now - u.m_held_since >= usage_request_interval)
+        post_collected(t, now);
 }
 
 }
@@ -279,6 +319,8 @@
 void apply_usage_duty(site_task_state& t, const usage_duty_changed& m)
 {
     t.m_collection.m_holds_duty = m.m_is_held;
+    t.m_collection.m_held_since = boot_now();
+    t.m_collection.m_requested_at = {};
 }
 
 peer_message answer_usage_request(site_task_state& t,
@@ -302,16 +344,10 @@
 
 void hand_over_usage(site_task_state& t)
 {
-    if (!reports_usage(t) || t.m_collection.m_own.m_version == 0)
+    if (!reports_usage(t))
         return;
     for (const std::string& name : counted_members(t))
-    {
-        const auto p =
-            t.m_peers.find(to_string(t.m_members.at(name).m_address));
-        if (name != t.m_settings.m_name && p != t.m_peers.end())
-            call_peer(*p->second.m_client, peer_usage{t.m_collection.m_own},
-                      [](std::optional<peer_message>&) {});
-    }
+        send_own_usage(t, name, 0);
 }
 
 }
--- a/Tests/fleet/usage_cells_test.cpp
+++ b/Tests/fleet/usage_cells_test.cpp
@@ -1,5 +1,7 @@
+#include <chrono>
 #include <csignal>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <support/site.hpp>
@@ -13,19 +15,21 @@
 
 constexpr std::size_t daemons = 26;
 
+std::uint64_t send_to(const site& s, std::size_t daemon)
+{
+    std::uint64_t served = 0;
+    line_caller c(s.callers_of(daemon));
+    REQUIRE(c.start("browse", "ward-key") == "READY");
+    for (int n = 0; n < 10; ++n)
+        served += c.ask("READ bear") == "ROW - | COMPLETE | READY I" ? 1U : 0U;
+    return served;
+}
+
 std::uint64_t send_to_all(const site& s, std::size_t except)
 {
     std::uint64_t served = 0;
     for (std::size_t i = 0; i < daemons; ++i)
-    {
-        if (i == except)
-            continue;
-        line_caller c(s.callers_of(i));
-        REQUIRE(c.start("browse", "ward-key") == "READY");
-        for (int n = 0; n < 10; ++n)
-            served +=
-                c.ask("READ bear") == "ROW - | COMPLETE | READY I" ? 1U : 0U;
-    }
+        served += i == except ? 0 : send_to(s, i);
     return served;
 }
 
@@ -59,6 +63,9 @@
     WHEN("the holder is killed")
     {
         const std::size_t holder = usage_holder(s, daemons);
+        requests += send_to(s, holder);
+        // Its counts reach those who may succeed it within 1.5 s.
+        std::this_thread::sleep_for(std::chrono::milliseconds(1700));
         s.daemon(holder).send_signal(SIGKILL);
         s.daemon(holder).wait();
         requests += send_to_all(s, holder);
--- a/Tests/site/usage_test.cpp
+++ b/Tests/site/usage_test.cpp
@@ -120,6 +120,27 @@
             CHECK(violations_of(calls).empty());
         }
     }
+    GIVEN("a statement that the endpoint refuses before it runs it")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        s.set_full("i-1", true);
+        c.send("QUERY refused WRITE fox red");
+        wait_a_moment();
+        wait_a_moment();
+        s.set_full("i-1", false);
+        REQUIRE(c.line()->starts_with("COMPLETE"));
+        requests += 1 + send_requests(s, 0, 1);
+
+        THEN("it counts once, for the time that it ran")
+        {
+            REQUIRE(all_are_reported(s, requests));
+            REQUIRE(
+                has_reports(s, accepted_reports(s.usage_calls()).size() + 2));
+            CHECK(reported_requests(s, "ward") == requests);
+        }
+    }
     GIVEN("a daemon that stops after its last statement")
     {
         const std::size_t other = 1 - await_holder(s, 2);
