session: Put true time into a file of its own, and don't follow a lone clock

site_usage.cpp had two jobs; the clocks move to site_true_time.cpp.

The scenarios on usage of test_site and test_fleet passed.

--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -153,7 +153,7 @@
                         {
                             handle_message(t, m);
                         });
-    start_usage(t);
+    start_true_time(t);
     start_peers(t);
     start_watches(t);
     t.m_tick.start_periodic(site_tick);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -294,11 +294,10 @@
                            const peer_group_request& m);
 void answer_group_request(site_task_state& t, const outgoing_groups& m);
 
-// site_usage.cpp
-/// Returns true if the deployment wants usage reports; otherwise nothing of
-/// them is sent.
-bool reports_usage(const site_task_state& t);
-void start_usage(site_task_state& t);
+// site_true_time.cpp
+/// Takes the own wall clock for true time until anything else is known.
+void start_true_time(site_task_state& t);
+unix_time true_now(const site_task_state& t, time_point now);
 /// The wall clock time that a vote or a digest carries; 0 without reports.
 std::uint64_t wall_ms_to_send(const site_task_state& t);
 /// The true time that a cell leader's vote request carries; 0 without reports.
@@ -307,6 +306,14 @@
 void record_peer_clock(site_task_state& t, std::string_view name,
                        std::uint64_t wall_ms);
 void follow_leader_clock(site_task_state& t, const peer_vote_request& m);
+/// A cell leader takes its cell's median for true time, a process without a
+/// cell that of all processes. The other members follow their leader.
+void advance_true_time(site_task_state& t, time_point now);
+
+// site_usage.cpp
+/// Returns true if the deployment wants usage reports; otherwise nothing of
+/// them is sent.
+bool reports_usage(const site_task_state& t);
 void advance_usage(site_task_state& t, time_point now);
 void apply_own_usage(site_task_state& t, const usage_counted& m);
 void apply_peer_usage(site_task_state& t, const peer_usage& m);
