--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -80,6 +80,9 @@
     port_connections_closed,
     session_turn_wait,
     session_refusals,
+    usage_reports,
+    usage_members_missing,
+    usage_duty_held,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -6,6 +6,7 @@
 #include <report/event.hpp>
 #include <session/session_homes.hpp>
 #include <task/boot_clock.hpp>
+#include <task/wall_clock.hpp>
 
 namespace bluebellspoke
 {
@@ -53,6 +54,7 @@
     ask_statuses(t, now);
     tick_rates(t, now);
     report_primaries(t, now);
+    tick_usage(t, now);
     tick_stop(t, now);
 }
 
@@ -150,6 +152,10 @@
             {
                 apply_members(t, m);
             },
+            [&](const true_time_changed& m)
+            {
+                t.m_clock_offset = m.m_offset;
+            },
         },
         message);
 }
@@ -192,6 +198,7 @@
     t.m_demand.m_self = settings.m_name;
     t.m_demand.m_started_at = boot_now();
     t.m_random.seed(std::random_device()());
+    t.m_clock_offset = offset_of(wall_now(), boot_now());
     mailboxes.m_session.attach(t.m_loop,
                                [&](session_message& m)
                                {
