session: Report readiness only once callers are accepted

A process said that it is ready as soon as it had a configuration, which could be before the session task listened: the platform's balancer then sent it connections that were refused.

The session task now tells the life task when it listens. A sleep before the first ready answer was ruled out: it bounds nothing.

--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -55,6 +55,7 @@
     event_ptr m_sigterm_event;
     event_ptr m_sighup_event;
     bool m_configured = false;
+    bool m_accepts_callers = false;
     time_point m_stopping_since{};
     time_point m_ending_since{};
     std::set<std::string> m_stopped_tasks;
@@ -167,7 +168,8 @@
 
 void answer_ready_probe(life_state& s, const http1_request& request)
 {
-    const bool ready = s.m_configured && s.m_stopping_since == time_point{};
+    const bool ready = s.m_configured && s.m_accepts_callers &&
+                       s.m_stopping_since == time_point{};
     if (request.m_path != s.m_dependencies.m_ready_path)
         s.m_ready_http->respond(request.m_exchange, not_found);
     else if (ready)
@@ -273,6 +275,10 @@
             {
                 s.m_configured = true;
             },
+            [&](const accepting_callers&)
+            {
+                s.m_accepts_callers = true;
+            },
             [&](const stop_done& m)
             {
                 s.m_stopped_tasks.insert(m.m_task);
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -218,6 +218,11 @@
 {
 };
 
+/// session → life: callers' connections are accepted from now on.
+struct accepting_callers
+{
+};
+
 /// session, failover, usage → life: the task has no unfinished work.
 struct stop_done
 {
@@ -286,7 +291,8 @@
     std::variant<true_time_changed, usage_candidacy, usage_collected,
                  stop_begun, metrics_request, task_stop>;
 using life_message =
-    std::variant<config_changed, stop_done, metrics_response, task_stop>;
+    std::variant<config_changed, accepting_callers, stop_done, metrics_response,
+                 task_stop>;
 
 /// Capacity of a mailbox, in messages; new work is refused when it is full.
 inline constexpr std::size_t site_mailbox_capacity = 4096;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -205,6 +205,7 @@
                                    handle_message(t, m);
                                });
     listen(t);
+    mailboxes.m_life.post(accepting_callers());
     listen_for_sessions(t);
     t.m_tick.start_periodic(session_tick_interval);
     run(t.m_loop);
