--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -290,9 +290,8 @@
 using usage_message =
     std::variant<true_time_changed, usage_candidacy, usage_collected,
                  stop_begun, metrics_request, task_stop>;
-using life_message =
-    std::variant<config_changed, accepting_callers, stop_done, metrics_response,
-                 task_stop>;
+using life_message = std::variant<config_changed, accepting_callers, stop_done,
+                                  metrics_response, task_stop>;
 
 /// Capacity of a mailbox, in messages; new work is refused when it is full.
 inline constexpr std::size_t site_mailbox_capacity = 4096;
