--- a/Tests/support/scripted_member.cpp
+++ b/Tests/support/scripted_member.cpp
@@ -107,10 +107,12 @@
         if (!message)
             return;
         if (std::holds_alternative<peer_site_digest>(*message))
-            return answer_peer(*m_server, request.m_exchange, digest());
-        if (m_windows && std::holds_alternative<peer_usage_request>(*message))
-            return answer_peer(*m_server, request.m_exchange, summary());
-        answer_peer(*m_server, request.m_exchange, peer_declined{m_name});
+            answer_peer(*m_server, request.m_exchange, digest());
+        else if (m_windows &&
+                 std::holds_alternative<peer_usage_request>(*message))
+            answer_peer(*m_server, request.m_exchange, summary());
+        else
+            answer_peer(*m_server, request.m_exchange, peer_declined{m_name});
     }
 
     std::string m_name;
