homes: Keep statements of restricted routes in the process that has them

By the platform's rules a statement whose route or workspace is restricted to regions may reach, outside of these and of the caller's own region, only the process that the caller reached. A caller of a region without processes in service reaches one of another region, and that one passed its session on to a home of its own region.

Tests/site, "the route is restricted to another region", waited for the session to come back until it was ended after 100 s without the check, and passes with it. Keeping callers' regions in the session was ruled out: a process doesn't learn them.

--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -18,18 +18,6 @@
 // later than 7 s after it began to drain or 5 s after its zone's evacuation.
 constexpr std::chrono::milliseconds leaving_primary_grace{3500};
 
-bool is_allowed_region(const session& s, const endpoint_pool& p)
-{
-    const region_set& route_regions = s.m_route->m_regions;
-    if (!route_regions.empty() && !route_regions.contains(p.m_region))
-        return false;
-    const auto workspace = s.m_config->m_workspaces.find(s.m_workspace);
-    if (workspace == s.m_config->m_workspaces.end())
-        return true;
-    const region_set& workspace_regions = workspace->second.m_regions;
-    return workspace_regions.empty() || workspace_regions.contains(p.m_region);
-}
-
 bool accepts_new_work(const endpoint_pool& p, bool needs_primary,
                       time_point now)
 {
@@ -44,7 +32,7 @@
 {
     const bool leads = p.m_group->m_view.m_primary == p.m_endpoint.m_id;
     if (!accepts_new_work(p, w.m_needs_primary && leads, now) ||
-        !is_allowed_region(*w.m_session, p) ||
+        !allows_region(*w.m_session, p.m_region) ||
         w.m_tried_endpoints.contains(p.m_endpoint.m_id))
         return false;
     return (leads || now >= p.m_lags_until) && meets_consistency(w, p);
@@ -134,6 +122,18 @@
 
 }
 
+bool allows_region(const session& s, std::string_view region)
+{
+    const region_set& route_regions = s.m_route->m_regions;
+    if (!route_regions.empty() && !route_regions.contains(region))
+        return false;
+    const auto workspace = s.m_config->m_workspaces.find(s.m_workspace);
+    if (workspace == s.m_config->m_workspaces.end())
+        return true;
+    const region_set& workspace_regions = workspace->second.m_regions;
+    return workspace_regions.empty() || workspace_regions.contains(region);
+}
+
 bool meets_consistency(const work& w, const endpoint_pool& p)
 {
     const group_view& view = p.m_group->m_view;
--- a/Source/session/session_homes.cpp
+++ b/Source/session/session_homes.cpp
@@ -130,7 +130,11 @@
     const home_directory& d = t.m_homes;
     const std::string& service = s.m_route->m_service;
     const auto homes = d.m_table.find(service);
-    if (s.m_is_relayed || !has_homes(t, service) || homes == d.m_table.end())
+    // A caller may have come from another region, because its own had no
+    // process in service: only the process that it reached may have its
+    // statements then.
+    if (s.m_is_relayed || !allows_region(s, t.m_settings.m_region) ||
+        !has_homes(t, service) || homes == d.m_table.end())
         return {};
     const std::string_view home = choose_home(
         homes->second, service, s.m_workspace, avoided_homes(d, now));
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -232,6 +232,9 @@
 // session_dispatch.cpp
 /// Sends the work on an available connection, queues it, or refuses it.
 void dispatch(session_task_state& t, const work_ptr& w);
+/// True if the session's route and workspace allow their statements in the
+/// region.
+bool allows_region(const session& s, std::string_view region);
 /// True if the endpoint can give the work the consistency that its route asks
 /// for, by its own log or by the minimum log position that is sent along.
 bool meets_consistency(const work& w, const endpoint_pool& p);
--- a/Tests/site/home_process_test.cpp
+++ b/Tests/site/home_process_test.cpp
@@ -210,6 +210,24 @@
         c.send("QUERY - READ bear");
         REQUIRE(read_answer(c) == "ERROR MALFORMED | READY I");
     }
+    WHEN("the route is restricted to another region")
+    {
+        nlohmann::json routes = s.config()["routes"];
+        routes[2]["allowed-regions"] = {"far"};
+        s.configure({{"routes", routes}});
+
+        // Another process of the region was sent them, and refused them.
+        THEN("its statements are no longer passed on")
+        {
+            REQUIRE(comes_true(
+                [&]
+                {
+                    c.ask("READ bear");
+                    return relayed_out(s, r.m_accepting) == 0;
+                },
+                past_a_statement));
+        }
+    }
     WHEN("each process gets a connection of its own")
     {
         s.limit_connections(many_connections);
