homes: Mend what the review of relayed sessions found

- A home that refused to replace a value or a prepared statement kept the old one, and the statement behind it ran with that: what was asked for is compared with what the session has now.
Names that are gone are sent before new ones.
- A home with an older configuration than the accepting process ran statements by it.
The accepting process says which version it applied, and a home that is behind releases the session, so that the statement runs where it was accepted.
- The end of one session made all processes avoid the home.
Only a home that accepts no session is avoided now.
- The home's listener had no bound by descriptors, no guard against exceptions, and reported want of descriptors on each turn of the loop.
- Answers of relayed statements weren't counted as long as they ran.
- Relayed sessions of a process that vanished were kept for ever: released after 90 s at rest.
- A home's own time-out answer could come after the accepting process had given up, as the home counts from its receipt.
- A statement that ran here after a loss could be refused as hopeless at once.

Found by reading, each a sequence that follows from the code; the version has a test of its encoding, the others none of their own.

--- a/Source/session/home_links.cpp
+++ b/Source/session/home_links.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <event2/listener.h>
+
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -41,8 +43,7 @@
     std::string out;
     t.m_codec.m_write_session(out, s.m_database, s.m_key);
     h.m_expected_replies.push_back(home_reply_kind::startup);
-    t.m_codec.m_write_resume(out, t.m_settings.m_name,
-                             std::to_string(s.m_number), s.m_commit_position);
+    write_home_resume(t, h, out);
     h.m_stream->write(out);
 }
 
@@ -56,7 +57,10 @@
     const bool in_transaction = h.m_state == home_link_state::in_transaction;
     const bool was_accepted = h.m_state != home_link_state::opening;
     close_home_link(t, *s, cause);
-    avoid_home(t, h.m_home, cause);
+    // The end of one accepted session says nothing of the home. If the home has
+    // ended, it accepts no further one.
+    if (!was_accepted)
+        avoid_home(t, h.m_home, cause);
     handle_lost_home(t, *s, h.m_home, in_transaction, not_run || !was_accepted);
 }
 
@@ -141,10 +145,14 @@
         return in_state >= home_accept_timeout ? "not accepted"
                                                : std::string_view();
     case home_link_state::running:
-        return h.m_session->m_work && now >= h.m_session->m_work->m_deadline +
-                                                 home_answer_margin
+    {
+        const work_ptr& w = h.m_session->m_work;
+        // The home counts the timeout from when it receives the statement.
+        return w && now >= w->m_sent_at + (w->m_deadline - w->m_received_at) +
+                               home_answer_margin
                    ? "no answer in time"
                    : std::string_view();
+    }
     default:
         return {};
     }
@@ -229,8 +237,27 @@
     h->m_stream.reset();
 }
 
+void write_home_resume(session_task_state& t, home_link& h, std::string& out)
+{
+    const session& s = *h.m_session;
+    h.m_config_version = s.m_config->m_version;
+    t.m_codec.m_write_resume(out, t.m_settings.m_name,
+                             std::to_string(s.m_number), s.m_commit_position,
+                             h.m_config_version);
+}
+
 void check_home_links(session_task_state& t, time_point now)
 {
+    if (t.m_session_listener)
+        evconnlistener_enable(t.m_session_listener.get());
+    for (session& s : t.m_sessions)
+    {
+        const time_point at_rest_since = s.m_times.m_at_rest_since;
+        if (s.m_is_relayed && !s.m_work && !s.m_transaction &&
+            at_rest_since != time_point{} &&
+            now - at_rest_since >= relayed_rest_timeout)
+            release_relayed_session(t, s, "unused");
+    }
     std::vector<home_link_ptr> links;
     for (home_link& h : t.m_homes.m_links)
         links.emplace_back(&h);
--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -45,15 +45,7 @@
     {
         h.m_expected_replies.push_back(home_reply_kind::setup);
     };
-    for (const auto& [name, value] : s.m_values)
-    {
-        const auto told = h.m_values.find(name);
-        if (told != h.m_values.end() && told->second == value)
-            continue;
-        t.m_codec.m_write_set(out, name, value);
-        expect_setup();
-        h.m_values.insert_or_assign(name, value);
-    }
+    // Names that are gone first, as they may hold the memory that others need.
     for (auto told = h.m_prepared.begin(); told != h.m_prepared.end();)
     {
         if (s.m_prepared.contains(told->first))
@@ -65,6 +57,15 @@
         expect_setup();
         told = h.m_prepared.erase(told);
     }
+    for (const auto& [name, value] : s.m_values)
+    {
+        const auto told = h.m_values.find(name);
+        if (told != h.m_values.end() && told->second == value)
+            continue;
+        t.m_codec.m_write_set(out, name, value);
+        expect_setup();
+        h.m_values.insert_or_assign(name, value);
+    }
     if (!w.m_prepared)
         return;
     const auto told = h.m_prepared.find(w.m_prepared_name);
@@ -97,6 +98,7 @@
     w->m_starts_transaction = w->m_session->m_transaction.has_value();
     w->m_send_deadline = std::max(
         w->m_send_deadline, now + (w->m_deadline - now) / std::int64_t{4});
+    w->m_useful_until = std::max(w->m_useful_until, w->m_send_deadline);
     ++t.m_counts.m_retries;
     log_retried(*w, home, fault, detail);
     w->auto_unlink_hook::unlink();
@@ -179,6 +181,9 @@
     std::string out;
     w.m_starts_transaction =
         s.m_transaction && h.m_state == home_link_state::at_rest;
+    if (h.m_state == home_link_state::at_rest &&
+        h.m_config_version != s.m_config->m_version)
+        write_home_resume(t, h, out);
     write_setup(t, h, w, out);
     if (w.m_starts_transaction)
     {
--- a/Source/session/home_types.hpp
+++ b/Source/session/home_types.hpp
@@ -31,6 +31,10 @@
 /// A session without statements for this long leaves its home, to free the
 /// connection; several pauses of a typical session, which are 4 s on average.
 inline constexpr std::chrono::seconds home_idle_timeout{60};
+/// A relayed session at rest for this long is released by its home: the process
+/// that passed it on has ended without a word. Longer than home_idle_timeout,
+/// after which that process would have closed it.
+inline constexpr std::chrono::seconds relayed_rest_timeout{90};
 /// Most sessions that a process passes on, in all and to one home, and most
 /// that it accepts from others. The described deployments have about 55
 /// sessions for each process and at least 3,010 descriptors.
--- a/Source/session/relayed_sessions.cpp
+++ b/Source/session/relayed_sessions.cpp
@@ -26,12 +26,28 @@
                                   return s.m_is_relayed;
                               }));
     // The other process serves the session itself.
-    if (accepted >= max_relayed_sessions)
+    if (accepted >= max_relayed_sessions ||
+        open_connections(t) >= t.m_clients.m_limits.m_connections)
     {
         evutil_closesocket(socket);
         return;
     }
-    accept_session(t, socket, true);
+    try
+    {
+        accept_session(t, socket, true);
+    }
+    catch (const std::exception& e)
+    {
+        log_event(event_id::session_failed, {{"failure", e.what()}});
+        evutil_closesocket(socket);
+    }
+}
+
+// The event library reports want of descriptors with each turn of the loop.
+// check_home_links() enables the listener again.
+void on_accept_failure(evconnlistener* listener, void*)
+{
+    evconnlistener_disable(listener);
 }
 
 void restore_position(session& s, const caller_message& m)
@@ -53,10 +69,19 @@
     switch (q.m_kind)
     {
     case statement_kind::set:
-        return s.m_values.contains(q.m_name);
+    {
+        const auto value = s.m_values.find(q.m_name);
+        return value != s.m_values.end() && value->second == q.m_value;
+    }
     case statement_kind::prepare_read:
     case statement_kind::prepare_write:
-        return s.m_prepared.contains(q.m_name);
+    {
+        const auto prepared = s.m_prepared.find(q.m_name);
+        return prepared != s.m_prepared.end() &&
+               prepared->second.m_shape == q.m_value &&
+               prepared->second.m_writes ==
+                   (q.m_kind == statement_kind::prepare_write);
+    }
     case statement_kind::deallocate:
         return !s.m_prepared.contains(q.m_name);
     case statement_kind::begin:
@@ -85,8 +110,9 @@
         static_cast<int>(at.m_length)));
     // Without it this process still serves its own callers.
     if (!t.m_session_listener)
-        log_event(event_id::session_address_unusable,
-                  {{"address", to_string(listen)}});
+        return log_event(event_id::session_address_unusable,
+                         {{"address", to_string(listen)}});
+    evconnlistener_set_error_cb(t.m_session_listener.get(), &on_accept_failure);
 }
 
 bool handle_relayed_message(session_task_state& t, session& s,
@@ -95,6 +121,9 @@
     if (m.m_kind == caller_message_kind::resume)
     {
         restore_position(s, m);
+        // It would run what the newer configuration forbids.
+        if (!t.m_config || t.m_config->m_version < m.m_config_version)
+            release_relayed_session(t, s, "older configuration");
         return true;
     }
     if (m.m_kind != caller_message_kind::setup)
--- a/Source/session/session_clients.cpp
+++ b/Source/session/session_clients.cpp
@@ -237,6 +237,9 @@
     for (work& w : t.m_pending_work)
         if (w.m_session)
             count_use(t, *w.m_session);
+    for (work& w : t.m_homes.m_statements)
+        if (w.m_session)
+            count_use(t, *w.m_session);
     close_largest(t);
     if (c.m_has_waiting)
         give_memory(t);
--- a/Source/session/session_codec.hpp
+++ b/Source/session/session_codec.hpp
@@ -65,6 +65,8 @@
     session_statement m_statement;
     std::string_view m_process; ///< The process that resumes a session.
     std::optional<log_position> m_position; ///< The session's last commit.
+    /// Version of the configuration that the accepting process applied.
+    std::uint64_t m_config_version = 0;
 };
 
 /// Error codes of the session protocol.
@@ -160,7 +162,8 @@
                             std::string_view key);
     void (*m_write_resume)(std::string& out, std::string_view process,
                            std::string_view session,
-                           const std::optional<log_position>& position);
+                           const std::optional<log_position>& position,
+                           std::uint64_t config_version);
     /// As m_write_ready, with the position of the session's last commit.
     void (*m_write_position)(std::string& out, transaction_status state,
                              const std::optional<log_position>& position);
--- a/Source/session/session_homes.hpp
+++ b/Source/session/session_homes.hpp
@@ -41,6 +41,8 @@
 void close_home_link(session_task_state& t, session& s, std::string_view cause);
 /// Closes connections to homes that don't accept or answer in time, and unused
 /// ones.
+/// Tells the home whose session it is, its last commit, and the configuration.
+void write_home_resume(session_task_state& t, home_link& h, std::string& out);
 void check_home_links(session_task_state& t, time_point now);
 void apply_home_link_event(session_task_state& t, home_link& h,
                            home_link_event event);
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -136,6 +136,8 @@
     std::unique_ptr<line_stream> m_stream;
     home_link_state m_state = home_link_state::opening;
     time_point m_state_since{}; ///< Entry time of m_state.
+    /// Version of the configuration that the home was told last.
+    std::uint64_t m_config_version = 0;
     /// What the home has been told of the session.
     session_values m_values;
     std::map<std::string, prepared_statement, std::less<>> m_prepared;
--- a/Tests/platform/line_codec_test.cpp
+++ b/Tests/platform/line_codec_test.cpp
@@ -143,16 +143,16 @@
     {
         codec.m_write_session(out, "ledger", "ward-key");
         codec.m_write_session(out, "ledger", "");
-        codec.m_write_resume(out, "vm-1", "17", log_position{3, 1207});
-        codec.m_write_resume(out, "vm-1", "17", std::nullopt);
+        codec.m_write_resume(out, "vm-1", "17", log_position{3, 1207}, 42);
+        codec.m_write_resume(out, "vm-1", "17", std::nullopt, 43);
         codec.m_write_deallocate(out, "q");
         codec.m_write_position(out, transaction_status::idle,
                                log_position{3, 1207});
         codec.m_write_release(out);
         REQUIRE(out == "STARTUP ledger ward-key\r\n"
                        "STARTUP ledger -\r\n"
-                       "RESUME vm-1 17 3.1207\r\n"
-                       "RESUME vm-1 17 -\r\n"
+                       "RESUME vm-1 17 3.1207 42\r\n"
+                       "RESUME vm-1 17 - 43\r\n"
                        "QUERY - DEALLOCATE q\r\n"
                        "READY I 3.1207\r\n"
                        "RELEASED\r\n");
@@ -161,12 +161,16 @@
 
         THEN("the home reads what the session had")
         {
-            const auto m = codec.m_read_relayed("RESUME vm-1 17 3.1207");
+            const auto m = codec.m_read_relayed("RESUME vm-1 17 3.1207 42");
             REQUIRE(m.m_kind == caller_message_kind::resume);
             REQUIRE(m.m_process == "vm-1");
             REQUIRE(m.m_id == "17");
             REQUIRE(m.m_position == log_position{3, 1207});
-            REQUIRE_FALSE(codec.m_read_relayed("RESUME vm-1 17 -").m_position);
+            REQUIRE(m.m_config_version == 42);
+            REQUIRE_FALSE(
+                codec.m_read_relayed("RESUME vm-1 17 - 43").m_position);
+            REQUIRE(codec.m_read_relayed("RESUME vm-1 17 - x").m_kind ==
+                    caller_message_kind::malformed);
             REQUIRE(codec.m_read_relayed("RESUME vm-1").m_kind ==
                     caller_message_kind::malformed);
             REQUIRE(codec.m_read_relayed("QUERY - BEGIN").m_kind ==
@@ -176,7 +180,7 @@
         }
         THEN("callers can't send it")
         {
-            REQUIRE(codec.m_read_caller("RESUME vm-1 17 3.1207").m_kind ==
+            REQUIRE(codec.m_read_caller("RESUME vm-1 17 3.1207 42").m_kind ==
                     caller_message_kind::malformed);
         }
     }
