duty: Keep the record of the holder before until it was read

When the answer to an acquisition was lost, the process saw itself as the holder and renewed before it had read the record: its own, empty decisions replaced the stored usage report or the pending promotions of the holder before. A window could then be reported again with other counts, and a pending promotion be forgotten. Found by review.

What the task decided is put into the record only once it has taken over. Tests/site, "The answer to the acquisition of a duty is lost", failed without the check and passes with it. Also from the review, by reading: usage counts are taken from members only and for the present windows, the counts that were collected without cells are dropped when cells begin, and a late difference of a configuration that is in force already is ignored.

--- a/Source/session/duty_client.cpp
+++ b/Source/session/duty_client.cpp
@@ -35,6 +35,7 @@
     d.m_renewed_at = std::max(d.m_renewed_at, sent_at);
     if (was_holder)
         return;
+    d.m_has_taken_over = true;
     const duty_record& record = d.m_seen->m_record;
     log_event(event_id::duty_taken,
               {{"duty", std::string(d.m_name)},
@@ -54,8 +55,10 @@
     }
     d.m_seen =
         observe_duty(d.m_seen, o.m_revision, std::move(*record), boot_now());
-    if (!is_recorded_holder(d))
-        lose_duty(d, "another holder");
+    if (is_recorded_holder(d))
+        return;
+    d.m_has_taken_over = false;
+    lose_duty(d, "another holder");
 }
 
 stored_object make_object(const duty_client& d, const duty_record& record)
@@ -67,7 +70,8 @@
 duty_record next_record(const duty_client& d)
 {
     duty_record record = d.m_seen->m_record;
-    d.m_handlers.m_fill(record);
+    if (d.m_has_taken_over)
+        d.m_handlers.m_fill(record);
     ++record.m_renewals;
     return record;
 }
--- a/Source/session/duty_client.hpp
+++ b/Source/session/duty_client.hpp
@@ -40,6 +40,9 @@
     std::uint64_t m_incarnation = 0;
     std::optional<duty_observation> m_seen{}; ///< Empty: not read yet.
     time_point m_renewed_at{}; ///< Zero unless this process holds the duty.
+    /// The task has the record of the holder before it. Until then what the
+    /// task itself would store must not replace that.
+    bool m_has_taken_over = false;
     bool m_call_pending = false;
     time_point m_next_call_at{}; ///< When the next call is due.
     time_point
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -236,7 +236,11 @@
     if (large == has_zone_cells(t))
         return;
     if (large)
+    {
         t.m_cell.m_last_vote_request_at = boot_now();
+        // Counts of processes of other cells, which their leaders sum.
+        t.m_collection.m_members = {};
+    }
     else
         t.m_contact_expected_since = boot_now();
     fire(t, large ? cell_event::joined : cell_event::left);
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -413,6 +413,9 @@
 bool apply_config_delta(site_task_state& t, const peer_config_delta& d)
 {
     const stored_object& base = t.m_config_object;
+    // It came from another process or the store meanwhile.
+    if (d.m_revision <= base.m_revision)
+        return true;
     const auto text = base.m_revision == d.m_base_revision
                           ? apply_text_delta(base.m_value, d.m_delta)
                           : std::nullopt;
--- a/Source/session/site_usage.cpp
+++ b/Source/session/site_usage.cpp
@@ -225,8 +225,19 @@
 
 void apply_peer_usage(site_task_state& t, const peer_usage& m)
 {
-    if (reports_usage(t))
-        apply_summary(t.m_collection.m_members, m.m_summary);
+    // Anybody who reaches the port may send it.
+    if (!reports_usage(t) || !t.m_members.contains(m.m_summary.m_source))
+        return;
+    const time_point now = boot_now();
+    const window_id first = first_counted(t, now);
+    const window_id last = current_window(t, now) + 1;
+    usage_summary summary = m.m_summary;
+    std::erase_if(summary.m_windows,
+                  [&](const auto& entry)
+                  {
+                      return entry.first < first || entry.first > last;
+                  });
+    apply_summary(t.m_collection.m_members, summary);
 }
 
 void apply_usage_duty(site_task_state& t, const usage_duty_changed& m)
