homes: Avoid a home whose connections end, not one that releases a session

A connection that ends avoids the home again; a home that needs room releases relayed sessions at rest instead of closing them, and a single overdue statement doesn't count against it.

--- a/Source/session/home_links.cpp
+++ b/Source/session/home_links.cpp
@@ -47,21 +47,26 @@
     h.m_stream->write(out);
 }
 
-// Ends the connection and what the session had at the home. `not_run`: the home
-// has run no statement without an answer.
+enum class home_loss : std::uint8_t
+{
+    of_home,    ///< It has ended, or accepts no session.
+    of_session, ///< Of this one only.
+    released,   ///< As of_session; no statement without an answer has run.
+};
+
+// Ends the connection and what the session had at the home.
 void lose_home_link(session_task_state& t, home_link& h, std::string_view cause,
-                    bool not_run = false)
+                    home_loss loss)
 {
     const home_link_ptr keep_alive(&h);
     const session_ptr s(h.m_session);
     const bool in_transaction = h.m_state == home_link_state::in_transaction;
     const bool was_accepted = h.m_state != home_link_state::opening;
     close_home_link(t, *s, cause);
-    // The end of one accepted session says nothing of the home. If the home has
-    // ended, it accepts no further one.
-    if (!was_accepted)
+    if (loss == home_loss::of_home || !was_accepted)
         avoid_home(t, h.m_home, cause);
-    handle_lost_home(t, *s, h.m_home, in_transaction, not_run || !was_accepted);
+    handle_lost_home(t, *s, h.m_home, in_transaction,
+                     loss == home_loss::released || !was_accepted);
 }
 
 void finish_home_reply(session_task_state& t, home_link& h,
@@ -95,11 +100,11 @@
                         std::string_view line)
 {
     if (t.m_codec.m_is_release(line))
-        return lose_home_link(t, h, "released", true);
+        return lose_home_link(t, h, "released", home_loss::released);
     const endpoint_reply r = t.m_codec.m_read_endpoint(line);
     if (h.m_expected_replies.empty() ||
         r.m_kind == endpoint_reply_kind::malformed)
-        return lose_home_link(t, h, "unreadable");
+        return lose_home_link(t, h, "unreadable", home_loss::of_session);
     const home_reply_kind kind = h.m_expected_replies.front();
     const work_ptr w = h.m_session->m_work;
     switch (r.m_kind)
@@ -114,7 +119,7 @@
         h.m_fault_detail = r.m_detail;
         // The error that refuses a session is the home's last message.
         if (kind == home_reply_kind::startup)
-            lose_home_link(t, h, to_string(r.m_fault));
+            lose_home_link(t, h, to_string(r.m_fault), home_loss::of_home);
         return;
     case endpoint_reply_kind::ready:
         return finish_home_reply(t, h, r);
@@ -202,7 +207,8 @@
                                  [&t, &opened](stream_end_reason)
                                  {
                                      lose_home_link(t, opened,
-                                                    "connection ended");
+                                                    "connection ended",
+                                                    home_loss::of_home);
                                  }});
     }
     catch (const loop_error& e)
@@ -267,7 +273,7 @@
             continue;
         const std::string_view cause = overdue_cause(*h, now);
         if (!cause.empty())
-            lose_home_link(t, *h, cause);
+            lose_home_link(t, *h, cause, home_loss::of_session);
         else if (h->m_state == home_link_state::at_rest &&
                  now - h->m_state_since >= home_idle_timeout)
             close_home_link(t, *h->m_session, "unused");
--- a/Source/session/session_clients.cpp
+++ b/Source/session/session_clients.cpp
@@ -1,4 +1,4 @@
-#include <session/session_task_state.hpp>
+#include <session/session_homes.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -254,7 +254,14 @@
     const std::size_t limit = c.m_limits.m_connections;
     if (open > limit || (open == limit && !c.m_accepts))
         for (const session_ptr& s : choose_unused(t, now))
-            close_client(t, *s, client_fault::made_room);
+        {
+            // Its home isn't lost to the process that passed it on.
+            if (s->m_is_relayed)
+                release_relayed_session(t, *s,
+                                        to_string(client_fault::made_room));
+            else
+                close_client(t, *s, client_fault::made_room);
+        }
     if (c.m_accepts || !t.m_listener || open_connections(t) >= limit)
         return;
     c.m_accepts = true;
