session: Leave the failover duty to cell leaders in large fleets

Change: a process that follows a cell leader which reaches the store doesn't compete for the duty and doesn't read its record. The calls are counted by duty (bluebellspoke_duty_calls_total). Tests read single metrics through one function.

--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -224,6 +224,9 @@
     metric_entry{metric_id::usage_duty_held, metric_type::gauge,
                  "bluebellspoke_usage_duty_held", "",
                  "1 while this process may send usage reports, else 0"},
+    metric_entry{metric_id::duty_calls, metric_type::counter,
+                 "bluebellspoke_duty_calls_total", "duty",
+                 "calls to the store for the record of a duty"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/session/duty_client.cpp
+++ b/Source/session/duty_client.cpp
@@ -81,6 +81,7 @@
 void write_duty(duty_client& d, const duty_record& record)
 {
     d.m_call_pending = true;
+    ++d.m_calls;
     const time_point sent_at = boot_now();
     d.m_store.m_write(d.m_kind, make_object(d, record),
                       [&d, sent_at](write_answer& a)
@@ -119,6 +120,7 @@
 void read_duty(duty_client& d, bool allow_stale)
 {
     d.m_call_pending = true;
+    ++d.m_calls;
     d.m_store.m_list(
         d.m_kind, allow_stale,
         [&d, allow_stale](store_answer& a)
@@ -162,6 +164,7 @@
     record.m_holder.clear();
     lose_duty(d, cause);
     d.m_call_pending = true;
+    ++d.m_calls;
     d.m_store.m_write(d.m_kind, make_object(d, record),
                       [&d, done = std::move(done)](write_answer& a)
                       {
--- a/Source/session/duty_client.hpp
+++ b/Source/session/duty_client.hpp
@@ -51,6 +51,7 @@
     /// False: the duty isn't acquired, and is released if it is held.
     bool m_may_hold = true;
     bool m_stopping = false;
+    std::uint64_t m_calls = 0; ///< Calls to the store.
 };
 
 /// Returns true if the last record that was seen names this process; it may be
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -1,5 +1,7 @@
 #include <session/failover_task.hpp>
 
+#include <array>
+
 #include <model/overloaded.hpp>
 #include <peer/loan_id.hpp>
 #include <session/failover_task_state.hpp>
@@ -15,6 +17,7 @@
 {
     const time_point now = boot_now();
     note_tick(t.m_usage, now);
+    t.m_duty.m_may_hold = t.m_is_candidate || is_recorded_holder(t.m_duty);
     advance_duty(t.m_duty, now);
     advance_groups(t, now);
 }
@@ -34,6 +37,8 @@
               static_cast<double>(t.m_promotions));
     add_value(families, metric_id::duty_held, {},
               holds_duty(t.m_duty, boot_now()) ? 1 : 0);
+    add_value(families, metric_id::duty_calls, std::array{t.m_duty.m_name},
+              static_cast<double>(t.m_duty.m_calls));
     collect_usage(families, t.m_usage);
     return families;
 }
@@ -73,6 +78,10 @@
             {
                 stop(t.m_loop);
             },
+            [&](const failover_candidacy& m)
+            {
+                t.m_is_candidate = m.m_is_candidate;
+            },
         },
         message);
 }
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -106,6 +106,8 @@
     std::map<std::string, failover_group, std::less<>> m_groups;
 
     duty_client m_duty;
+    /// False while a cell leader competes in place of this process.
+    bool m_is_candidate = true;
     bool m_stopping = false;
     std::uint64_t m_promotions = 0;
     task_usage m_usage{.m_task = "failover", .m_tick = failover_tick};
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -200,6 +200,12 @@
     bool m_is_candidate = false;
 };
 
+/// site → failover: whether this process competes for the failover duty.
+struct failover_candidacy
+{
+    bool m_is_candidate = true;
+};
+
 /// usage → site: whether this process holds the usage duty.
 struct usage_duty_changed
 {
@@ -286,7 +292,7 @@
                  usage_counted, usage_duty_changed>;
 using failover_message =
     std::variant<config_changed, endpoints_changed, primary_report, stop_begun,
-                 metrics_request, task_stop>;
+                 metrics_request, task_stop, failover_candidacy>;
 using usage_message =
     std::variant<true_time_changed, usage_candidacy, usage_collected,
                  stop_begun, metrics_request, task_stop>;
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -207,6 +207,15 @@
            now - t.m_cell.m_last_relay_at < cell_election_timeout;
 }
 
+// A cell leader that reaches the store competes for its whole cell, so that the
+// calls for the duty's record don't grow with the number of processes.
+void update_failover_candidacy(site_task_state& t, time_point now)
+{
+    const bool is_candidate = !is_relayed_by_leader(t, now);
+    if (std::exchange(t.m_is_failover_candidate, is_candidate) != is_candidate)
+        t.m_boxes.m_failover.post(failover_candidacy{is_candidate});
+}
+
 std::set<std::string, std::less<>> cell_members(const site_task_state& t)
 {
     std::set<std::string, std::less<>> names;
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -23,6 +23,7 @@
     if (expire_missing(t.m_list, now))
         publish_endpoints(t);
     advance_cell(t, now);
+    update_failover_candidacy(t, now);
     advance_usage(t, now);
     update_relayed_watches(t, now);
     send_digests(t);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -187,6 +187,8 @@
     time_point m_contact_expected_since{};
     std::uint64_t m_incarnation = 0;
     bool m_ending = false;
+    /// What the failover task was told last.
+    bool m_is_failover_candidate = true;
     bool m_weights_urgent = false;
     demand_announcement m_weights; ///< Announced to peers for the session task.
 };
@@ -283,6 +285,9 @@
                                   std::string_view zone);
 /// Switches to or from zone cells when the number of members requires it.
 void update_cell_mode(site_task_state& t);
+/// Tells the failover task when this process begins or ceases to compete for
+/// its duty.
+void update_failover_candidacy(site_task_state& t, time_point now);
 fleet_changed make_fleet_changed(const site_task_state& t);
 void advance_cell(site_task_state& t, time_point now);
 peer_vote answer_vote_request(site_task_state& t, const peer_vote_request& m);
--- a/Source/session/usage_task.cpp
+++ b/Source/session/usage_task.cpp
@@ -72,6 +72,8 @@
               static_cast<double>(c.m_members_missing));
     add_value(families, metric_id::usage_duty_held, {},
               holds_duty(t.m_duty, boot_now()) ? 1 : 0);
+    add_value(families, metric_id::duty_calls, std::array{t.m_duty.m_name},
+              static_cast<double>(t.m_duty.m_calls));
     collect_usage(families, t.m_usage);
     return families;
 }
--- a/Tests/fleet/cell_leader_test.cpp
+++ b/Tests/fleet/cell_leader_test.cpp
@@ -27,8 +27,7 @@
 
 bool leads(const site& s, std::size_t daemon)
 {
-    return call_http(s.metrics_of(daemon), "GET", "/metrics")
-               .m_body.find("\nbluebellspoke_cell_kept 1") != std::string::npos;
+    return s.metric(daemon, "cell_kept") == 1;
 }
 
 // Daemons are spread over the zones in turn.
@@ -58,25 +57,15 @@
     return found == 1;
 }
 
-double metric_of(const site& s, std::size_t daemon, std::string_view name)
-{
-    const std::string text =
-        call_http(s.metrics_of(daemon), "GET", "/metrics").m_body;
-    const std::string line = "\nbluebellspoke_" + std::string(name) + " ";
-    const std::size_t at = text.find(line);
-    REQUIRE(at != std::string::npos);
-    return std::stod(text.substr(at + line.size()));
-}
-
 // Returns the number of store answers that a daemon has counted.
 double answered_store_calls(const site& s, std::size_t daemon)
 {
-    return metric_of(s, daemon, "store_calls_total{result=\"answered\"}");
+    return s.metric(daemon, "store_calls_total{result=\"answered\"}").value();
 }
 
 std::size_t member_count(const site& s, std::size_t daemon)
 {
-    return static_cast<std::size_t>(metric_of(s, daemon, "fleet_members"));
+    return static_cast<std::size_t>(s.metric(daemon, "fleet_members").value());
 }
 
 // Waits longer than a watch of the store lasts.
@@ -222,6 +211,56 @@
             }
         }
     }
+    // Guards against store calls that grow with the number of processes.
+    GIVEN("processes that follow the leader, which competes for the failover "
+          "duty")
+    {
+        const auto calls = [&](std::size_t daemon)
+        {
+            return s.metric(daemon, "duty_calls_total{duty=\"failover\"}")
+                .value();
+        };
+        wait_longer_than_watch();
+        const double leader_calls = calls(leader);
+        std::vector<double> before;
+        for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
+            before.push_back(calls(i));
+
+        THEN("only the leaders and the holder call the store for its record")
+        {
+            constexpr double renewals = 5;
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return calls(leader) >= leader_calls + renewals;
+                }));
+            for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
+            {
+                CAPTURE(i);
+                const bool competes =
+                    leads(s, i) || s.metric(i, "duty_held") == 1;
+                CHECK((competes || calls(i) == before.at(i)));
+            }
+        }
+        WHEN("the holder of the duty and all leaders are killed")
+        {
+            for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
+                if (leads(s, i) || s.metric(i, "duty_held") == 1)
+                    s.daemon(i).send_signal(SIGKILL);
+
+            THEN("another process takes the duty")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
+                            if (s.metric(i, "duty_held") == 1)
+                                return true;
+                        return false;
+                    }));
+            }
+        }
+    }
     GIVEN("a cell leader that is told to stop")
     {
         s.daemon(leader).send_signal(SIGTERM);
--- a/Tests/site/even_load_test.cpp
+++ b/Tests/site/even_load_test.cpp
@@ -32,19 +32,6 @@
     return all_served;
 }
 
-// Statements that went to another endpoint than the best known; -1 if the
-// metrics don't say.
-double other_choices(const site& s)
-{
-    const std::string text =
-        call_http(s.metrics_of(0), "GET", "/metrics").m_body;
-    const std::string line =
-        R"(bluebellspoke_endpoint_choices_total{rank="other"} )";
-    const std::size_t at = text.find(line);
-    return at == std::string::npos ? -1
-                                   : std::stod(text.substr(at + line.size()));
-}
-
 }
 
 // Guards against slots, loads or draws that don't reach the choice: then every
@@ -65,7 +52,9 @@
         REQUIRE(comes_true(
             [&]
             {
-                return read_together(callers) && other_choices(s) > 0;
+                return read_together(callers) &&
+                       s.metric(0, R"(endpoint_choices_total{rank="other"})") >
+                           0.0;
             }));
     }
 }
--- a/Tests/site/relayed_changes_test.cpp
+++ b/Tests/site/relayed_changes_test.cpp
@@ -13,16 +13,6 @@
 namespace
 {
 
-double metric_of(const site& s, const std::string& name)
-{
-    const std::string text =
-        call_http(s.metrics_of(0), "GET", "/metrics").m_body;
-    const std::string line = "\nbluebellspoke_" + name + " ";
-    const std::size_t at = text.find(line);
-    return at == std::string::npos ? -1
-                                   : std::stod(text.substr(at + line.size()));
-}
-
 // The daemon's fleet is large enough for cells; the leader's is the only
 // address at which anybody answers.
 void add_cell(const site& s, const scripted_leader& leader)
@@ -88,7 +78,7 @@
     REQUIRE(comes_true(
         [&]
         {
-            return metric_of(s, "relayed_watches") == 3;
+            return s.metric(0, "relayed_watches") == 3;
         }));
     REQUIRE_FALSE(knows_route(s, "attic"));
 
--- a/Tests/site/start_without_store_test.cpp
+++ b/Tests/site/start_without_store_test.cpp
@@ -74,8 +74,7 @@
 
 bool leads_cell(const site& s, std::size_t daemon)
 {
-    return call_http(s.metrics_of(daemon), "GET", "/metrics")
-               .m_body.find("\nbluebellspoke_cell_kept 1") != std::string::npos;
+    return s.metric(daemon, "cell_kept") == 1;
 }
 
 }
--- a/Tests/site/store_calls_test.cpp
+++ b/Tests/site/store_calls_test.cpp
@@ -18,15 +18,9 @@
 using test_clock = std::chrono::steady_clock;
 
 // Calls of the watches of the store, by their result.
-double store_calls(const site& s, std::string_view result)
+double store_calls(const site& s, const std::string& result)
 {
-    const std::string text =
-        call_http(s.metrics_of(0), "GET", "/metrics").m_body;
-    const std::string line = "\nbluebellspoke_store_calls_total{result=\"" +
-                             std::string(result) + "\"} ";
-    const std::size_t at = text.find(line);
-    REQUIRE(at != std::string::npos);
-    return std::stod(text.substr(at + line.size()));
+    return s.metric(0, "store_calls_total{result=\"" + result + "\"}").value();
 }
 
 }
@@ -64,10 +58,7 @@
             REQUIRE(comes_true(
                 [&]
                 {
-                    return call_http(s.metrics_of(0), "GET", "/metrics")
-                               .m_body.find(
-                                   "\nbluebellspoke_fleet_members 2\n") !=
-                           std::string::npos;
+                    return s.metric(0, "fleet_members") == 2;
                 }));
         }
     }
@@ -82,10 +73,7 @@
     REQUIRE(comes_true(
         [&]
         {
-            return call_http(s.metrics_of(0), "GET", "/metrics")
-                       .m_body.find("\nbluebellspoke_fleet_members " +
-                                    std::to_string(members) + "\n") !=
-                   std::string::npos;
+            return s.metric(0, "fleet_members") == members;
         }));
 
     WHEN("there are many more changes than pauses between watches")
--- a/Tests/site/takeover_test.cpp
+++ b/Tests/site/takeover_test.cpp
@@ -71,9 +71,7 @@
 
 bool holds_duty(const site& s, std::size_t daemon)
 {
-    return call_http(s.metrics_of(daemon), "GET", "/metrics")
-               .m_body.find("\nbluebellspoke_duty_held 1\n") !=
-           std::string::npos;
+    return s.metric(daemon, "duty_held") == 1;
 }
 
 }
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -546,6 +546,18 @@
     return call_http(probes_of(daemon), "GET", "/api/readyz").m_status == 200;
 }
 
+std::optional<double> site::metric(std::size_t daemon,
+                                   std::string_view name) const
+{
+    const std::string text =
+        call_http(metrics_of(daemon), "GET", "/metrics").m_body;
+    const std::string line = "\nbluebellspoke_" + std::string(name) + " ";
+    const std::size_t at = text.find(line);
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::stod(text.substr(at + line.size()));
+}
+
 json& site::config() noexcept
 {
     return m_config;
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -149,6 +149,10 @@
     std::uint64_t store_revision() const;
     child_process& daemon(std::size_t number);
     bool is_ready(std::size_t daemon) const;
+    /// A metric of the daemon by its name without `bluebellspoke_`, with its
+    /// labels; nothing if the daemon doesn't answer or has none such.
+    std::optional<double> metric(std::size_t daemon,
+                                 std::string_view name) const;
     nlohmann::json& config() noexcept;
 
 private:
