cells: Send the weights that changed, and ask from one side of a pair

Each digest of a cell leader listed the weights of all workspaces, and was answered with as many. An answer didn't count as an announcement, and each side had an interval of its own, so that both asked.

Leaders now send the difference from the version that the receiver acknowledged, and all weights where none is known, after 1.6 s without a message of the receiver, and to another address. The interval runs from the last exchange in either direction.

--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -58,7 +58,7 @@
         t.m_weights = {};
         for (auto& [zone, other] : t.m_cell.m_other_cells)
         {
-            other.m_last_digest.reset();
+            other.m_exchange = {};
             other.m_announced_version = 0;
         }
     }
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -15,6 +15,8 @@
 namespace
 {
 
+constexpr double tenths = 10;
+
 void log_fetch(const site_task_state& t, const site_peer& p, event_id id)
 {
     log_event(id, {{"peer", p.m_name},
@@ -85,7 +87,8 @@
             [&](const peer_site_digest& m)
             {
                 if (has_zone_cells(t))
-                    return send_answer(t, exchange, answer_cell_digest(t, m));
+                    return send_answer(t, exchange,
+                                       answer_cell_digest(t, m, boot_now()));
                 // Applied first, because the answer acknowledges these weights.
                 const auto found = t.m_peers.find(m.m_address);
                 if (found != t.m_peers.end())
@@ -192,8 +195,7 @@
     record_sent(t.m_traffic, peer_message_kind(message), bytes);
 }
 
-peer_site_digest make_digest(const site_task_state& t,
-                             const std::optional<peer_site_digest>& received)
+peer_site_digest make_store_digest(const site_task_state& t)
 {
     peer_site_digest d;
     d.m_name = t.m_settings.m_name;
@@ -203,17 +205,22 @@
     d.m_store_revision = known_revision(t);
     d.m_config_version = t.m_config ? t.m_config->m_version : 0;
     d.m_incarnation = weights_incarnation(t);
-    d.m_weights_version = t.m_weights.m_version;
     d.m_shutting_down = t.m_ending;
     d.m_leads_cell = t.m_cell.m_state == cell_state::leader;
     // With cells the clocks travel with the votes.
     if (!has_zone_cells(t))
         d.m_wall_ms = wall_ms_to_send(t);
-    constexpr double tenths = 10;
-    for (const auto& [workspace, weight] : t.m_weights.m_weights)
-        if (weight > 0)
-            d.m_weights.push_back({workspace, static_cast<std::uint32_t>(
-                                                  std::ceil(weight * tenths))});
+    return d;
+}
+
+peer_site_digest make_digest(const site_task_state& t,
+                             const std::optional<peer_site_digest>& received)
+{
+    peer_site_digest d = make_store_digest(t);
+    d.m_weights_version = t.m_weights.m_version;
+    for (const auto& weight : t.m_weights.m_weights)
+        if (weight.second > 0)
+            d.m_weights.push_back(to_wire(weight));
     if (received)
     {
         d.m_seen_incarnation = received->m_incarnation;
@@ -222,12 +229,18 @@
     return d;
 }
 
-peer_site_digest make_store_digest(const site_task_state& t)
+peer_workspace_demand to_wire(const demand_weights::value_type& weight)
 {
-    peer_site_digest d = make_digest(t, std::nullopt);
-    d.m_weights.clear();
-    d.m_weights_version = 0;
-    return d;
+    return {weight.first,
+            static_cast<std::uint32_t>(std::ceil(weight.second * tenths))};
+}
+
+demand_weights weights_in(const peer_site_digest& d)
+{
+    demand_weights weights;
+    for (const peer_workspace_demand& w : d.m_weights)
+        weights[w.m_workspace] = w.m_operations_per_10s / tenths;
+    return weights;
 }
 
 demand_update make_demand_update(const site_task_state& t,
@@ -236,9 +249,7 @@
     demand_update update;
     update.m_incarnation = d.m_incarnation;
     update.m_version = d.m_weights_version;
-    constexpr double tenths = 10;
-    for (const peer_workspace_demand& w : d.m_weights)
-        update.m_weights[w.m_workspace] = w.m_operations_per_10s / tenths;
+    update.m_weights = weights_in(d);
     // The peer may have seen the weights of an earlier incarnation.
     if (d.m_seen_incarnation == weights_incarnation(t))
         update.m_acked_version = d.m_seen_weights_version;
@@ -360,7 +371,7 @@
     // From an earlier time as leader; these weights no longer apply.
     if (has_zone_cells(t) && m.m_incarnation != t.m_cell.m_incarnation)
         return;
-    t.m_weights = m.m_announcement;
+    record_announcement(t.m_weights, m.m_announcement);
     t.m_weights_urgent = m.m_urgent;
     send_digests(t);
 }
