wire: Answer a client that ends its sending side after its request

GET /metrics waits for the answers of other tasks, and the end of the client's sending side closed its connection before. Now a connection with a request is kept until its answer is sent. The new test fails with the former code on the ready and metrics ports and passes with this one.

--- a/Source/wire/http1_server.cpp
+++ b/Source/wire/http1_server.cpp
@@ -39,6 +39,7 @@
     bufferevent_ptr m_stream;
     bool m_asked = false;
     bool m_answered = false;
+    bool m_is_half_closed = false; ///< The client sends nothing more.
 };
 
 }
@@ -127,14 +128,27 @@
 // only the sending side ends; the connection's age ends the rest.
 void on_sent(bufferevent* stream, void* user)
 {
-    if (static_cast<connection*>(user)->m_answered)
-        shutdown(bufferevent_getfd(stream), SHUT_WR);
+    const auto& c = *static_cast<connection*>(user);
+    if (!c.m_answered)
+        return;
+    shutdown(bufferevent_getfd(stream), SHUT_WR);
+    if (c.m_is_half_closed)
+        c.m_server->m_connections.erase(c.m_number);
 }
 
-void on_end(bufferevent*, short, void* user)
+bool has_answer_to_send(const connection& c)
 {
-    const auto& c = *static_cast<connection*>(user);
-    c.m_server->m_connections.erase(c.m_number);
+    const evbuffer* output = bufferevent_get_output(c.m_stream.get());
+    return c.m_asked && (!c.m_answered || evbuffer_get_length(output) > 0);
+}
+
+// Some clients end their sending side after the request.
+void on_end(bufferevent*, short what, void* user)
+{
+    auto& c = *static_cast<connection*>(user);
+    c.m_is_half_closed = (what & BEV_EVENT_EOF) != 0;
+    if (!c.m_is_half_closed || !has_answer_to_send(c))
+        c.m_server->m_connections.erase(c.m_number);
 }
 
 void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int,
--- a/Tests/clients/ports_test.cpp
+++ b/Tests/clients/ports_test.cpp
@@ -1,8 +1,9 @@
 #include <string>
-#include <string_view>
+#include <tuple>
 
 #include <catch2/catch.hpp>
 #include <clients/crowd.hpp>
+#include <clients/frames.hpp>
 
 using namespace bluebellspoke;
 using namespace bluebellspoke::clients;
@@ -29,40 +30,6 @@
         }));
 }
 
-enum class frame_type : char
-{
-    data = 0,
-    headers = 1,
-    settings = 4,
-};
-
-constexpr char end_of_headers = 4;
-
-void append_frame(std::string& out, frame_type type, char flags, unsigned id,
-                  std::string_view payload)
-{
-    const auto append_number = [&](std::size_t number, int bytes)
-    {
-        for (int i = bytes - 1; i >= 0; --i)
-            out.push_back(static_cast<char>(number >> (8 * i) & 0xff));
-    };
-    append_number(payload.size(), 3);
-    out.push_back(static_cast<char>(type));
-    out.push_back(flags);
-    append_number(id, 4);
-    out.append(payload);
-}
-
-std::string begin_http2()
-{
-    std::string out = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
-    append_frame(out, frame_type::settings, 0, 0, {});
-    return out;
-}
-
-// POST http /, by their numbers in the static table; the authority is "x".
-const std::string post_header("\x83\x86\x84\x41\x01x");
-
 }
 
 SCENARIO("Clients hold other ports of a daemon")
@@ -98,6 +65,24 @@
     }
 }
 
+SCENARIO("A client ends its sending side after its request")
+{
+    site s(small_site());
+    const auto [port_of, path] = GENERATE(
+        table<const address& (site::*)(std::size_t) const, std::string>(
+            {{&site::probes_of, "/api/readyz"},
+             {&site::metrics_of, "/metrics"}}));
+
+    // The connection was closed at the end of the request.
+    THEN("it gets the answer")
+    {
+        line_caller c((s.*port_of)(0));
+        c.send_part("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        c.end_sending();
+        CHECK(c.line().value_or("none").starts_with("HTTP/1.1 200 "));
+    }
+}
+
 SCENARIO("A client of the peer port doesn't end its requests")
 {
     site s(small_site());
@@ -129,7 +114,8 @@
         const std::string entry = std::string("\x40\x01y\x7f\xbd\x1d") + value;
         for (unsigned i = 0; i < streams; ++i)
             append_frame(bytes, frame_type::headers, end_of_headers, 2 * i + 1,
-                         post_header + entry + std::string(12'000, '\xbe'));
+                         std::string(post_header) + entry +
+                             std::string(12'000, '\xbe'));
         crowd c(s.peers_of(0), 1);
         c.send_and_drain(bytes, 1000);
         check_unharmed(s);
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -162,6 +162,11 @@
     send_all(m_socket, text);
 }
 
+void line_caller::end_sending()
+{
+    shutdown(m_socket, SHUT_WR);
+}
+
 bool line_caller::is_closed() const
 {
     char next = 0;
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -30,6 +30,8 @@
     void send(const std::string& line);
     /// Sends a part of a line.
     void send_part(const std::string& text);
+    /// Sends nothing more; the other side still may.
+    void end_sending();
     /// Has the other side closed, with nothing left to read?
     bool is_closed() const;
     /// The next line, or nothing at the end of the session or of the wait.
