session: Drop the connection after an unexpected exception

An exception while a reply of an endpoint was handled, or while a peer's connection was read, ended the task and the process with it.

A connection to an endpoint is now dropped as a lost one, and so is a peer's connection to the peer port; events 4065 and 4066 and a counter report it.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -253,6 +253,12 @@
                 "closed"},
     event_entry{event_id::session_failed, event_level::error, "session_failed",
                 "an unexpected exception; the session is closed"},
+    event_entry{event_id::link_failed, event_level::error, "link_failed",
+                "an unexpected exception; the connection to the endpoint is "
+                "dropped"},
+    event_entry{event_id::peer_connection_failed, event_level::error,
+                "peer_connection_failed",
+                "an unexpected exception; the connection of a peer is dropped"},
     event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
                 "a statement may wait while its answer is useful, as its turn "
                 "is expected in time"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -93,6 +93,8 @@
     client_closed = 4050,
     accepting_paused = 4051,
     session_failed = 4052,
+    link_failed = 4065,
+    peer_connection_failed = 4066,
     wait_extended = 4030,
 };
 
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -224,6 +224,10 @@
     metric_entry{metric_id::usage_duty_held, metric_type::gauge,
                  "bluebellspoke_usage_duty_held", "",
                  "1 while this process may send usage reports, else 0"},
+    metric_entry{metric_id::connections_failed, metric_type::counter,
+                 "bluebellspoke_connections_failed_total", "kind",
+                 "connections dropped after an unexpected exception: to "
+                 "endpoints (endpoint) and of peers (peer)"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -5,6 +5,7 @@
 
 #include <decide/endpoint_choice.hpp>
 #include <report/event.hpp>
+#include <session/session_failures.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -197,7 +198,6 @@
 {
     endpoint_pool& p = *k.m_endpoint_pool;
     const time_point now = boot_now();
-    --p.m_statements_in_flight;
     // An endpoint that refuses at once isn't a fast one.
     if (!e.m_failed || !has_not_run(e.m_fault))
     {
@@ -222,6 +222,8 @@
 {
     const expected_reply e = std::move(k.m_expected_replies.front());
     k.m_expected_replies.pop_front();
+    if (e.m_kind == expected_reply_kind::statement)
+        --k.m_endpoint_pool->m_statements_in_flight;
     record_contact(*k.m_endpoint_pool, e.m_requested_at, ready.m_position);
     switch (e.m_kind)
     {
@@ -293,13 +295,16 @@
 void read_link(session_task_state& t, link& k)
 {
     const link_ptr keep_alive(&k);
-    while (k.m_state != link_state::closed)
-    {
-        const auto line = k.m_stream->next_line();
-        if (!line)
-            return;
-        process_reply(t, k, *line);
-    }
+    bool has_more = true;
+    while (has_more && k.m_state != link_state::closed)
+        guard_link(t, k,
+                   [&]
+                   {
+                       const auto line = k.m_stream->next_line();
+                       has_more = line.has_value();
+                       if (line)
+                           process_reply(t, k, *line);
+                   });
 }
 
 }
--- a/Source/session/session_links.cpp
+++ b/Source/session/session_links.cpp
@@ -217,10 +217,11 @@
     // A pending reply would be mistaken for the reply to the rollback.
     if (!k.m_expected_replies.empty())
         return close_link(t, k, "rolled back while it ran");
-    apply_link_event(t, k, link_event::rollback_sent);
     std::string out;
     t.m_codec.m_write_rollback(out);
+    // Expected first: a connection that doesn't get its reply is dropped.
     expect_reply(k, expected_reply_kind::rollback);
+    apply_link_event(t, k, link_event::rollback_sent);
     k.m_stream->write(out);
 }
 
--- a/Source/session/session_sending.cpp
+++ b/Source/session/session_sending.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <session/session_failures.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -108,6 +109,7 @@
     else
         t.m_codec.m_write_query(out, w.m_id, floor, w.m_text);
     expect_reply(k, expected_reply_kind::statement);
+    ++k.m_endpoint_pool->m_statements_in_flight;
     count_request(t, k, w, k.m_expected_replies.back());
     const time_point now = boot_now();
     w.m_sent_at = now;
@@ -122,12 +124,14 @@
                                : w.m_deadline;
     if (w.m_session->m_transaction && w.m_writes)
         w.m_session->m_transaction->m_has_written = true;
-    ++k.m_endpoint_pool->m_statements_in_flight;
     count_sent(t, k, w, reads);
     log_sent(k, w, floor);
 }
 
-void send_work(session_task_state& t, link& k)
+namespace
+{
+
+void write_work(session_task_state& t, link& k)
 {
     work& w = *k.m_work;
     std::string out;
@@ -150,3 +154,18 @@
 }
 
 }
+
+// Guarded on its own, as other connections' callbacks and timers send too: a
+// connection of which the values or expected replies were recorded, and not
+// sent, must not be used again.
+void send_work(session_task_state& t, link& k)
+{
+    const link_ptr keep_alive(&k);
+    guard_link(t, k,
+               [&]
+               {
+                   write_work(t, k);
+               });
+}
+
+}
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -6,6 +6,7 @@
 
 #include <model/overloaded.hpp>
 #include <peer/loan_id.hpp>
+#include <report/event.hpp>
 #include <session/site_task_state.hpp>
 #include <task/boot_clock.hpp>
 
@@ -70,6 +71,9 @@
               to_seconds(time_behind(t)));
     collect_traffic(families, t.m_traffic);
     collect_usage(families, t.m_usage);
+    add_value(families, metric_id::connections_failed,
+              std::array{std::string_view("peer")},
+              static_cast<double>(t.m_peer_server->failed()));
     return families;
 }
 
@@ -157,6 +161,12 @@
                         });
     start_true_time(t);
     start_peers(t);
+    t.m_peer_server->drop_failed(
+        [](connection_id, const std::exception& e)
+        {
+            log_event(event_id::peer_connection_failed,
+                      {{"failure", e.what()}});
+        });
     start_watches(t);
     t.m_tick.start_periodic(site_tick);
     run(t.m_loop);
--- a/Source/wire/http2_server.cpp
+++ b/Source/wire/http2_server.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <span>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,7 @@
     intrusive::list<server_stream, intrusive::constant_time_size<false>>
         m_streams;
     bool m_doomed = false;
+    bool m_failed = false;      ///< Dropped once its input has been handled.
     bool m_retiring = false;    ///< Told that it will end.
     bool m_half_closed = false; ///< Everything is sent; the caller's end waits.
     unsigned m_sweeps = 0;      ///< Since it was half closed.
@@ -108,6 +110,8 @@
                     intrusive::constant_time_size<false>>
         m_unsent;
     event_ptr m_turn_end;
+    http2_failed m_failed; ///< Empty: exceptions leave the loop.
+    std::uint64_t m_failures = 0;
 };
 
 namespace
@@ -309,6 +313,44 @@
     pump_or_drop(c);
 }
 
+// The HTTP/2 library is in C; an exception must not pass it if the process goes
+// on. The last argument of each callback is the connection.
+template <auto Callback>
+struct guarded;
+template <class... Arguments, int (*Callback)(Arguments...)>
+struct guarded<Callback>
+{
+    static int call(Arguments... arguments)
+    {
+        void* const user = std::get<sizeof...(Arguments) - 1>(
+            std::tuple<Arguments...>(arguments...));
+        auto& c = *static_cast<connection*>(user);
+        const http2_failed& failed = c.m_server->m_failed;
+        if (failed.empty())
+            return Callback(arguments...);
+        try
+        {
+            return Callback(arguments...);
+        }
+        catch (const std::exception& e)
+        {
+            c.m_failed = true;
+            ++c.m_server->m_failures;
+            failed(c.m_id, e);
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+    }
+};
+
+// After input was handled.
+void drop_if_failed_or_pump(connection& c)
+{
+    if (c.m_failed)
+        drop_connection(c);
+    else
+        pump_or_drop(c);
+}
+
 int on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame,
                      void* user)
 {
@@ -413,14 +455,16 @@
 {
     http2_callbacks_ptr result = make_http2_callbacks();
     nghttp2_session_callbacks* callbacks = result.get();
-    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
-                                                            on_begin_headers);
-    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
-                                                              on_data);
-    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
-    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
-                                                           on_stream_close);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        callbacks, guarded<on_begin_headers>::call);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                     guarded<on_header>::call);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        callbacks, guarded<on_data>::call);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        callbacks, guarded<on_frame>::call);
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        callbacks, guarded<on_stream_close>::call);
     return result;
 }
 
@@ -430,7 +474,7 @@
     c.m_used = ++c.m_server->m_last_used;
     if (!feed(c.m_transport))
         c.m_doomed = true;
-    pump_or_drop(c);
+    drop_if_failed_or_pump(c);
 }
 
 void on_flushed(bufferevent*, void* user)
@@ -466,7 +510,7 @@
     if (!feed(c.m_transport,
               std::span(bytes).first(static_cast<std::size_t>(count))))
         c.m_doomed = true;
-    pump_or_drop(c);
+    drop_if_failed_or_pump(c);
 }
 
 void watch_input(connection& c, int descriptor)
@@ -562,24 +606,13 @@
 http2_server::http2_server(loop& l, const address& listen,
                            http2_server_limits limits,
                            http2_server_handlers handlers)
-    : m_state(std::make_unique<state>(state{l,
-                                            limits,
-                                            std::move(handlers),
-                                            {},
-                                            {},
-                                            {},
-                                            {},
-                                            {},
-                                            0,
-                                            0,
-                                            0,
-                                            0,
-                                            0,
-                                            {},
-                                            {},
-                                            {},
-                                            {},
-                                            {}}))
+    : m_state(std::make_unique<state>(state{l,  limits, std::move(handlers),
+                                            {}, {},     {},
+                                            {}, {},     0,
+                                            0,  0,      0,
+                                            0,  {},     {},
+                                            {}, {},     {},
+                                            {}, 0}))
 {
     m_state->m_turn_end.reset(
         event_new(l.m_base.get(), -1, 0, send_unsent, m_state.get()));
@@ -624,6 +657,11 @@
     m_state->m_tls = std::move(tls);
 }
 
+void http2_server::drop_failed(http2_failed failed)
+{
+    m_state->m_failed = std::move(failed);
+}
+
 bool http2_server::respond(exchange_id exchange, http2_response response)
 {
     connection* c = find_connection(*m_state, exchange.m_connection);
@@ -710,6 +748,11 @@
     return m_state->m_closed;
 }
 
+std::uint64_t http2_server::failed() const noexcept
+{
+    return m_state->m_failures;
+}
+
 std::size_t http2_server::open_connections() const noexcept
 {
     return m_state->m_open_connections;
--- a/Source/wire/http2_server.hpp
+++ b/Source/wire/http2_server.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_WIRE_HTTP2_SERVER_HPP
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <vector>
 
@@ -56,6 +57,9 @@
     sigc::slot<void(connection_id)> m_on_disconnect;
 };
 
+/// Receives the connection of an unexpected exception, and the exception.
+using http2_failed = sigc::slot<void(connection_id, const std::exception&)>;
+
 /// Serves HTTP/2 with prior knowledge on one loop.
 class http2_server
 {
@@ -72,6 +76,11 @@
     /// New connections speak TLS with these certificates, or none when null;
     /// open ones keep theirs.
     void set_tls(tls_context_ptr tls);
+    /// From now on an exception that leaves a handler while a connection is
+    /// read is passed to `failed`, and the connection is dropped, with
+    /// m_on_abandoned for its requests. Without a call the exception leaves the
+    /// loop.
+    void drop_failed(http2_failed failed);
     /// Answers an exchange. Returns false when nobody waits for it any more.
     bool respond(exchange_id exchange, http2_response response);
     /// Accepts no more connections; those that wait to be accepted still are.
@@ -89,6 +98,8 @@
     std::size_t open_connections() const noexcept;
     /// Connections closed because of a limit.
     std::uint64_t closed() const noexcept;
+    /// Connections dropped after an exception.
+    std::uint64_t failed() const noexcept;
 
     struct state;
 
--- a/Tests/wire/exchange_test.cpp
+++ b/Tests/wire/exchange_test.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
                               {200, {}, std::string(large_bytes, 'b')});
         else if (request.m_path == "/hang-up")
             m_server->disconnect(arrived.m_exchange.m_connection);
+        else if (request.m_path == "/fail")
+            throw std::bad_alloc();
         else if (request.m_path == "/late")
             stop(m_loop);
     }
@@ -118,6 +121,26 @@
         const auto& response = std::get<http2_response>(result);
         REQUIRE(response.m_body == std::string(large_bytes, 'b'));
     }
+    // The exception left the loop, and the process ended.
+    SECTION("a request that meets an exception loses its connection only")
+    {
+        connection_id failed = 0;
+        server.m_server->drop_failed(
+            [&](connection_id id, const std::exception&)
+            {
+                failed = id;
+            });
+        http2_client other(l, server.m_server->local());
+        REQUIRE(status_of(ask(l, other, "/echo")) == 200);
+        REQUIRE(
+            failed_as(ask(l, client, "/fail"), http2_failure::connection_lost));
+        REQUIRE(failed == server.m_arrived.back().m_connection);
+        REQUIRE(server.m_server->failed() == 1);
+        REQUIRE(server.m_server->open_exchanges() == 0);
+        REQUIRE(server.m_server->open_connections() == 1);
+        REQUIRE(status_of(ask(l, other, "/echo")) == 200);
+        REQUIRE(status_of(ask(l, client, "/echo")) == 200);
+    }
     SECTION("answers given together come each to its own request")
     {
         std::vector<std::string> bodies(3);
