--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -227,6 +227,10 @@
     metric_entry{metric_id::duty_calls, metric_type::counter,
                  "bluebellspoke_duty_calls_total", "duty",
                  "calls to the store for the record of a duty"},
+    metric_entry{metric_id::connections_failed, metric_type::counter,
+                 "bluebellspoke_connections_failed_total", "kind",
+                 "connections dropped after an unexpected exception: to "
+                 "endpoints (endpoint) and of peers (peer)"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -84,6 +84,7 @@
     usage_members_missing,
     usage_duty_held,
     duty_calls,
+    connections_failed,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -108,6 +108,7 @@
     std::map<session_fault, std::uint64_t> m_faults;
     std::uint64_t m_sessions = 0;
     std::uint64_t m_links_opened = 0;
+    std::uint64_t m_links_failed = 0; ///< Dropped after an exception.
     std::uint64_t m_primary_reads = 0;
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_retries = 0;
@@ -144,6 +145,10 @@
     boost::intrusive::list<session, boost::intrusive::base_hook<readable_hook>,
                            boost::intrusive::constant_time_size<false>>
         m_readable;
+    /// Sessions that wait for memory, in the order in which they began to.
+    boost::intrusive::list<session, boost::intrusive::base_hook<waiting_hook>,
+                           boost::intrusive::constant_time_size<false>>
+        m_waiting;
     session_clients m_clients;
     site_config_ptr m_config;
     endpoint_snapshot_ptr m_endpoints;
