cold_start: Decide what processes admit before they know a cell leader

After the loss of all processes nobody admits operations until each zone has a leader, at least 1.01 s after the start. The decision divides half of what leaders get at their election today among the home processes of each workspace, as whole operations, and says how long a statement waits for the election.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -256,6 +256,13 @@
     event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
                 "a statement may wait while its answer is useful, as its turn "
                 "is expected in time"},
+    event_entry{event_id::own_credit_used, event_level::detail,
+                "own_credit_used",
+                "an operation was admitted after the start of the process, "
+                "before a cell leader was known"},
+    event_entry{event_id::cold_start_over, event_level::info, "cold_start_over",
+                "the process no longer admits operations by itself, and why; "
+                "from now on a cell leader does, or the division of the rates"},
 };
 
 // A client chooses request ids and names of databases, up to a whole message.
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -94,6 +94,8 @@
     accepting_paused = 4051,
     session_failed = 4052,
     wait_extended = 4030,
+    own_credit_used = 4060,
+    cold_start_over = 4061,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -224,6 +224,10 @@
     metric_entry{metric_id::usage_duty_held, metric_type::gauge,
                  "bluebellspoke_usage_duty_held", "",
                  "1 while this process may send usage reports, else 0"},
+    metric_entry{metric_id::own_credit_used, metric_type::counter,
+                 "bluebellspoke_own_credit_used_total", "",
+                 "operations admitted after the start of the process, before a "
+                 "cell leader was known"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -83,6 +83,7 @@
     usage_reports,
     usage_members_missing,
     usage_duty_held,
+    own_credit_used,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -25,10 +25,6 @@
 // 50 ms worth of the rate, a tenth of the half second's worth that is permitted
 // in the described deployments.
 constexpr std::chrono::milliseconds division_interval{50};
-// Fraction of the permitted excess over a limit that new processes get as
-// initial credit. The rest covers shares that move between processes, and late
-// arrivals.
-constexpr double initial_credit_ratio = 0.75;
 
 // Returns the arrival rate plus its square root as a margin for random
 // variation.
@@ -60,16 +56,19 @@
 
 // Returns the operations that a new process may admit before its bucket fills:
 // its even share of the permitted excess over the limit, since the existing
-// processes may have used up the limit itself.
+// processes may have used up the limit itself. Part of a cell's share goes to
+// the processes that admit operations before they know a cell leader.
 double initial_credit(const session_task_state& t, const workspace_rate& r)
 {
+    if (t.m_has_cell_leaders)
+        return leader_credit(excess_of(t, r), t.m_demand.m_members.size());
     const double members =
         std::max<double>(1, static_cast<double>(t.m_demand.m_members.size()));
     const site_settings& s = t.m_settings;
     const double slack = (r.m_rate * to_seconds(s.m_rate_window) + r.m_burst) *
                              s.m_rate_overage +
                          s.m_rate_tolerance;
-    return initial_credit_ratio * slack / members;
+    return start_credit_ratio * slack / members;
 }
 
 // The line in which an operation waits for a token, whatever endpoints can run
@@ -153,9 +152,17 @@
     return true;
 }
 
+rate_excess excess_of(const session_task_state& t, const workspace_rate& r)
+{
+    const site_settings& s = t.m_settings;
+    return {r.m_rate, s.m_rate_window, s.m_rate_overage, s.m_rate_tolerance};
+}
+
 bool controls_rates(const session_task_state& t, time_point now)
 {
-    return !t.m_has_cell_leaders || now < t.m_leader_until;
+    // Whether the fleet has cell leaders isn't known before its members are.
+    const bool knows_fleet = !t.m_demand.m_members.empty();
+    return knows_fleet && (!t.m_has_cell_leaders || now < t.m_leader_until);
 }
 
 bool has_waiting_work(const workspace_rate& r)
@@ -271,6 +278,8 @@
         t.m_leader_until = {};
         reset_division(t, m.m_self, now);
     }
+    if (!m.m_has_cell_leaders && !m.m_cells.empty())
+        end_cold_start(t, "fleet without cell leaders");
     const bool first = t.m_demand.m_members.empty();
     t.m_demand.m_members = m.m_cells;
     if (first && !t.m_settings.m_first_start)
@@ -290,6 +299,8 @@
     workspace_rate& r = found->second;
     if (!controls_rates(t, now))
     {
+        if (!has_waiting_work(r) && admit_from_own_credit(t, workspace, r, now))
+            return rate_decision::admitted;
         await_leader_tokens(t, r, w);
         return rate_decision::waits;
     }
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -197,6 +197,7 @@
     session_task_state t(settings, codec, charts, mailboxes);
     t.m_demand.m_self = settings.m_name;
     t.m_demand.m_started_at = boot_now();
+    t.m_cold_start.m_started_at = boot_now();
     t.m_random.seed(std::random_device()());
     t.m_clock_offset = offset_of(wall_now(), boot_now());
     mailboxes.m_session.attach(t.m_loop,
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include <decide/load/cold_start.hpp>
 #include <decide/load/load_choice.hpp>
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
@@ -112,13 +113,14 @@
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_retries = 0;
     std::uint64_t m_status_requests = 0;
-    std::uint64_t m_relay_requests = 0; ///< To the cell leader.
-    std::uint64_t m_full_endpoints = 0; ///< Connections refused for want of
-                                        ///< room.
-    std::uint64_t m_busy_endpoints = 0; ///< Statements refused for want of a
-                                        ///< free slot.
-    std::uint64_t m_best_choices = 0;   ///< Sent to the lowest expected cost.
-    std::uint64_t m_other_choices = 0;  ///< Sent to another one near the best.
+    std::uint64_t m_relay_requests = 0;  ///< To the cell leader.
+    std::uint64_t m_full_endpoints = 0;  ///< Connections refused for want of
+                                         ///< room.
+    std::uint64_t m_busy_endpoints = 0;  ///< Statements refused for want of a
+                                         ///< free slot.
+    std::uint64_t m_best_choices = 0;    ///< Sent to the lowest expected cost.
+    std::uint64_t m_other_choices = 0;   ///< Sent to another one near the best.
+    std::uint64_t m_own_credit_used = 0; ///< Admitted without a cell leader.
 };
 
 struct listener_deleter
@@ -164,6 +166,7 @@
     time_point m_leader_until{};            ///< Zero if not the cell leader.
     bool m_token_request_pending = false;   ///< Awaits the leader's response.
     bool m_has_previous_config = false;     ///< Had a configuration before.
+    cold_start m_cold_start;
     std::uint64_t m_last_session_number = 0;
     bool m_reporting = false;
     time_point m_next_report_at{};
@@ -437,7 +440,19 @@
 void reset_division(session_task_state& t, std::string_view self,
                     time_point now);
 
+/// Returns what the workspace's limit permits beyond its rate and burst. Within
+/// it, processes that start admit operations.
+rate_excess excess_of(const session_task_state& t, const workspace_rate& r);
+
 // session_tokens.cpp
+/// Ends the use of this process's own credit; `cause` is logged.
+void end_cold_start(session_task_state& t, std::string_view cause);
+/// Admits one operation from this process's own credit for the time until it
+/// knows a cell leader, if some is left.
+bool admit_from_own_credit(session_task_state& t, std::string_view workspace,
+                           workspace_rate& r, time_point now);
+/// Lets the work wait for a cell leader as long as one can be elected in time.
+void extend_wait_for_leader(const session_task_state& t, work& w);
 /// Starts or stops managing the cell's rates as its leader.
 void apply_cell_leadership(session_task_state& t, const cell_leadership& m);
 /// Requests a token from the cell leader; the work waits for the response.
--- a/Source/session/session_tokens.cpp
+++ b/Source/session/session_tokens.cpp
@@ -1,9 +1,12 @@
 #include <session/session_task_state.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
+#include <decide/endpoint_choice.hpp>
+#include <decide/load/turn_wait.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -13,9 +16,6 @@
 namespace
 {
 
-// Time to the next token request after one that no cell leader answered: one
-// round of vote requests, after which a new leader may be known.
-constexpr std::chrono::milliseconds no_leader_retry_delay{100};
 // Minimum time to the next token request, even if the cell leader expects a
 // token sooner: the interval at which waiting operations are checked.
 constexpr std::chrono::milliseconds min_request_interval{20};
@@ -29,6 +29,35 @@
            " waiting";
 }
 
+// The latest time to be sent at which the answer is useful to the caller. The
+// work knows it only where the configuration has priorities.
+time_point useful_time_of(const work& w)
+{
+    if (w.m_turn.m_kind != turn_kind::any)
+        return w.m_useful_until;
+    constexpr auto usual = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(default_latency_ms));
+    return useful_until({w.m_arrived_at,
+                         w.m_session->m_route->m_latency_objective, usual,
+                         usual, w.m_send_deadline, w.m_deadline});
+}
+
+std::uint32_t own_credit_of(const session_task_state& t,
+                            std::string_view workspace, const workspace_rate& r)
+{
+    std::set<std::string_view> regions;
+    for (const session_member& m : t.m_homes.m_members)
+    {
+        const auto region = t.m_settings.m_region_of_zone.find(m.m_zone);
+        if (region != t.m_settings.m_region_of_zone.end())
+            regions.insert(region->second);
+    }
+    const std::vector<std::string_view> names(regions.begin(), regions.end());
+    return own_credit(own_credit_total(excess_of(t, r)), workspace,
+                      {t.m_settings.m_name, t.m_settings.m_region, names,
+                       &t.m_homes.m_table});
+}
+
 void send_token_request(session_task_state& t, time_point now)
 {
     if (t.m_token_request_pending)
@@ -72,11 +101,58 @@
 
 }
 
+void end_cold_start(session_task_state& t, std::string_view cause)
+{
+    if (std::exchange(t.m_cold_start.m_is_over, true))
+        return;
+    std::size_t waiting = 0;
+    for (const auto& [name, r] : t.m_rates)
+        waiting += backlog(r.m_waiting);
+    log_event(
+        event_id::cold_start_over,
+        {{"cause", std::string(cause)},
+         {"age_ms", milliseconds_of(boot_now() - t.m_cold_start.m_started_at)},
+         {"own_credit_used", std::to_string(t.m_counts.m_own_credit_used)},
+         {"waiting", std::to_string(waiting)}});
+}
+
+bool admit_from_own_credit(session_task_state& t, std::string_view workspace,
+                           workspace_rate& r, time_point now)
+{
+    // Computed anew each time: the list of members may have grown meanwhile.
+    if (!may_use_own_credit(t.m_cold_start, now) ||
+        r.m_own_credit_used >= own_credit_of(t, workspace, r))
+        return false;
+    ++r.m_own_credit_used;
+    ++t.m_counts.m_own_credit_used;
+    if (is_logged(event_id::own_credit_used))
+        log_event(
+            event_id::own_credit_used,
+            {{"workspace", std::string(workspace)},
+             {"used", std::to_string(r.m_own_credit_used)},
+             {"age_ms", milliseconds_of(now - t.m_cold_start.m_started_at)},
+             {"members", std::to_string(t.m_homes.m_members.size())}});
+    return true;
+}
+
+void extend_wait_for_leader(const session_task_state& t, work& w)
+{
+    const time_point until = wait_for_leader_until(
+        t.m_cold_start, w.m_send_deadline, useful_time_of(w));
+    if (until <= w.m_send_deadline)
+        return;
+    w.m_send_deadline = until;
+    w.m_useful_until = std::max(w.m_useful_until, until);
+    log_wait_extended(w, "no cell leader has been elected since the start");
+}
+
 void apply_cell_leadership(session_task_state& t, const cell_leadership& m)
 {
     const bool new_incarnation = m.m_valid_until != time_point{} &&
                                  m.m_incarnation != t.m_leader_incarnation;
     t.m_leader_until = m.m_valid_until;
+    if (m.m_valid_until != time_point{})
+        end_cold_start(t, "leads its cell");
     if (!new_incarnation)
         return;
     t.m_leader_incarnation = m.m_incarnation;
@@ -90,6 +166,7 @@
     if (is_logged(event_id::statement_waits))
         log_waiting(*w, "rate", describe_leader_answer("asks the keeper", r));
     const time_point now = boot_now();
+    extend_wait_for_leader(t, *w);
     await_token(r, *w, now);
     send_token_request(t, now);
 }
@@ -98,6 +175,8 @@
 {
     t.m_token_request_pending = false;
     const time_point now = boot_now();
+    if (m.m_is_answered)
+        end_cold_start(t, "a cell leader answered");
     for (const workspace_tokens& grant : m.m_tokens)
     {
         const auto found = t.m_rates.find(grant.m_workspace);
@@ -117,7 +196,8 @@
         for (auto& [name, r] : t.m_rates)
             if (has_waiting_work(r))
                 r.m_next_request_at =
-                    std::max(r.m_next_request_at, now + no_leader_retry_delay);
+                    std::max(r.m_next_request_at,
+                             now + token_retry_after(t.m_cold_start, now));
     send_token_request(t, now);
 }
 
@@ -149,7 +229,12 @@
 void tick_tokens(session_task_state& t, time_point now)
 {
     for (auto& [name, r] : t.m_rates)
+    {
+        // Work may have waited since before the members were known.
+        while (has_waiting_work(r) && admit_from_own_credit(t, name, r, now))
+            admit_next(t, r, now);
         refuse_expired(t, r, now, "no answer of the keeper");
+    }
     send_token_request(t, now);
 }
 
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -290,6 +290,8 @@
     double m_burst = 0; ///< Fleet-wide limit, in operations.
     double m_initial_credit =
         0; ///< Operations allowed to a new process at its start.
+    /// Operations of its own credit that this process has admitted.
+    std::uint32_t m_own_credit_used = 0;
     double m_recent_arrivals = 0; ///< Arrivals, decayed over demand_decay_time.
     time_point m_last_arrival_at{};
     turn_queue m_waiting;
