--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -97,6 +97,8 @@
     link_failed = 4065,
     peer_connection_failed = 4066,
     wait_extended = 4030,
+    own_credit_used = 4060,
+    cold_start_over = 4061,
 };
 
 enum class event_level : std::uint8_t
