entries: Check the fields of the store's entries where they are read

Any process can write an entry. An endpoint whose service held the lines of a write made the processes write "evil", as the service was inserted into STARTUP as is, and endpoints of services that no configuration names were asked too.

Names, keys, addresses and numbers of endpoints, members, duties and the configuration are checked in the codec. What fails is ignored with one line an answer (3055) and a counter; a route, service, workspace or key that fails is left out of its configuration. Endpoints are passed on only if their service is configured (3056), also when the configuration arrives after them.

--- a/Source/model/address.cpp
+++ b/Source/model/address.cpp
@@ -13,6 +13,9 @@
 bool is_ip_address(const std::string& host)
 {
     in6_addr buffer{};
+    // inet_pton() reads up to the first zero byte only.
+    if (host.find('\0') != std::string::npos)
+        return false;
     return inet_pton(AF_INET, host.c_str(), &buffer) == 1 ||
            inet_pton(AF_INET6, host.c_str(), &buffer) == 1;
 }
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -78,6 +78,9 @@
     duration m_transaction_idle{}; ///< Zero: no limit.
     /// Some route has a priority other than 0.
     bool m_has_priorities = false;
+    /// Routes, services, workspaces and keys that failed a check.
+    std::size_t m_left_out = 0;
+    std::string m_first_left_out; ///< Its place, such as `routes[2]`.
 };
 
 using site_config_ptr = boost::intrusive_ptr<const site_config>;
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -256,6 +256,18 @@
     event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
                 "a statement may wait while its answer is useful, as its turn "
                 "is expected in time"},
+    event_entry{event_id::store_entries_ignored, event_level::warning,
+                "store_entries_ignored",
+                "entries of the store, or parts of the configuration, fail a "
+                "check and are ignored; how many, and the first of them"},
+    event_entry{event_id::endpoints_unconfigured, event_level::warning,
+                "endpoints_unconfigured",
+                "endpoints are not used, as no configuration names their "
+                "service"},
+    event_entry{event_id::usage_counts_ignored, event_level::warning,
+                "usage_counts_ignored",
+                "counts that another process sent are out of bounds and are "
+                "ignored"},
 };
 
 // A client chooses request ids and names of databases, up to a whole message.
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -94,6 +94,9 @@
     accepting_paused = 4051,
     session_failed = 4052,
     wait_extended = 4030,
+    store_entries_ignored = 3055,
+    endpoints_unconfigured = 3056,
+    usage_counts_ignored = 3057,
 };
 
 enum class event_level : std::uint8_t
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -224,6 +224,14 @@
     metric_entry{metric_id::usage_duty_held, metric_type::gauge,
                  "bluebellspoke_usage_duty_held", "",
                  "1 while this process may send usage reports, else 0"},
+    metric_entry{metric_id::ignored_entries, metric_type::counter,
+                 "bluebellspoke_ignored_entries_total", "kind",
+                 "entries of the store, parts of the configuration and counts "
+                 "of other processes (usage) that failed a check"},
+    metric_entry{metric_id::unconfigured_endpoints, metric_type::gauge,
+                 "bluebellspoke_unconfigured_endpoints", "",
+                 "endpoints that are not used, as no configuration names their "
+                 "service"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -83,6 +83,8 @@
     usage_reports,
     usage_members_missing,
     usage_duty_held,
+    ignored_entries,
+    unconfigured_endpoints,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -1,8 +1,10 @@
 #include <session/site_task_state.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <decide/member_silence.hpp>
+#include <model/name_check.hpp>
 #include <report/event.hpp>
 #include <session/milliseconds_of.hpp>
 #include <task/boot_clock.hpp>
@@ -22,6 +24,37 @@
 // most a second behind, in which an operator's tool may write three.
 constexpr std::size_t max_earlier_configs = 4;
 
+// What was ignored in one answer of the store or of a peer.
+struct ignored_entries
+{
+    std::size_t m_count = 0;
+    std::string m_first; ///< Its name, or its place in the configuration.
+};
+
+void add_ignored(ignored_entries& ignored, const std::string& name)
+{
+    if (ignored.m_count++ == 0)
+        ignored.m_first = name;
+}
+
+// Reports all of them in one line, as any process may write many.
+void record_ignored(site_task_state& t, stored_kind kind,
+                    const ignored_entries& ignored)
+{
+    if (ignored.m_count == 0)
+        return;
+    t.m_ignored_entries[kind] += ignored.m_count;
+    log_event(event_id::store_entries_ignored,
+              {{"kind", std::string(to_string(kind))},
+               {"entries", std::to_string(ignored.m_count)},
+               {"first", ignored.m_first.substr(0, max_name_length)}});
+}
+
+constexpr auto by_name = [](const auto& entry) -> const std::string&
+{
+    return entry.first;
+};
+
 void apply_config(site_task_state& t, const stored_object& o)
 {
     const site_config_ptr config = t.m_codec.m_read_config(o.m_value);
@@ -39,6 +72,10 @@
                        {"kept", std::to_string(t.m_config->m_version)}});
         return;
     }
+    const bool renames_services =
+        !t.m_config ||
+        !std::ranges::equal(t.m_config->m_services, config->m_services, {},
+                            by_name, by_name);
     t.m_config = config;
     if (!t.m_config_object.m_value.empty())
         t.m_earlier_configs.push_front(std::move(t.m_config_object));
@@ -54,21 +91,14 @@
     t.m_boxes.m_session.post(config_changed{config});
     t.m_boxes.m_failover.post(config_changed{config});
     t.m_boxes.m_life.post(config_changed{config});
+    record_ignored(t, stored_kind::configuration,
+                   {config->m_left_out, config->m_first_left_out});
+    // Endpoints may arrive before the configuration that names their service.
+    if (renames_services)
+        publish_endpoints(t);
     t.m_behind_since = {};
 }
 
-std::optional<site_endpoint> read_endpoint(site_task_state& t,
-                                           const stored_object& o)
-{
-    auto endpoint = t.m_codec.m_read_endpoint(o.m_name, o.m_value);
-    if (!endpoint)
-        log_event(event_id::store_entry_unreadable,
-                  {{"kind", "endpoints"},
-                   {"name", o.m_name},
-                   {"revision", std::to_string(o.m_revision)}});
-    return endpoint;
-}
-
 void apply_endpoints(site_task_state& t, std::span<const stored_change> changes,
                      bool complete)
 {
@@ -76,6 +106,7 @@
     const std::uint64_t revision =
         watch_of(t, stored_kind::endpoints).m_changed_revision;
     std::map<std::string, site_endpoint, std::less<>> listed;
+    ignored_entries ignored;
     if (complete)
     {
         t.m_endpoint_objects.clear();
@@ -85,7 +116,10 @@
     {
         const std::string& id = c.m_object.m_name;
         const auto endpoint =
-            c.m_deleted ? std::nullopt : read_endpoint(t, c.m_object);
+            c.m_deleted ? std::nullopt
+                        : t.m_codec.m_read_endpoint(id, c.m_object.m_value);
+        if (!endpoint && !c.m_deleted)
+            add_ignored(ignored, id);
         if (endpoint)
         {
             t.m_endpoint_objects[id] = c.m_object;
@@ -106,6 +140,7 @@
     }
     if (complete)
         replace_endpoints(t.m_list, listed, now);
+    record_ignored(t, stored_kind::endpoints, ignored);
     t.m_lists_published = true;
     publish_endpoints(t);
 }
@@ -171,16 +206,20 @@
         t.m_members.clear();
         t.m_member_revisions.clear();
     }
+    ignored_entries ignored;
     for (const stored_change& c : changes)
     {
         t.m_member_revisions[c.m_object.m_name] = c.m_object.m_revision;
         const auto member =
             t.m_codec.m_read_member(c.m_object.m_name, c.m_object.m_value);
+        if (!c.m_deleted && !member)
+            add_ignored(ignored, c.m_object.m_name);
         if (c.m_deleted || !member)
             t.m_members.erase(c.m_object.m_name);
         else
             t.m_members.insert_or_assign(c.m_object.m_name, *member);
     }
+    record_ignored(t, stored_kind::members, ignored);
     if (complete || !t.m_members.contains(t.m_settings.m_name))
         register_member(t);
     publish_fleet(t);
@@ -188,6 +227,24 @@
 
 }
 
+namespace
+{
+
+// Logs a change of their number only: each change of the list finds them again.
+void record_unconfigured(site_task_state& t, const ignored_entries& ignored)
+{
+    if (std::exchange(t.m_unconfigured_endpoints, ignored.m_count) ==
+            ignored.m_count ||
+        ignored.m_count == 0)
+        return;
+    log_event(event_id::endpoints_unconfigured,
+              {{"endpoints", std::to_string(ignored.m_count)},
+               {"first", ignored.m_first},
+               {"config_version", std::to_string(t.m_config->m_version)}});
+}
+
+}
+
 void apply_objects(site_task_state& t, stored_kind kind,
                    std::span<const stored_change> changes, bool complete)
 {
@@ -212,12 +269,17 @@
 
 void publish_endpoints(site_task_state& t)
 {
-    if (!t.m_lists_published)
+    if (!t.m_lists_published || !t.m_config)
         return;
     const boost::intrusive_ptr<endpoint_snapshot> snapshot(
         new endpoint_snapshot);
+    ignored_entries unconfigured;
     for (const auto& [id, entry] : t.m_list.m_entries)
-        snapshot->m_endpoints.emplace(id, entry.m_endpoint);
+        if (t.m_config->m_services.contains(entry.m_endpoint.m_service))
+            snapshot->m_endpoints.emplace(id, entry.m_endpoint);
+        else
+            add_ignored(unconfigured, id);
+    record_unconfigured(t, unconfigured);
     snapshot->m_evacuated_zones = t.m_evacuated_zones;
     t.m_boxes.m_session.post(endpoints_changed{snapshot});
     t.m_boxes.m_failover.post(endpoints_changed{snapshot});
@@ -231,6 +293,10 @@
     const auto found = t.m_members.find(self.m_name);
     if (found != t.m_members.end() && found->second == self)
         return;
+    // An entry that every process ignores would be written again at each answer
+    // of the store.
+    if (!t.m_codec.m_read_member(self.m_name, t.m_codec.m_write_member(self)))
+        return;
     // A member of this name with other values was replaced by this process. The
     // answer to the failed creation holds its current revision.
     const auto replaced = [&t, self](write_answer& a)
@@ -451,20 +517,31 @@
     return newer || knows_more;
 }
 
+std::optional<member_record> to_member(const peer_vm& vm)
+{
+    if (!is_name(vm.m_name) || !is_name(vm.m_zone))
+        return std::nullopt;
+    try
+    {
+        member_record r{vm.m_name, parse_address(vm.m_address), vm.m_zone};
+        return r.m_address.m_port == 0 ? std::nullopt
+                                       : std::optional(std::move(r));
+    }
+    catch (const address_error&)
+    {
+        return std::nullopt;
+    }
+}
+
 void adopt_members(site_task_state& t, std::span<const peer_vm> vms)
 {
+    ignored_entries ignored;
     for (const peer_vm& vm : vms)
-        try
-        {
-            t.m_members.insert_or_assign(
-                vm.m_name, member_record{vm.m_name, parse_address(vm.m_address),
-                                         vm.m_zone});
-        }
-        catch (const address_error&)
-        {
-            log_event(event_id::store_entry_unreadable,
-                      {{"kind", "members"}, {"name", vm.m_name}});
-        }
+        if (auto member = to_member(vm))
+            t.m_members.insert_or_assign(vm.m_name, std::move(*member));
+        else
+            add_ignored(ignored, vm.m_name);
+    record_ignored(t, stored_kind::members, ignored);
     publish_fleet(t);
 }
 
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -29,6 +29,20 @@
     remove_silent_members(t);
 }
 
+void add_ignored(metric_families& families, const site_task_state& t)
+{
+    const auto add = [&](std::string_view kind, std::uint64_t count)
+    {
+        add_value(families, metric_id::ignored_entries, std::array{kind},
+                  static_cast<double>(count));
+    };
+    for (const auto& [kind, count] : t.m_ignored_entries)
+        add(to_string(kind), count);
+    add("usage", t.m_ignored_counts);
+    add_value(families, metric_id::unconfigured_endpoints, {},
+              static_cast<double>(t.m_unconfigured_endpoints));
+}
+
 metric_families collect_site(const site_task_state& t)
 {
     metric_families families;
@@ -68,6 +82,7 @@
                   t.m_watches, watch_state::relayed, &store_watch::m_state)));
     add_value(families, metric_id::settings_behind, {},
               to_seconds(time_behind(t)));
+    add_ignored(families, t);
     collect_traffic(families, t.m_traffic);
     collect_usage(families, t.m_usage);
     return families;
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -168,6 +168,11 @@
     std::map<std::string, member_record, std::less<>> m_members;
     std::map<std::string, std::uint64_t, std::less<>> m_member_revisions;
     bool m_lists_published = false;
+    /// Entries, or parts of the configuration, that failed a check.
+    std::map<stored_kind, std::uint64_t> m_ignored_entries;
+    /// Endpoints whose service the configuration doesn't name.
+    std::size_t m_unconfigured_endpoints = 0;
+    std::uint64_t m_ignored_counts = 0; ///< In other processes' usage.
     /// When a peer first reported a newer configuration; zero if none did.
     time_point m_behind_since{};
     std::uint64_t m_answered_calls = 0;
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -520,12 +520,15 @@
 void site::add_member(const std::string& name, const address& peers,
                       const std::string& zone) const
 {
-    const json body{
-        {"meta", {{"name", name}}},
-        {"spec",
-         {{"peer", to_string(peers)}, {"place", zone}, {"cores", 1.0}}}};
-    call_http(m_platform, "POST", "/api/objects/bluebellspoke-members",
-              body.dump());
+    put_entry("bluebellspoke-members", name,
+              {{"peer", to_string(peers)}, {"place", zone}, {"cores", 1.0}});
+}
+
+void site::put_entry(const std::string& kind, const std::string& name,
+                     const json& spec) const
+{
+    const json body{{"meta", {{"name", name}}}, {"spec", spec}};
+    call_http(m_platform, "POST", "/api/objects/" + kind, body.dump());
 }
 
 std::uint64_t site::store_revision() const
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -145,6 +145,11 @@
     /// Registers a member of the fleet in the store.
     void add_member(const std::string& name, const address& peers,
                     const std::string& zone = "zone-1") const;
+    /// Writes an entry of this kind into the store, as any process may.
+    void put_entry(const std::string& kind, const std::string& name,
+                   const nlohmann::json& spec) const;
+    /// An endpoint's address, by the store.
+    address address_of(const std::string& id) const;
     /// The store's newest revision.
     std::uint64_t store_revision() const;
     child_process& daemon(std::size_t number);
@@ -164,8 +169,6 @@
         std::unique_ptr<child_process> m_process;
     };
 
-    /// An endpoint's address, by the store.
-    address address_of(const std::string& id) const;
     void write_node_file(std::size_t number, node& n) const;
     void change_node_file(std::size_t daemon,
                           const nlohmann::json& change) const;
