lines: Refuse a field that would end or split its line

Each writer of the line protocol appended its fields as they came. All lines are now written by one function, which throws line_field_error and appends nothing for an empty word or a field with a separator in it.

What the readers accept can be written: a caller's line with a single CR or LF in it and a prepared shape with a space are malformed, and an error text of an endpoint is cut at such a character. test_platform passes.

--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -101,6 +101,12 @@
                   {{"endpoint", e.m_id}, {"failure", failure.what()}});
         return {};
     }
+    catch (const line_field_error& failure)
+    {
+        log_event(event_id::endpoint_unreachable,
+                  {{"endpoint", e.m_id}, {"failure", failure.what()}});
+        return {};
+    }
 }
 
 takeover_participant* find_member(failover_group& g, std::string_view id)
--- a/Source/session/session_codec.cpp
+++ b/Source/session/session_codec.cpp
@@ -3,6 +3,11 @@
 namespace bluebellspoke
 {
 
+const char* line_field_error::what() const noexcept
+{
+    return "a field that would end or split its line";
+}
+
 std::string_view to_string(session_fault fault) noexcept
 {
     switch (fault)
--- a/Source/session/session_codec.hpp
+++ b/Source/session/session_codec.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_SESSION_SESSION_CODEC_HPP
 
 #include <cstdint>
+#include <exception>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -121,8 +122,18 @@
     step_down, ///< Become a replica, for a term above its own.
 };
 
-/// Encoding of the session protocol. Each front end supplies its own functions,
-/// so that the code that decides doesn't depend on the encoding.
+/// Thrown for a field that can't be written into its line: an empty word, or
+/// one with a separator in it.
+class line_field_error : public std::exception
+{
+public:
+    const char* what() const noexcept override;
+};
+
+/// Encoding of the session protocol. The writers throw line_field_error, and
+/// append nothing then. What a reader returns can be written. Each front end
+/// supplies its own functions, so that the code that decides doesn't depend on
+/// the encoding.
 struct session_codec
 {
     caller_message (*m_read_caller)(std::string_view line);
