usage: Bound what another process says of its counts

A message at the peer port could hold any number of windows and workspaces, and an answer could name another source than the one that was asked.

--- a/Source/session/site_usage.cpp
+++ b/Source/session/site_usage.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <decide/usage_bounds.hpp>
+#include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -22,6 +24,35 @@
     return window_at(true_now(t, now), t.m_settings.m_report_window);
 }
 
+// How far ahead another process's clock may be, in windows: what it sends on
+// its own account, and what it answers. A window that was final there isn't
+// asked for again, so answers are only bounded.
+constexpr window_id max_sent_ahead = 1;
+constexpr window_id max_answered_ahead = 16;
+
+// Anybody who reaches the peer port may send counts, and a source may only
+// speak for itself.
+void apply_received(site_task_state& t, usage_ledger& ledger,
+                    std::string_view source, usage_summary summary,
+                    window_id ahead)
+{
+    const time_point now = boot_now();
+    const std::size_t ignored =
+        summary.m_source != source
+            ? 1
+            : bound_usage(summary, {first_counted(t, now),
+                                    current_window(t, now) + ahead});
+    if (ignored > 0)
+    {
+        t.m_ignored_counts += ignored;
+        log_event(event_id::usage_counts_ignored,
+                  {{"source", std::string(source)},
+                   {"counts", std::to_string(ignored)}});
+    }
+    if (summary.m_source == source)
+        apply_summary(ledger, summary);
+}
+
 // Only cell leaders collect what a holder needs; without cells any process can.
 void update_candidacy(site_task_state& t, time_point now)
 {
@@ -34,23 +65,24 @@
 }
 
 void request_usage(site_task_state& t, site_peer& p, bool of_cell,
-                   const usage_question& question)
+                   std::string_view source, const usage_question& question)
 {
     if (std::exchange(p.m_usage_pending, true))
         return;
     call_peer(
         *p.m_client,
         peer_usage_request{of_cell, question.m_incarnation, question.m_from},
-        [&t, &p, of_cell](std::optional<peer_message>& answer)
+        [&t, &p, of_cell,
+         source = std::string(source)](std::optional<peer_message>& answer)
         {
             p.m_usage_pending = false;
             const auto* m =
                 answer ? std::get_if<peer_usage>(&*answer) : nullptr;
             if (m == nullptr)
                 return;
-            apply_summary(of_cell ? t.m_collection.m_cells
-                                  : t.m_collection.m_members,
-                          m->m_summary);
+            apply_received(
+                t, of_cell ? t.m_collection.m_cells : t.m_collection.m_members,
+                source, m->m_summary, max_answered_ahead);
         });
 }
 
@@ -88,7 +120,7 @@
         const auto p =
             t.m_peers.find(to_string(t.m_members.at(name).m_address));
         if (name != t.m_settings.m_name && p != t.m_peers.end())
-            request_usage(t, p->second, false,
+            request_usage(t, p->second, false, name,
                           next_question(t.m_collection.m_members, name));
     }
 }
@@ -99,7 +131,7 @@
     {
         const auto p = t.m_peers.find(other.m_leader_address);
         if (p != t.m_peers.end())
-            request_usage(t, p->second, true,
+            request_usage(t, p->second, true, zone,
                           next_question(t.m_collection.m_cells, zone));
     }
 }
@@ -228,16 +260,8 @@
     // Anybody who reaches the port may send it.
     if (!reports_usage(t) || !t.m_members.contains(m.m_summary.m_source))
         return;
-    const time_point now = boot_now();
-    const window_id first = first_counted(t, now);
-    const window_id last = current_window(t, now) + 1;
-    usage_summary summary = m.m_summary;
-    std::erase_if(summary.m_windows,
-                  [&](const auto& entry)
-                  {
-                      return entry.first < first || entry.first > last;
-                  });
-    apply_summary(t.m_collection.m_members, summary);
+    apply_received(t, t.m_collection.m_members, m.m_summary.m_source,
+                   m.m_summary, max_sent_ahead);
 }
 
 void apply_usage_duty(site_task_state& t, const usage_duty_changed& m)
