--- a/Tests/platform/object_store_client_test.cpp
+++ b/Tests/platform/object_store_client_test.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -38,13 +39,16 @@
         evbuffer_add(evhttp_request_get_output_buffer(request), s.m_body.data(),
                      s.m_body.size());
         evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
+        if (!s.m_next_body.empty())
+            s.m_body = std::exchange(s.m_next_body, {});
     }
 
     loop& m_loop;
     std::unique_ptr<evhttp, void (*)(evhttp*)> m_http;
     address m_address;
     std::string m_body;
-    std::string m_path; ///< Of the last call.
+    std::string m_next_body; ///< Of the calls after the next one.
+    std::string m_path;      ///< Of the last call.
 };
 
 std::string item(const std::string& name, const std::string& spec)
@@ -168,6 +172,21 @@
             CHECK(server.m_path == "/api/objects/servers?after=a%20b%26c");
         }
     }
+    GIVEN("a store that changes between the pages of a listing")
+    {
+        server.m_body =
+            R"({"items":[)" + good + R"(],"has-more":true,"at-revision":9})";
+        server.m_next_body = R"({"items":[)" + item("i-2", "{}") +
+                             R"(],"has-more":false,"at-revision":12})";
+        const store_answer a = list(l, store);
+
+        THEN("changes after the first page are watched for")
+        {
+            REQUIRE_FALSE(a.m_failure);
+            CHECK(a.m_changes.size() == 2);
+            CHECK(a.m_revision == 9);
+        }
+    }
     GIVEN("a body that isn't a listing")
     {
         for (const char* body : {"", "7", "{}", R"({"items":[)",
