--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -235,6 +235,14 @@
                  "bluebellspoke_own_credit_used_total", "",
                  "operations admitted after the start of the process, before a "
                  "cell leader was known"},
+    metric_entry{metric_id::ignored_entries, metric_type::counter,
+                 "bluebellspoke_ignored_entries_total", "kind",
+                 "entries of the store, parts of the configuration and counts "
+                 "of other processes (usage) that failed a check"},
+    metric_entry{metric_id::unconfigured_endpoints, metric_type::gauge,
+                 "bluebellspoke_unconfigured_endpoints", "",
+                 "endpoints that are not used, as no configuration names their "
+                 "service"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -86,6 +86,8 @@
     duty_calls,
     connections_failed,
     own_credit_used,
+    ignored_entries,
+    unconfigured_endpoints,
 };
 
 enum class metric_type : std::uint8_t
