decide: Say why an endpoint may not run a statement

Whether an endpoint may run a statement, whether the rate of its workspace admits it, and at which process it runs were bools or empty names, so nothing could tell an operator the reason. They are verdicts now: endpoint_verdict, rate_verdict and home_verdict, judged by functions without side effects that statements and the coming explanation both use. leaving_primary_grace moves along into Source/decide. What statements do is unchanged, except that a failed attempt to take a token no longer refills the bucket; the next one does.

--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -141,9 +141,7 @@
     if (!continues_transaction)
     {
         const time_point now = boot_now();
-        std::string home(find_home(t, s, now));
-        if (is_home_congested(t, home))
-            home.clear();
+        const std::string home(judge_home(t, s, now).m_home);
         const std::string from =
             s.m_home_link ? s.m_home_link->m_home : std::string();
         if (from != home)
--- a/Source/session/session_choice.cpp
+++ b/Source/session/session_choice.cpp
@@ -71,6 +71,14 @@
                           draw_of_attempt(w.m_draw, w.m_attempts));
 }
 
+load_cost expected_cost_of(std::span<const pool_candidate> found,
+                           std::size_t index, time_point now)
+{
+    const std::vector<loaded_candidate> candidates = candidates_of(found);
+    return expected_load_cost(candidates[index], mean_used(candidates, now),
+                              now);
+}
+
 void note_choice(session_task_state& t, const work& w,
                  std::span<const pool_candidate> found,
                  const load_choice& choice, time_point now)
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <decide/endpoint_verdict.hpp>
 #include <decide/load/load_choice.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
@@ -13,53 +14,17 @@
 namespace
 {
 
-// How long a leaving primary still gets work that only a primary can run, while
-// its successor is promoted. The described deployments allow no new work on it
-// later than 7 s after it began to drain or 5 s after its zone's evacuation.
-constexpr std::chrono::milliseconds leaving_primary_grace{3500};
-
-bool accepts_new_work(const endpoint_pool& p, bool needs_primary,
-                      time_point now)
-{
-    if (!p.m_is_listed || p.m_is_avoided || now < p.m_busy_until)
-        return false;
-    if (p.m_draining_since == time_point{})
-        return true;
-    return needs_primary && now - p.m_draining_since < leaving_primary_grace;
-}
-
-bool may_run(const work& w, const endpoint_pool& p, time_point now)
+bool is_primary(const endpoint_pool& p)
 {
-    const bool leads = p.m_group->m_view.m_primary == p.m_endpoint.m_id;
-    if (!accepts_new_work(p, w.m_needs_primary && leads, now) ||
-        !allows_region(*w.m_session, p.m_region) ||
-        w.m_tried_endpoints.contains(p.m_endpoint.m_id))
-        return false;
-    return (leads || now >= p.m_lags_until) && meets_consistency(w, p);
+    return p.m_group->m_view.m_primary == p.m_endpoint.m_id;
 }
 
-std::vector<pool_candidate> find_candidates(session_task_state& t,
-                                            const work& w, time_point now)
+endpoint_verdict consistency_verdict(const work& w, const endpoint_pool& p)
 {
-    std::vector<pool_candidate> found;
     const session& s = *w.m_session;
-    for (auto& [id, p] : t.m_endpoint_pools)
-    {
-        if (p.m_endpoint.m_service != s.m_route->m_service ||
-            !may_run(w, p, now))
-            continue;
-        endpoint_candidate candidate;
-        candidate.m_latency_ms = p.m_latency_ms;
-        candidate.m_responded_at = p.m_responded_at;
-        candidate.m_running = p.m_statements_in_flight;
-        candidate.m_has_idle_connection = has_idle_link(p, s.m_workspace);
-        candidate.m_can_connect = can_obtain_link(p, s.m_workspace);
-        candidate.m_in_other_region = p.m_region != t.m_settings.m_region;
-        candidate.m_is_avoidable_primary =
-            !w.m_needs_primary && p.m_group->m_view.m_primary == id;
-        found.push_back({&p, {candidate, p.m_load}});
-    }
-    return found;
+    return judge_consistency(p.m_group->m_view, p.m_endpoint.m_id,
+                             {w.m_writes && !s.m_transaction, w.m_needs_primary,
+                              w.m_arrived_at, s.m_route->m_staleness});
 }
 
 endpoint_pool* choose_pool(session_task_state& t, const work& w, time_point now)
@@ -93,11 +58,6 @@
         send_work(t, *k);
 }
 
-bool is_primary(const endpoint_pool& p)
-{
-    return p.m_group->m_view.m_primary == p.m_endpoint.m_id;
-}
-
 bool has_waited_too_long(const work& w, time_point now)
 {
     return now >= w.m_send_deadline || now >= w.m_deadline;
@@ -136,17 +96,50 @@
 
 bool meets_consistency(const work& w, const endpoint_pool& p)
 {
-    const group_view& view = p.m_group->m_view;
-    const site_route& route = *w.m_session->m_route;
-    const bool leads = view.m_primary == p.m_endpoint.m_id;
-    if (w.m_writes && !w.m_session->m_transaction)
-        return leads;
-    // A read-write transaction may read before its first write, so the primary
-    // must meet the staleness limit too.
-    if (leads)
-        return may_read_primary(view, w.m_arrived_at, route.m_staleness);
-    return !w.m_needs_primary &&
-           staleness_floor(view, w.m_arrived_at, route.m_staleness);
+    return consistency_verdict(w, p) == endpoint_verdict::usable;
+}
+
+endpoint_verdict judge_endpoint(const work& w, const endpoint_pool& p,
+                                time_point now)
+{
+    const bool leads = is_primary(p);
+    const endpoint_verdict available =
+        judge_availability({p.m_is_listed, p.m_is_avoided, p.m_evacuated,
+                            p.m_busy_until, p.m_draining_since},
+                           w.m_needs_primary && leads, now);
+    if (available != endpoint_verdict::usable)
+        return available;
+    if (!allows_region(*w.m_session, p.m_region))
+        return endpoint_verdict::region;
+    if (w.m_tried_endpoints.contains(p.m_endpoint.m_id))
+        return endpoint_verdict::tried;
+    if (!leads && now < p.m_lags_until)
+        return endpoint_verdict::lags;
+    return consistency_verdict(w, p);
+}
+
+std::vector<pool_candidate> find_candidates(session_task_state& t,
+                                            const work& w, time_point now)
+{
+    std::vector<pool_candidate> found;
+    const session& s = *w.m_session;
+    for (auto& [id, p] : t.m_endpoint_pools)
+    {
+        if (p.m_endpoint.m_service != s.m_route->m_service ||
+            judge_endpoint(w, p, now) != endpoint_verdict::usable)
+            continue;
+        endpoint_candidate candidate;
+        candidate.m_latency_ms = p.m_latency_ms;
+        candidate.m_responded_at = p.m_responded_at;
+        candidate.m_running = p.m_statements_in_flight;
+        candidate.m_has_idle_connection = has_idle_link(p, s.m_workspace);
+        candidate.m_can_connect = can_obtain_link(p, s.m_workspace);
+        candidate.m_in_other_region = p.m_region != t.m_settings.m_region;
+        candidate.m_is_avoidable_primary =
+            !w.m_needs_primary && p.m_group->m_view.m_primary == id;
+        found.push_back({&p, {candidate, p.m_load}});
+    }
+    return found;
 }
 
 void dispatch(session_task_state& t, const work_ptr& w)
--- a/Source/session/session_homes.cpp
+++ b/Source/session/session_homes.cpp
@@ -124,21 +124,33 @@
                    : t.m_process_count;
 }
 
-std::string_view find_home(const session_task_state& t, const session& s,
-                           time_point now)
+home_decision judge_home(const session_task_state& t, const session& s,
+                         time_point now)
 {
     const home_directory& d = t.m_homes;
     const std::string& service = s.m_route->m_service;
-    const auto homes = d.m_table.find(service);
+    if (s.m_is_relayed)
+        return {home_verdict::relayed, {}};
     // A caller may have come from another region, because its own had no
     // process in service: only the process that it reached may have its
     // statements then.
-    if (s.m_is_relayed || !allows_region(s, t.m_settings.m_region) ||
-        !has_homes(t, service) || homes == d.m_table.end())
-        return {};
-    const std::string_view home = choose_home(
-        homes->second, service, s.m_workspace, avoided_homes(d, now));
-    return home == t.m_settings.m_name ? std::string_view() : home;
+    if (!allows_region(s, t.m_settings.m_region))
+        return {home_verdict::region, {}};
+    if (!has_homes(t, service))
+        return {home_verdict::not_needed, {}};
+    const auto homes = d.m_table.find(service);
+    const std::string_view home =
+        homes == d.m_table.end()
+            ? std::string_view()
+            : choose_home(homes->second, service, s.m_workspace,
+                          avoided_homes(d, now));
+    if (home.empty())
+        return {home_verdict::none_available, {}};
+    if (home == t.m_settings.m_name)
+        return {home_verdict::is_home, {}};
+    if (is_home_congested(t, home))
+        return {home_verdict::congested, {}};
+    return {home_verdict::passed_on, home};
 }
 
 void avoid_home(session_task_state& t, std::string_view home,
--- a/Source/session/session_homes.hpp
+++ b/Source/session/session_homes.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string_view>
 
+#include <decide/load/home_verdict.hpp>
 #include <report/metric.hpp>
 #include <session/session_task_state.hpp>
 
@@ -23,10 +24,9 @@
 /// service, as seen by this one.
 std::size_t connection_users(const session_task_state& t,
                              const site_service& service);
-/// Returns the process that the session's next operation runs at; empty if it
-/// is this one.
-std::string_view find_home(const session_task_state& t, const session& s,
-                           time_point now);
+/// Decides at which process the session's next operation runs, and why.
+home_decision judge_home(const session_task_state& t, const session& s,
+                         time_point now);
 /// Passes no session on to the home for a while.
 void avoid_home(session_task_state& t, std::string_view home,
                 std::string_view cause);
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -107,15 +107,16 @@
 }
 
 // Returns whether a token becomes available within the wait limit of `w`, after
-// those for the operations that wait already and go first.
-bool can_admit_in_time(const workspace_rate& r, const work& w, time_point now)
+// those for the operations that wait already and go first. `bucket` is the one
+// of the rate, refilled or not.
+bool can_admit_in_time(const workspace_rate& r, const rate_bucket& bucket,
+                       const work& w, time_point now)
 {
     const turn_request request{rate_turn(w), w.m_session->m_workspace,
                                equal_weight, w.m_due};
     const auto ahead = static_cast<double>(items_ahead(r.m_waiting, request));
-    return ahead + 1 <=
-           r.m_bucket.m_tokens +
-               r.m_bucket.m_rate * to_seconds(w.m_send_deadline - now);
+    return ahead + 1 <= bucket.m_tokens +
+                            bucket.m_rate * to_seconds(w.m_send_deadline - now);
 }
 
 void announce_demand(session_task_state& t, time_point now)
@@ -280,24 +281,44 @@
     update_groups(t);
 }
 
+rate_verdict judge_rate(const session_task_state& t, std::string_view workspace,
+                        const work& w, time_point now)
+{
+    const auto found = t.m_rates.find(workspace);
+    if (found == t.m_rates.end())
+        return rate_verdict::unknown_workspace;
+    const workspace_rate& r = found->second;
+    if (!controls_rates(t, now))
+        return rate_verdict::asks_leader;
+    rate_bucket bucket = r.m_bucket;
+    if (!has_waiting_work(r) &&
+        (take_token(bucket, now) || r.m_initial_credit >= 1))
+        return rate_verdict::admitted;
+    return can_admit_in_time(r, bucket, w, now) ? rate_verdict::waits
+                                                : rate_verdict::refused;
+}
+
 rate_decision admit_operation(session_task_state& t, std::string_view workspace,
                               const work_ptr& w)
 {
     const time_point now = boot_now();
-    const auto found = t.m_rates.find(workspace);
-    if (found == t.m_rates.end())
+    const rate_verdict verdict = judge_rate(t, workspace, *w, now);
+    if (verdict == rate_verdict::unknown_workspace)
         return rate_decision::refused;
-    workspace_rate& r = found->second;
-    if (!controls_rates(t, now))
+    workspace_rate& r = t.m_rates.find(workspace)->second;
+    if (verdict == rate_verdict::asks_leader)
     {
         await_leader_tokens(t, r, w);
         return rate_decision::waits;
     }
     decay_arrivals(r, now);
     r.m_recent_arrivals += 1;
-    if (!has_waiting_work(r) && admit_one(r, now))
+    if (verdict == rate_verdict::admitted)
+    {
+        admit_one(r, now);
         return rate_decision::admitted;
-    if (!can_admit_in_time(r, *w, now))
+    }
+    if (verdict == rate_verdict::refused)
     {
         w->m_evidence = describe_rate(t, workspace, r);
         return rate_decision::refused;
--- a/Source/session/session_statements.cpp
+++ b/Source/session/session_statements.cpp
@@ -12,24 +12,6 @@
 namespace
 {
 
-// Binds the session to the current configuration, which stays in effect for
-// the whole operation, and looks up the route and the workspace of the caller.
-std::optional<session_fault> begin_operation(session_task_state& t, session& s)
-{
-    const auto route = t.m_config->m_routes.find(s.m_database);
-    if (route == t.m_config->m_routes.end())
-        return session_fault::no_database;
-    s.m_config = t.m_config;
-    s.m_route = &route->second;
-    s.m_workspace.clear();
-    const auto key = t.m_config->m_keys.find(s.m_key);
-    if (key != t.m_config->m_keys.end())
-        s.m_workspace = key->second;
-    else if (!route->second.m_public)
-        return session_fault::unauthorized;
-    return std::nullopt;
-}
-
 // Refuses a statement for which no work has been created.
 void refuse_statement(session_task_state& t, session& s, std::string_view id,
                       session_fault fault, std::string_view detail)
@@ -108,6 +90,53 @@
     answer_complete(t, s);
 }
 
+void start_statement(session_task_state& t, session& s, std::string_view id,
+                     const session_statement& q)
+{
+    if (s.m_state == session_state::idle)
+        if (const auto fault = begin_operation(t, s))
+            return refuse_statement(t, s, id, *fault, "statement");
+    if (s.m_transaction && s.m_transaction->m_is_aborted)
+        return refuse_statement(t, s, id, session_fault::aborted,
+                                "connection lost");
+    if (q.m_kind == statement_kind::execute && !s.m_prepared.contains(q.m_name))
+        return refuse_statement(t, s, id, session_fault::no_statement,
+                                "execute");
+    const time_point now = boot_now();
+    const work_ptr w = make_statement_work(s, id, q);
+    w->m_draw = std::uniform_real_distribution<double>(0, 1)(t.m_random);
+    set_deadlines(t, *w, s, now);
+    s.m_work = w;
+    if (!pass_on_statement(t, w))
+        serve_here(t, w);
+}
+
+}
+
+std::optional<session_fault> bind_route(const session_task_state& t, session& s)
+{
+    const auto route = t.m_config->m_routes.find(s.m_database);
+    if (route == t.m_config->m_routes.end())
+        return session_fault::no_database;
+    s.m_config = t.m_config;
+    s.m_route = &route->second;
+    s.m_workspace.clear();
+    return std::nullopt;
+}
+
+std::optional<session_fault> begin_operation(const session_task_state& t,
+                                             session& s)
+{
+    if (const auto fault = bind_route(t, s))
+        return fault;
+    const auto key = t.m_config->m_keys.find(s.m_key);
+    if (key != t.m_config->m_keys.end())
+        s.m_workspace = key->second;
+    else if (!s.m_route->m_public)
+        return session_fault::unauthorized;
+    return std::nullopt;
+}
+
 void set_deadlines(const session_task_state& t, work& w, const session& s,
                    time_point now)
 {
@@ -146,29 +175,6 @@
     return w;
 }
 
-void start_statement(session_task_state& t, session& s, std::string_view id,
-                     const session_statement& q)
-{
-    if (s.m_state == session_state::idle)
-        if (const auto fault = begin_operation(t, s))
-            return refuse_statement(t, s, id, *fault, "statement");
-    if (s.m_transaction && s.m_transaction->m_is_aborted)
-        return refuse_statement(t, s, id, session_fault::aborted,
-                                "connection lost");
-    if (q.m_kind == statement_kind::execute && !s.m_prepared.contains(q.m_name))
-        return refuse_statement(t, s, id, session_fault::no_statement,
-                                "execute");
-    const time_point now = boot_now();
-    const work_ptr w = make_statement_work(s, id, q);
-    w->m_draw = std::uniform_real_distribution<double>(0, 1)(t.m_random);
-    set_deadlines(t, *w, s, now);
-    s.m_work = w;
-    if (!pass_on_statement(t, w))
-        serve_here(t, w);
-}
-
-}
-
 void serve_here(session_task_state& t, const work_ptr& w)
 {
     const session& s = *w->m_session;
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -11,8 +11,11 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include <decide/endpoint_verdict.hpp>
 #include <decide/load/load_choice.hpp>
+#include <decide/load/rate_verdict.hpp>
 #include <report/event.hpp>
 #include <report/latency_histogram.hpp>
 #include <report/task_usage.hpp>
@@ -222,6 +225,20 @@
                 std::size_t added, std::size_t replaced);
 
 // session_statements.cpp
+/// Binds the session to the current configuration, which stays in effect for
+/// the whole operation, and looks up the route; it then has no workspace.
+std::optional<session_fault> bind_route(const session_task_state& t,
+                                        session& s);
+/// Binds the session, and looks up the workspace of its caller too.
+std::optional<session_fault> begin_operation(const session_task_state& t,
+                                             session& s);
+/// Makes the work of a statement. A statement that executes a prepared one must
+/// name one of the session's.
+work_ptr make_statement_work(session& s, std::string_view id,
+                             const session_statement& statement);
+/// Sets the arrival of the work, how long it may take, and where it waits.
+void set_deadlines(const session_task_state& t, work& w, const session& s,
+                   time_point now);
 void handle_statement(session_task_state& t, session& s, std::string_view id,
                       const session_statement& statement);
 /// Runs the work in this process: counts it against its rate and dispatches it.
@@ -238,6 +255,9 @@
 /// True if the endpoint can give the work the consistency that its route asks
 /// for, by its own log or by the minimum log position that is sent along.
 bool meets_consistency(const work& w, const endpoint_pool& p);
+/// Judges whether the endpoint may run the work, whatever its connections.
+endpoint_verdict judge_endpoint(const work& w, const endpoint_pool& p,
+                                time_point now);
 /// Dispatches the work that waits for the group's endpoints.
 void serve_waiting(session_task_state& t, service_group& g);
 /// Answers the work's caller with an error, whether the work was sent or not.
@@ -258,10 +278,16 @@
     endpoint_pool* m_endpoint_pool = nullptr;
     loaded_candidate m_loaded;
 };
+/// Returns the endpoints that may run the work. Changes nothing.
+std::vector<pool_candidate> find_candidates(session_task_state& t,
+                                            const work& w, time_point now);
 /// Chooses one of the endpoints for the work; nothing if none can take it.
 std::optional<load_choice> choose_for(const work& w,
                                       std::span<const pool_candidate> found,
                                       time_point now);
+/// Returns what the choice takes one of them to cost.
+load_cost expected_cost_of(std::span<const pool_candidate> found,
+                           std::size_t index, time_point now);
 /// Counts and logs that the work is sent to the one that was chosen.
 void note_choice(session_task_state& t, const work& w,
                  std::span<const pool_candidate> found,
@@ -271,6 +297,8 @@
 void set_turn(const session_task_state& t, work& w, const session& s);
 /// True while the work waits for an endpoint or for its rate.
 bool is_queued(const work& w);
+/// True if the configuration has priorities. Without them no wait is estimated.
+bool has_priorities(const work& w);
 /// Refuses queued work whose turn would come too late, and lets it wait longer
 /// if its turn comes in time. Does neither without an estimate.
 void review_turn(session_task_state& t, service_group& g, const work_ptr& w,
@@ -408,6 +436,9 @@
     waits,
     refused,
 };
+/// Judges what admit_operation would do with the work, and takes no token.
+rate_verdict judge_rate(const session_task_state& t, std::string_view workspace,
+                        const work& w, time_point now);
 /// Counts one operation against the workspace's rate. Waiting work is
 /// dispatched or refused later.
 rate_decision admit_operation(session_task_state& t, std::string_view workspace,
--- a/Source/session/session_turns.cpp
+++ b/Source/session/session_turns.cpp
@@ -13,13 +13,6 @@
 namespace
 {
 
-// Without priorities in the configuration nothing is told apart, and statements
-// are served in the order of their arrival, fairly among workspaces.
-bool has_priorities(const work& w)
-{
-    return w.m_turn.m_kind != turn_kind::any;
-}
-
 turn_class turn_class_of(const session& s, bool needs_primary)
 {
     if (!s.m_config->m_has_priorities)
@@ -106,6 +99,13 @@
     w.m_due = w.m_useful_until;
 }
 
+// Without priorities in the configuration nothing is told apart, and statements
+// are served in the order of their arrival, fairly among workspaces.
+bool has_priorities(const work& w)
+{
+    return w.m_turn.m_kind != turn_kind::any;
+}
+
 bool is_queued(const work& w)
 {
     return w.m_flow != nullptr;
