explain: Say where a request would go, and why

Operators could see where a request went only afterwards, from the log. GET /explain at the metrics address of a process on the users' platform, and bluebellspokectl explain, now say it beforehand: the route, the rate of the workspace, the home process, the group, the queue, and each endpoint with its verdict. The life task passes the question to the session task as a message; the answer is a plain struct made by the functions that statements use, and the adapter writes it as JSON. A question takes no token, draws nothing, counts nothing and queues nothing; the key is neither logged nor printed. At most 32 endpoints are listed.

The test that follows an evacuation found that endpoint_pool::m_evacuated was never set; nothing had used it. It is set now, so that the reason reads 'evacuated' and not 'draining'.

--- a/Source/ctl/admin_call.cpp
+++ b/Source/ctl/admin_call.cpp
@@ -1,6 +1,7 @@
 #include <ctl/admin_call.hpp>
 
 #include <memory>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -14,7 +15,7 @@
 struct pending_call
 {
     loop& m_loop;
-    std::optional<std::string> m_body;
+    std::optional<admin_answer> m_answer;
 };
 
 struct connection_deleter
@@ -28,19 +29,21 @@
 void on_answer(evhttp_request* request, void* user)
 {
     auto& call = *static_cast<pending_call*>(user);
-    if (request != nullptr &&
-        evhttp_request_get_response_code(request) == HTTP_OK)
+    // A connection that was refused has a request without a status.
+    if (request != nullptr && evhttp_request_get_response_code(request) != 0)
     {
         evbuffer* in = evhttp_request_get_input_buffer(request);
-        call.m_body.emplace(evbuffer_get_length(in), '\0');
-        evbuffer_remove(in, call.m_body->data(), call.m_body->size());
+        std::string body(evbuffer_get_length(in), '\0');
+        evbuffer_remove(in, body.data(), body.size());
+        call.m_answer = {evhttp_request_get_response_code(request),
+                         std::move(body)};
     }
     stop(call.m_loop);
 }
 
 }
 
-std::optional<std::string> call_admin(loop& l, const address& admin,
+std::optional<admin_answer> ask_admin(loop& l, const address& admin,
                                       const std::string& path)
 {
     constexpr int limit_seconds = 5;
@@ -53,7 +56,16 @@
     if (evhttp_make_request(connection.get(), request, EVHTTP_REQ_GET,
                             path.c_str()) == 0)
         run(l);
-    return std::move(call.m_body);
+    return std::move(call.m_answer);
+}
+
+std::optional<std::string> call_admin(loop& l, const address& admin,
+                                      const std::string& path)
+{
+    auto answer = ask_admin(l, admin, path);
+    if (!answer || answer->m_status != HTTP_OK)
+        return std::nullopt;
+    return std::move(answer->m_body);
 }
 
 }
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -11,9 +11,10 @@
 namespace
 {
 
-std::array<std::span<const command>, 3> all_commands()
+std::array<std::span<const command>, 4> all_commands()
 {
-    return {settings_commands(), access_commands(), fleet_commands()};
+    return {settings_commands(), access_commands(), fleet_commands(),
+            explain_commands()};
 }
 
 std::string usage()
@@ -97,6 +98,15 @@
     return result;
 }
 
+bool needs_platform(words line) noexcept
+{
+    for (const auto commands : all_commands())
+        for (const command& c : commands)
+            if (!line.empty() && c.m_name == line.front())
+                return c.m_needs_platform;
+    return true;
+}
+
 command_result run_command(operator_session& s, words line)
 {
     if (line.empty())
--- a/Source/ctl/commands.hpp
+++ b/Source/ctl/commands.hpp
@@ -43,11 +43,13 @@
     std::string_view m_usage;
     std::string_view m_meaning;
     command_result (*m_run)(operator_session&, words);
+    bool m_needs_platform = true;
 };
 
 std::span<const command> settings_commands() noexcept;
 std::span<const command> access_commands() noexcept;
 std::span<const command> fleet_commands() noexcept;
+std::span<const command> explain_commands() noexcept;
 
 /// A node's path; people may write it as it is shown, with a slash before it.
 std::string to_path(const std::string& word);
@@ -56,6 +58,9 @@
 /// Says what became of an edit.
 command_result report_edit(const edit_outcome& outcome);
 
+/// True unless the line names a command that doesn't call the platform.
+bool needs_platform(words line) noexcept;
+
 /// Runs one command. Throws usage_error, ctl_error, settings_error.
 command_result run_command(operator_session& s, words line);
 
--- a/Source/ctl/ctl_error.cpp
+++ b/Source/ctl/ctl_error.cpp
@@ -47,6 +47,15 @@
                 "daemon_unreachable",
                 "see the VM's log and whether its addresses can be reached "
                 "from here"},
+    fault_entry{ctl_fault::unknown_database, exit_code::usage,
+                "unknown_database",
+                "the process's configuration has no route for it"},
+    fault_entry{ctl_fault::unknown_workspace, exit_code::usage,
+                "unknown_workspace",
+                "the process's configuration doesn't have it"},
+    fault_entry{ctl_fault::not_explained, exit_code::failed, "not_explained",
+                "ask again in a few seconds, or another process; see whether "
+                "the address is that of /metrics"},
 };
 
 consteval bool in_order()
--- a/Source/ctl/ctl_error.hpp
+++ b/Source/ctl/ctl_error.hpp
@@ -35,6 +35,9 @@
     unknown_endpoint,
     unknown_vm,
     daemon_unreachable,
+    unknown_database,
+    unknown_workspace,
+    not_explained,
 };
 
 struct fault_entry
--- a/Source/ctl/main/bluebellspokectl.cpp
+++ b/Source/ctl/main/bluebellspokectl.cpp
@@ -4,6 +4,7 @@
 #include <exception>
 #include <span>
 
+#include <ctl/commands.hpp>
 #include <ctl/operator_session.hpp>
 #include <ctl/run_line.hpp>
 #include <options/options.hpp>
@@ -14,8 +15,10 @@
 using namespace bluebellspoke;
 
 constexpr std::array options{
-    option_spec{"platform", option_type::address, "",
-                "address of the platform's service", "", 0, 0},
+    option_spec{"platform", option_type::optional_address, "",
+                "address of the platform's service; all commands but explain "
+                "need it",
+                "", 0, 0},
     option_spec{"platform-authorities", option_type::file, "",
                 "authorities that signed the platform's certificate, PEM; "
                 "turns TLS on towards the platform",
@@ -43,7 +46,11 @@
 {
     check_together(values, options, tls_set);
     operator_settings s;
-    s.m_platform = parse_address(values.text("platform"));
+    if (values.given("platform"))
+        s.m_platform = parse_address(values.text("platform"));
+    else if (needs_platform(values.words()))
+        throw options_error(
+            {{option_fault_kind::missing, "platform", "", "IP:port"}});
     s.m_wait = std::chrono::milliseconds(values.count("wait-ms"));
     if (values.given("platform-authorities"))
         s.m_platform_tls =
--- a/Source/options/options.cpp
+++ b/Source/options/options.cpp
@@ -24,6 +24,7 @@
     switch (spec.m_type)
     {
     case option_type::address:
+    case option_type::optional_address:
         return "IP:port";
     case option_type::count:
         return std::to_string(spec.m_least) + " to " +
@@ -52,7 +53,8 @@
 std::optional<option_fault_kind> check_value(const option_spec& spec,
                                              const std::string& value)
 {
-    if (value.empty() && spec.m_type == option_type::file)
+    if (value.empty() && (spec.m_type == option_type::file ||
+                          spec.m_type == option_type::optional_address))
         return std::nullopt;
     if (value.empty())
         return option_fault_kind::missing;
@@ -70,7 +72,8 @@
         if (*number < spec.m_least || *number > spec.m_most)
             return option_fault_kind::out_of_range;
     }
-    if (spec.m_type == option_type::address)
+    if (spec.m_type == option_type::address ||
+        spec.m_type == option_type::optional_address)
     {
         try
         {
--- a/Source/options/options.hpp
+++ b/Source/options/options.hpp
@@ -17,11 +17,12 @@
 enum class option_type : std::uint8_t
 {
     text,
-    address, ///< IP:port.
-    count,   ///< A whole number in a range.
-    folder,  ///< An existing folder.
-    file,    ///< An existing file; may be left out.
-    flag,    ///< Given or not; takes no value.
+    address,          ///< IP:port.
+    optional_address, ///< IP:port; may be left out.
+    count,            ///< A whole number in a range.
+    folder,           ///< An existing folder.
+    file,             ///< An existing file; may be left out.
+    flag,             ///< Given or not; takes no value.
 };
 
 /// One setting of a program: the flag `--name` and the environment variable
--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -165,6 +165,7 @@
 }
 
 constexpr http1_response not_found{404, "Not Found", {}};
+constexpr std::string_view explain_path = "/explain?";
 
 void answer_ready_probe(life_state& s, const http1_request& request)
 {
@@ -178,8 +179,59 @@
         s.m_ready_http->respond(request.m_exchange, {503, "Not Ready", {}});
 }
 
-void request_metrics(life_state& s, const http1_request& request)
+http1_response response_to(explain_fault fault, std::string_view body)
 {
+    switch (fault)
+    {
+    case explain_fault::malformed:
+        return {400, "Bad Request", body};
+    case explain_fault::unknown_database:
+    case explain_fault::unknown_workspace:
+        return {404, "Not Found", body};
+    case explain_fault::unauthorized:
+        return {403, "Forbidden", body};
+    case explain_fault::no_configuration:
+    case explain_fault::overloaded:
+        break;
+    }
+    return {503, "Service Unavailable", body};
+}
+
+void answer_explain_fault(life_state& s, std::uint64_t exchange,
+                          explain_fault fault)
+{
+    const std::string body =
+        s.m_dependencies.m_explain_codec.m_write_fault(fault);
+    s.m_metrics_http->respond(exchange, response_to(fault, body));
+}
+
+// The connections of the metrics port limit how many requests wait: each has
+// one, and its age ends it.
+void request_explanation(life_state& s, const http1_request& request)
+{
+    const auto query = s.m_dependencies.m_explain_codec.m_read(
+        std::string_view(request.m_path).substr(explain_path.size()));
+    if (!query)
+        return answer_explain_fault(s, request.m_exchange,
+                                    explain_fault::malformed);
+    if (!s.m_boxes.m_session.try_post(
+            explain_request{request.m_exchange, *query}))
+        answer_explain_fault(s, request.m_exchange, explain_fault::overloaded);
+}
+
+void answer_explanation(life_state& s, const explain_response& m)
+{
+    if (const auto* fault = std::get_if<explain_fault>(&m.m_result))
+        return answer_explain_fault(s, m.m_exchange, *fault);
+    const std::string body = s.m_dependencies.m_explain_codec.m_write(
+        std::get<explanation>(m.m_result));
+    s.m_metrics_http->respond(m.m_exchange, {200, "OK", body});
+}
+
+void answer_metrics_port(life_state& s, const http1_request& request)
+{
+    if (request.m_path.starts_with(explain_path))
+        return request_explanation(s, request);
     if (request.m_path != "/metrics")
     {
         s.m_metrics_http->respond(request.m_exchange, not_found);
@@ -287,6 +339,10 @@
             {
                 collect_metrics(s, m);
             },
+            [&](const explain_response& m)
+            {
+                answer_explanation(s, m);
+            },
             [&](const task_stop&)
             {
                 stop(s.m_loop);
@@ -325,7 +381,7 @@
         s.m_loop, settings.m_metrics_listen, limits,
         [&s](const http1_request& request)
         {
-            request_metrics(s, request);
+            answer_metrics_port(s, request);
         });
     s.m_sigterm_event = make_signal_event(s.m_loop, SIGTERM, &on_sigterm, s);
     s.m_sighup_event = make_signal_event(s.m_loop, SIGHUP, &on_sighup, s);
--- a/Source/session/life_task.hpp
+++ b/Source/session/life_task.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include <session/explain_codec.hpp>
 #include <session/session_messages.hpp>
 
 namespace bluebellspoke
@@ -17,6 +18,7 @@
     std::filesystem::path m_settings_file;
     /// Reads the settings again. Passes on the exceptions of the adapter.
     std::function<site_settings()> m_read_settings;
+    explain_codec m_explain_codec;
 };
 
 /// Blocks SIGTERM and SIGHUP in this thread and in those that it starts, so
@@ -24,8 +26,8 @@
 /// thread is started.
 void block_life_signals();
 
-/// Serves readiness probes and metrics, handles SIGTERM and SIGHUP, reloads
-/// changed settings, and returns when the process has to end.
+/// Serves readiness probes, metrics and explanations, handles SIGTERM and
+/// SIGHUP, reloads changed settings, and returns when the process has to end.
 /// Throws loop_error.
 void run_life_task(const site_settings& settings,
                    const life_dependencies& dependencies,
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -66,6 +66,7 @@
     const auto region = t.m_settings.m_region_of_zone.find(e.m_zone);
     if (region != t.m_settings.m_region_of_zone.end())
         p.m_region = region->second;
+    p.m_evacuated = t.m_endpoints->m_evacuated_zones.contains(e.m_zone);
     const bool leaving = is_leaving(*t.m_endpoints, e);
     if (!leaving)
         p.m_draining_since = {};
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <decide/demand_share.hpp>
+#include <decide/explanation.hpp>
 #include <decide/site_clock.hpp>
 #include <decide/takeover.hpp>
 #include <decide/usage_report.hpp>
@@ -266,6 +267,20 @@
     std::vector<session_member> m_members;
 };
 
+/// life → session: asks where a request would go now.
+struct explain_request
+{
+    std::uint64_t m_exchange = 0;
+    explain_query m_query;
+};
+
+/// session → life: the answer to the request with the same exchange.
+struct explain_response
+{
+    std::uint64_t m_exchange = 0;
+    explain_result m_result;
+};
+
 /// The settings file was reloaded.
 struct settings_changed
 {
@@ -278,7 +293,7 @@
                  incoming_token_request, group_response, incoming_group_request,
                  peer_demand_changed, peer_ended, reporting_changed,
                  primary_promoted, stop_begun, metrics_request, task_stop,
-                 members_changed, true_time_changed>;
+                 members_changed, true_time_changed, explain_request>;
 using site_message =
     std::variant<settings_changed, local_demand_changed, token_request,
                  outgoing_token_grant, group_request, outgoing_groups,
@@ -290,8 +305,9 @@
 using usage_message =
     std::variant<true_time_changed, usage_candidacy, usage_collected,
                  stop_begun, metrics_request, task_stop>;
-using life_message = std::variant<config_changed, accepting_callers, stop_done,
-                                  metrics_response, task_stop>;
+using life_message =
+    std::variant<config_changed, accepting_callers, stop_done, metrics_response,
+                 task_stop, explain_response>;
 
 /// Capacity of a mailbox, in messages; new work is refused when it is full.
 inline constexpr std::size_t site_mailbox_capacity = 4096;
--- a/Source/session/session_task.cpp
+++ b/Source/session/session_task.cpp
@@ -4,6 +4,7 @@
 
 #include <model/overloaded.hpp>
 #include <report/event.hpp>
+#include <session/session_explain.hpp>
 #include <session/session_homes.hpp>
 #include <task/boot_clock.hpp>
 #include <task/wall_clock.hpp>
@@ -156,6 +157,11 @@
             {
                 t.m_clock_offset = m.m_offset;
             },
+            [&](const explain_request& m)
+            {
+                t.m_mailboxes.m_life.post(
+                    explain_response{m.m_exchange, explain(t, m.m_query)});
+            },
         },
         message);
 }
--- a/Tests/report/catalogue_pages_test.cpp
+++ b/Tests/report/catalogue_pages_test.cpp
@@ -85,6 +85,7 @@
     case option_type::count:
         return std::to_string(o.m_least) + " to " + std::to_string(o.m_most);
     case option_type::address:
+    case option_type::optional_address:
         return "IP:port";
     case option_type::file:
         return "an existing file";
@@ -100,7 +101,8 @@
 
 bool is_optional(const option_spec& o)
 {
-    return o.m_type == option_type::flag || o.m_type == option_type::file;
+    return o.m_type == option_type::flag || o.m_type == option_type::file ||
+           o.m_type == option_type::optional_address;
 }
 
 // The charts' default is a path of the build and differs between machines.
--- a/Tests/site/home_process_test.cpp
+++ b/Tests/site/home_process_test.cpp
@@ -203,6 +203,22 @@
         REQUIRE(c.ask("DEALLOCATE p") == "COMPLETE | READY I");
         REQUIRE(c.ask("EXECUTE p bear") == "ERROR NOSTMT | READY I");
     }
+    THEN("an explanation names the home, and the home itself")
+    {
+        const auto home_at = [&](std::size_t daemon)
+        {
+            return nlohmann::json::parse(
+                       call_http(s.metrics_of(daemon), "GET",
+                                 "/explain?database=intake&key=ward-key")
+                           .m_body)
+                .at("home");
+        };
+        const std::string home = "entry-" + std::to_string(r.m_home);
+        CHECK(home_at(r.m_accepting).at("process") == home);
+        CHECK(home_at(r.m_accepting).at("reason") == "passed on");
+        CHECK(home_at(r.m_home).at("process").is_null());
+        CHECK(home_at(r.m_home).at("reason") == "is the home");
+    }
     THEN("callers can't send what processes send each other")
     {
         c.send("RESUME vm 1 9.9");
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -528,6 +528,12 @@
               body.dump());
 }
 
+void site::evacuate(const std::string& zone) const
+{
+    const json body{{"meta", {{"name", zone}}}, {"spec", json::object()}};
+    call_http(m_platform, "POST", "/api/objects/evacuations", body.dump());
+}
+
 std::uint64_t site::store_revision() const
 {
     return json::parse(
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -145,6 +145,8 @@
     /// Registers a member of the fleet in the store.
     void add_member(const std::string& name, const address& peers,
                     const std::string& zone = "zone-1") const;
+    /// Evacuates the zone.
+    void evacuate(const std::string& zone) const;
     /// The store's newest revision.
     std::uint64_t store_revision() const;
     child_process& daemon(std::size_t number);
