--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -536,6 +536,12 @@
     call_http(m_platform, "POST", "/api/objects/" + kind, body.dump());
 }
 
+void site::evacuate(const std::string& zone) const
+{
+    const json body{{"meta", {{"name", zone}}}, {"spec", json::object()}};
+    call_http(m_platform, "POST", "/api/objects/evacuations", body.dump());
+}
+
 std::uint64_t site::store_revision() const
 {
     return json::parse(
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -152,6 +152,8 @@
                    const nlohmann::json& spec) const;
     /// An endpoint's address, by the store.
     address address_of(const std::string& id) const;
+    /// Evacuates the zone.
+    void evacuate(const std::string& zone) const;
     /// The store's newest revision.
     std::uint64_t store_revision() const;
     child_process& daemon(std::size_t number);
