wire: Name the types of the HTTP/1.1 server apart from the client's

Cause: platform/http1_client and wire/http1_server both defined bluebellspoke::http1_request and http1_response, with different members, and both are linked into the daemon. The linker may keep either destructor for both.

Change: the server's are arrived_http1_request and http1_answer. No behavior was seen to depend on it; found by reading.

--- a/Source/session/life_task.cpp
+++ b/Source/session/life_task.cpp
@@ -164,10 +164,10 @@
         stop(s.m_loop);
 }
 
-constexpr http1_response not_found{404, "Not Found", {}};
+constexpr http1_answer not_found{404, "Not Found", {}};
 constexpr std::string_view explain_path = "/explain?";
 
-void answer_ready_probe(life_state& s, const http1_request& request)
+void answer_ready_probe(life_state& s, const arrived_http1_request& request)
 {
     const bool ready = s.m_configured && s.m_accepts_callers &&
                        s.m_stopping_since == time_point{};
@@ -179,7 +179,7 @@
         s.m_ready_http->respond(request.m_exchange, {503, "Not Ready", {}});
 }
 
-http1_response response_to(explain_fault fault, std::string_view body)
+http1_answer response_to(explain_fault fault, std::string_view body)
 {
     switch (fault)
     {
@@ -207,7 +207,7 @@
 
 // The connections of the metrics port limit how many requests wait: each has
 // one, and its age ends it.
-void request_explanation(life_state& s, const http1_request& request)
+void request_explanation(life_state& s, const arrived_http1_request& request)
 {
     const auto query = s.m_dependencies.m_explain_codec.m_read(
         std::string_view(request.m_path).substr(explain_path.size()));
@@ -228,7 +228,7 @@
     s.m_metrics_http->respond(m.m_exchange, {200, "OK", body});
 }
 
-void answer_metrics_port(life_state& s, const http1_request& request)
+void answer_metrics_port(life_state& s, const arrived_http1_request& request)
 {
     if (request.m_path.starts_with(explain_path))
         return request_explanation(s, request);
@@ -373,13 +373,13 @@
             .m_port_connections;
     s.m_ready_http = std::make_unique<http1_server>(
         s.m_loop, settings.m_ready_listen, limits,
-        [&s](const http1_request& request)
+        [&s](const arrived_http1_request& request)
         {
             answer_ready_probe(s, request);
         });
     s.m_metrics_http = std::make_unique<http1_server>(
         s.m_loop, settings.m_metrics_listen, limits,
-        [&s](const http1_request& request)
+        [&s](const arrived_http1_request& request)
         {
             answer_metrics_port(s, request);
         });
--- a/Source/wire/http1_server.cpp
+++ b/Source/wire/http1_server.cpp
@@ -47,11 +47,11 @@
 struct http1_server::state
 {
     state(loop& l, http1_server_limits limits,
-          sigc::slot<void(const http1_request&)> on_request);
+          sigc::slot<void(const arrived_http1_request&)> on_request);
 
     loop& m_loop;
     http1_server_limits m_limits;
-    sigc::slot<void(const http1_request&)> m_on_request;
+    sigc::slot<void(const arrived_http1_request&)> m_on_request;
     std::unique_ptr<evconnlistener, listener_deleter> m_listener;
     timer m_age_check;
     timer m_accept_pause;
@@ -191,8 +191,9 @@
 
 }
 
-http1_server::state::state(loop& l, http1_server_limits limits,
-                           sigc::slot<void(const http1_request&)> on_request)
+http1_server::state::state(
+    loop& l, http1_server_limits limits,
+    sigc::slot<void(const arrived_http1_request&)> on_request)
     : m_loop(l), m_limits(limits), m_on_request(std::move(on_request)),
       m_age_check(l,
                   [this]
@@ -207,9 +208,9 @@
 {
 }
 
-http1_server::http1_server(loop& l, const address& listen,
-                           http1_server_limits limits,
-                           sigc::slot<void(const http1_request&)> on_request)
+http1_server::http1_server(
+    loop& l, const address& listen, http1_server_limits limits,
+    sigc::slot<void(const arrived_http1_request&)> on_request)
     : m_state(std::make_unique<state>(l, limits, std::move(on_request)))
 {
     constexpr int backlog = 128;
@@ -227,8 +228,7 @@
 
 http1_server::~http1_server() = default;
 
-bool http1_server::respond(std::uint64_t exchange,
-                           const http1_response& response)
+bool http1_server::respond(std::uint64_t exchange, const http1_answer& response)
 {
     const auto found = m_state->m_connections.find(exchange);
     if (found == m_state->m_connections.end() || found->second.m_answered)
--- a/Source/wire/http1_server.hpp
+++ b/Source/wire/http1_server.hpp
@@ -25,13 +25,13 @@
 };
 
 /// A GET request that waits for its answer.
-struct http1_request
+struct arrived_http1_request
 {
     std::uint64_t m_exchange = 0; ///< Never given out twice by one server.
     std::string m_path;
 };
 
-struct http1_response
+struct http1_answer
 {
     int m_status = 0;
     std::string_view m_reason;
@@ -45,13 +45,13 @@
 public:
     /// Throws loop_error when the address can't be bound.
     http1_server(loop& l, const address& listen, http1_server_limits limits,
-                 sigc::slot<void(const http1_request&)> on_request);
+                 sigc::slot<void(const arrived_http1_request&)> on_request);
     ~http1_server();
     http1_server(const http1_server&) = delete;
     http1_server& operator=(const http1_server&) = delete;
 
     /// Answers an exchange. Returns false when its connection has ended.
-    bool respond(std::uint64_t exchange, const http1_response& response);
+    bool respond(std::uint64_t exchange, const http1_answer& response);
     /// Connections closed because of a limit.
     std::uint64_t closed() const noexcept;
 
