session: Name a new cell leader at once

Cause: the members learn of their leader by its next vote requests, 250 ms after its election.

Change: a new leader sends its requests in the next turn of the site task. The gain is a matter of time only and has no test of its own.

--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -13,8 +13,8 @@
 #include <string_view>
 #include <vector>
 
-#include <decide/load/cold_start.hpp>
 #include <decide/endpoint_verdict.hpp>
+#include <decide/load/cold_start.hpp>
 #include <decide/load/load_choice.hpp>
 #include <decide/load/rate_verdict.hpp>
 #include <report/event.hpp>
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -56,6 +56,8 @@
         t.m_cell.m_incarnation = random_loan_id();
         t.m_contact_expected_since = boot_now();
         t.m_weights = {};
+        // The members learn of their leader by its next requests.
+        t.m_cell.m_votes_requested_at = {};
         for (auto& [zone, other] : t.m_cell.m_other_cells)
         {
             other.m_exchange = {};
