site: Wait for the changed rates before using them

Cause: 'Each refusal has its line' sent its statements without waiting until the lowered rate was in force. Beside builds it failed once at 'rate_seen'. Without the change of the rates the test fails at the same line, so a configuration that arrives late explains it.

Change: it waits for the version first; the checks are the same.

--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -103,6 +103,12 @@
     change["tenants"][1]["rate-per-s"] = 1;
     change["tenants"][1]["burst"] = 1;
     s.configure({{"tenants", change["tenants"]}});
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "settings_version") ==
+                   s.config()["version"].get<double>();
+        }));
     {
         line_caller c(s.callers_of(0));
         REQUIRE(c.start("ledger", "ward-key") == "READY");
