--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -73,23 +73,6 @@
                             : 0;
 }
 
-json write_weights(std::span<const peer_workspace_demand> weights)
-{
-    json out = json::array();
-    for (const peer_workspace_demand& w : weights)
-        out.push_back({w.m_workspace, w.m_operations_per_10s});
-    return out;
-}
-
-std::vector<peer_workspace_demand> read_weights(const json& j)
-{
-    std::vector<peer_workspace_demand> out;
-    for (const json& w : j)
-        out.push_back(
-            {w.at(0).get<std::string>(), w.at(1).get<std::uint32_t>()});
-    return out;
-}
-
 // Sent to every peer each second; an array without field names keeps it short.
 template <>
 struct format<peer_site_digest>
@@ -98,30 +81,16 @@
 
     static json write(const peer_site_digest& m)
     {
-        // An earlier build takes all weights for complete. It may have taken
-        // the place of the process that a difference is for, and must find a
-        // digest that announces and acknowledges nothing.
-        const bool is_delta = m.m_weights_since.value_or(0) != 0;
-        json fields = json::array(
-            {m.m_name, m.m_address, m.m_zone, m.m_store_is_available,
-             m.m_store_revision, m.m_config_version, m.m_incarnation,
-             is_delta ? 0 : m.m_weights_version,
-             is_delta ? 0 : m.m_seen_incarnation,
-             is_delta ? 0 : m.m_seen_weights_version,
-             is_delta ? json::array() : write_weights(m.m_weights),
-             m.m_shutting_down, m.m_leads_cell});
-        if (!m.m_weights_since)
-        {
-            append_time(fields, m.m_wall_ms);
-            return fields;
-        }
-        // Earlier builds read a time that is 0 as one that is left out.
-        fields.push_back(m.m_wall_ms);
-        fields.push_back(*m.m_weights_since);
-        if (is_delta)
-            fields.push_back({m.m_weights_version, m.m_seen_incarnation,
-                              m.m_seen_weights_version,
-                              write_weights(m.m_weights)});
+        json weights = json::array();
+        for (const peer_workspace_demand& w : m.m_weights)
+            weights.push_back({w.m_workspace, w.m_operations_per_10s});
+        json fields = json::array({m.m_name, m.m_address, m.m_zone,
+                                   m.m_store_is_available, m.m_store_revision,
+                                   m.m_config_version, m.m_incarnation,
+                                   m.m_weights_version, m.m_seen_incarnation,
+                                   m.m_seen_weights_version, weights,
+                                   m.m_shutting_down, m.m_leads_cell});
+        append_time(fields, m.m_wall_ms);
         return fields;
     }
     static peer_site_digest read(const json& j)
@@ -138,24 +107,15 @@
                            j.at(9).get<std::uint64_t>(),
                            {},
                            j.at(11).get<bool>()};
-        m.m_weights = read_weights(j.at(10));
+        for (const json& w : j.at(10))
+            m.m_weights.push_back(
+                {w.at(0).get<std::string>(), w.at(1).get<std::uint32_t>()});
         // Earlier builds don't say it, and take each digest in a fleet with
         // cells for a leader's.
         constexpr std::size_t size_without_leadership = 12;
         m.m_leads_cell = j.size() <= size_without_leadership ||
                          j.at(size_without_leadership).get<bool>();
         m.m_wall_ms = read_time(j, size_without_leadership + 1);
-        constexpr std::size_t since_index = 14;
-        if (j.size() <= since_index)
-            return m;
-        m.m_weights_since = j.at(since_index).get<std::uint64_t>();
-        if (*m.m_weights_since == 0)
-            return m;
-        const json& delta = j.at(since_index + 1);
-        m.m_weights_version = delta.at(0).get<std::uint64_t>();
-        m.m_seen_incarnation = delta.at(1).get<std::uint64_t>();
-        m.m_seen_weights_version = delta.at(2).get<std::uint64_t>();
-        m.m_weights = read_weights(delta.at(3));
         return m;
     }
 };
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -68,10 +68,6 @@
     bool m_leads_cell = false;
     /// The sender's wall clock; 0, which isn't sent, without usage reports.
     std::uint64_t m_wall_ms = 0;
-    /// m_weights are those that changed after this version, and 0 for those
-    /// that were removed. 0: they are complete. Earlier builds don't say it:
-    /// theirs are complete, and they can't read others.
-    std::optional<std::uint64_t> m_weights_since = {};
 };
 
 /// A candidate for leader of its cell, or the present leader, asks for the
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -112,10 +112,6 @@
                 "settings_delta_refused",
                 "a peer sent the configuration as a change of one that isn't "
                 "the one in force; it is fetched as a whole"},
-    event_entry{event_id::weights_delta_refused, event_level::warning,
-                "weights_delta_refused",
-                "a cell leader sent changes of weights that this process "
-                "doesn't have; the next digest asks for all of them"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -60,7 +60,7 @@
         t.m_cell.m_votes_requested_at = {};
         for (auto& [zone, other] : t.m_cell.m_other_cells)
         {
-            other.m_exchange = {};
+            other.m_last_digest.reset();
             other.m_announced_version = 0;
         }
     }
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-constexpr double tenths = 10;
-
 void log_fetch(const site_task_state& t, const site_peer& p, event_id id)
 {
     log_event(id, {{"peer", p.m_name},
@@ -87,8 +85,7 @@
             [&](const peer_site_digest& m)
             {
                 if (has_zone_cells(t))
-                    return send_answer(t, exchange,
-                                       answer_cell_digest(t, m, boot_now()));
+                    return send_answer(t, exchange, answer_cell_digest(t, m));
                 // Applied first, because the answer acknowledges these weights.
                 const auto found = t.m_peers.find(m.m_address);
                 if (found != t.m_peers.end())
@@ -195,7 +192,8 @@
     record_sent(t.m_traffic, peer_message_kind(message), bytes);
 }
 
-peer_site_digest make_store_digest(const site_task_state& t)
+peer_site_digest make_digest(const site_task_state& t,
+                             const std::optional<peer_site_digest>& received)
 {
     peer_site_digest d;
     d.m_name = t.m_settings.m_name;
@@ -205,22 +203,17 @@
     d.m_store_revision = known_revision(t);
     d.m_config_version = t.m_config ? t.m_config->m_version : 0;
     d.m_incarnation = weights_incarnation(t);
+    d.m_weights_version = t.m_weights.m_version;
     d.m_shutting_down = t.m_ending;
     d.m_leads_cell = t.m_cell.m_state == cell_state::leader;
     // With cells the clocks travel with the votes.
     if (!has_zone_cells(t))
         d.m_wall_ms = wall_ms_to_send(t);
-    return d;
-}
-
-peer_site_digest make_digest(const site_task_state& t,
-                             const std::optional<peer_site_digest>& received)
-{
-    peer_site_digest d = make_store_digest(t);
-    d.m_weights_version = t.m_weights.m_version;
-    for (const auto& weight : t.m_weights.m_weights)
-        if (weight.second > 0)
-            d.m_weights.push_back(to_wire(weight));
+    constexpr double tenths = 10;
+    for (const auto& [workspace, weight] : t.m_weights.m_weights)
+        if (weight > 0)
+            d.m_weights.push_back({workspace, static_cast<std::uint32_t>(
+                                                  std::ceil(weight * tenths))});
     if (received)
     {
         d.m_seen_incarnation = received->m_incarnation;
@@ -229,18 +222,12 @@
     return d;
 }
 
-peer_workspace_demand to_wire(const demand_weights::value_type& weight)
-{
-    return {weight.first,
-            static_cast<std::uint32_t>(std::ceil(weight.second * tenths))};
-}
-
-demand_weights weights_in(const peer_site_digest& d)
+peer_site_digest make_store_digest(const site_task_state& t)
 {
-    demand_weights weights;
-    for (const peer_workspace_demand& w : d.m_weights)
-        weights[w.m_workspace] = w.m_operations_per_10s / tenths;
-    return weights;
+    peer_site_digest d = make_digest(t, std::nullopt);
+    d.m_weights.clear();
+    d.m_weights_version = 0;
+    return d;
 }
 
 demand_update make_demand_update(const site_task_state& t,
@@ -249,7 +236,9 @@
     demand_update update;
     update.m_incarnation = d.m_incarnation;
     update.m_version = d.m_weights_version;
-    update.m_weights = weights_in(d);
+    constexpr double tenths = 10;
+    for (const peer_workspace_demand& w : d.m_weights)
+        update.m_weights[w.m_workspace] = w.m_operations_per_10s / tenths;
     // The peer may have seen the weights of an earlier incarnation.
     if (d.m_seen_incarnation == weights_incarnation(t))
         update.m_acked_version = d.m_seen_weights_version;
@@ -371,7 +360,7 @@
     // From an earlier time as leader; these weights no longer apply.
     if (has_zone_cells(t) && m.m_incarnation != t.m_cell.m_incarnation)
         return;
-    record_announcement(t.m_weights, m.m_announcement);
+    t.m_weights = m.m_announcement;
     t.m_weights_urgent = m.m_urgent;
     send_digests(t);
 }
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include <decide/cell_vote.hpp>
-#include <decide/demand_exchange.hpp>
 #include <decide/endpoint_list.hpp>
 #include <decide/list_history.hpp>
 #include <decide/site_clock.hpp>
@@ -95,11 +94,10 @@
     std::string
         m_leader_address; ///< Peer address of its leader; empty if unknown.
     std::size_t m_failed_lookups =
-        0;                      ///< Consecutive members that knew no leader.
-    demand_exchange m_exchange; ///< Of weights.
+        0; ///< Consecutive members that knew no leader.
+    std::optional<peer_site_digest> m_last_digest;
     bool m_request_pending = false;
-    /// The last request to its leader, or the last answer to one of its own.
-    time_point m_exchanged_at{};
+    time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
 };
@@ -197,7 +195,7 @@
     /// What the failover task was told last.
     bool m_is_failover_candidate = true;
     bool m_weights_urgent = false;
-    demand_history m_weights; ///< Announced to peers for the session task.
+    demand_announcement m_weights; ///< Announced to peers for the session task.
 };
 
 // site_watches.cpp
@@ -243,10 +241,6 @@
 /// Returns a digest without weights and acknowledgements, for a process that
 /// doesn't know the fleet yet and isn't one of those that divide the rates.
 peer_site_digest make_store_digest(const site_task_state& t);
-/// The operations per 10 s that stand for a weight in a digest.
-peer_workspace_demand to_wire(const demand_weights::value_type& weight);
-/// Returns the weights in a digest; 0 for those that were removed.
-demand_weights weights_in(const peer_site_digest& d);
 /// Returns the weights and the acknowledgement in a peer's digest.
 demand_update make_demand_update(const site_task_state& t,
                                  const peer_site_digest& d);
@@ -310,20 +304,7 @@
 /// Answers a digest of another cell's leader, or refers it to this cell's
 /// leader. A sender that leads no cell is told what this process knows of the
 /// store.
-peer_message answer_cell_digest(site_task_state& t, const peer_site_digest& m,
-                                time_point now);
-/// Returns true if this process, which leads its cell, should send the leader
-/// of another one its digest.
-bool is_cell_digest_due(const site_task_state& t, std::string_view zone,
-                        const remote_cell& other, time_point now);
-/// Returns the digest for another cell's leader at this address, and records
-/// that it is sent.
-peer_site_digest start_cell_exchange(site_task_state& t, remote_cell& other,
-                                     std::string_view address, time_point now);
-/// Applies the answer, or that there is none.
-void finish_cell_exchange(site_task_state& t, site_peer& p, remote_cell& other,
-                          const std::optional<peer_message>& answer,
-                          time_point now);
+peer_message answer_cell_digest(site_task_state& t, const peer_site_digest& m);
 void send_cell_digests(site_task_state& t, time_point now);
 /// Tells the leaders of the other cells that this process is shutting down.
 void send_final_cell_digests(site_task_state& t);
