--- a/Tests/clients/endpoint_failure_test.cpp
+++ b/Tests/clients/endpoint_failure_test.cpp
@@ -39,7 +39,7 @@
 site_config_ptr make_config()
 {
     auto* config = new site_config;
-    const site_config_ptr owned(config);
+    site_config_ptr owned(config);
     config->m_version = 1;
     site_route& route = config->m_routes["ledger"];
     route.m_database = "ledger";
