session: Close the socket of a stream when it is destroyed

"Clients connect and reset the connection in series" found 256 open descriptors where 200 are the bound, twice on machines with load. The event library closes the socket of a freed bufferevent in a finalizer, later in the same turn of the loop. A session counts as closed at once, so a turn that closes 150 sessions accepts as many more while the sockets of the first are still open. The stream now takes the socket out of the bufferevent and closes it itself.

The new test reads the other end before the next turn of the loop.

--- a/Source/session/line_stream.cpp
+++ b/Source/session/line_stream.cpp
@@ -35,9 +35,16 @@
 
 }
 
+// The event library closes the socket of a freed bufferevent only later in the
+// loop's turn. Connections accepted until then would exceed the limit on
+// descriptors, since a destroyed stream no longer counts.
 void line_stream::bufferevent_deleter::operator()(bufferevent* b) const noexcept
 {
+    const evutil_socket_t socket = bufferevent_getfd(b);
+    bufferevent_setfd(b, -1);
     bufferevent_free(b);
+    if (socket >= 0)
+        evutil_closesocket(socket);
 }
 
 line_stream::line_stream(loop& l, evutil_socket_t connected,
--- a/Tests/clients/line_stream_test.cpp
+++ b/Tests/clients/line_stream_test.cpp
@@ -94,3 +94,21 @@
         }
     }
 }
+
+// A descriptor that outlives its stream isn't counted by whoever accepts
+// connections up to a limit.
+SCENARIO("A destroyed stream has closed its socket")
+{
+    stream_pair p;
+
+    WHEN("the stream is destroyed")
+    {
+        p.m_stream.reset();
+
+        THEN("the other end sees it before the next turn of the loop")
+        {
+            char byte = 0;
+            CHECK(read(p.m_sockets[1], &byte, 1) == 0);
+        }
+    }
+}
