--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -41,6 +41,18 @@
     return s.daemon(0).read_rest();
 }
 
+// Returns once the daemon has applied the changed configuration.
+void configure_and_wait(site& s, const json& change)
+{
+    s.configure(change);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "settings_version") ==
+                   s.config()["version"].get<double>();
+        }));
+}
+
 json find_request(const std::vector<json>& lines, const std::string& id)
 {
     for (const json& line : lines)
@@ -102,13 +114,7 @@
     json change = s.config();
     change["tenants"][1]["rate-per-s"] = 1;
     change["tenants"][1]["burst"] = 1;
-    s.configure({{"tenants", change["tenants"]}});
-    REQUIRE(comes_true(
-        [&]
-        {
-            return s.metric(0, "settings_version") ==
-                   s.config()["version"].get<double>();
-        }));
+    configure_and_wait(s, {{"tenants", change["tenants"]}});
     {
         line_caller c(s.callers_of(0));
         REQUIRE(c.start("ledger", "ward-key") == "READY");
@@ -166,7 +172,8 @@
     change["tenants"][1]["burst"] = 1;
     if (has_priorities)
         change["routes"][0]["priority"] = 1;
-    s.configure({{"tenants", change["tenants"]}, {"routes", change["routes"]}});
+    configure_and_wait(
+        s, {{"tenants", change["tenants"]}, {"routes", change["routes"]}});
     std::string metrics;
     {
         line_caller first(s.callers_of(0));
