fleet: Count the store calls of a fleet with cells by kind

Nothing counted the calls of a fleet at the store by kind of object and by cause. The stand-in counts them now: lists, watches ended by a change or by their time, creations, replacements, removals, refused writes.

--- a/Tests/standin/site_store.cpp
+++ b/Tests/standin/site_store.cpp
@@ -18,6 +18,7 @@
 constexpr int conflict = 409;
 constexpr int unavailable = 503;
 constexpr std::string_view objects_path = "/api/objects/";
+constexpr std::string_view calls_path = "/standin/calls";
 
 void reply(evhttp_request* request, int status, const json& body)
 {
@@ -27,6 +28,20 @@
     evhttp_send_reply(request, status, "standin", nullptr);
 }
 
+// The operator's calls, which are those of a test, aren't counted.
+bool is_operator(evhttp_request* request)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request),
+                              "Standin-Operator") != nullptr;
+}
+
+void count_call(site_store& s, evhttp_request* request, const std::string& kind,
+                const std::string& what)
+{
+    if (!is_operator(request))
+        ++s.m_calls[kind][what];
+}
+
 json events_after(const site_store& s, const std::string& kind,
                   std::uint64_t revision)
 {
@@ -40,9 +55,10 @@
 void answer_watch(site_store& s, evhttp_request* request,
                   const std::string& kind, std::uint64_t revision)
 {
-    reply(request, ok,
-          {{"events", events_after(s, kind, revision)},
-           {"at-revision", s.m_revision}});
+    const json events = events_after(s, kind, revision);
+    count_call(s, request, kind,
+               events.empty() ? "watch_expired" : "watch_changed");
+    reply(request, ok, {{"events", events}, {"at-revision", s.m_revision}});
 }
 
 void wake_watches(site_store& s, const std::string& kind)
@@ -84,8 +100,9 @@
     entry->m_limit->start_once(std::chrono::milliseconds(wait_ms));
 }
 
-void list(const site_store& s, evhttp_request* request, const std::string& kind)
+void list(site_store& s, evhttp_request* request, const std::string& kind)
 {
+    count_call(s, request, kind, "list");
     json items = json::array();
     const auto found = s.m_objects.find(kind);
     if (found != s.m_objects.end())
@@ -105,13 +122,20 @@
     const auto found = objects.find(name);
     const bool exists = found != objects.end();
     if (creates && exists)
+    {
+        count_call(s, request, kind, "refused");
         return reply(request, conflict, found->second);
+    }
     if (!creates && !exists)
         return reply(request, missing, json::object());
     const bool conditional = body["meta"].contains("revision");
     if (exists && conditional &&
         body["meta"]["revision"] != found->second["meta"]["revision"])
+    {
+        count_call(s, request, kind, "refused");
         return reply(request, conflict, found->second);
+    }
+    count_call(s, request, kind, creates ? "create" : "replace");
     ++s.m_revision;
     objects[name] = {{"meta", {{"name", name}, {"revision", s.m_revision}}},
                      {"spec", body.at("spec")},
@@ -127,6 +151,7 @@
     const auto found = objects.find(name);
     if (found == objects.end())
         return reply(request, missing, json::object());
+    count_call(s, request, kind, "remove");
     const json object = found->second;
     objects.erase(found);
     ++s.m_revision;
@@ -175,13 +200,13 @@
     const std::string path = evhttp_request_get_uri(request);
     if (s.m_own && s.m_own(request, path, text_of(request)))
         return;
+    if (path == calls_path)
+        return reply(request, ok, s.m_calls);
     if (!path.starts_with(objects_path))
         return reply(request, s.m_other(path, body_of(request)),
                      json::object());
     // The operator is served while the system isn't.
-    const char* const operators = evhttp_find_header(
-        evhttp_request_get_input_headers(request), "Standin-Operator");
-    if (s.m_down && operators == nullptr)
+    if (s.m_down && !is_operator(request))
         return reply(request, unavailable, json::object());
     take_objects(s, request, path);
 }
--- a/Tests/standin/site_store.hpp
+++ b/Tests/standin/site_store.hpp
@@ -47,6 +47,11 @@
     std::vector<store_event> m_history;
     std::list<waiting_watch> m_watches;
     bool m_down = false; ///< Answers 503 to everything.
+    /// Calls of processes by kind of object and by what they were, for tests
+    /// that bound them: `list`; `watch_changed` and `watch_expired`, by how the
+    /// watch ended; `create`, `replace`, `remove`; `refused`, a write that
+    /// conflicts.
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_calls;
     /// Takes a request that it answers itself; false if it isn't its own.
     std::function<bool(evhttp_request*, const std::string& path,
                        const std::string& body)>
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -481,6 +481,11 @@
               json{{"down", down}}.dump());
 }
 
+json site::store_calls() const
+{
+    return json::parse(call_http(m_platform, "GET", "/standin/calls").m_body);
+}
+
 json site::usage_calls() const
 {
     return json::parse(call_http(m_platform, "GET", "/standin/usage").m_body);
@@ -536,6 +541,18 @@
     call_http(m_platform, "POST", "/api/objects/" + kind, body.dump());
 }
 
+json site::entries(const std::string& kind) const
+{
+    return json::parse(
+               call_http(m_platform, "GET", "/api/objects/" + kind).m_body)
+        .at("items");
+}
+
+void site::remove_entry(const std::string& kind, const std::string& name) const
+{
+    call_http(m_platform, "DELETE", "/api/objects/" + kind + "/" + name);
+}
+
 void site::evacuate(const std::string& zone) const
 {
     const json body{{"meta", {{"name", zone}}}, {"spec", json::object()}};
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -132,6 +132,9 @@
     /// Writes the daemon's settings file anew, with another zone.
     void add_zone(std::size_t daemon, const std::string& zone);
 
+    /// The daemons' calls of the store so far: their numbers by kind of object
+    /// and by what they were, as the stand-in counts them.
+    nlohmann::json store_calls() const;
     /// The calls of the usage service so far, with the answers it gave.
     nlohmann::json usage_calls() const;
     /// Sets the status that the usage service answers, and whether its answers
@@ -150,6 +153,10 @@
     /// Writes an entry of this kind into the store, as any process may.
     void put_entry(const std::string& kind, const std::string& name,
                    const nlohmann::json& spec) const;
+    /// The store's entries of this kind, with their revisions.
+    nlohmann::json entries(const std::string& kind) const;
+    /// Removes an entry from the store, as any process may.
+    void remove_entry(const std::string& kind, const std::string& name) const;
     /// An endpoint's address, by the store.
     address address_of(const std::string& id) const;
     /// Evacuates the zone.
