site: Receive the members from the cell leader

In a fleet with cells each process watched the list of members in the store, so that each registration and each removal ended a watch of every process.

A process that follows a cell leader that reaches the store now gets the changes from it, as a third part beside the configuration and the lists. Vote requests name the newest change that the leader knows. A follower watches the members itself when the leader is silent, without the store or of an earlier build, when a change that it named doesn't arrive, and when the follower isn't in the list. A candidate that has lost its leader counts votes only once the store has answered with the complete list, or hasn't answered.

--- a/Source/decide/polling_intervals.hpp
+++ b/Source/decide/polling_intervals.hpp
@@ -30,6 +30,10 @@
 /// Most time that a process of a large fleet may learn later of a change in the
 /// store. Members that stop answering are noticed without the list.
 inline constexpr std::chrono::milliseconds max_members_watch_pause{250};
+/// The same for a cell leader. Its followers learn of a change of the members
+/// up to a tick of 100 ms later than it does, and no later than if each of them
+/// had watched and paused.
+inline constexpr std::chrono::milliseconds max_leader_watch_pause{100};
 /// Returns how long a process waits with its next watch after a change of the
 /// members or, unless it leads its cell, of another kind. Answers the load of a
 /// fleet that starts: each registration is a change for every process. The
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -132,7 +132,14 @@
              m.m_shutting_down, m.m_store_is_available, m.m_store_revision,
              m.m_config_version, m.m_content_revision, m.m_endpoints_revision,
              m.m_evacuations_revision});
-        append_time(fields, m.m_true_ms);
+        if (m.m_members_revision == 0)
+        {
+            append_time(fields, m.m_true_ms);
+            return fields;
+        }
+        // Earlier builds read the time here, and 0 as none.
+        fields.push_back(m.m_true_ms);
+        fields.push_back(m.m_members_revision);
         return fields;
     }
     static peer_vote_request read(const json& j)
@@ -152,6 +159,10 @@
             has_each ? j.at(10).get<std::uint64_t>() : m.m_content_revision;
         constexpr std::size_t size_without_time = 11;
         m.m_true_ms = read_time(j, size_without_time);
+        constexpr std::size_t size_without_members = size_without_time + 1;
+        if (j.size() > size_without_members)
+            m.m_members_revision =
+                j.at(size_without_members).get<std::uint64_t>();
         return m;
     }
 };
@@ -493,19 +504,27 @@
 
 json write_known(const peer_known_revisions& k)
 {
-    return json::array({k.m_configuration, k.m_endpoints, k.m_evacuations});
+    json known =
+        json::array({k.m_configuration, k.m_endpoints, k.m_evacuations});
+    if (k.m_members != 0)
+        known.push_back(k.m_members);
+    return known;
 }
 
 peer_known_revisions read_known(const json& j)
 {
+    constexpr std::size_t size_without_members = 3;
     return {j.at(0).get<std::uint64_t>(), j.at(1).get<std::uint64_t>(),
-            j.at(2).get<std::uint64_t>()};
+            j.at(2).get<std::uint64_t>(),
+            j.size() > size_without_members
+                ? j.at(size_without_members).get<std::uint64_t>()
+                : 0};
 }
 
 peer_settings_part read_part_of_settings(const json& j)
 {
     const auto part = j.value("part", std::uint8_t{0});
-    if (part > static_cast<std::uint8_t>(peer_settings_part::lists))
+    if (part > static_cast<std::uint8_t>(peer_settings_part::members))
         throw peer_protocol_error();
     return static_cast<peer_settings_part>(part);
 }
@@ -592,6 +611,8 @@
                  {"known", write_known(m.m_known)},
                  {"endpoints", write_list_base(m.m_endpoints)},
                  {"evacuations", write_list_base(m.m_evacuations)}};
+        if (m.m_known.m_members != 0)
+            out["members"] = write_list_base(m.m_members);
         if (m.m_config_delta)
             out["config_delta"] = write_config_delta(*m.m_config_delta);
         return out;
@@ -618,6 +639,7 @@
                                                m.m_content_revision};
         m.m_endpoints = read_list_base(j, "endpoints");
         m.m_evacuations = read_list_base(j, "evacuations");
+        m.m_members = read_list_base(j, "members");
         if (j.contains("config_delta"))
             m.m_config_delta = read_config_delta(j["config_delta"]);
         return m;
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -92,6 +92,9 @@
     /// What a cell leader takes for true time, in ms since the start of 1970;
     /// 0, which isn't sent, without usage reports.
     std::uint64_t m_true_ms = 0;
+    /// Revision of the newest change of the members that a cell leader relays.
+    /// 0: the sender is of an earlier build, which doesn't relay them.
+    std::uint64_t m_members_revision = 0;
 };
 
 /// Grants or refuses a vote, with what the sender knows of the store.
@@ -238,6 +241,7 @@
     std::uint64_t m_configuration = 0;
     std::uint64_t m_endpoints = 0;
     std::uint64_t m_evacuations = 0;
+    std::uint64_t m_members = 0; ///< 0: the sender doesn't say it.
 };
 
 /// What a peer_settings_request asks for.
@@ -245,7 +249,8 @@
 {
     all,
     configuration,
-    lists, ///< Endpoints and evacuated zones.
+    lists,   ///< Endpoints and evacuated zones.
+    members, ///< As the store lists them. Earlier builds don't know it.
 };
 
 /// Asks for the settings objects that are newer than a version.
@@ -289,6 +294,7 @@
     peer_known_revisions m_known;
     peer_list_base m_endpoints;
     peer_list_base m_evacuations;
+    peer_list_base m_members; ///< Of an answer to a request for members.
     std::optional<peer_config_delta> m_config_delta = {};
 };
 
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -92,6 +92,7 @@
         watch_of(t, stored_kind::endpoints).m_changed_revision;
     m.m_evacuations_revision =
         watch_of(t, stored_kind::evacuations).m_changed_revision;
+    m.m_members_revision = watch_of(t, stored_kind::members).m_changed_revision;
     m.m_true_ms = true_ms_to_send(t);
     return m;
 }
@@ -100,7 +101,8 @@
 {
     const time_point until = leadership_until(t);
     const bool elected = now < until;
-    if (t.m_cell.m_state == cell_state::candidate && elected)
+    if (t.m_cell.m_state == cell_state::candidate && elected &&
+        may_count_votes(t))
         fire(t, cell_event::elected);
     else if (t.m_cell.m_state == cell_state::leader && !elected)
         fire(t, cell_event::votes_lapsed);
@@ -275,6 +277,9 @@
         fire(t, cell_event::leader_silent);
         return request_votes(t, now);
     case cell_state::candidate:
+        request_votes(t, now);
+        // It may have read the members since the last vote arrived.
+        return update_leadership(t, now);
     case cell_state::leader:
         return request_votes(t, now);
     }
@@ -319,10 +324,15 @@
     {
         t.m_cell.m_leader_address = m.m_address;
         follow_leader_clock(t, m);
-        if (m.m_store_is_available)
-            t.m_cell.m_last_relay_at = now;
+        // Nothing can be fetched from a leader that isn't in the list of
+        // members yet; the list has to be read for it.
         if (m.m_store_is_available && p != t.m_peers.end())
+        {
+            t.m_cell.m_last_relay_at = now;
+            record_claim(t.m_cell.m_member_relay, m.m_members_revision,
+                         watch_of(t, stored_kind::members).m_revision, now);
             fetch_newer_content(t, p->second, m);
+        }
     }
     return answer;
 }
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view config_name = "config";
 constexpr std::string_view endpoint_prefix = "endpoint/";
 constexpr std::string_view evacuation_prefix = "evacuation/";
+constexpr std::string_view member_prefix = "member/";
 // Configurations that are kept for peers that have one of them. A peer is at
 // most a second behind, in which an operator's tool may write three.
 constexpr std::size_t max_earlier_configs = 4;
@@ -198,18 +199,45 @@
     t.m_boxes.m_session.post(make_members_changed(t));
 }
 
+// Forgets the members before a complete list is applied. Those that it lacks
+// were removed since; a peer that has the list from before needs only the
+// difference.
+void forget_members(site_task_state& t, std::span<const stored_change> list,
+                    std::uint64_t revision)
+{
+    std::set<std::string_view> listed;
+    for (const stored_change& c : list)
+        listed.insert(c.m_object.m_name);
+    if (t.m_member_history.m_known_since == 0)
+        restart_history(t.m_member_history, revision);
+    for (const auto& [name, o] : t.m_member_objects)
+        if (!listed.contains(name))
+            record_removal(t.m_member_history, name, revision);
+    t.m_members.clear();
+    t.m_member_objects.clear();
+}
+
 void apply_members(site_task_state& t, std::span<const stored_change> changes,
                    bool complete)
 {
+    const std::uint64_t revision =
+        watch_of(t, stored_kind::members).m_changed_revision;
     if (complete)
-    {
-        t.m_members.clear();
-        t.m_member_revisions.clear();
-    }
+        forget_members(t, changes, revision);
     ignored_entries ignored;
     for (const stored_change& c : changes)
     {
-        t.m_member_revisions[c.m_object.m_name] = c.m_object.m_revision;
+        const std::string& name = c.m_object.m_name;
+        if (c.m_deleted)
+        {
+            t.m_member_objects.erase(name);
+            record_removal(t.m_member_history, name, revision);
+        }
+        else
+        {
+            t.m_member_objects.insert_or_assign(name, c.m_object);
+            record_presence(t.m_member_history, name);
+        }
         const auto member =
             t.m_codec.m_read_member(c.m_object.m_name, c.m_object.m_value);
         if (!c.m_deleted && !member)
@@ -222,6 +250,9 @@
     record_ignored(t, stored_kind::members, ignored);
     if (complete || !t.m_members.contains(t.m_settings.m_name))
         register_member(t);
+    // The followers learn of the change by the next vote requests.
+    if (leads_cell(t, boot_now()))
+        t.m_cell.m_votes_requested_at = {};
     publish_fleet(t);
 }
 
@@ -267,6 +298,21 @@
     }
 }
 
+bool lists_same_members(const site_task_state& t,
+                        std::span<const stored_change> list)
+{
+    return list.size() == t.m_member_objects.size() &&
+           std::ranges::all_of(
+               list,
+               [&](const stored_change& c)
+               {
+                   const auto known =
+                       t.m_member_objects.find(c.m_object.m_name);
+                   return known != t.m_member_objects.end() &&
+                          known->second.m_revision == c.m_object.m_revision;
+               });
+}
+
 void publish_endpoints(site_task_state& t)
 {
     if (!t.m_lists_published || !t.m_config)
@@ -346,9 +392,13 @@
     {
         log_event(event_id::member_removed, {{"member", name}});
         t.m_members.erase(name);
-        t.m_store.m_remove(stored_kind::members,
-                           {name, t.m_member_revisions[name], {}},
-                           [](write_answer&) {});
+        const auto stored = t.m_member_objects.find(name);
+        t.m_store.m_remove(
+            stored_kind::members,
+            {name,
+             stored != t.m_member_objects.end() ? stored->second.m_revision : 0,
+             {}},
+            [](write_answer&) {});
     }
     publish_fleet(t);
 }
@@ -376,16 +426,20 @@
         {std::string(config_name), current.m_revision, current.m_value});
 }
 
-void add_endpoints(const site_task_state& t, std::uint64_t known,
-                   peer_settings& m)
+using stored_objects = std::map<std::string, stored_object, std::less<>>;
+
+// Adds what changed after `known`, or the complete list if that isn't known.
+void add_list(const stored_objects& objects, const list_history& history,
+              std::string_view prefix, std::uint64_t known,
+              peer_list_base& base, peer_settings& m)
 {
-    auto removed = removed_after(t.m_endpoint_history, known);
+    auto removed = removed_after(history, known);
     if (known != 0 && removed)
-        m.m_endpoints = {known, std::move(*removed)};
-    for (const auto& [id, o] : t.m_endpoint_objects)
-        if (o.m_revision > m.m_endpoints.m_since)
+        base = {known, std::move(*removed)};
+    for (const auto& [name, o] : objects)
+        if (o.m_revision > base.m_since)
             m.m_objects.push_back(
-                {std::string(endpoint_prefix) + id, o.m_revision, o.m_value});
+                {std::string(prefix) + name, o.m_revision, o.m_value});
 }
 
 // The evacuated zones are few: all of them, unless nothing has changed.
@@ -407,14 +461,17 @@
 peer_settings make_peer_settings(const site_task_state& t,
                                  const peer_settings_request& request)
 {
-    const bool wants_lists =
-        request.m_part != peer_settings_part::configuration;
+    const bool wants_lists = request.m_part == peer_settings_part::all ||
+                             request.m_part == peer_settings_part::lists;
+    const bool wants_configuration =
+        request.m_part == peer_settings_part::all ||
+        request.m_part == peer_settings_part::configuration;
     const peer_known_revisions known =
         request.m_known.value_or(peer_known_revisions());
     peer_settings m;
     m.m_version = known_revision(t);
     m.m_content_revision = changed_revision(t);
-    if (request.m_part != peer_settings_part::lists)
+    if (wants_configuration)
     {
         m.m_known.m_configuration =
             watch_of(t, stored_kind::configuration).m_revision;
@@ -425,9 +482,16 @@
         m.m_known.m_endpoints = watch_of(t, stored_kind::endpoints).m_revision;
         m.m_known.m_evacuations =
             watch_of(t, stored_kind::evacuations).m_revision;
-        add_endpoints(t, known.m_endpoints, m);
+        add_list(t.m_endpoint_objects, t.m_endpoint_history, endpoint_prefix,
+                 known.m_endpoints, m.m_endpoints, m);
         add_evacuations(t, known.m_evacuations, m);
     }
+    if (request.m_part == peer_settings_part::members)
+    {
+        m.m_known.m_members = watch_of(t, stored_kind::members).m_revision;
+        add_list(t.m_member_objects, t.m_member_history, member_prefix,
+                 known.m_members, m.m_members, m);
+    }
     if (wants_lists && request.m_wants_members)
         for (const auto& [name, member] : t.m_members)
             m.m_vms.push_back(
@@ -533,6 +597,20 @@
     }
 }
 
+// The cell leader's list, from the store.
+bool adopt_member_list(site_task_state& t, const peer_settings& m)
+{
+    const bool adopted = adopt_list(t, stored_kind::members, member_prefix,
+                                    m.m_known.m_members, m.m_members, m);
+    if (adopted)
+        record_change(t.m_cell.m_member_relay, boot_now());
+    t.m_wants_full_members =
+        !adopted &&
+        m.m_members.m_since > watch_of(t, stored_kind::members).m_revision;
+    return adopted;
+}
+
+// The members as any peer knows them, for a process that knows none.
 void adopt_members(site_task_state& t, std::span<const peer_vm> vms)
 {
     ignored_entries ignored;
@@ -557,8 +635,9 @@
     const bool evacuations =
         adopt_list(t, stored_kind::evacuations, evacuation_prefix,
                    m.m_known.m_evacuations, m.m_evacuations, m);
+    const bool members = adopt_member_list(t, m);
     if (!configuration && !endpoints && !evacuations)
-        return false;
+        return members;
     log_event(event_id::settings_adopted,
               {{"revision", std::to_string(known_revision(t))},
                {"had", std::to_string(before)}});
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -32,17 +32,32 @@
     m.m_known = {watch_of(t, stored_kind::configuration).m_revision,
                  watch_of(t, stored_kind::endpoints).m_revision,
                  watch_of(t, stored_kind::evacuations).m_revision};
+    if (part == peer_settings_part::members && !t.m_wants_full_members)
+        m.m_known->m_members = watch_of(t, stored_kind::members).m_revision;
     m.m_wants_members = t.m_members.empty();
     return m;
 }
 
-// The configuration and the lists are fetched separately, so that neither
-// waits until the other has arrived.
+bool& pending_fetch(site_peer& p, peer_settings_part part)
+{
+    switch (part)
+    {
+    case peer_settings_part::configuration:
+        return p.m_config_fetch_pending;
+    case peer_settings_part::members:
+        return p.m_members_fetch_pending;
+    case peer_settings_part::all:
+    case peer_settings_part::lists:
+        break;
+    }
+    return p.m_lists_fetch_pending;
+}
+
+// The configuration, the lists and the members are fetched separately, so that
+// none of them waits until another one has arrived.
 void fetch_part(site_task_state& t, site_peer& p, peer_settings_part part)
 {
-    bool& pending = part == peer_settings_part::configuration
-                        ? p.m_config_fetch_pending
-                        : p.m_lists_fetch_pending;
+    bool& pending = pending_fetch(p, part);
     if (std::exchange(pending, true))
         return;
     send_to_peer(t, *p.m_client, make_settings_request(t, part),
@@ -271,6 +286,8 @@
         claim.m_evacuations_revision >
             watch_of(t, stored_kind::evacuations).m_revision)
         fetch_part(t, leader, peer_settings_part::lists);
+    if (claim.m_members_revision > watch_of(t, stored_kind::members).m_revision)
+        fetch_part(t, leader, peer_settings_part::members);
 }
 
 void set_reachable(site_peer& p, bool reachable)
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -14,6 +14,7 @@
 #include <decide/cell_vote.hpp>
 #include <decide/endpoint_list.hpp>
 #include <decide/list_history.hpp>
+#include <decide/member_relay.hpp>
 #include <decide/site_clock.hpp>
 #include <decide/usage_ledger.hpp>
 #include <peer/peer_call.hpp>
@@ -82,7 +83,8 @@
     bool m_request_pending = false;
     bool m_config_fetch_pending = false; ///< Its configuration was requested.
     bool m_lists_fetch_pending = false;  ///< Its lists were requested.
-    bool m_usage_pending = false;        ///< Its counts have been requested.
+    bool m_members_fetch_pending = false;
+    bool m_usage_pending = false; ///< Its counts have been requested.
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -115,6 +117,7 @@
         m_leader_address; ///< The leader's address; empty if none is known.
     /// Last request of a leader that the store answers.
     time_point m_last_relay_at{};
+    member_relay m_member_relay;     ///< Of the members by that leader.
     std::uint64_t m_incarnation = 0; ///< A new one for each time that it leads.
     std::map<std::string, remote_cell, std::less<>> m_other_cells; ///< By zone.
 };
@@ -166,7 +169,10 @@
     endpoint_list m_list;
     std::set<std::string, std::less<>> m_evacuated_zones;
     std::map<std::string, member_record, std::less<>> m_members;
-    std::map<std::string, std::uint64_t, std::less<>> m_member_revisions;
+    /// The members as the store lists them, for peers.
+    std::map<std::string, stored_object, std::less<>> m_member_objects;
+    list_history m_member_history;     ///< Of m_member_objects.
+    bool m_wants_full_members = false; ///< A change couldn't be applied.
     bool m_lists_published = false;
     /// Entries, or parts of the configuration, that failed a check.
     std::map<stored_kind, std::uint64_t> m_ignored_entries;
@@ -206,10 +212,12 @@
 duration time_behind(const site_task_state& t);
 /// Returns true if the last call of every watch succeeded.
 bool is_store_available(const site_task_state& t);
+/// Returns true if a candidate may count the votes of the members it knows.
+bool may_count_votes(const site_task_state& t);
 /// Returns the store revision up to which this process knows every change of
-/// what it would relay.
+/// what any process may fetch from it: all but the members.
 std::uint64_t known_revision(const site_task_state& t);
-/// Returns the revision of the newest change that this process would relay.
+/// Returns the revision of the newest change of the same.
 std::uint64_t changed_revision(const site_task_state& t);
 /// Returns the watch of a kind that this process watches.
 store_watch& watch_of(site_task_state& t, stored_kind kind);
@@ -220,6 +228,10 @@
 /// that aren't among them no longer exist.
 void apply_objects(site_task_state& t, stored_kind kind,
                    std::span<const stored_change> changes, bool complete);
+/// Returns true if a complete list of members holds nothing else than what
+/// this process knows from the store.
+bool lists_same_members(const site_task_state& t,
+                        std::span<const stored_change> list);
 void publish_endpoints(site_task_state& t);
 void register_member(site_task_state& t);
 /// Returns what this process knows and the peer that asks doesn't: the store
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -13,36 +13,57 @@
 namespace
 {
 
-// Each process watches the members itself, because they determine whose votes
-// count.
-bool can_be_relayed(const store_watch& w)
+// Any process that is behind may fetch the other kinds from any other one. The
+// members determine whose votes count: they are relayed by the cell leader
+// alone.
+bool is_for_any_peer(const store_watch& w)
 {
     return w.m_kind != stored_kind::members;
 }
 
+bool is_relayed(const site_task_state& t, const store_watch& w, time_point now)
+{
+    return is_relayed_by_leader(t, now) &&
+           (w.m_kind != stored_kind::members ||
+            is_relaying_members(t.m_cell.m_member_relay,
+                                t.m_members.contains(t.m_settings.m_name),
+                                now));
+}
+
 duration watch_timeout_of(const site_task_state& t, const store_watch& w)
 {
     if (!has_zone_cells(t))
         return watch_timeout;
-    if (!can_be_relayed(w))
+    if (w.m_kind == stored_kind::members)
         return members_watch_timeout;
     return leads_cell(t, boot_now()) ? leader_watch_timeout : watch_timeout;
 }
 
 // A list that was adopted from a peer meanwhile may be newer than the answer.
 // Configurations are compared by their versions.
-bool is_outdated(const store_watch& w, const store_answer& a)
+bool is_outdated(const site_task_state& t, const store_watch& w,
+                 const store_answer& a)
 {
-    return can_be_relayed(w) && w.m_kind != stored_kind::configuration &&
-           a.m_revision < w.m_revision;
+    const bool may_be_adopted = w.m_kind == stored_kind::members
+                                    ? has_zone_cells(t)
+                                    : w.m_kind != stored_kind::configuration;
+    return may_be_adopted && a.m_revision < w.m_revision;
 }
 
 // In a fleet with cells, each change would end a watch of every process that
-// isn't relayed yet. A cell leader relays changes, so it gets them at once.
+// isn't relayed yet. A cell leader relays changes, so it gets them at once,
+// except those of the members, each of which may be one of many.
 bool may_pause(const site_task_state& t, const store_watch& w)
 {
     return has_zone_cells(t) &&
-           (!can_be_relayed(w) || !leads_cell(t, boot_now()));
+           (w.m_kind == stored_kind::members || !leads_cell(t, boot_now()));
+}
+
+std::chrono::milliseconds pause_of(const site_task_state& t)
+{
+    const auto pause = members_watch_pause(t.m_members.size());
+    return leads_cell(t, boot_now()) ? std::min(pause, max_leader_watch_pause)
+                                     : pause;
 }
 
 bool is_out_of_reach(store_failure failure)
@@ -120,13 +141,17 @@
                   {{"kind", std::string(to_string(w.m_kind))},
                    {"objects", std::to_string(a.m_unreadable)},
                    {"revision", std::to_string(a.m_revision)}});
-    if ((complete || !a.m_changes.empty()) && !is_outdated(w, a))
+    if ((complete || !a.m_changes.empty()) && !is_outdated(t, w, a))
     {
-        w.m_changed_revision = a.m_revision;
+        // A list that was only read again is no change: otherwise a new leader
+        // would claim one, and its whole cell fetch the members.
+        if (!complete || w.m_kind != stored_kind::members ||
+            w.m_changed_revision == 0 || !lists_same_members(t, a.m_changes))
+            w.m_changed_revision = a.m_revision;
         apply_objects(t, w.m_kind, a.m_changes, complete);
     }
     w.m_revision = std::max(w.m_revision, a.m_revision);
-    if (!complete && can_be_relayed(w) && is_relayed_by_leader(t, boot_now()))
+    if (!complete && is_relayed(t, w, boot_now()))
     {
         log_event(event_id::watch_relayed,
                   {{"kind", std::string(to_string(w.m_kind))},
@@ -163,7 +188,7 @@
                           });
         return;
     case watch_action::pause:
-        w.m_timer->start_once(members_watch_pause(t.m_members.size()));
+        w.m_timer->start_once(pause_of(t));
         return;
     case watch_action::back_off:
         w.m_timer->start_once(
@@ -203,9 +228,8 @@
 
 void update_relayed_watches(site_task_state& t, time_point now)
 {
-    const bool relayed = is_relayed_by_leader(t, now);
     for (store_watch& w : t.m_watches)
-        if (w.m_state == watch_state::relayed && !relayed)
+        if (w.m_state == watch_state::relayed && !is_relayed(t, w, now))
         {
             log_event(event_id::watch_resumed,
                       {{"kind", std::string(to_string(w.m_kind))},
@@ -231,11 +255,19 @@
                                });
 }
 
+bool may_count_votes(const site_task_state& t)
+{
+    const store_watch& w = watch_of(t, stored_kind::members);
+    return may_count_votes(member_list_state{w.m_state == watch_state::relayed,
+                                             w.m_state == watch_state::listing,
+                                             w.m_is_available});
+}
+
 std::uint64_t known_revision(const site_task_state& t)
 {
     std::uint64_t known = std::numeric_limits<std::uint64_t>::max();
     for (const store_watch& w : t.m_watches)
-        if (can_be_relayed(w))
+        if (is_for_any_peer(w))
             known = std::min(known, w.m_revision);
     return known;
 }
@@ -244,7 +276,7 @@
 {
     std::uint64_t changed = 0;
     for (const store_watch& w : t.m_watches)
-        if (can_be_relayed(w))
+        if (is_for_any_peer(w))
             changed = std::max(changed, w.m_changed_revision);
     return changed;
 }
--- a/Tests/peer/peer_codec_test.cpp
+++ b/Tests/peer/peer_codec_test.cpp
@@ -42,6 +42,27 @@
             CHECK(read.m_evacuations_revision == 87);
         }
     }
+    GIVEN("a vote request of a leader that relays the members")
+    {
+        peer_vote_request m;
+        m.m_name = "vm-1";
+        m.m_members_revision = 85;
+
+        THEN("their revision is kept, with true time and without it")
+        {
+            CHECK(round_trip(m).m_members_revision == 85);
+            CHECK(round_trip(m).m_true_ms == 0);
+            m.m_true_ms = 1'800'000'000'000;
+            CHECK(round_trip(m).m_members_revision == 85);
+            CHECK(round_trip(m).m_true_ms == 1'800'000'000'000);
+        }
+        THEN("an earlier build reads the time where it expects it")
+        {
+            const nlohmann::json sent =
+                nlohmann::json::from_cbor(encode_peer_message(m));
+            CHECK(sent.at(1).at(11) == 0);
+        }
+    }
     GIVEN("a vote request of a build that sends one revision for both lists")
     {
         const nlohmann::json fields{
@@ -57,6 +78,7 @@
             CHECK(read.m_config_version == 12);
             CHECK(read.m_endpoints_revision == 88);
             CHECK(read.m_evacuations_revision == 88);
+            CHECK(read.m_members_revision == 0);
         }
     }
     GIVEN("the settings that a process knows")
@@ -72,6 +94,28 @@
             CHECK(read.m_known.m_configuration == 80);
             CHECK(read.m_known.m_endpoints == 81);
             CHECK(read.m_known.m_evacuations == 82);
+            CHECK(read.m_known.m_members == 0);
+        }
+        THEN("changes of the members belong to the list that they change")
+        {
+            m.m_known.m_members = 83;
+            m.m_members = {79, {"vm-2"}};
+            CHECK(round_trip(m).m_known.m_members == 83);
+            CHECK(round_trip(m).m_members.m_since == 79);
+            CHECK(round_trip(m).m_members.m_removed ==
+                  std::vector<std::string>{"vm-2"});
+        }
+    }
+    GIVEN("a request for the members")
+    {
+        peer_settings_request m;
+        m.m_part = peer_settings_part::members;
+        m.m_known = {80, 81, 82, 83};
+
+        THEN("it names the list that the sender has")
+        {
+            CHECK(round_trip(m).m_part == peer_settings_part::members);
+            CHECK(round_trip(m).m_known->m_members == 83);
         }
     }
     GIVEN("a digest")
--- a/Tests/site/relay_cost_test.cpp
+++ b/Tests/site/relay_cost_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -81,15 +82,29 @@
     }
     peer_settings_request request(peer_settings_part part) const
     {
-        return {m_state.m_config_object.m_revision, part,
-                peer_known_revisions{
-                    watch_of(m_state, stored_kind::configuration).m_revision,
-                    watch_of(m_state, stored_kind::endpoints).m_revision,
-                    watch_of(m_state, stored_kind::evacuations).m_revision},
+        peer_known_revisions known{
+            watch_of(m_state, stored_kind::configuration).m_revision,
+            watch_of(m_state, stored_kind::endpoints).m_revision,
+            watch_of(m_state, stored_kind::evacuations).m_revision};
+        if (part == peer_settings_part::members &&
+            !m_state.m_wants_full_members)
+            known.m_members =
+                watch_of(m_state, stored_kind::members).m_revision;
+        return {m_state.m_config_object.m_revision, part, known,
                 m_state.m_members.empty()};
     }
 };
 
+stored_change member(std::size_t number, std::uint64_t revision)
+{
+    const std::string name = "vm" + std::to_string(number);
+    return {
+        {name, revision,
+         store_value_codec().m_write_member(
+             {name, {"10.1.0.1", 8462}, "zone-" + std::to_string(number % 6)})},
+        false};
+}
+
 // A fleet of this size: its endpoints and routes grow with it.
 void fill(process& p, std::size_t members)
 {
@@ -99,12 +114,10 @@
             {{"e" + std::to_string(i), 10, endpoint(i, "ready")}, false});
     p.change(stored_kind::endpoints, 10, endpoints, true);
     p.change(stored_kind::evacuations, 10, {}, true);
+    std::vector<stored_change> registered;
     for (std::size_t i = 0; i < members; ++i)
-    {
-        const std::string name = "vm" + std::to_string(i);
-        p.m_state.m_members[name] = {
-            name, {"10.1.0.1", 8462}, "zone-" + std::to_string(i % 6)};
-    }
+        registered.push_back(member(i, 10));
+    p.change(stored_kind::members, 10, registered, true);
     p.configure(10, members * 4);
 }
 
@@ -170,6 +183,74 @@
             CHECK(all.m_vms.size() == members);
         }
     }
+    GIVEN("a member that registers and one that is removed")
+    {
+        leader.change(stored_kind::members, 20,
+                      {member(members, 20), {{"vm2", 10, {}}, true}}, false);
+
+        THEN("a follower gets these two")
+        {
+            const std::size_t bytes =
+                fetch(leader, follower, peer_settings_part::members);
+            CHECK(bytes < 600);
+            CHECK(f.m_members.size() == members);
+            CHECK_FALSE(f.m_members.contains("vm2"));
+            CHECK(f.m_members.at("vm" + std::to_string(members)) ==
+                  leader.m_state.m_members.at("vm" + std::to_string(members)));
+        }
+        THEN("a follower that has them already gets nothing")
+        {
+            fetch(leader, follower, peer_settings_part::members);
+            CHECK(fetch(leader, follower, peer_settings_part::members) < 200);
+            CHECK(f.m_members.size() == members);
+        }
+        WHEN("the leader reads the list again")
+        {
+            std::vector<stored_change> list;
+            for (const auto& [name, o] : leader.m_state.m_member_objects)
+                list.push_back({o, false});
+            CHECK(lists_same_members(leader.m_state, list));
+            CHECK_FALSE(lists_same_members(f, list));
+            list.pop_back();
+            leader.change(stored_kind::members, 30, list, true);
+
+            THEN("a follower still gets only what changed")
+            {
+                CHECK(fetch(leader, follower, peer_settings_part::members) <
+                      600);
+                CHECK(f.m_members == leader.m_state.m_members);
+            }
+        }
+        WHEN("a follower gets changes of a list that it doesn't have")
+        {
+            peer_settings later = make_peer_settings(
+                leader.m_state, follower.request(peer_settings_part::members));
+            later.m_members.m_since = 15;
+            adopt_from_peer(follower.m_state, later);
+
+            THEN("it keeps its own, and asks for the complete list")
+            {
+                CHECK(f.m_members.contains("vm2"));
+                CHECK(f.m_wants_full_members);
+                fetch(leader, follower, peer_settings_part::members);
+                CHECK(f.m_members == leader.m_state.m_members);
+                CHECK_FALSE(f.m_wants_full_members);
+            }
+        }
+        THEN("a process of an earlier build, which doesn't name them, isn't "
+             "sent them")
+        {
+            const peer_settings all = make_peer_settings(
+                leader.m_state, {10, peer_settings_part::all, {}, false});
+            CHECK(all.m_known.m_members == 0);
+            CHECK(std::ranges::none_of(all.m_objects,
+                                       [](const peer_object& o)
+                                       {
+                                           return o.m_name.starts_with(
+                                               "member/");
+                                       }));
+        }
+    }
     GIVEN("a route that is added")
     {
         leader.configure(30, members * 4 + 1);
--- a/Tests/site/relayed_changes_test.cpp
+++ b/Tests/site/relayed_changes_test.cpp
@@ -1,5 +1,7 @@
+#include <chrono>
 #include <csignal>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <decide/cell_vote.hpp>
@@ -46,6 +48,36 @@
     return script_at(s, s.store_revision());
 }
 
+constexpr const char* member_kind = "bluebellspoke-members";
+
+// The same for a leader that relays the members, too.
+leader_script script_with_members(site& s)
+{
+    leader_script script = current_script(s);
+    const std::uint64_t revision = script.m_claim.m_store_revision;
+    script.m_claim.m_members_revision = revision;
+    script.m_settings.m_known.m_members = revision;
+    for (const json& entry : s.entries(member_kind))
+        script.m_settings.m_objects.push_back(
+            {"member/" + entry["meta"]["name"].get<std::string>(),
+             entry["meta"]["revision"].get<std::uint64_t>(),
+             entry["spec"].dump()});
+    return script;
+}
+
+bool knows_members(const site& s, std::size_t count)
+{
+    return s.metric(0, "fleet_members") == count;
+}
+
+bool is_registered(const site& s, const std::string& name)
+{
+    for (const json& entry : s.entries(member_kind))
+        if (entry["meta"]["name"] == name)
+            return true;
+    return false;
+}
+
 void add_route(site& s, const std::string& database)
 {
     json change = s.config();
@@ -175,3 +207,159 @@
         }
     }
 }
+
+SCENARIO("A process follows the members that its cell leader relays")
+{
+    using namespace std::chrono_literals;
+    site s(1);
+    scripted_leader leader(s.peers_of(0));
+    add_cell(s, leader);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return knows_members(s, min_processes_for_cells);
+        }));
+    leader.follow(script_with_members(s));
+    // The watch of the members goes on until it ends, by a change or by its
+    // time.
+    s.add_member("late", {"127.0.0.1", 1});
+    leader.follow(script_with_members(s));
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "relayed_watches") == 4;
+        }));
+    constexpr std::size_t members = min_processes_for_cells + 1;
+    REQUIRE(knows_members(s, members));
+
+    GIVEN("a member that registers")
+    {
+        s.add_member("later", {"127.0.0.1", 1});
+
+        WHEN("the leader hasn't noticed")
+        {
+            std::this_thread::sleep_for(2s);
+
+            THEN("the process hasn't either: it doesn't watch the store")
+            {
+                CHECK(knows_members(s, members));
+            }
+        }
+        WHEN("the leader has it")
+        {
+            leader.follow(script_with_members(s));
+
+            THEN("the process has it")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return knows_members(s, members + 1);
+                    }));
+            }
+        }
+        WHEN("the leader falls silent")
+        {
+            leader.fall_silent();
+
+            THEN("the process reads the members from the store")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return knows_members(s, members + 1);
+                    }));
+            }
+        }
+        WHEN("the leader no longer reaches the store")
+        {
+            leader_script cut_off = script_with_members(s);
+            cut_off.m_claim.m_store_is_available = false;
+            leader.follow(cut_off);
+
+            THEN("the process reads the members from the store")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return knows_members(s, members + 1);
+                    }));
+            }
+        }
+        WHEN("the leader is replaced by one of an earlier build")
+        {
+            leader.follow(current_script(s));
+
+            THEN("the process watches the members itself")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return s.metric(0, "relayed_watches") == 3 &&
+                               knows_members(s, members + 1);
+                    }));
+            }
+        }
+        WHEN("the leader has it, but its list doesn't arrive")
+        {
+            leader_script mute = script_with_members(s);
+            mute.m_settings = {};
+            leader.follow(mute);
+
+            THEN("the process reads the members from the store")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return knows_members(s, members + 1);
+                    }));
+            }
+        }
+    }
+    GIVEN("a member that is removed")
+    {
+        s.remove_entry(member_kind, "late");
+        leader.follow(script_with_members(s));
+
+        THEN("the process forgets it")
+        {
+            REQUIRE(comes_true(
+                [&]
+                {
+                    return knows_members(s, members - 1);
+                }));
+        }
+    }
+    GIVEN("the process itself is missing from the store's list")
+    {
+        s.remove_entry(member_kind, "entry-0");
+        REQUIRE_FALSE(is_registered(s, "entry-0"));
+
+        WHEN("the leader relays the list without it")
+        {
+            leader.follow(script_with_members(s));
+
+            THEN("it registers again")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return is_registered(s, "entry-0");
+                    }));
+            }
+        }
+        WHEN("the leader sends it nothing more, as it isn't a member")
+        {
+            leader.fall_silent();
+
+            THEN("it registers again")
+            {
+                REQUIRE(comes_true(
+                    [&]
+                    {
+                        return is_registered(s, "entry-0");
+                    }));
+            }
+        }
+    }
+}
--- a/Tests/support/scripted_leader.cpp
+++ b/Tests/support/scripted_leader.cpp
@@ -20,7 +20,7 @@
 
 struct script_change
 {
-    leader_script m_script;
+    std::optional<leader_script> m_script;
     std::promise<void>* m_done;
 };
 struct leader_stop
@@ -61,6 +61,13 @@
         m_claims.start_periodic(vote_request_interval);
     }
 
+    void change(const std::optional<leader_script>& script)
+    {
+        std::promise<void> done;
+        m_box.post(script_change{script, &done});
+        done.get_future().wait();
+    }
+
     void take(leader_message& message)
     {
         if (std::holds_alternative<leader_stop>(message))
@@ -132,9 +139,12 @@
 
 void scripted_leader::follow(const leader_script& script)
 {
-    std::promise<void> done;
-    m_state->m_box.post(script_change{script, &done});
-    done.get_future().wait();
+    m_state->change(script);
+}
+
+void scripted_leader::fall_silent()
+{
+    m_state->change(std::nullopt);
 }
 
 std::size_t scripted_leader::fetches() const
--- a/Tests/support/scripted_leader.hpp
+++ b/Tests/support/scripted_leader.hpp
@@ -34,6 +34,8 @@
     address local() const;
     /// From its next claim on it says this.
     void follow(const leader_script& script);
+    /// Sends no claims and answers nothing from now on.
+    void fall_silent();
     /// How often the daemon has fetched its settings since it was last told
     /// what to say.
     std::size_t fetches() const;
