--- /dev/null
+++ b/Tests/support/scripted_voter.hpp
@@ -0,0 +1,43 @@
+#ifndef BLUEBELLSPOKE_SUPPORT_SCRIPTED_VOTER_HPP
+#define BLUEBELLSPOKE_SUPPORT_SCRIPTED_VOTER_HPP
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <model/address.hpp>
+
+namespace bluebellspoke::support
+{
+
+/// A member of a cell that votes as a test tells it to, and is never a
+/// candidate itself, on a thread of its own.
+class scripted_voter
+{
+public:
+    explicit scripted_voter(std::string name);
+    ~scripted_voter();
+    scripted_voter(const scripted_voter&) = delete;
+    scripted_voter& operator=(const scripted_voter&) = delete;
+
+    /// Where a candidate reaches it.
+    address local() const;
+    /// Whether it grants its vote from now on. At first it doesn't.
+    void set_granting(bool grants);
+    /// Whether the sender of the last request didn't lead the cell.
+    bool is_asked_by_candidate() const;
+    /// The time from its last vote before the first request in which the
+    /// candidate names itself the leader to that request; nothing before one
+    /// has arrived since it was last told whether to grant votes.
+    std::optional<std::chrono::milliseconds> announcement_delay() const;
+
+    struct state;
+
+private:
+    std::unique_ptr<state> m_state;
+};
+
+}
+
+#endif
