--- a/Tests/fleet/cell_leader_test.cpp
+++ b/Tests/fleet/cell_leader_test.cpp
@@ -1,19 +1,18 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <memory>
-#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
 #include <decide/demand_share.hpp>
+#include <fleet/two_cells.hpp>
 #include <support/site.hpp>
 
 using namespace bluebellspoke;
+using namespace bluebellspoke::fleet;
 using namespace bluebellspoke::support;
 
 namespace
@@ -22,24 +21,6 @@
 using namespace std::chrono_literals;
 using test_clock = std::chrono::steady_clock;
 
-constexpr site_size two_cells{
-    .m_daemons = 26, .m_zones = 2, .m_workspaces = 4, .m_rate = 20};
-
-bool leads(const site& s, std::size_t daemon)
-{
-    return s.metric(daemon, "cell_kept") == 1;
-}
-
-// Daemons are spread over the zones in turn.
-std::vector<std::size_t> leaders_of(const site& s, std::size_t zone)
-{
-    std::vector<std::size_t> found;
-    for (std::size_t i = zone; i < two_cells.m_daemons; i += two_cells.m_zones)
-        if (leads(s, i))
-            found.push_back(i);
-    return found;
-}
-
 bool is_served(const site& s, std::size_t daemon, std::size_t workspace)
 {
     line_caller c(s.callers_of(daemon));
@@ -97,29 +78,15 @@
 std::size_t flood(const site& s, std::size_t workspace,
                   test_clock::duration span)
 {
-    std::vector<std::unique_ptr<line_caller>> callers;
-    for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
-    {
-        callers.push_back(std::make_unique<line_caller>(s.callers_of(i)));
-        REQUIRE(callers.back()->start("browse", key_of(workspace)) == "READY");
-    }
+    const sessions callers = start_sessions(s, workspace);
     const auto end = test_clock::now() + span;
     std::size_t served = 0;
     while (test_clock::now() < end)
     {
-        for (auto& c : callers)
+        for (const auto& c : callers)
             c->send("QUERY flood READ bear");
-        for (auto& c : callers)
-        {
-            const auto answer = c->line();
-            REQUIRE(answer);
-            if (answer->starts_with("ROW"))
-            {
-                ++served;
-                REQUIRE(c->line()); // COMPLETE.
-            }
-            REQUIRE(c->line()); // READY, with the session's state.
-        }
+        for (const auto& c : callers)
+            served += read_answer(*c) ? 1 : 0;
     }
     return served;
 }
@@ -132,7 +99,7 @@
     REQUIRE(comes_true(
         [&]
         {
-            return leaders_of(s, 0).size() == 1 && leaders_of(s, 1).size() == 1;
+            return has_leaders(s);
         }));
     const std::size_t leader = leaders_of(s, 0).front();
     const std::size_t other =
--- a/Tests/fleet/cold_start_test.cpp
+++ b/Tests/fleet/cold_start_test.cpp
@@ -1,17 +1,15 @@
-#include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <memory>
-#include <numeric>
-#include <string>
 #include <string_view>
 #include <vector>
 
 #include <catch2/catch.hpp>
 #include <decide/load/cold_start.hpp>
+#include <fleet/two_cells.hpp>
 #include <support/site.hpp>
 
 using namespace bluebellspoke;
+using namespace bluebellspoke::fleet;
 using namespace bluebellspoke::support;
 
 namespace
@@ -19,8 +17,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr site_size two_cells{
-    .m_daemons = 26, .m_zones = 2, .m_workspaces = 4, .m_rate = 20};
 constexpr rate_excess excess{20, 5s, 0.1, 20};
 
 double sum_over_fleet(const site& s, std::string_view name)
@@ -31,45 +27,16 @@
     return sum;
 }
 
-bool has_leaders(const site& s)
-{
-    return sum_over_fleet(s, "cell_kept") == two_cells.m_zones;
-}
-
-// Returns the sessions of one workspace at all processes, once they are ready.
-std::vector<std::unique_ptr<line_caller>> start_sessions(const site& s,
-                                                         std::size_t workspace)
-{
-    std::vector<std::unique_ptr<line_caller>> callers;
-    for (std::size_t i = 0; i < two_cells.m_daemons; ++i)
-    {
-        REQUIRE(comes_true(
-            [&]
-            {
-                return s.is_ready(i);
-            }));
-        callers.push_back(std::make_unique<line_caller>(s.callers_of(i)));
-        REQUIRE(callers.back()->start("browse", key_of(workspace)) == "READY");
-    }
-    return callers;
-}
-
 // Sends one statement in each session at the same moment, and ends the sessions
 // that are served.
-void ask_all(std::vector<std::unique_ptr<line_caller>>& callers)
+void ask_all(sessions& callers)
 {
     for (auto& c : callers)
         c->send("QUERY first READ bear");
     std::erase_if(callers,
                   [](const auto& c)
                   {
-                      const auto answer = c->line();
-                      REQUIRE(answer);
-                      const bool served = answer->starts_with("ROW");
-                      if (served)
-                          REQUIRE(c->line()); // COMPLETE.
-                      REQUIRE(c->line()); // READY, with the session's state.
-                      return served;
+                      return read_answer(*c);
                   });
 }
 
