failover: Date a primary's status by its request

The failover task told the session task of a primary with the present time as the time of the request, although the status was older. The position then counted as proof for reads that arrived later than it was.

The message now carries when the status was requested.

--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -250,9 +250,9 @@
         may_yield ? live : find_ordered_primary(g, ordered);
     if (lead != nullptr)
     {
-        t.m_boxes.m_session.post(
-            primary_promoted{service, lead->m_endpoint.m_id,
-                             lead->m_member.m_status, boot_now()});
+        t.m_boxes.m_session.post(primary_promoted{
+            service, lead->m_endpoint.m_id, lead->m_member.m_status,
+            lead->m_member.m_asked_at});
         return fire(t, service, g, takeover_event::given_up);
     }
     const std::vector<takeover_member> members = decision_members(g);
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -94,8 +94,8 @@
               {{"service", service},
                {"endpoint", id},
                {"term", std::to_string(lead->m_member.m_status.m_term)}});
-    t.m_boxes.m_session.post(
-        primary_promoted{service, id, lead->m_member.m_status, boot_now()});
+    t.m_boxes.m_session.post(primary_promoted{
+        service, id, lead->m_member.m_status, lead->m_member.m_asked_at});
     if (g.m_old_primary != id && !g.m_old_primary.empty())
         g.m_step_down_until = boot_now() + step_down_timeout;
 }
