failover: Resume paused members without an open connection

When a failover was given up, RESUME was sent only on connections that were open. A replica that had been paused and had lost its connection stayed paused until the session task reported it, up to 3 s later.

It is now sent RESUME over a new connection. The test runs the failover task alone: a replica closes the connection after PAUSE.

--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -130,6 +130,7 @@
     if (!m.m_connection)
         return;
     m.m_reply_pending = true;
+    m.m_pause_sent = m.m_pause_sent || order == group_order::pause;
     m.m_connection->send(
         order, g.m_term, group_order_timeout,
         [&t, service, order, id = m.m_endpoint.m_id, term = g.m_term,
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -134,7 +134,7 @@
     case takeover_action::record:
         return record_duty(t.m_duty);
     case takeover_action::resume:
-        return resume_members(service, g);
+        return resume_members(t, service, g);
     case takeover_action::wait:
         return;
     case takeover_action::order:
--- a/Source/session/failover_pauses.cpp
+++ b/Source/session/failover_pauses.cpp
@@ -29,16 +29,29 @@
 
 }
 
-void resume_members(const std::string& service, failover_group& g)
+void resume_members(failover_task_state& t, const std::string& service,
+                    failover_group& g)
 {
     log_event(event_id::takeover_given_up,
               {{"service", service}, {"term", std::to_string(g.m_term)}});
     for (takeover_participant& m : g.m_members)
-        if (m.m_member.m_reachable &&
-            m.m_member.m_status.m_role == endpoint_role::replica &&
-            m.m_connection && m.m_connection->is_open())
+    {
+        const bool is_connected = m.m_member.m_reachable && m.m_connection &&
+                                  m.m_connection->is_open();
+        if (is_connected &&
+            m.m_member.m_status.m_role == endpoint_role::replica)
             m.m_connection->send(group_order::resume, 0, group_order_timeout,
                                  [](const std::optional<endpoint_status>&) {});
+        else if (m.m_pause_sent)
+        {
+            // An order that is still on its way there is dropped.
+            m.m_connection.reset();
+            m.m_reply_pending = false;
+            resume_replica(t, service, g, m.m_endpoint);
+            // advance_pauses closes the connection with its next attempt.
+            g.m_next_resume_at = boot_now() + resume_retry_interval;
+        }
+    }
 }
 
 void advance_pauses(failover_task_state& t, const std::string& service,
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -51,6 +51,7 @@
     takeover_member m_member;
     std::unique_ptr<order_connection> m_connection;
     bool m_reply_pending = false;
+    bool m_pause_sent = false; ///< It may be paused by this takeover.
 };
 
 /// The address at which one log of a group is kept. The log outlives its
@@ -152,7 +153,8 @@
 
 // failover_pauses.cpp
 /// Resumes the members that a takeover paused before it was given up.
-void resume_members(const std::string& service, failover_group& g);
+void resume_members(failover_task_state& t, const std::string& service,
+                    failover_group& g);
 /// Resumes replicas that are paused although no takeover is in progress: the
 /// process that paused them has ended, or lost the duty.
 void advance_pauses(failover_task_state& t, const std::string& service,
--- a/Tests/site/failover_orders_test.cpp
+++ b/Tests/site/failover_orders_test.cpp
@@ -17,6 +17,8 @@
 
 // Role, term, position, term for which it is paused, lag.
 const std::string primary_status = "primary 3 3.10 0 0";
+const std::string replica_status = "replica 3 3.10 0 0";
+const std::string paused_status = "replica 3 3.10 4 0";
 
 }
 
@@ -42,3 +44,42 @@
               primary.orders().front().m_at);
     }
 }
+
+// Guards against a replica that stays paused until the session task finds it,
+// up to 3 s later: without another one, no commit is acknowledged meanwhile.
+SCENARIO("A failover is given up when a replica has closed the connection")
+{
+    scripted_endpoint primary({.m_status = primary_status, .m_answers = false});
+    scripted_endpoint replica({replica_status});
+    lone_failover_task t({{"i-1", primary.local()},
+                          {"i-2", replica.local()},
+                          {"i-3", free_address()}});
+    t.report_silent("i-1", 3);
+    REQUIRE(t.await(
+        [&]
+        {
+            return replica.has_received("PAUSE 4");
+        }));
+    replica.follow({.m_status = paused_status, .m_closes_on_status = true});
+    const std::size_t before = replica.orders().size();
+    REQUIRE(t.await(
+        [&]
+        {
+            return replica.orders().size() > before + 1;
+        }));
+    primary.follow({primary_status});
+
+    THEN("it is resumed over another connection")
+    {
+        REQUIRE(t.await(
+            [&]
+            {
+                return !t.promoted().empty();
+            }));
+        CHECK(t.await(
+            [&]
+            {
+                return replica.has_received("RESUME");
+            }));
+    }
+}
