failover: Keep the state of a step-down apart from takeovers

Each attempt set the time of the group's next action, so that the present primary was hardly checked while the old one didn't answer: a second failover waited. The order also used the endpoint and the term of the group's latest takeover, which may be the present primary after a takeover that was given up.

A step-down now has its own endpoint, term and times, and ends when its endpoint leads again. The order to the wrong endpoint was found by reading; the delay kept it from occurring in the test.

--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -96,8 +96,15 @@
                {"term", std::to_string(lead->m_member.m_status.m_term)}});
     t.m_boxes.m_session.post(primary_promoted{
         service, id, lead->m_member.m_status, lead->m_member.m_asked_at});
-    if (g.m_old_primary != id && !g.m_old_primary.empty())
-        g.m_step_down_until = boot_now() + step_down_timeout;
+    g.m_step_downs.erase(id);
+    if (g.m_old_primary == id || g.m_old_primary.empty())
+        return;
+    const time_point now = boot_now();
+    pending_step_down& s = g.m_step_downs[g.m_old_primary];
+    s = {};
+    s.m_term = g.m_term;
+    s.m_until = now + step_down_timeout;
+    s.m_next_at = now + takeover_retry_delay;
 }
 
 // Fences the members again after one of them has left the fence.
@@ -182,34 +189,46 @@
         begin_takeover(t, service, g, reason);
 }
 
+void send_step_down(failover_task_state& t, const std::string& service,
+                    const site_endpoint& e, pending_step_down& s,
+                    time_point now)
+{
+    s.m_next_at = now + takeover_retry_delay;
+    s.m_connection = open_order_connection(t, e);
+    if (!s.m_connection)
+        return;
+    s.m_connection->send(
+        group_order::step_down, s.m_term, group_order_timeout,
+        [&t, service, id = e.m_id](const std::optional<endpoint_status>& status)
+        {
+            pending_step_down& asked = t.m_groups[service].m_step_downs[id];
+            asked.m_is_done = status.has_value();
+            asked.m_next_at = boot_now() + takeover_retry_delay;
+        });
+}
+
 // A replaced primary that was unreachable still leads its term until it learns
 // of the next one.
-void advance_step_down(failover_task_state& t, const std::string& service,
-                       failover_group& g, time_point now)
+void advance_step_downs(failover_task_state& t, const std::string& service,
+                        failover_group& g, time_point now)
 {
-    if (now >= g.m_step_down_until)
+    std::erase_if(g.m_step_downs,
+                  [&](const auto& entry)
+                  {
+                      const pending_step_down& s = entry.second;
+                      const bool leads_again =
+                          entry.first == g.m_report.m_primary &&
+                          g.m_report.m_term >= s.m_term;
+                      return s.m_is_done || leads_again || now >= s.m_until;
+                  });
+    for (auto& [id, s] : g.m_step_downs)
     {
-        g.m_step_down.reset();
-        return;
+        const auto e = t.m_endpoints->m_endpoints.find(id);
+        const bool is_pending = s.m_connection && s.m_connection->is_open();
+        if (now >= s.m_next_at && !is_pending &&
+            e != t.m_endpoints->m_endpoints.end())
+            send_step_down(t, service, e->second, s, now);
     }
-    const auto old = t.m_endpoints->m_endpoints.find(g.m_old_primary);
-    if (now < g.m_next_action_at || g.m_step_down ||
-        old == t.m_endpoints->m_endpoints.end())
-        return;
-    g.m_next_action_at = now + takeover_retry_delay;
-    g.m_step_down = open_order_connection(t, old->second);
-    if (!g.m_step_down)
-        return;
-    g.m_step_down->send(
-        group_order::step_down, g.m_term, group_order_timeout,
-        [&t, service](const std::optional<endpoint_status>& status)
-        {
-            failover_group& group = t.m_groups[service];
-            if (status)
-                group.m_step_down_until = {};
-            else
-                group.m_next_action_at = boot_now() + takeover_retry_delay;
-        });
 }
 
 void advance_group(failover_task_state& t, const std::string& service,
@@ -218,9 +237,7 @@
     switch (g.m_state)
     {
     case takeover_state::led:
-        if (g.m_step_down && !g.m_step_down->is_open())
-            g.m_step_down.reset();
-        advance_step_down(t, service, g, now);
+        advance_step_downs(t, service, g, now);
         check_primary(t, service, g, now);
         if (g.m_state == takeover_state::led)
             advance_pauses(t, service, g, now);
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -62,6 +62,17 @@
     bool m_drained = false; ///< Its endpoint was draining when last seen.
 };
 
+/// A replaced primary that is asked to step down until it answers. A later
+/// takeover of its group changes none of this.
+struct pending_step_down
+{
+    term_number m_term = 0; ///< Of the takeover that replaced it.
+    time_point m_until{};
+    time_point m_next_at{}; ///< The next attempt, at the earliest.
+    std::unique_ptr<order_connection> m_connection;
+    bool m_is_done = false; ///< It has answered.
+};
+
 /// A group of endpoints, and its current takeover if there is one.
 struct failover_group
 {
@@ -79,8 +90,7 @@
     ordered_promotion m_ordered; ///< By this or the last duty holder.
     std::vector<takeover_participant> m_members;
     time_point m_next_poll_at{}; ///< When fenced members are polled next.
-    std::unique_ptr<order_connection> m_step_down;
-    time_point m_step_down_until{};
+    std::map<std::string, pending_step_down> m_step_downs; ///< By endpoint.
     /// Replicas that stayed paused without a takeover, and are resumed.
     std::map<std::string, std::unique_ptr<order_connection>> m_resumed;
     time_point m_next_resume_at{};
--- a/Tests/site/takeover_test.cpp
+++ b/Tests/site/takeover_test.cpp
@@ -13,6 +13,8 @@
 
 // The time in which a deployment has to recover.
 constexpr std::chrono::seconds recovery_time{12};
+// Moments in which another failover begins and ends; one takes some 4 s.
+constexpr int past_a_failover = 320;
 
 // Repeats a statement, each time in a new session, until it is answered.
 bool eventually_answers(const site& s, std::size_t daemon,
@@ -179,3 +181,42 @@
             }));
     }
 }
+
+// Guards against a failover that isn't begun while an earlier primary hasn't
+// answered the order to step down, and against such an order to the present
+// primary after a failover that was given up.
+SCENARIO("A failover is given up before an earlier primary has stepped down")
+{
+    site s(1);
+    REQUIRE(eventually_writes(s, "brown"));
+    s.set_dark("i-1", true);
+    const std::string primary = await_decision(s);
+    REQUIRE(eventually_writes(s, "white"));
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "promotions_total") == 1;
+        }));
+    // Two of three don't answer, so that nobody can be promoted.
+    s.set_dark(primary, true);
+    const std::string replica = other_replica(primary);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.is_paused(replica);
+        },
+        past_a_failover));
+    s.set_dark(primary, false);
+
+    THEN("the present primary goes on")
+    {
+        CHECK(eventually_writes(s, "black"));
+        CHECK_FALSE(comes_true(
+            [&]
+            {
+                return s.metric(0, "promotions_total") > 1;
+            },
+            past_a_failover));
+        CHECK(eventually_writes(s, "green"));
+    }
+}
