--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -51,6 +51,7 @@
     takeover_member m_member;
     std::unique_ptr<order_connection> m_connection;
     bool m_reply_pending = false;
+    bool m_pause_sent = false; ///< It may be paused by this takeover.
 };
 
 /// The address at which one log of a group is kept. The log outlives its
@@ -61,6 +62,17 @@
     bool m_drained = false; ///< Its endpoint was draining when last seen.
 };
 
+/// A replaced primary that is asked to step down until it answers. A later
+/// takeover of its group changes none of this.
+struct pending_step_down
+{
+    term_number m_term = 0; ///< Of the takeover that replaced it.
+    time_point m_until{};
+    time_point m_next_at{}; ///< The next attempt, at the earliest.
+    std::unique_ptr<order_connection> m_connection;
+    bool m_is_done = false; ///< It has answered.
+};
+
 /// A group of endpoints, and its current takeover if there is one.
 struct failover_group
 {
@@ -78,8 +90,7 @@
     ordered_promotion m_ordered; ///< By this or the last duty holder.
     std::vector<takeover_participant> m_members;
     time_point m_next_poll_at{}; ///< When fenced members are polled next.
-    std::unique_ptr<order_connection> m_step_down;
-    time_point m_step_down_until{};
+    std::map<std::string, pending_step_down> m_step_downs; ///< By endpoint.
     /// Replicas that stayed paused without a takeover, and are resumed.
     std::map<std::string, std::unique_ptr<order_connection>> m_resumed;
     time_point m_next_resume_at{};
@@ -152,7 +163,8 @@
 
 // failover_pauses.cpp
 /// Resumes the members that a takeover paused before it was given up.
-void resume_members(const std::string& service, failover_group& g);
+void resume_members(failover_task_state& t, const std::string& service,
+                    failover_group& g);
 /// Resumes replicas that are paused although no takeover is in progress: the
 /// process that paused them has ended, or lost the duty.
 void advance_pauses(failover_task_state& t, const std::string& service,
