--- a/Source/session/session_tokens.cpp
+++ b/Source/session/session_tokens.cpp
@@ -163,7 +163,8 @@
                          const work_ptr& w)
 {
     if (is_logged(event_id::statement_waits))
-        log_waiting(*w, "rate", describe_leader_answer("asks the keeper", r));
+        log_waiting(*w, "rate",
+                    describe_leader_answer("asks the cell leader", r));
     const time_point now = boot_now();
     extend_wait_for_leader(t, *w);
     await_token(r, *w, now);
@@ -190,7 +191,7 @@
         r.m_next_request_at =
             now + std::max<duration>(grant.m_wait, min_request_interval);
         refuse_expired(t, r, r.m_next_request_at,
-                       "the keeper has none in time");
+                       "the cell leader has none in time");
     }
     if (!m.m_is_answered)
         for (auto& [name, r] : t.m_rates)
@@ -249,7 +250,7 @@
         // Work may have waited since before the members were known.
         while (has_waiting_work(r) && admit_from_own_credit(t, name, r, now))
             admit_next(t, r, now);
-        refuse_expired(t, r, now, "no answer of the keeper");
+        refuse_expired(t, r, now, "no answer of the cell leader");
     }
     send_token_request(t, now);
 }
