peer: Answer requests for groups with what changed

With 300 processes, 31 groups and 311 workspaces a cell leader sends more bytes of group answers than of anything else, in normal operation and after a restart of all processes: each process asks for each group in use up to 20 times a second, and each answer listed all endpoints of the group.

A request now names, for each group, the leader's last answer of which the process still has the content (decide/relay_changes). The answer holds the parts that changed since, and leaves out groups of which nothing changed. Everything is sent for a new term or primary, by another process, and to earlier builds, which read the first two fields of the messages as before.

A process doesn't name an answer once its view lost the primary or the lease. A lease that ends soon is told again, as an answer with a shorter round trip makes it last longer. Event 2027 reports a change that can't be applied; bluebellspoke_relayed_groups_total counts the forms.

--- a/Source/model/relayed_group.hpp
+++ b/Source/model/relayed_group.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <model/clock.hpp>
 #include <model/log_position.hpp>
@@ -42,6 +43,25 @@
         m_endpoints; ///< By id.
 };
 
+/// An endpoint in a relayed_change.
+struct relayed_endpoint_change
+{
+    std::uint32_t m_id_hash = 0; ///< Of its id.
+    relayed_endpoint m_endpoint{};
+};
+
+/// What changed of a group since an earlier answer of the same process, which
+/// also told the term and the primary. Spans count back as in relayed_group.
+struct relayed_change
+{
+    std::uint32_t m_index = 0; ///< Of the group in the request.
+    duration m_primary_seen_ago{};
+    std::optional<duration> m_lease_proven_ago; ///< Nothing: not renewed.
+    std::optional<log_position> m_position;     ///< Nothing: no newer one.
+    duration m_position_asked_ago{};
+    std::vector<relayed_endpoint_change> m_endpoints;
+};
+
 }
 
 #endif
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -143,13 +143,27 @@
 {
     std::vector<std::string> m_services;
     bool m_from_other_cell = false;
+    /// The m_source of the receiver's last answer. 0, which isn't sent: the
+    /// sender has none, or is an earlier build.
+    std::uint64_t m_source = 0;
+    /// For each service, the version of the answer of m_source whose content
+    /// the sender still has; 0: none, the group is wanted in full.
+    std::vector<std::uint64_t> m_versions = {};
+    /// Indices of the services whose lease is wanted also if it hasn't changed.
+    std::vector<std::uint32_t> m_leases = {};
 };
 
-/// The groups that the cell leader knows, of those that were asked for.
+/// The groups that the cell leader knows, of those that were asked for. A group
+/// that is among neither m_groups nor m_changes is unknown, or hasn't changed
+/// since the version that the request named.
 struct peer_groups
 {
     bool m_from_leader = false; ///< False if the sender isn't the cell leader.
-    std::vector<relayed_group> m_groups;
+    std::vector<relayed_group> m_groups; ///< In full.
+    /// Incarnation of the sender's process. Earlier builds don't send it.
+    std::uint64_t m_source = 0;
+    std::uint64_t m_version = 0; ///< Of this answer; increases.
+    std::vector<relayed_change> m_changes = {};
 };
 
 /// The receiver doesn't know the request, or can't serve it now.
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -112,6 +112,10 @@
                 "settings_delta_refused",
                 "a peer sent the configuration as a change of one that isn't "
                 "the one in force; it is fetched as a whole"},
+    event_entry{event_id::group_change_refused, event_level::warning,
+                "group_change_refused",
+                "a cell leader sent the changes of a group since an answer "
+                "that this process doesn't have; groups are asked for in full"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -44,6 +44,7 @@
     watch_resumed = 2020,
     peer_traffic = 2021,
     settings_delta_refused = 2022,
+    group_change_refused = 2027,
     fleet_epoch_followed = 2101,
     fleet_epoch_refused = 2102,
     endpoint_reached = 3001,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -243,6 +243,11 @@
                  "bluebellspoke_unconfigured_endpoints", "",
                  "endpoints that are not used, as no configuration names their "
                  "service"},
+    metric_entry{metric_id::relayed_groups, metric_type::counter,
+                 "bluebellspoke_relayed_groups_total", "form",
+                 "groups that other processes asked this one for as a cell "
+                 "leader: sent in full (full), as changes since its last "
+                 "answer (change), or left out as nothing changed (unchanged)"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -88,6 +88,7 @@
     own_credit_used,
     ignored_entries,
     unconfigured_endpoints,
+    relayed_groups,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -182,6 +182,15 @@
               static_cast<double>(c.m_own_credit_used));
     add_value(families, metric_id::group_requests, {},
               static_cast<double>(c.m_relay_requests));
+    add_value(families, metric_id::relayed_groups,
+              std::array{std::string_view("full")},
+              static_cast<double>(c.m_groups_in_full));
+    add_value(families, metric_id::relayed_groups,
+              std::array{std::string_view("change")},
+              static_cast<double>(c.m_groups_changed));
+    add_value(families, metric_id::relayed_groups,
+              std::array{std::string_view("unchanged")},
+              static_cast<double>(c.m_groups_unchanged));
     add_value(families, metric_id::session_reads,
               std::array{std::string_view("primary")},
               static_cast<double>(c.m_primary_reads));
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
 #define BLUEBELLSPOKE_SESSION_SESSION_MESSAGES_HPP
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <variant>
@@ -8,6 +9,7 @@
 
 #include <decide/demand_share.hpp>
 #include <decide/explanation.hpp>
+#include <decide/relay_changes.hpp>
 #include <decide/site_clock.hpp>
 #include <decide/takeover.hpp>
 #include <decide/usage_report.hpp>
@@ -105,15 +107,20 @@
 struct group_request
 {
     group_source m_source = group_source::own_leader;
-    std::vector<std::string> m_services;
+    std::vector<relay_query> m_queries;
     time_point m_requested_at{};
 };
 
 /// site → session: the answer of a cell leader.
 struct group_response
 {
-    std::vector<relayed_group> m_groups; ///< Empty if no leader answered.
     time_point m_requested_at{};
+    /// What was asked for; empty if no leader answered.
+    std::vector<relay_query> m_queries;
+    std::vector<relayed_group> m_groups;   ///< In full.
+    std::vector<relayed_change> m_changes; ///< Of m_queries, by index.
+    std::uint64_t m_source = 0;  ///< The leader; 0: of an earlier build.
+    std::uint64_t m_version = 0; ///< Of its answer.
 };
 
 /// site → session: a process of the cell, or the leader of another one, asks
@@ -123,6 +130,11 @@
     exchange_id m_exchange;
     std::vector<std::string> m_services;
     bool m_from_other_cell = false;
+    /// For each service, the version of this process's answer of which the
+    /// other one still has the content; 0 for those that are missing.
+    std::vector<std::uint64_t> m_versions;
+    /// Indices of the services whose lease is wanted also if it hasn't changed.
+    std::vector<std::uint32_t> m_leases;
 };
 
 /// session → site: the answer to a request of another process.
@@ -131,7 +143,9 @@
     exchange_id m_exchange;
     bool m_is_leader =
         false; ///< False if this process isn't the leader any more.
-    std::vector<relayed_group> m_groups;
+    std::uint64_t m_version = 0;
+    std::vector<relayed_group> m_groups; ///< In full.
+    std::vector<relayed_change> m_changes;
 };
 
 /// session → site: the demand of this process for the workspaces' rates.
--- a/Source/session/session_relay.cpp
+++ b/Source/session/session_relay.cpp
@@ -48,6 +48,105 @@
     return m;
 }
 
+std::vector<std::string> endpoint_ids(const session_task_state& t,
+                                      const service_group& g)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, p] : t.m_endpoint_pools)
+        if (p.m_group == &g)
+            ids.push_back(id);
+    return ids;
+}
+
+// A group in another process's request.
+struct requested_group
+{
+    std::size_t m_index = 0;
+    const std::string& m_service;
+    std::uint64_t m_base = 0; ///< Version of the answer that it still has.
+    bool m_wants_lease = false;
+};
+
+// Adds a group to the answer: its changes since the base, or all.
+void add_group(session_task_state& t, outgoing_groups& answer,
+               const requested_group& r, service_group& g, time_point now)
+{
+    relayed_group m = describe(t, r.m_service, g, now);
+    record_description(g.m_relay_history, m, now, answer.m_version);
+    if (!has_changes_since(g.m_relay_history, r.m_base))
+    {
+        ++t.m_counts.m_groups_in_full;
+        answer.m_groups.push_back(std::move(m));
+        return;
+    }
+    auto change = changes_since(g.m_relay_history, r.m_base, r.m_wants_lease);
+    if (!change)
+    {
+        ++t.m_counts.m_groups_unchanged;
+        return;
+    }
+    ++t.m_counts.m_groups_changed;
+    change->m_index = static_cast<std::uint32_t>(r.m_index);
+    answer.m_changes.push_back(std::move(*change));
+}
+
+void apply_relayed_group(session_task_state& t, service_group& g,
+                         const relayed_group& relayed, const group_response& m)
+{
+    if (adopt_relayed_group(g.m_view, relayed, m.m_requested_at))
+        log_primary_change(t, g);
+    if (relayed.m_lease_proven_ago)
+        g.m_asks_itself = false;
+    for (const auto& [id, e] : relayed.m_endpoints)
+    {
+        const auto p = t.m_endpoint_pools.find(id);
+        if (p == t.m_endpoint_pools.end())
+            continue;
+        record_relayed_contact(p->second, m.m_requested_at - e.m_ago,
+                               e.m_connections);
+        if (e.m_busy)
+            record_busy_slots(p->second.m_load, *e.m_busy,
+                              m.m_requested_at - e.m_busy_ago);
+    }
+    if (m.m_source != 0)
+        remember_base(g.m_relay_bases,
+                      {m.m_source, m.m_version, relayed.m_term,
+                       relayed.m_primary, g.m_view.m_lease_until,
+                       boot_now() - m.m_requested_at});
+}
+
+void apply_relayed_change(session_task_state& t, const relayed_change& change,
+                          const group_response& m)
+{
+    const relay_query* const query = query_of(change, m.m_queries, m.m_source);
+    if (query == nullptr)
+    {
+        log_event(event_id::group_change_refused,
+                  {{"index", std::to_string(change.m_index)},
+                   {"requested", std::to_string(m.m_queries.size())}});
+        for (auto& [name, g] : t.m_groups)
+            forget_base(g.m_relay_bases, m.m_source);
+        return;
+    }
+    const auto found = t.m_groups.find(query->m_service);
+    if (found == t.m_groups.end())
+        return;
+    service_group& g = found->second;
+    apply_relayed_group(
+        t, g, expand_change(change, *query, m.m_source, endpoint_ids(t, g)), m);
+}
+
+// An answer leaves out the endpoints that haven't replied since the last one.
+// Their last reply may have come before the end of a time for which they were
+// avoided.
+void refresh_relayed_contacts(session_task_state& t, const service_group& g)
+{
+    for (auto& [id, p] : t.m_endpoint_pools)
+        if (p.m_group == &g && p.m_relayed_contact_at != time_point{})
+            record_relayed_contact(p, p.m_relayed_contact_at,
+                                   p.m_open_connections);
+}
+
 }
 
 bool asks_endpoints(const session_task_state& t, time_point now)
@@ -80,11 +179,12 @@
     for (const auto& [name, g] : t.m_groups)
         if (needs_relay(g.m_view, g.m_used_at, now, margin))
         {
-            m.m_services.push_back(name);
+            m.m_queries.push_back(
+                make_relay_query(name, g.m_relay_bases, g.m_view, now));
             urgent = urgent || g.m_starved_since != time_point{};
         }
     const duration passed = now - t.m_relay_requested_at;
-    if (m.m_services.empty() ||
+    if (m.m_queries.empty() ||
         passed < (urgent ? urgent_relay_interval : relay_interval) ||
         (t.m_relay_is_pending && passed < relay_answer_timeout))
         return;
@@ -102,36 +202,32 @@
     for (const relayed_group& relayed : m.m_groups)
     {
         const auto found = t.m_groups.find(relayed.m_service);
+        if (found != t.m_groups.end())
+            apply_relayed_group(t, found->second, relayed, m);
+    }
+    for (const relayed_change& change : m.m_changes)
+        apply_relayed_change(t, change, m);
+    for (const relay_query& query : m.m_queries)
+    {
+        const auto found = t.m_groups.find(query.m_service);
         if (found == t.m_groups.end())
             continue;
-        service_group& g = found->second;
-        if (adopt_relayed_group(g.m_view, relayed, m.m_requested_at))
-            log_primary_change(t, g);
-        if (relayed.m_lease_proven_ago)
-            g.m_asks_itself = false;
-        for (const auto& [id, e] : relayed.m_endpoints)
-        {
-            const auto p = t.m_endpoint_pools.find(id);
-            if (p == t.m_endpoint_pools.end())
-                continue;
-            record_relayed_contact(p->second, m.m_requested_at - e.m_ago,
-                                   e.m_connections);
-            if (e.m_busy)
-                record_busy_slots(p->second.m_load, *e.m_busy,
-                                  m.m_requested_at - e.m_busy_ago);
-        }
-        serve_waiting(t, g);
+        refresh_relayed_contacts(t, found->second);
+        serve_waiting(t, found->second);
     }
 }
 
 void answer_peer_groups(session_task_state& t, const incoming_group_request& m)
 {
     const time_point now = boot_now();
-    outgoing_groups answer{
-        m.m_exchange, t.m_has_cell_leaders && asks_endpoints(t, now), {}};
-    for (const std::string& name : m.m_services)
+    outgoing_groups answer{m.m_exchange,
+                           t.m_has_cell_leaders && asks_endpoints(t, now),
+                           ++t.m_relay_version,
+                           {},
+                           {}};
+    for (std::size_t i = 0; i < m.m_services.size(); ++i)
     {
-        const auto found = t.m_groups.find(name);
+        const auto found = t.m_groups.find(m.m_services[i]);
         if (!answer.m_is_leader || found == t.m_groups.end())
             continue;
         // Leaders that can't renew a lease must not keep each other asking.
@@ -139,7 +235,11 @@
             found->second.m_asked_for_at = now;
         else
             note_use(found->second, now);
-        answer.m_groups.push_back(describe(t, name, found->second, now));
+        add_group(t, answer,
+                  {i, found->first,
+                   i < m.m_versions.size() ? m.m_versions[i] : 0,
+                   std::ranges::find(m.m_leases, i) != m.m_leases.end()},
+                  found->second, now);
     }
     t.m_mailboxes.m_site.post(std::move(answer));
 }
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -117,12 +117,15 @@
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_retries = 0;
     std::uint64_t m_status_requests = 0;
-    std::uint64_t m_relay_requests = 0;  ///< To the cell leader.
-    std::uint64_t m_full_endpoints = 0;  ///< Connections refused for want of
-                                         ///< room.
-    std::uint64_t m_busy_endpoints = 0;  ///< Statements refused for want of a
-                                         ///< free slot.
-    std::uint64_t m_best_choices = 0;    ///< Sent to the lowest expected cost.
+    std::uint64_t m_relay_requests = 0;   ///< To the cell leader.
+    std::uint64_t m_groups_in_full = 0;   ///< In answers to other processes.
+    std::uint64_t m_groups_changed = 0;   ///< The same, as changes.
+    std::uint64_t m_groups_unchanged = 0; ///< The same, left out.
+    std::uint64_t m_full_endpoints = 0;   ///< Connections refused for want of
+                                          ///< room.
+    std::uint64_t m_busy_endpoints = 0;   ///< Statements refused for want of a
+                                          ///< free slot.
+    std::uint64_t m_best_choices = 0;     ///< Sent to the lowest expected cost.
     std::uint64_t m_other_choices = 0;   ///< Sent to another one near the best.
     std::uint64_t m_own_credit_used = 0; ///< Admitted without a cell leader.
 };
@@ -181,6 +184,7 @@
     time_point m_next_report_at{};
     time_point m_relay_requested_at{}; ///< Last request to the cell leader.
     bool m_relay_is_pending = false;   ///< It isn't answered yet.
+    std::uint64_t m_relay_version = 0; ///< Of the last answer about groups.
     std::minstd_rand m_random;         ///< Spreads pauses and statements.
     time_point m_stopping_since{};     ///< Zero if not shutting down.
     bool m_stop_reported = false;
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -22,6 +22,7 @@
 #include <decide/load/endpoint_load.hpp>
 #include <decide/load/turn_queue.hpp>
 #include <decide/rate_bucket.hpp>
+#include <decide/relay_changes.hpp>
 #include <model/site.hpp>
 #include <model/usage.hpp>
 #include <session/line_stream.hpp>
@@ -275,6 +276,8 @@
     time_point m_used_at{};        ///< Last statement, or request of a process
                                    ///< in the cell.
     time_point m_asked_for_at{};   ///< Last request of another cell's leader.
+    relay_bases m_relay_bases;     ///< What cell leaders answered last.
+    relay_history m_relay_history; ///< What this process answered last.
     time_point m_starved_since{};  ///< When work began to wait for its lease;
                                    ///< zero if none does.
     /// This process asks the endpoints, though it hears of the group from the
--- a/Source/session/site_cell_peers.cpp
+++ b/Source/session/site_cell_peers.cpp
@@ -110,6 +110,28 @@
     return out;
 }
 
+// Names the answers of the process `source` of which this one has the content.
+peer_group_request make_group_request(const group_request& m,
+                                      std::uint64_t source)
+{
+    peer_group_request out;
+    out.m_from_other_cell = m.m_source == group_source::other_leaders;
+    bool has_base = false;
+    for (const relay_query& q : m.m_queries)
+    {
+        const relay_base* const base = find_base(q.m_bases, source);
+        if (base != nullptr && q.m_wants_lease)
+            out.m_leases.push_back(
+                static_cast<std::uint32_t>(out.m_services.size()));
+        out.m_services.push_back(q.m_service);
+        out.m_versions.push_back(base != nullptr ? base->m_version : 0);
+        has_base = has_base || base != nullptr;
+    }
+    if (has_base)
+        out.m_source = source;
+    return out;
+}
+
 }
 
 peer_message answer_cell_digest(site_task_state& t, const peer_site_digest& m)
@@ -197,19 +219,26 @@
     const auto leader = t.m_peers.find(leader_address);
     if (leader == t.m_peers.end())
     {
-        t.m_boxes.m_session.post(group_response{{}, requested_at});
+        t.m_boxes.m_session.post(group_response{requested_at, {}, {}, {}});
         return;
     }
-    send_to_peer(t, *leader->second.m_client,
-                 peer_group_request{m.m_services,
-                                    m.m_source == group_source::other_leaders},
-                 [&t, requested_at](std::optional<peer_message>& answer)
+    site_peer& peer = leader->second;
+    send_to_peer(t, *peer.m_client, make_group_request(m, peer.m_group_source),
+                 [&t, &peer, requested_at,
+                  queries = m.m_queries](std::optional<peer_message>& answer)
                  {
-                     group_response response{{}, requested_at};
+                     group_response response{requested_at, {}, {}, {}};
                      auto* groups =
                          answer ? std::get_if<peer_groups>(&*answer) : nullptr;
                      if (groups != nullptr && groups->m_from_leader)
+                     {
+                         peer.m_group_source = groups->m_source;
+                         response.m_queries = queries;
                          response.m_groups = std::move(groups->m_groups);
+                         response.m_changes = std::move(groups->m_changes);
+                         response.m_source = groups->m_source;
+                         response.m_version = groups->m_version;
+                     }
                      t.m_boxes.m_session.post(std::move(response));
                  });
 }
@@ -226,13 +255,21 @@
 void forward_group_request(site_task_state& t, exchange_id exchange,
                            const peer_group_request& m)
 {
-    t.m_boxes.m_session.post(
-        incoming_group_request{exchange, m.m_services, m.m_from_other_cell});
+    incoming_group_request out{
+        exchange, m.m_services, m.m_from_other_cell, {}, {}};
+    if (m.m_source == t.m_incarnation)
+    {
+        out.m_versions = m.m_versions;
+        out.m_leases = m.m_leases;
+    }
+    t.m_boxes.m_session.post(std::move(out));
 }
 
 void answer_group_request(site_task_state& t, const outgoing_groups& m)
 {
-    send_answer(t, m.m_exchange, peer_groups{m.m_is_leader, m.m_groups});
+    send_answer(t, m.m_exchange,
+                peer_groups{m.m_is_leader, m.m_groups, t.m_incarnation,
+                            m.m_version, m.m_changes});
 }
 
 }
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -86,6 +86,8 @@
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
+    /// Its incarnation in its last answer about groups; 0: none.
+    std::uint64_t m_group_source = 0;
 };
 
 /// Another cell, and what is known of its leader.
