--- a/Tests/decide/relay_changes_test.cpp
+++ b/Tests/decide/relay_changes_test.cpp
@@ -106,7 +106,7 @@
     relay_answer ask(cell_leader& leader, time_point now)
     {
         const relay_query q = query(now);
-        const relay_answer a = answer(leader, q, now);
+        relay_answer a = answer(leader, q, now);
         apply(a, q, now, now);
         return a;
     }
--- a/Tests/peer/group_changes_test.cpp
+++ b/Tests/peer/group_changes_test.cpp
@@ -1,5 +1,7 @@
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -173,3 +175,39 @@
         }
     }
 }
+
+// The seed is that of the test run (--rng-seed); CAPTURE prints it on failure.
+SCENARIO("Changes of groups that are changed at random decode, or are a typed "
+         "error")
+{
+    constexpr int rounds = 4000;
+    CAPTURE(Catch::rngSeed());
+    std::mt19937_64 random(Catch::rngSeed());
+    relayed_change c;
+    c.m_lease_proven_ago = milliseconds(40);
+    c.m_position = log_position{7, 1207};
+    c.m_endpoints = {{0xfeed5eed, {milliseconds(10), 9, 3, milliseconds(12)}}};
+    const std::vector<std::string> valid{
+        encode_peer_message(peer_groups{true, {}, 77, 41, {c, {}}}),
+        encode_peer_message(peer_group_request{{"a"}, false, 77, {41}, {0}})};
+    std::size_t decoded = 0;
+    std::size_t refused = 0;
+
+    for (const std::string& bytes : valid)
+        for (int i = 0; i < rounds; ++i)
+        {
+            std::string changed = bytes;
+            changed[random() % changed.size()] = static_cast<char>(random());
+            try
+            {
+                decode_peer_message(changed);
+                ++decoded;
+            }
+            catch (const peer_protocol_error&)
+            {
+                ++refused;
+            }
+        }
+    CHECK(decoded > 0);
+    CHECK(refused > 0);
+}
