--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -89,6 +89,7 @@
     tokens_transferred,
     ignored_entries,
     unconfigured_endpoints,
+    relayed_groups,
 };
 
 enum class metric_type : std::uint8_t
