homes: Drop the connection to a home after an exception

An exception while an answer of a session's home was handled, or a statement was written for it, ended the task and the process with it, or closed the session.

The connection is now dropped as a lost one, and the caller gets the result that it gets after the loss of a home; event 4075 and the counter of failed connections report it. The connection belongs to one session, which is closed if nothing else would answer its statement.

--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -259,6 +259,10 @@
     event_entry{event_id::peer_connection_failed, event_level::error,
                 "peer_connection_failed",
                 "an unexpected exception; the connection of a peer is dropped"},
+    event_entry{event_id::home_link_failed, event_level::error,
+                "home_link_failed",
+                "an unexpected exception; the connection to the session's home "
+                "is dropped"},
     event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
                 "a statement may wait while its answer is useful, as its turn "
                 "is expected in time"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -95,6 +95,7 @@
     session_failed = 4052,
     link_failed = 4065,
     peer_connection_failed = 4066,
+    home_link_failed = 4075,
     wait_extended = 4030,
     own_credit_used = 4060,
     cold_start_over = 4061,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -230,7 +230,7 @@
     metric_entry{metric_id::connections_failed, metric_type::counter,
                  "bluebellspoke_connections_failed_total", "kind",
                  "connections dropped after an unexpected exception: to "
-                 "endpoints (endpoint) and of peers (peer)"},
+                 "endpoints (endpoint), to homes (home) and of peers (peer)"},
     metric_entry{metric_id::own_credit_used, metric_type::counter,
                  "bluebellspoke_own_credit_used_total", "",
                  "operations admitted after the start of the process, before a "
--- a/Source/session/home_links.cpp
+++ b/Source/session/home_links.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <report/event.hpp>
+#include <session/session_failures.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -131,13 +132,27 @@
 void read_home_link(session_task_state& t, home_link& h)
 {
     const home_link_ptr keep_alive(&h);
-    while (h.m_state != home_link_state::closed)
-    {
-        const auto line = h.m_stream->next_line();
-        if (!line)
-            return;
-        process_home_reply(t, h, *line);
-    }
+    bool has_more = true;
+    while (has_more && h.m_state != home_link_state::closed)
+        guard_home_link(t, h,
+                        [&]
+                        {
+                            const auto line = h.m_stream->next_line();
+                            has_more = line.has_value();
+                            if (line)
+                                process_home_reply(t, h, *line);
+                        });
+}
+
+void end_home_link(session_task_state& t, home_link& h)
+{
+    const home_link_ptr keep_alive(&h);
+    guard_home_link(t, h,
+                    [&]
+                    {
+                        lose_home_link(t, h, "connection ended",
+                                       home_loss::of_home);
+                    });
 }
 
 // The cause for which a connection to a home ends now; empty: none.
@@ -206,9 +221,7 @@
                                  },
                                  [&t, &opened](stream_end_reason)
                                  {
-                                     lose_home_link(t, opened,
-                                                    "connection ended",
-                                                    home_loss::of_home);
+                                     end_home_link(t, opened);
                                  }});
     }
     catch (const loop_error& e)
@@ -227,6 +240,12 @@
     return true;
 }
 
+void fail_home_link(session_task_state& t, home_link& h, std::string_view cause)
+{
+    if (h.m_state != home_link_state::closed)
+        lose_home_link(t, h, cause, home_loss::of_session);
+}
+
 void close_home_link(session_task_state& t, session& s, std::string_view cause)
 {
     const home_link_ptr h = std::exchange(s.m_home_link, nullptr);
@@ -263,7 +282,11 @@
             continue;
         const std::string_view cause = overdue_cause(*h, now);
         if (!cause.empty())
-            lose_home_link(t, *h, cause, home_loss::of_session);
+            guard_home_link(t, *h,
+                            [&]
+                            {
+                                fail_home_link(t, *h, cause);
+                            });
         else if (h->m_state == home_link_state::at_rest &&
                  now - h->m_state_since >= home_idle_timeout)
             close_home_link(t, *h->m_session, "unused");
--- a/Source/session/home_statements.cpp
+++ b/Source/session/home_statements.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <report/event.hpp>
+#include <session/session_failures.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -172,7 +173,10 @@
     return true;
 }
 
-void send_to_home(session_task_state& t, home_link& h)
+namespace
+{
+
+void write_statement(session_task_state& t, home_link& h)
 {
     session& s = *h.m_session;
     work& w = *s.m_work;
@@ -208,6 +212,29 @@
                    {"age_ms", milliseconds_of(w.m_sent_at - w.m_received_at)}});
 }
 
+void write_end_of_transaction(session_task_state& t, home_link& h)
+{
+    std::string out;
+    t.m_codec.m_write_rollback(out);
+    h.m_expected_replies.push_back(home_reply_kind::rollback);
+    apply_home_link_event(t, h, home_link_event::rolled_back);
+    h.m_stream->write(out);
+}
+
+}
+
+// Guarded on its own, as the session's callbacks and timers send too: a home
+// that was told less than is recorded must not be sent the next statement.
+void send_to_home(session_task_state& t, home_link& h)
+{
+    const home_link_ptr keep_alive(&h);
+    guard_home_link(t, h,
+                    [&]
+                    {
+                        write_statement(t, h);
+                    });
+}
+
 void finish_home_statement(session_task_state& t, home_link& h,
                            transaction_status status)
 {
@@ -265,12 +292,12 @@
     if (!s.m_home_link ||
         s.m_home_link->m_state != home_link_state::in_transaction)
         return;
-    home_link& h = *s.m_home_link;
-    std::string out;
-    t.m_codec.m_write_rollback(out);
-    h.m_expected_replies.push_back(home_reply_kind::rollback);
-    apply_home_link_event(t, h, home_link_event::rolled_back);
-    h.m_stream->write(out);
+    const home_link_ptr h = s.m_home_link;
+    guard_home_link(t, *h,
+                    [&]
+                    {
+                        write_end_of_transaction(t, *h);
+                    });
 }
 
 }
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -168,6 +168,9 @@
     add_value(families, metric_id::connections_failed,
               std::array{std::string_view("endpoint")},
               static_cast<double>(c.m_links_failed));
+    add_value(families, metric_id::connections_failed,
+              std::array{std::string_view("home")},
+              static_cast<double>(c.m_home_links_failed));
     add_value(families, metric_id::endpoint_links_refused, {},
               static_cast<double>(c.m_full_endpoints));
     add_value(families, metric_id::endpoint_busy, {},
--- a/Source/session/session_homes.hpp
+++ b/Source/session/session_homes.hpp
@@ -39,6 +39,10 @@
 bool open_home_link(session_task_state& t, session& s, std::string_view home);
 /// Ends the session's connection to its home, if it has one.
 void close_home_link(session_task_state& t, session& s, std::string_view cause);
+/// Closes a connection that failed. Its home isn't avoided if it had accepted
+/// the session.
+void fail_home_link(session_task_state& t, home_link& h,
+                    std::string_view cause);
 /// Tells the home whose session it is, its last commit, and the configuration.
 void write_home_resume(session_task_state& t, home_link& h, std::string& out);
 /// Closes connections to homes that don't accept or answer in time, and unused
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -112,7 +112,8 @@
     std::map<session_fault, std::uint64_t> m_faults;
     std::uint64_t m_sessions = 0;
     std::uint64_t m_links_opened = 0;
-    std::uint64_t m_links_failed = 0; ///< Dropped after an exception.
+    std::uint64_t m_links_failed = 0;      ///< Dropped after an exception.
+    std::uint64_t m_home_links_failed = 0; ///< Dropped after an exception.
     std::uint64_t m_primary_reads = 0;
     std::uint64_t m_replica_reads = 0;
     std::uint64_t m_retries = 0;
