peers: Count an answer that meets an exception as none

An exception while the answer of a peer to this process's request was received, read or handled ended the process.

It now counts as no answer; event 4076 and a counter report it, and it isn't taken for a refused connection, after two of which a peer counts as ended. What a peer said is recorded as known only once it has been applied, as it would not be fetched or sent again otherwise: weights before the digest that acknowledges them, a list before its revision. A complete list of endpoints replaces the known one as a whole. Requests for usage are counted as peer traffic, as they are sent in the same way now.

The tests run the site task alone beside a scripted peer, with a codec that throws once and with allocations that are refused. Without the change the task ended in each of the three cases.

--- a/Source/decide/usage_ledger.cpp
+++ b/Source/decide/usage_ledger.cpp
@@ -137,10 +137,11 @@
     usage_incarnation& said = entry->second;
     if (!is_new && summary.m_version <= said.m_version)
         return false;
-    said.m_version = summary.m_version;
-    said.m_final_before = summary.m_final_before;
+    // First, as a window that isn't recorded must not count as final.
     for (const auto& [id, window] : summary.m_windows)
         said.m_windows.insert_or_assign(id, window);
+    said.m_version = summary.m_version;
+    said.m_final_before = summary.m_final_before;
     return true;
 }
 
--- a/Source/peer/peer_call.cpp
+++ b/Source/peer/peer_call.cpp
@@ -13,30 +13,46 @@
 constexpr int status_ok = 200;
 constexpr int status_malformed = 400;
 
+void handle_result(const http2_result& result, const peer_callback& done)
+{
+    std::optional<peer_message> answer;
+    const auto* response = std::get_if<http2_response>(&result);
+    try
+    {
+        if (response != nullptr && response->m_status == status_ok)
+            answer = decode_peer_message(response->m_body);
+    }
+    catch (const peer_protocol_error&)
+    {
+        answer.reset();
+    }
+    done(answer);
+}
+
 }
 
 std::size_t call_peer(http2_client& peer, const peer_message& message,
-                      peer_callback done)
+                      peer_callback done, peer_failed failed)
 {
     std::string body = encode_peer_message(message);
     const std::size_t bytes = body.size();
     peer.send({"POST", std::string(peer_path), {}, std::move(body)},
               peer_call_timeout,
-              [done = std::move(done)](http2_result& result)
+              [done = std::move(done),
+               failed = std::move(failed)](http2_result& result)
               {
-                  std::optional<peer_message> answer;
-                  const auto* response = std::get_if<http2_response>(&result);
+                  if (!failed)
+                      return handle_result(result, done);
                   try
                   {
-                      if (response != nullptr &&
-                          response->m_status == status_ok)
-                          answer = decode_peer_message(response->m_body);
+                      handle_result(result, done);
                   }
-                  catch (const peer_protocol_error&)
+                  catch (const std::exception& e)
                   {
-                      answer.reset();
+                      failed(e);
+                      std::optional<peer_message> none;
+                      done(none);
                   }
-                  done(answer);
               });
     return bytes;
 }
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -263,6 +263,9 @@
                 "home_link_failed",
                 "an unexpected exception; the connection to the session's home "
                 "is dropped"},
+    event_entry{event_id::peer_answer_failed, event_level::error,
+                "peer_answer_failed",
+                "an unexpected exception; the answer of a peer counts as none"},
     event_entry{event_id::wait_extended, event_level::detail, "wait_extended",
                 "a statement may wait while its answer is useful, as its turn "
                 "is expected in time"},
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -96,6 +96,7 @@
     link_failed = 4065,
     peer_connection_failed = 4066,
     home_link_failed = 4075,
+    peer_answer_failed = 4076,
     wait_extended = 4030,
     own_credit_used = 4060,
     cold_start_over = 4061,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -231,6 +231,10 @@
                  "bluebellspoke_connections_failed_total", "kind",
                  "connections dropped after an unexpected exception: to "
                  "endpoints (endpoint), to homes (home) and of peers (peer)"},
+    metric_entry{metric_id::peer_answers_failed, metric_type::counter,
+                 "bluebellspoke_peer_answers_failed_total", "",
+                 "answers of peers that count as none after an unexpected "
+                 "exception"},
     metric_entry{metric_id::own_credit_used, metric_type::counter,
                  "bluebellspoke_own_credit_used_total", "",
                  "operations admitted after the start of the process, before a "
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -85,6 +85,7 @@
     usage_duty_held,
     duty_calls,
     connections_failed,
+    peer_answers_failed,
     own_credit_used,
     ignored_entries,
     unconfigured_endpoints,
--- a/Source/session/site_cell_peers.cpp
+++ b/Source/session/site_cell_peers.cpp
@@ -41,9 +41,11 @@
         return;
     }
     other.m_leader_address = d.m_address;
-    other.m_last_digest = d;
+    peer_site_digest received = d;
+    // Before the digest that acknowledges it, also after an exception.
     t.m_boxes.m_session.post(
         peer_demand_changed{d.m_zone, make_demand_update(t, d)});
+    other.m_last_digest = std::move(received);
     fetch_if_behind(t, p, d.m_store_is_available, d.m_store_revision,
                     d.m_config_version);
 }
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -47,13 +47,8 @@
 void run_action(site_task_state& t, cell_action action)
 {
     const bool leads = action == cell_action::start_leading;
-    log_event(leads ? event_id::cell_kept : event_id::cell_yielded,
-              {{"cell", t.m_settings.m_zone},
-               {"members", std::to_string(cell_members(t).size())},
-               {"votes", std::to_string(t.m_cell.m_received_votes.size())}});
     if (leads)
     {
-        t.m_cell.m_incarnation = random_loan_id();
         t.m_contact_expected_since = boot_now();
         t.m_weights = {};
         // The members learn of their leader by its next requests.
@@ -64,6 +59,10 @@
             other.m_announced_version = 0;
         }
     }
+    log_event(leads ? event_id::cell_kept : event_id::cell_yielded,
+              {{"cell", t.m_settings.m_zone},
+               {"members", std::to_string(cell_members(t).size())},
+               {"votes", std::to_string(t.m_cell.m_received_votes.size())}});
     post_leadership(t, leads ? leadership_until(t) : time_point());
 }
 
@@ -101,7 +100,12 @@
     const time_point until = leadership_until(t);
     const bool elected = now < until;
     if (t.m_cell.m_state == cell_state::candidate && elected)
+    {
+        // Before the state changes: after an exception this process must not
+        // lead under the number of an earlier time as leader.
+        t.m_cell.m_incarnation = random_loan_id();
         fire(t, cell_event::elected);
+    }
     else if (t.m_cell.m_state == cell_state::leader && !elected)
         fire(t, cell_event::votes_lapsed);
     else if (t.m_cell.m_state == cell_state::leader)
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -76,27 +76,40 @@
         !t.m_config ||
         !std::ranges::equal(t.m_config->m_services, config->m_services, {},
                             by_name, by_name);
-    t.m_config = config;
-    if (!t.m_config_object.m_value.empty())
-        t.m_earlier_configs.push_front(std::move(t.m_config_object));
+    stored_object object = o;
+    const site_config_ptr previous = std::exchange(t.m_config, config);
+    // After an exception it is as if the configuration hadn't arrived, so that
+    // it is read again.
+    try
+    {
+        t.m_boxes.m_session.post(config_changed{config});
+        t.m_boxes.m_failover.post(config_changed{config});
+        t.m_boxes.m_life.post(config_changed{config});
+        // Endpoints may arrive before the configuration that names their
+        // service.
+        if (renames_services)
+            publish_endpoints(t);
+        if (!t.m_config_object.m_value.empty())
+            t.m_earlier_configs.push_front(std::move(t.m_config_object));
+    }
+    catch (...)
+    {
+        t.m_config = previous;
+        throw;
+    }
     if (t.m_earlier_configs.size() > max_earlier_configs)
         t.m_earlier_configs.pop_back();
-    t.m_config_object = o;
+    t.m_config_object = std::move(object);
     t.m_wants_full_config = false;
+    const duration behind = time_behind(t);
+    t.m_behind_since = {};
     log_event(event_id::settings_in_force,
               {{"version", std::to_string(config->m_version)},
-               {"revision", std::to_string(o.m_revision)},
-               {"behind_ms", milliseconds_of(time_behind(t))},
+               {"revision", std::to_string(t.m_config_object.m_revision)},
+               {"behind_ms", milliseconds_of(behind)},
                {"routes", std::to_string(config->m_routes.size())}});
-    t.m_boxes.m_session.post(config_changed{config});
-    t.m_boxes.m_failover.post(config_changed{config});
-    t.m_boxes.m_life.post(config_changed{config});
     record_ignored(t, stored_kind::configuration,
                    {config->m_left_out, config->m_first_left_out});
-    // Endpoints may arrive before the configuration that names their service.
-    if (renames_services)
-        publish_endpoints(t);
-    t.m_behind_since = {};
 }
 
 void apply_endpoints(site_task_state& t, std::span<const stored_change> changes,
@@ -107,11 +120,13 @@
         watch_of(t, stored_kind::endpoints).m_changed_revision;
     std::map<std::string, site_endpoint, std::less<>> listed;
     ignored_entries ignored;
-    if (complete)
-    {
-        t.m_endpoint_objects.clear();
-        restart_history(t.m_endpoint_history, revision);
-    }
+    // A new list replaces the known one as a whole: after an exception, a part
+    // of it must not be passed on to a peer as complete.
+    decltype(t.m_endpoint_objects) new_objects;
+    list_history new_history;
+    restart_history(new_history, revision);
+    auto& objects = complete ? new_objects : t.m_endpoint_objects;
+    list_history& history = complete ? new_history : t.m_endpoint_history;
     for (const stored_change& c : changes)
     {
         const std::string& id = c.m_object.m_name;
@@ -122,14 +137,14 @@
             add_ignored(ignored, id);
         if (endpoint)
         {
-            t.m_endpoint_objects[id] = c.m_object;
-            record_presence(t.m_endpoint_history, id);
+            objects[id] = c.m_object;
+            record_presence(history, id);
             listed.insert_or_assign(id, *endpoint);
         }
         else
         {
-            t.m_endpoint_objects.erase(id);
-            record_removal(t.m_endpoint_history, id, revision);
+            objects.erase(id);
+            record_removal(history, id, revision);
         }
         if (complete)
             continue;
@@ -139,7 +154,11 @@
             remove_endpoint(t.m_list, id, now);
     }
     if (complete)
+    {
         replace_endpoints(t.m_list, listed, now);
+        t.m_endpoint_objects = std::move(new_objects);
+        t.m_endpoint_history = std::move(new_history);
+    }
     record_ignored(t, stored_kind::endpoints, ignored);
     t.m_lists_published = true;
     publish_endpoints(t);
@@ -166,16 +185,16 @@
 void apply_evacuations(site_task_state& t,
                        std::span<const stored_change> changes, bool complete)
 {
-    const auto before = t.m_evacuated_zones;
-    if (complete)
-        t.m_evacuated_zones.clear();
+    auto zones =
+        complete ? decltype(t.m_evacuated_zones)() : t.m_evacuated_zones;
     for (const stored_change& c : changes)
     {
         if (c.m_deleted)
-            t.m_evacuated_zones.erase(c.m_object.m_name);
+            zones.erase(c.m_object.m_name);
         else
-            t.m_evacuated_zones.insert(c.m_object.m_name);
+            zones.insert(c.m_object.m_name);
     }
+    const auto before = std::exchange(t.m_evacuated_zones, std::move(zones));
     log_zones(t, before);
     publish_endpoints(t);
 }
@@ -467,11 +486,21 @@
         return false;
     const std::vector<stored_change> changes = changes_in(m, prefix, base);
     const bool is_complete = base.m_since == 0;
+    if (is_complete || !changes.empty())
+    {
+        const std::uint64_t before = std::exchange(w.m_changed_revision, known);
+        // After an exception the list counts as unknown, and is fetched again.
+        try
+        {
+            apply_objects(t, kind, changes, is_complete);
+        }
+        catch (...)
+        {
+            w.m_changed_revision = before;
+            throw;
+        }
+    }
     w.m_revision = known;
-    if (!is_complete && changes.empty())
-        return true;
-    w.m_changed_revision = known;
-    apply_objects(t, kind, changes, is_complete);
     return true;
 }
 
@@ -536,13 +565,24 @@
 void adopt_members(site_task_state& t, std::span<const peer_vm> vms)
 {
     ignored_entries ignored;
+    decltype(t.m_members) members;
     for (const peer_vm& vm : vms)
         if (auto member = to_member(vm))
-            t.m_members.insert_or_assign(vm.m_name, std::move(*member));
+            members.insert_or_assign(vm.m_name, std::move(*member));
         else
             add_ignored(ignored, vm.m_name);
     record_ignored(t, stored_kind::members, ignored);
-    publish_fleet(t);
+    t.m_members = std::move(members);
+    // After an exception they count as unknown, and are fetched again.
+    try
+    {
+        publish_fleet(t);
+    }
+    catch (...)
+    {
+        t.m_members.clear();
+        throw;
+    }
 }
 
 }
@@ -551,6 +591,13 @@
 {
     const std::uint64_t before = known_revision(t);
     const bool configuration = adopt_configuration(t, m);
+    const bool has_lists = m.m_known.m_endpoints >
+                               watch_of(t, stored_kind::endpoints).m_revision ||
+                           m.m_known.m_evacuations >
+                               watch_of(t, stored_kind::evacuations).m_revision;
+    // Before the lists: what is fetched depends on their revisions alone.
+    if (t.m_members.empty() && (configuration || has_lists))
+        adopt_members(t, m.m_vms);
     const bool endpoints =
         adopt_list(t, stored_kind::endpoints, endpoint_prefix,
                    m.m_known.m_endpoints, m.m_endpoints, m);
@@ -562,8 +609,6 @@
     log_event(event_id::settings_adopted,
               {{"revision", std::to_string(known_revision(t))},
                {"had", std::to_string(before)}});
-    if (t.m_members.empty())
-        adopt_members(t, m.m_vms);
     return true;
 }
 
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -43,7 +43,7 @@
     bool& pending = part == peer_settings_part::configuration
                         ? p.m_config_fetch_pending
                         : p.m_lists_fetch_pending;
-    if (std::exchange(pending, true))
+    if (pending)
         return;
     send_to_peer(t, *p.m_client, make_settings_request(t, part),
                  [&t, &p, &pending](std::optional<peer_message>& answer)
@@ -57,22 +57,27 @@
                      else if (!adopt_from_peer(t, *m))
                          log_fetch(t, p, event_id::settings_fetch_useless);
                  });
+    // Not before: if it can't be sent, nothing resets it.
+    pending = true;
 }
 
 void apply_digest(site_task_state& t, site_peer& p, const peer_site_digest& d)
 {
     ++t.m_digests_received;
     p.m_name = d.m_name;
-    p.m_last_digest = d;
     p.m_last_contact_at = boot_now();
     record_peer_clock(t, d.m_name, d.m_wall_ms);
+    peer_site_digest received = d;
     if (d.m_shutting_down)
-    {
         t.m_boxes.m_session.post(peer_ended{d.m_name});
+    else
+        t.m_boxes.m_session.post(
+            peer_demand_changed{d.m_name, make_demand_update(t, d)});
+    // The next digest acknowledges the weights, so the session task has them
+    // before, also after an exception.
+    p.m_last_digest = std::move(received);
+    if (d.m_shutting_down)
         return;
-    }
-    t.m_boxes.m_session.post(
-        peer_demand_changed{d.m_name, make_demand_update(t, d)});
     fetch_if_behind(t, p, d.m_store_is_available, d.m_store_revision,
                     d.m_config_version);
 }
@@ -131,8 +136,10 @@
 {
     constexpr std::chrono::milliseconds max_refusal_time{250};
     constexpr std::uint32_t refusals_until_ended = 2;
-    const bool refused =
-        !answered && boot_now() - p.m_requested_at < max_refusal_time;
+    // An answer that met an exception shows that the process runs.
+    const bool failed_here = std::exchange(p.m_answer_failed, false);
+    const bool refused = !answered && !failed_here &&
+                         boot_now() - p.m_requested_at < max_refusal_time;
     p.m_refusals = refused ? p.m_refusals + 1 : 0;
     if (p.m_refusals == refusals_until_ended && !p.m_name.empty())
         t.m_boxes.m_session.post(peer_ended{p.m_name});
@@ -158,6 +165,20 @@
                  });
 }
 
+// `kind` is empty if the answer wasn't received whole.
+void note_failed_answer(site_task_state& t, const http2_client& peer,
+                        std::string_view kind, const std::exception& e)
+{
+    ++t.m_peer_answers_failed;
+    const std::string at = to_string(peer.server());
+    const auto p = t.m_peers.find(at);
+    if (p != t.m_peers.end())
+        p->second.m_answer_failed = true;
+    log_event(event_id::peer_answer_failed, {{"address", at},
+                                             {"message", std::string(kind)},
+                                             {"failure", e.what()}});
+}
+
 void add_peer(site_task_state& t, const address& at, std::string_view name)
 {
     if (at == t.m_settings.m_peer_listen)
@@ -166,6 +187,11 @@
     if (!p.m_client)
     {
         p.m_client = std::make_unique<http2_client>(t.m_loop, at);
+        p.m_client->drop_failed(
+            [&t, &p](const std::exception& e)
+            {
+                note_failed_answer(t, *p.m_client, {}, e);
+            });
         p.m_last_contact_at = boot_now();
     }
     if (name.empty())
@@ -181,8 +207,14 @@
 void send_to_peer(site_task_state& t, http2_client& peer,
                   const peer_message& message, peer_callback done)
 {
-    const std::size_t bytes = call_peer(peer, message, std::move(done));
-    record_sent(t.m_traffic, peer_message_kind(message), bytes);
+    const std::string_view kind = peer_message_kind(message);
+    const std::size_t bytes =
+        call_peer(peer, message, std::move(done),
+                  [&t, &peer, kind](const std::exception& e)
+                  {
+                      note_failed_answer(t, peer, kind, e);
+                  });
+    record_sent(t.m_traffic, kind, bytes);
 }
 
 void send_answer(site_task_state& t, exchange_id exchange,
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -90,6 +90,8 @@
     add_value(families, metric_id::connections_failed,
               std::array{std::string_view("peer")},
               static_cast<double>(t.m_peer_server->failed()));
+    add_value(families, metric_id::peer_answers_failed, {},
+              static_cast<double>(t.m_peer_answers_failed));
     return families;
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -83,6 +83,7 @@
     bool m_config_fetch_pending = false; ///< Its configuration was requested.
     bool m_lists_fetch_pending = false;  ///< Its lists were requested.
     bool m_usage_pending = false;        ///< Its counts have been requested.
+    bool m_answer_failed = false;        ///< An answer of it met an exception.
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -180,6 +181,7 @@
     std::uint64_t m_history_gone_calls = 0;
     std::uint64_t m_digests_sent = 0;
     std::uint64_t m_digests_received = 0;
+    std::uint64_t m_peer_answers_failed = 0;
     peer_traffic m_traffic;
     task_usage m_usage{.m_task = "site", .m_tick = site_tick};
 
@@ -244,7 +246,8 @@
 /// Returns the weights and the acknowledgement in a peer's digest.
 demand_update make_demand_update(const site_task_state& t,
                                  const peer_site_digest& d);
-/// Sends a message to a peer, and counts it. `done` gets the answer.
+/// Sends a message to a peer, and counts it. `done` gets the answer. If that
+/// meets an unexpected exception, `done` is called again without one.
 void send_to_peer(site_task_state& t, http2_client& peer,
                   const peer_message& message, peer_callback done);
 /// Answers a peer's request, and counts the answer.
--- a/Source/session/site_usage.cpp
+++ b/Source/session/site_usage.cpp
@@ -69,8 +69,8 @@
 {
     if (std::exchange(p.m_usage_pending, true))
         return;
-    call_peer(
-        *p.m_client,
+    send_to_peer(
+        t, *p.m_client,
         peer_usage_request{of_cell, question.m_incarnation, question.m_from},
         [&t, &p, of_cell,
          source = std::string(source)](std::optional<peer_message>& answer)
--- a/Source/wire/http2_client.cpp
+++ b/Source/wire/http2_client.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 #include <boost/intrusive/list.hpp>
@@ -59,6 +60,7 @@
     std::optional<std::uint64_t> m_reads_when_pinged; ///< Set while one waits.
 
     tls_context_ptr m_tls;
+    http2_client_failed m_on_failure; ///< Empty: exceptions leave the loop.
 
     state(loop& l, address server, tls_context_ptr tls);
     ~state();
@@ -180,13 +182,41 @@
     return 0;
 }
 
+// The HTTP/2 library is in C; an exception must not pass it if the process goes
+// on. The last argument of each callback is the client.
+template <auto Callback>
+struct guarded;
+template <class... Arguments, int (*Callback)(Arguments...)>
+struct guarded<Callback>
+{
+    static int call(Arguments... arguments)
+    {
+        void* const user = std::get<sizeof...(Arguments) - 1>(
+            std::tuple<Arguments...>(arguments...));
+        const http2_client_failed& failed =
+            static_cast<client_state*>(user)->m_on_failure;
+        if (failed.empty())
+            return Callback(arguments...);
+        try
+        {
+            return Callback(arguments...);
+        }
+        catch (const std::exception& e)
+        {
+            failed(e);
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+    }
+};
+
 http2_callbacks_ptr make_client_callbacks()
 {
     http2_callbacks_ptr result = make_http2_callbacks();
     nghttp2_session_callbacks* callbacks = result.get();
-    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
-                                                              on_data);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks,
+                                                     guarded<on_header>::call);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        callbacks, guarded<on_data>::call);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
                                                            on_stream_close);
     return result;
@@ -394,6 +424,11 @@
     m_state->m_tls = std::move(tls);
 }
 
+void http2_client::drop_failed(http2_client_failed failed)
+{
+    m_state->m_on_failure = std::move(failed);
+}
+
 const address& http2_client::server() const noexcept
 {
     return m_state->m_server;
--- a/Source/wire/http2_client.hpp
+++ b/Source/wire/http2_client.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_WIRE_HTTP2_CLIENT_HPP
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <variant>
 
@@ -27,6 +28,8 @@
 
 using http2_result = std::variant<http2_response, http2_failure>;
 using http2_done = sigc::slot<void(http2_result&)>;
+/// Receives an unexpected exception.
+using http2_client_failed = sigc::slot<void(const std::exception&)>;
 
 /// A client of one server: one connection, many requests at once. It connects
 /// when there is something to send, and again after a loss. A connection on
@@ -46,6 +49,10 @@
     void send(http2_request request, duration time_limit, http2_done done);
     /// The next connection uses these certificates; an open one keeps its own.
     void set_tls(tls_context_ptr tls);
+    /// From now on an exception while a response is received, such as want of
+    /// memory, is passed to `failed`, and the connection is dropped. Without a
+    /// call, and in `done`, it leaves the loop.
+    void drop_failed(http2_client_failed failed);
     const address& server() const noexcept;
     bool connected() const noexcept;
     /// Drops the connection; requests under way end as connection_lost.
