session: Show stalled commits on routes with a short time limit

On a route with a shorter time limit its connection was closed before, so that a primary without replicas was never replaced.

The process with the failover duty now keeps the connection of one such commit of each group until it would count. The caller is answered as before. An acknowledged commit that was sent later refutes it, so that one slow commit starts no failover.

The test cuts off both replicas and writes once, and commits a transaction; no promotion took place before the change, one does with it. The test of a holder that ends during a takeover now checks that the replicas are resumed before it writes, as a stalled write would also end their pause by another takeover.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -41,6 +41,13 @@
     return takeover_reason::none;
 }
 
+bool may_show_stall(time_point sent_at, time_point acknowledged_sent_at,
+                    time_point now)
+{
+    return now - sent_at < commit_stall_timeout &&
+           acknowledged_sent_at <= sent_at;
+}
+
 std::size_t fence_quorum(std::size_t members,
                          std::uint32_t sync_replicas) noexcept
 {
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -75,6 +75,13 @@
 
 takeover_reason evaluate_primary(const primary_evidence& e, time_point now);
 
+/// Returns true while a commit that was sent at `sent_at`, and has no answer,
+/// may become evidence of a stall: it hasn't been out for commit_stall_timeout,
+/// and no commit that was sent later is acknowledged. `acknowledged_sent_at` is
+/// when the newest acknowledged commit was sent.
+bool may_show_stall(time_point sent_at, time_point acknowledged_sent_at,
+                    time_point now);
+
 /// Returns how many of `members` endpoints must be fenced before one is
 /// promoted. Every commit that the primary and `sync_replicas` replicas hold is
 /// then in the log of at least one of them.
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -175,8 +175,12 @@
                                        s->m_transaction->m_has_written);
     endpoint_pool& p = *k.m_endpoint_pool;
     if (ready.m_position && wrote && (is_commit || !k.m_in_transaction))
+    {
         record_commit(p.m_group->m_view, p.m_endpoint.m_id, *ready.m_position,
                       e.m_requested_at);
+        time_point& newest = p.m_group->m_acknowledged_commit_sent_at;
+        newest = std::max(newest, e.m_requested_at);
+    }
     record_own_commit(*s, *w, ready.m_position);
     const link_ptr keep_alive(&k);
     if (k.m_in_transaction && !is_commit)
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -335,7 +335,10 @@
         }
         const link_ptr k = w->m_link;
         record_overdue(*k->m_endpoint_pool);
-        fail_link(t, *k, "no answer in time");
+        if (keeps_awaiting_commit(t, *w, now))
+            await_overdue_commit(t, w);
+        else
+            fail_link(t, *k, "no answer in time");
     }
 }
 
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -215,24 +215,6 @@
     }
 }
 
-time_point oldest_pending_commit(const session_task_state& t,
-                                 const service_group& g)
-{
-    time_point oldest{};
-    for (const work& w : t.m_pending_work)
-    {
-        const bool commits =
-            w.m_kind == statement_kind::commit ||
-            (w.m_writes && w.m_session && !w.m_session->m_transaction);
-        if (!commits || w.m_sent_at == time_point{} || !w.m_link ||
-            w.m_link->m_endpoint_pool->m_group != &g)
-            continue;
-        if (oldest == time_point{} || w.m_sent_at < oldest)
-            oldest = w.m_sent_at;
-    }
-    return oldest;
-}
-
 }
 
 void update_groups(session_task_state& t)
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -283,6 +283,18 @@
                 std::string_view detail);
 void check_deadlines(session_task_state& t, time_point now);
 
+// session_stalls.cpp
+/// True if the answer to an overdue commit is still awaited after its caller
+/// was told, because it may show that the primary's commits don't finish.
+bool keeps_awaiting_commit(const session_task_state& t, const work& w,
+                           time_point now);
+/// Answers the commit's caller as if its connection was lost, and keeps the
+/// connection until the answer arrives or a stall has been reported.
+void await_overdue_commit(session_task_state& t, const work_ptr& w);
+/// When the oldest commit without an answer was sent; zero: there is none.
+time_point oldest_pending_commit(const session_task_state& t,
+                                 const service_group& g);
+
 // session_choice.cpp
 /// An endpoint that may run a statement, and what the choice goes by.
 struct pool_candidate
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -282,7 +282,9 @@
     bool m_asks_itself = false;
     time_point m_primary_missing_since{}; ///< When its primary became unknown.
     time_point m_primary_contact_at{};    ///< Last reply of the primary.
-    std::string m_logged_primary;         ///< Primary that was logged last.
+    /// When the newest commit that was acknowledged was sent.
+    time_point m_acknowledged_commit_sent_at{};
+    std::string m_logged_primary; ///< Primary that was logged last.
 };
 
 /// This process's share of a workspace's rate limit, and the work that waits
--- a/Tests/decide/takeover_test.cpp
+++ b/Tests/decide/takeover_test.cpp
@@ -361,3 +361,25 @@
     }
     REQUIRE(successors > histories / 4);
 }
+
+// Guards against a stall that goes unseen on a route with a short time limit,
+// and against a failover for one slow commit.
+SCENARIO("A commit is overdue for its caller")
+{
+    const time_point sent_at = time_point{} + std::chrono::seconds(10);
+    const time_point never{};
+
+    THEN("it may show a stall until it counts as one")
+    {
+        CHECK(may_show_stall(sent_at, never, sent_at + milliseconds(800)));
+        CHECK(may_show_stall(sent_at, sent_at - milliseconds(1),
+                             sent_at + milliseconds(800)));
+        CHECK_FALSE(
+            may_show_stall(sent_at, never, sent_at + commit_stall_timeout));
+    }
+    THEN("it shows none once a later commit is acknowledged")
+    {
+        CHECK_FALSE(may_show_stall(sent_at, sent_at + milliseconds(1),
+                                   sent_at + milliseconds(800)));
+    }
+}
--- a/Tests/site/takeover_test.cpp
+++ b/Tests/site/takeover_test.cpp
@@ -61,8 +61,7 @@
     return successor == "i-2" ? "i-3" : "i-2";
 }
 
-// Sets a time limit of statements that is shorter than commit_stall_timeout, so
-// that stalled commits alone don't start a takeover.
+// Sets a time limit of statements that is shorter than commit_stall_timeout.
 void shorten_statements(site& s)
 {
     nlohmann::json routes = s.config()["routes"];
@@ -156,8 +155,14 @@
         s.set_dark("i-1", false);
         const auto begin = std::chrono::steady_clock::now();
 
-        THEN("writes are served again")
+        // Without a commit, whose stall would start another takeover.
+        THEN("the replicas are resumed, and writes are served again")
         {
+            CHECK(comes_true(
+                [&]
+                {
+                    return !s.is_paused("i-2") && !s.is_paused("i-3");
+                }));
             CHECK(eventually_writes(s, "white", other));
             CHECK(std::chrono::steady_clock::now() - begin <= recovery_time);
         }
@@ -220,3 +225,79 @@
         CHECK(eventually_writes(s, "green"));
     }
 }
+
+// Guards against a primary that is never replaced although it acknowledges no
+// commit, as each commit's time is over before it counts as stalled.
+SCENARIO("Commits stall on a route with a short time limit")
+{
+    site s(1);
+    shorten_statements(s);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "settings_version") == s.config()["version"];
+        }));
+    REQUIRE(eventually_writes(s, "brown"));
+    s.set_deaf("i-2", true);
+    s.set_deaf("i-3", true);
+
+    WHEN("one caller writes once")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("WRITE bear white") == "ERROR TIMEOUT | READY I");
+
+        THEN("the primary is replaced")
+        {
+            CHECK(comes_true(
+                [&]
+                {
+                    return s.metric(0, "promotions_total") == 1;
+                }));
+            s.set_deaf("i-2", false);
+            s.set_deaf("i-3", false);
+            CHECK(eventually_writes(s, "black"));
+        }
+    }
+    WHEN("one caller commits a transaction")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("BEGIN") == "COMPLETE | READY T");
+        REQUIRE(c.ask("WRITE bear white") == "COMPLETE | READY T");
+        REQUIRE(c.ask("COMMIT") == "ERROR UNKNOWN | READY I");
+
+        THEN("the primary is replaced, and the session goes on")
+        {
+            CHECK(comes_true(
+                [&]
+                {
+                    return s.metric(0, "promotions_total") == 1;
+                }));
+            s.set_deaf("i-2", false);
+            s.set_deaf("i-3", false);
+            CHECK(eventually_writes(s, "black"));
+            CHECK(c.ask("BEGIN") == "COMPLETE | READY T");
+            CHECK(c.ask("COMMIT") == "COMPLETE | READY I");
+        }
+    }
+    WHEN("a commit is acknowledged after the one that timed out")
+    {
+        line_caller c(s.callers_of(0));
+        REQUIRE(c.start("ledger", "ward-key") == "READY");
+        REQUIRE(c.ask("WRITE bear white") == "ERROR TIMEOUT | READY I");
+        s.set_deaf("i-2", false);
+        s.set_deaf("i-3", false);
+        REQUIRE(eventually_writes(s, "black"));
+
+        THEN("the primary stays")
+        {
+            CHECK_FALSE(comes_true(
+                [&]
+                {
+                    return s.metric(0, "promotions_total") > 0;
+                },
+                past_a_failover));
+        }
+    }
+}
