--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -179,6 +179,7 @@
     std::string m_service;
     std::string m_endpoint;
     endpoint_status m_status;
+    /// When the status was requested: its position proves nothing later.
     time_point m_requested_at{};
 };
 
