--- a/Source/decide/relay_changes.hpp
+++ b/Source/decide/relay_changes.hpp
@@ -21,6 +21,16 @@
 /// leader or the leaders of the other cells, and their predecessors.
 inline constexpr std::size_t max_relay_bases = 8;
 
+/// From this many processes on, requests name the last answers. In smaller
+/// fleets group answers aren't the largest of a leader's messages.
+inline constexpr std::size_t min_processes_for_relay_changes = 250;
+
+/// Returns true if processes of such a fleet ask for changes.
+constexpr bool uses_relay_changes(std::size_t processes) noexcept
+{
+    return processes >= min_processes_for_relay_changes;
+}
+
 /// What a cell leader last described of a group, and the version of the answer
 /// at which each part was found changed.
 ///
--- a/Source/session/session_relay.cpp
+++ b/Source/session/session_relay.cpp
@@ -180,7 +180,9 @@
         if (needs_relay(g.m_view, g.m_used_at, now, margin))
         {
             m.m_queries.push_back(
-                make_relay_query(name, g.m_relay_bases, g.m_view, now));
+                uses_relay_changes(t.m_process_count)
+                    ? make_relay_query(name, g.m_relay_bases, g.m_view, now)
+                    : relay_query{name, {}, false});
             urgent = urgent || g.m_starved_since != time_point{};
         }
     const duration passed = now - t.m_relay_requested_at;
