--- a/Tests/site/peer_answer_test.cpp
+++ b/Tests/site/peer_answer_test.cpp
@@ -37,7 +37,7 @@
         if (fails_config.exchange(false))
             throw std::bad_alloc();
         auto* config = new site_config;
-        const site_config_ptr owned(config);
+        site_config_ptr owned(config);
         config->m_version = std::stoul(std::string(value));
         config->m_services["ledger-db"] = {"ledger-db", 64, 1};
         return owned;
--- a/Tests/site/start_order_test.cpp
+++ b/Tests/site/start_order_test.cpp
@@ -40,7 +40,7 @@
     c.m_read_config = [](std::string_view)
     {
         auto* config = new site_config;
-        const site_config_ptr owned(config);
+        site_config_ptr owned(config);
         config->m_version = 1;
         config->m_services["ledger-db"] = {"ledger-db", 64, 1};
         return owned;
