decide: End a step-down when a newer term is known

An endpoint that had stepped down counted as fenced for the rest of the takeover, also when it followed a newer primary and took part in its commits. A second promotion in the same takeover could therefore lose an acknowledged commit, and didn't wait for the leases that this endpoint had helped to prove.

A step-down now counts only while the endpoint's term is the one that it led and the newest that the group's members or the session task know. Otherwise it is paused like other replicas, and its leases count from then.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -59,12 +59,18 @@
 {
     // A promotion ends the pauses of its group.
     const bool learned_new_term = status.m_term > m.m_status.m_term;
+    // In another term it may have taken part in commits since it stepped down.
+    const bool ends_step_down =
+        m.m_stepped_down && (status.m_role == endpoint_role::primary ||
+                             status.m_term != m.m_status.m_term);
+    if (ends_step_down)
+        m.m_stepped_down = false;
     m.m_reachable = true;
     m.m_status = status;
     m.m_asked_at = asked_at;
     if (is_fenced(m, term))
     {
-        if (m.m_fenced_at == time_point{})
+        if (m.m_fenced_at == time_point{} || ends_step_down)
             m.m_fenced_at = now;
         return;
     }
@@ -73,6 +79,24 @@
     m.m_fenced_at = {};
 }
 
+term_number newest_term(std::span<const takeover_member> members) noexcept
+{
+    term_number newest = 0;
+    for (const takeover_member& m : members)
+        newest =
+            std::max({newest, m.m_status.m_term, m.m_status.m_position.m_term});
+    return newest;
+}
+
+void end_old_step_down(takeover_member& m, term_number newest, term_number term,
+                       time_point now) noexcept
+{
+    if (!m.m_stepped_down || m.m_status.m_term >= newest)
+        return;
+    m.m_stepped_down = false;
+    m.m_fenced_at = is_fenced(m, term) ? now : time_point{};
+}
+
 term_number next_term(std::span<const takeover_member> members,
                       term_number wanted) noexcept
 {
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -37,7 +37,8 @@
     std::string m_id;
     bool m_leaving = false;      ///< Draining, or in an evacuated zone.
     bool m_reachable = false;    ///< It responded in this round.
-    bool m_stepped_down = false; ///< It led and obeyed a step-down order.
+    bool m_stepped_down = false; ///< It led its term, the newest known, and
+                                 ///< obeyed a step-down order.
     endpoint_status m_status;    ///< Its last response of this round.
     time_point m_asked_at{};     ///< When m_status was requested.
     time_point m_fenced_at{};    ///< When its fence was first seen; zero: it
@@ -83,14 +84,24 @@
 
 /// Returns true when the member takes part in no commit of a term before
 /// `term`: it is a replica that is paused for `term` or later, or it has
-/// stepped down.
+/// stepped down in the newest term. end_old_step_down ends older step-downs.
 bool is_fenced(const takeover_member& m, term_number term) noexcept;
 
 /// Records a member's response to an order that was sent at `asked_at` to fence
-/// it for `term`, or to ask whether it is fenced.
+/// it for `term`, or to ask whether it is fenced. A response as a primary, or
+/// of another term than the last one, ends its step-down.
 void record_response(takeover_member& m, const endpoint_status& status,
                      term_number term, time_point asked_at, time_point now);
 
+/// Returns the newest term that one of the members has led or followed.
+term_number newest_term(std::span<const takeover_member> members) noexcept;
+
+/// Ends the member's step-down if a term newer than the one that it led is
+/// known: it may follow that term's primary at any time, and take part in
+/// commits. `term` is the one that the members are fenced for.
+void end_old_step_down(takeover_member& m, term_number newest, term_number term,
+                       time_point now) noexcept;
+
 /// Returns the lowest term, `wanted` or above, for which the members can be
 /// fenced: it is above every term that one of them leads or follows, and not
 /// below any term for which one of them is paused already.
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -223,6 +223,14 @@
         send_group_order(t, service, g, m, group_order::status);
 }
 
+void end_old_step_downs(failover_group& g, time_point now)
+{
+    const term_number newest = std::max(
+        {g.m_old_term, g.m_report.m_term, newest_term(decision_members(g))});
+    for (takeover_participant& m : g.m_members)
+        end_old_step_down(m.m_member, newest, g.m_term, now);
+}
+
 const takeover_participant* find_new_primary(const failover_group& g)
 {
     return find_primary(g, g.m_old_term + 1);
@@ -240,6 +248,7 @@
 void advance_fencing(failover_task_state& t, const std::string& service,
                      failover_group& g, time_point now)
 {
+    end_old_step_downs(g, now);
     const std::string_view ordered = pending_endpoint(g.m_ordered, now);
     const bool may_yield = yields_to_primary(g) && ordered.empty();
     // The session task has had contact with the primary meanwhile.
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -41,6 +41,7 @@
     if (find_new_primary(g) != nullptr)
         return fire(t, service, g, takeover_event::primary_confirmed);
     poll_members(t, service, g, now);
+    end_old_step_downs(g, now);
     const fence_state fence = check_fence(t, service, g, now);
     if (fence == fence_state::lost || now >= due_at + fencing_timeout)
         return lose_fence(t, service, g);
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -151,6 +151,10 @@
 /// fence_poll_interval.
 void poll_members(failover_task_state& t, const std::string& service,
                   failover_group& g, time_point now);
+/// Ends the step-downs of members whose term isn't the newest that the members
+/// or this process's session task know. Called before each decision on the
+/// fence.
+void end_old_step_downs(failover_group& g, time_point now);
 /// Returns the member that reports to be the primary of a newer term, or null.
 const takeover_participant* find_new_primary(const failover_group& g);
 /// Logs the state of all members of a takeover.
--- a/Tests/decide/takeover_test.cpp
+++ b/Tests/decide/takeover_test.cpp
@@ -314,6 +314,133 @@
     }
 }
 
+// Guards against the loss of a commit that an endpoint has acknowledged after
+// it stepped down: it follows the promoted endpoint, and isn't paused.
+SCENARIO("An endpoint that stepped down follows a newer primary")
+{
+    constexpr term_number old = 3;
+    constexpr term_number next = 4;
+    constexpr term_number last = 5;
+    constexpr time_point start{std::chrono::hours(1)};
+    constexpr time_point later = start + std::chrono::seconds(10);
+    constexpr time_point again = later + milliseconds(200);
+    std::vector<takeover_member> members(3);
+    const auto respond = [&](std::size_t which, endpoint_role role,
+                             log_position position, term_number paused,
+                             term_number wanted, time_point at)
+    {
+        const endpoint_status status{
+            role, position.m_term, position, paused, 0, 0, 0};
+        record_response(members[which], status, wanted, at, at);
+    };
+    const auto follow = [&](std::size_t which, log_position position,
+                            term_number paused, term_number wanted,
+                            time_point at)
+    {
+        respond(which, endpoint_role::replica, position, paused, wanted, at);
+    };
+    const auto refresh_step_downs = [&](time_point now)
+    {
+        const term_number newest = newest_term(members);
+        for (takeover_member& m : members)
+            end_old_step_down(m, newest, last, now);
+    };
+    members[0].m_id = "a";
+    members[1].m_id = "b";
+    members[2].m_id = "c";
+    respond(0, endpoint_role::primary, {old, 10}, 0, next, start);
+    members[0].m_stepped_down = true;
+    follow(0, {old, 10}, 0, next, start);
+    follow(1, {old, 10}, next, next, start);
+    follow(2, {old, 10}, next, next, start);
+
+    GIVEN("no promotion since then")
+    {
+        follow(0, {old, 10}, 0, next, later);
+        refresh_step_downs(later);
+
+        THEN("it is fenced since it stepped down")
+        {
+            REQUIRE(is_fenced(members[0], next));
+            REQUIRE(members[0].m_fenced_at == start);
+        }
+    }
+    GIVEN("an endpoint that leads again without an order")
+    {
+        respond(0, endpoint_role::primary, {old, 11}, 0, next, later);
+
+        THEN("the fence is lost, and stays so when it follows again")
+        {
+            REQUIRE(members[0].m_fence_lost);
+            follow(0, {old, 11}, 0, next, again);
+            REQUIRE_FALSE(is_fenced(members[0], next));
+        }
+    }
+    GIVEN("a promoted endpoint that has gone out of reach, and one that is "
+          "paused for the term after it")
+    {
+        members[1].m_reachable = false;
+        follow(2, {next, 10}, 0, next, later);
+        follow(2, {next, 10}, last, last, again);
+
+        WHEN("the one that stepped down follows the promoted one")
+        {
+            follow(0, {next, 10}, 0, last, again);
+
+            THEN("it may hold commits with it: no successor")
+            {
+                REQUIRE_FALSE(is_fenced(members[0], last));
+                REQUIRE(members[0].m_fenced_at == time_point{});
+                REQUIRE_FALSE(choose_successor(members, last, 1));
+            }
+            AND_WHEN("it is paused after such a commit")
+            {
+                const time_point paused_at = again + milliseconds(100);
+                follow(0, {next, 11}, last, last, paused_at);
+
+                THEN("its log is chosen, and its leases count from the pause")
+                {
+                    REQUIRE(choose_successor(members, last, 1) == "a");
+                    REQUIRE(members[0].m_fenced_at == paused_at);
+                }
+            }
+        }
+        WHEN("the one that stepped down was paused before it responds")
+        {
+            follow(0, {next, 11}, last, last, again);
+
+            THEN("its leases count from that response")
+            {
+                REQUIRE(choose_successor(members, last, 1) == "a");
+                REQUIRE(members[0].m_fenced_at == again);
+            }
+        }
+        WHEN("the one that stepped down hasn't responded in the newer term")
+        {
+            refresh_step_downs(again);
+
+            THEN("it may follow the promoted one at any time: no successor")
+            {
+                REQUIRE(newest_term(members) == next);
+                REQUIRE_FALSE(is_fenced(members[0], last));
+                REQUIRE(members[0].m_fenced_at == time_point{});
+                REQUIRE_FALSE(choose_successor(members, last, 1));
+            }
+        }
+        WHEN("it is paused for the term, too, when the newer one is seen")
+        {
+            members[0].m_status.m_paused_term = last;
+            refresh_step_downs(again);
+
+            THEN("it is fenced by the pause, and its leases count from then")
+            {
+                REQUIRE(is_fenced(members[0], last));
+                REQUIRE(members[0].m_fenced_at == again);
+            }
+        }
+    }
+}
+
 SCENARIO("No takeover loses an acknowledged commit")
 {
     // Guards against a successor that lacks an acknowledged commit. In random
