--- a/Tests/model/takeover.pml
+++ b/Tests/model/takeover.pml
@@ -40,11 +40,11 @@
      FENCE_LOST     the fence isn't checked again before the order
      ENDLESS_PAUSE  only the takeover that paused a replica resumes it
      LATE_ORDER     an order that its sender has abandoned may still arrive
+     STEPPED_DOWN   an endpoint that has stepped down counts as fenced whatever
+                    its term is
    A rule that has held so far:
      BLIND_WRITE    the duty record is written whatever its revision
    The code as it is (docs/FINDINGS.md); the variants that hold do without:
-     STEPPED_DOWN   an endpoint that has stepped down counts as fenced whatever
-                    its term is
      LATE_STATUS    the newest term is taken from the statuses when orders are
                     sent, not when the successor is chosen
      STALE_REPORT   a pending promotion is forgotten on a report that its
