site: Fetch the first settings from a peer only without the store

Cause: a process that starts asks the seeds of its settings file within 100 ms, and fetched the configuration and the lists from each seed that said it had the store, as its own first answers hadn't arrived yet. Seeds are the same three VMs for all. A trial with 300 VMs (log of all processes) had 9.2, 6.7 and 5.6 MB of settings sent by the three seeds, 1.1 MB by the next process.

Ruled out: cell leaders (their digests and groups are 1 to 2 MB), connections to endpoints (2,500 in the busiest process), the members' list.

Now it fetches from a peer once a call to the store has failed or 1 s has passed, from one peer at a time, and from a second one after 300 ms. The new session test fails before: the seed is asked at its first digest.

--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include <decide/first_settings.hpp>
 #include <decide/load/client_budget.hpp>
 #include <model/overloaded.hpp>
 #include <peer/peer_codec.hpp>
@@ -53,6 +54,17 @@
     return p.m_lists_fetch_pending;
 }
 
+bool is_first_fetch_due(site_task_state& t, peer_settings_part part)
+{
+    first_settings_state s;
+    s.m_started_at = t.m_started_at;
+    s.m_store_failed = has_failed_watch(t);
+    s.m_last_fetch_at = t.m_last_fetch_at;
+    for (auto& [at, p] : t.m_peers)
+        s.m_pending_fetches += pending_fetch(p, part) ? 1U : 0U;
+    return may_fetch_first_settings(s, boot_now());
+}
+
 // The configuration, the lists and the members are fetched separately, so that
 // none of them waits until another one has arrived.
 void fetch_part(site_task_state& t, site_peer& p, peer_settings_part part)
@@ -74,6 +86,7 @@
                  });
     // Not before: if it can't be sent, nothing resets it.
     pending = true;
+    t.m_last_fetch_at = boot_now();
 }
 
 void apply_digest(site_task_state& t, site_peer& p, const peer_site_digest& d)
@@ -298,15 +311,21 @@
     const std::uint64_t own = t.m_config ? t.m_config->m_version : 0;
     if (config_version > own && t.m_behind_since == time_point{})
         t.m_behind_since = boot_now();
+    const auto fetch = [&](peer_settings_part part, bool has_part)
+    {
+        if (has_part || is_first_fetch_due(t, part))
+            fetch_part(t, p, part);
+    };
+    const bool has_lists = known_revision(t) > 0;
     // A watch has stalled.
     if (config_version > own)
-        fetch_part(t, p, peer_settings_part::configuration);
+        fetch(peer_settings_part::configuration, t.m_config != nullptr);
     // The store doesn't answer this process.
     if (!is_store_available(t) && peer_has_store &&
         revision > known_revision(t))
     {
-        fetch_part(t, p, peer_settings_part::configuration);
-        fetch_part(t, p, peer_settings_part::lists);
+        fetch(peer_settings_part::configuration, t.m_config != nullptr);
+        fetch(peer_settings_part::lists, has_lists);
     }
 }
 
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -175,6 +175,7 @@
     /// The members as the store lists them, for peers.
     std::map<std::string, stored_object, std::less<>> m_member_objects;
     list_history m_member_history;     ///< Of m_member_objects.
+    time_point m_last_fetch_at{};     ///< Of settings from a peer.
     bool m_wants_full_members = false; ///< A change couldn't be applied.
     bool m_lists_published = false;
     /// Entries, or parts of the configuration, that failed a check.
@@ -225,6 +226,8 @@
 std::uint64_t changed_revision(const site_task_state& t);
 /// Returns the watch of a kind that this process watches.
 store_watch& watch_of(site_task_state& t, stored_kind kind);
+/// Returns true if the last call of a watch failed.
+bool has_failed_watch(const site_task_state& t);
 const store_watch& watch_of(const site_task_state& t, stored_kind kind);
 
 // site_objects.cpp
--- a/Source/session/site_watches.cpp
+++ b/Source/session/site_watches.cpp
@@ -255,6 +255,16 @@
                                });
 }
 
+bool has_failed_watch(const site_task_state& t)
+{
+    return std::ranges::any_of(t.m_watches,
+                               [](const store_watch& w)
+                               {
+                                   // Set by a failure, reset by an answer.
+                                   return w.m_retry_delay > duration::zero();
+                               });
+}
+
 bool may_count_votes(const site_task_state& t)
 {
     const store_watch& w = watch_of(t, stored_kind::members);
--- a/Tests/site/peer_answer_test.cpp
+++ b/Tests/site/peer_answer_test.cpp
@@ -10,10 +10,12 @@
 #include <variant>
 
 #include <catch2/catch.hpp>
+#include <decide/first_settings.hpp>
 #include <peer/peer_call.hpp>
 #include <platform/store_value_codec.hpp>
 #include <support/loopback.hpp>
 #include <support/scarce_memory.hpp>
+#include <task/boot_clock.hpp>
 #include <task/task_thread.hpp>
 #include <wire/http2_server.hpp>
 
@@ -68,6 +70,14 @@
     return s;
 }
 
+// A store whose first answers are on their way.
+object_store silent_store(loop&)
+{
+    object_store s;
+    s.m_list = [](stored_kind, bool, const store_callback&) {};
+    return s;
+}
+
 struct peer_stop
 {
 };
@@ -114,6 +124,7 @@
     /// From now on its digests have weights of this many workspaces.
     std::atomic<std::size_t> m_workspaces = 1;
     std::atomic<std::size_t> m_digests = 0;
+    std::atomic<std::size_t> m_fetches = 0; ///< Requests for its settings.
 
 private:
     void answer(const arrived_request& request)
@@ -124,7 +135,10 @@
         if (std::holds_alternative<peer_site_digest>(*message))
             answer_peer(*m_server, request.m_exchange, digest());
         else if (const auto* m = std::get_if<peer_settings_request>(&*message))
+        {
+            ++m_fetches;
             answer_peer(*m_server, request.m_exchange, settings(m->m_part));
+        }
         else
             answer_peer(*m_server, request.m_exchange, peer_declined{"peer"});
     }
@@ -290,3 +304,35 @@
         CHECK_FALSE(counts_failures(t, 0));
     }
 }
+
+// Guards against all processes of a fleet that starts fetching the settings
+// from each seed, whose links are full then.
+SCENARIO("A process starts before the store has answered it")
+{
+    informed_peer peer;
+    const time_point start = boot_now();
+    lone_site_task t(settings_with(peer), failing_codec(), silent_store);
+
+    WHEN("a seed has told it of its settings")
+    {
+        REQUIRE(t.await(
+            [&]
+            {
+                return count_posted<peer_demand_changed>(t) == 1;
+            }));
+
+        THEN("it waits for the store at first, and then fetches them")
+        {
+            const bool has_fetched = peer.m_fetches > 0;
+            const bool has_waited = boot_now() - start >= first_answer_timeout;
+            CHECK((!has_fetched || has_waited));
+            CHECK(t.await(
+                [&]
+                {
+                    return count_posted<config_changed>(t) == 1 &&
+                           has_only_complete_lists(t);
+                }));
+            CHECK(peer.m_fetches == 2);
+        }
+    }
+}
