usage: End a new holder's first collection when all have answered

It now passes on what it has collected as soon as all cells and members that it asks have answered, 300 ms before the next window's deadline, or after a second. The log (event 3034) says which.

--- a/Source/decide/usage_report.cpp
+++ b/Source/decide/usage_report.cpp
@@ -22,6 +22,39 @@
 
 }
 
+std::string_view to_string(collection_end end) noexcept
+{
+    switch (end)
+    {
+    case collection_end::none:
+        return "none";
+    case collection_end::answered:
+        return "answered";
+    case collection_end::deadline:
+        return "deadline";
+    case collection_end::timed_out:
+        break;
+    }
+    return "timed out";
+}
+
+// Load: a holder that is lost shortly before a deadline. A report without the
+// counts of a cell is off, one after the deadline is missing, so its successor
+// neither sends at once nor collects longer than it needs to.
+collection_end end_first_collection(const first_collection& c,
+                                    time_point now) noexcept
+{
+    if (c.m_all_answered)
+        return collection_end::answered;
+    // Past the deadline, the counts are worth more than the time.
+    if (c.m_until_deadline && *c.m_until_deadline > duration::zero() &&
+        *c.m_until_deadline <= first_report_margin)
+        return collection_end::deadline;
+    return now - c.m_held_since >= first_collection_time
+               ? collection_end::timed_out
+               : collection_end::none;
+}
+
 report_choice choose_report(std::optional<window_id> last,
                             const collected_windows& collected, unix_time now,
                             const report_timing& timing)
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -199,6 +199,10 @@
     event_entry{event_id::session_refused, event_level::info, "session_refused",
                 "a session was refused at its start"},
     event_entry{event_id::statement_failed, event_level::info,
+    event_entry{event_id::usage_collected_first, event_level::info,
+                "usage_collected_first",
+                "a new holder of the usage duty passed on the counts that it "
+                "had collected, and why then"},
                 "statement_failed", "a statement got no ordinary answer"},
     event_entry{event_id::transaction_expired, event_level::info,
                 "transaction_expired",
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -74,6 +74,7 @@
     usage_windows_skipped = 3032,
     true_time_followed = 3033,
     session_refused = 4001,
+    usage_collected_first = 3034,
     statement_failed = 4002,
     transaction_expired = 4003,
     session_started = 4004,
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -242,6 +242,7 @@
 struct usage_duty_changed
 {
     bool m_is_held = false;
+    std::optional<window_id> m_last_window; ///< The last that was reported.
 };
 
 /// site → usage: the requests of the whole fleet, for the holder of the duty.
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -86,6 +86,7 @@
     bool m_members_fetch_pending = false;
     bool m_usage_pending = false; ///< Its counts have been requested.
     bool m_answer_failed = false; ///< An answer of it met an exception.
+    time_point m_usage_answered_at{};
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -139,9 +140,11 @@
     usage_ledger m_cells;           ///< By zone, of the holder of the duty.
     bool m_is_candidate = false;    ///< May hold the duty.
     bool m_holds_duty = false;
-    time_point m_held_since{};   ///< When it got the duty.
-    time_point m_requested_at{}; ///< Last round of requests.
-    std::uint64_t m_version = 0; ///< Of this cell's last summary.
+    time_point m_held_since{};    ///< When it got the duty.
+    bool m_has_passed_on = false; ///< The counts, since it got the duty.
+    std::optional<window_id> m_last_window; ///< Reported before it got it.
+    time_point m_requested_at{};            ///< Last round of requests.
+    std::uint64_t m_version = 0;            ///< Of this cell's last summary.
 };
 
 /// The state that the site task owns.
--- a/Source/session/site_usage.cpp
+++ b/Source/session/site_usage.cpp
@@ -4,7 +4,9 @@
 #include <utility>
 
 #include <decide/usage_bounds.hpp>
+#include <decide/usage_report.hpp>
 #include <report/event.hpp>
+#include <session/milliseconds_of.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -80,6 +82,7 @@
                 answer ? std::get_if<peer_usage>(&*answer) : nullptr;
             if (m == nullptr)
                 return;
+            p.m_usage_answered_at = boot_now();
             apply_received(
                 t, of_cell ? t.m_collection.m_cells : t.m_collection.m_members,
                 source, m->m_summary, max_answered_ahead);
@@ -206,11 +209,69 @@
             send_own_usage(t, rank.m_name, from);
 }
 
+// Returns true if everybody whom this holder asks has answered since it got the
+// duty.
+bool have_all_answered(const site_task_state& t)
+{
+    const usage_collection& u = t.m_collection;
+    const auto has_answered = [&](const std::string& at)
+    {
+        const auto p = t.m_peers.find(at);
+        return p != t.m_peers.end() &&
+               p->second.m_usage_answered_at > u.m_held_since;
+    };
+    for (const std::string& name : counted_members(t))
+        if (name != t.m_settings.m_name &&
+            !has_answered(to_string(t.m_members.at(name).m_address)))
+            return false;
+    if (!has_zone_cells(t))
+        return true;
+    return std::ranges::all_of(
+        cell_zones(t),
+        [&](const std::string& zone)
+        {
+            const auto other = t.m_cell.m_other_cells.find(zone);
+            return zone == t.m_settings.m_zone ||
+                   (other != t.m_cell.m_other_cells.end() &&
+                    has_answered(other->second.m_leader_address));
+        });
+}
+
+std::optional<duration> time_until_report(const site_task_state& t,
+                                          time_point now)
+{
+    if (!t.m_collection.m_last_window)
+        return std::nullopt;
+    return window_end(*t.m_collection.m_last_window + 1,
+                      t.m_settings.m_report_window) +
+           t.m_settings.m_usage_delay - true_now(t, now);
+}
+
+// Windows may be due when the duty is gained, so a new holder passes on what it
+// has collected as soon as its requests have been answered.
+void pass_on_first_counts(site_task_state& t, time_point now)
+{
+    usage_collection& u = t.m_collection;
+    const collection_end end = end_first_collection(
+        {u.m_held_since, have_all_answered(t), time_until_report(t, now)}, now);
+    if (end == collection_end::none)
+        return;
+    u.m_has_passed_on = true;
+    log_event(event_id::usage_collected_first,
+              {{"cause", std::string(to_string(end))},
+               {"after_ms", milliseconds_of(now - u.m_held_since)}});
+    post_collected(t, now);
+}
+
 void collect_usage_counts(site_task_state& t, time_point now)
 {
     usage_collection& u = t.m_collection;
     if (now - u.m_requested_at < usage_request_interval)
+    {
+        if (u.m_holds_duty && !u.m_has_passed_on)
+            pass_on_first_counts(t, now);
         return;
+    }
     u.m_requested_at = now;
     drop_windows_before(u.m_members, first_counted(t, now));
     drop_windows_before(u.m_cells, first_counted(t, now));
@@ -224,10 +285,10 @@
         return;
     if (leads)
         request_from_cells(t);
-    // Windows may be due when the duty is gained. What a new holder collects is
-    // passed on once its first requests have been answered.
-    if (now - u.m_held_since >= usage_request_interval)
+    if (u.m_has_passed_on)
         post_collected(t, now);
+    else
+        pass_on_first_counts(t, now);
 }
 
 }
@@ -267,6 +328,8 @@
 void apply_usage_duty(site_task_state& t, const usage_duty_changed& m)
 {
     t.m_collection.m_holds_duty = m.m_is_held;
+    t.m_collection.m_has_passed_on = false;
+    t.m_collection.m_last_window = m.m_last_window;
     t.m_collection.m_held_since = boot_now();
     t.m_collection.m_requested_at = {};
 }
--- a/Source/session/usage_reporting.cpp
+++ b/Source/session/usage_reporting.cpp
@@ -137,7 +137,7 @@
     t.m_heard = 0;
     t.m_missing = 0;
     t.m_is_repeated = true;
-    t.m_boxes.m_site.post(usage_duty_changed{true});
+    t.m_boxes.m_site.post(usage_duty_changed{true, t.m_last_window});
     fire(t, t.m_report && !t.m_report->m_is_accepted
                 ? usage_report_event::duty_gained_unsent
                 : usage_report_event::duty_gained);
@@ -149,7 +149,7 @@
     t.m_acquire_at =
         boot_now() + t.m_settings.m_lease_duration + max_order_delay;
     t.m_duty.m_record_is_outdated = false;
-    t.m_boxes.m_site.post(usage_duty_changed{false});
+    t.m_boxes.m_site.post(usage_duty_changed{false, std::nullopt});
     fire(t, usage_report_event::duty_lost);
 }
 
--- a/Tests/decide/usage_report_test.cpp
+++ b/Tests/decide/usage_report_test.cpp
@@ -79,3 +79,62 @@
         }
     }
 }
+
+// Guards against a report that misses its deadline by the time for which a new
+// holder collects, although everybody has answered it.
+SCENARIO("A process gets the usage duty shortly before a deadline")
+{
+    const time_point gained{1h};
+    first_collection c;
+    c.m_held_since = gained;
+
+    GIVEN("970 ms until the next window is due")
+    {
+        const auto end_at = [&](time_point now)
+        {
+            c.m_until_deadline = gained + 970ms - now;
+            return end_first_collection(c, now);
+        };
+
+        WHEN("everybody has answered after 60 ms")
+        {
+            c.m_all_answered = true;
+            THEN("it passes on the counts at once")
+            {
+                CHECK(end_at(gained + 60ms) == collection_end::answered);
+            }
+        }
+        WHEN("a cell doesn't answer")
+        {
+            THEN("it waits for it as long as the report can still be in time")
+            {
+                CHECK(end_at(gained + 969ms - first_report_margin) ==
+                      collection_end::none);
+                CHECK(end_at(gained + 970ms - first_report_margin) ==
+                      collection_end::deadline);
+            }
+        }
+    }
+    GIVEN("a window whose deadline has passed")
+    {
+        c.m_until_deadline = -200ms;
+
+        THEN("the counts that are missing are waited for")
+        {
+            CHECK(end_first_collection(c, gained + 100ms) ==
+                  collection_end::none);
+            CHECK(end_first_collection(c, gained + first_collection_time) ==
+                  collection_end::timed_out);
+        }
+    }
+    GIVEN("no report before")
+    {
+        THEN("it collects for the whole time")
+        {
+            CHECK(end_first_collection(c, gained + 999ms) ==
+                  collection_end::none);
+            CHECK(end_first_collection(c, gained + 1s) ==
+                  collection_end::timed_out);
+        }
+    }
+}
