homes: Spread sessions without a workspace over a group's homes

They are spread by the accepting process now. The region names of the own credit are kept with the homes, and no longer collected for each operation of a start.

Ruled out: several homes for each workspace in proportion to its rate.

--- a/Source/decide/load/cold_start.cpp
+++ b/Source/decide/load/cold_start.cpp
@@ -68,7 +68,8 @@
     std::uint32_t own = 0;
     for (const auto& [group, of_group] : homes)
     {
-        if (choose_home(of_group, group, workspace, {}) != holders.m_self)
+        if (choose_home(of_group, {group, workspace, holders.m_self}, {}) !=
+            holders.m_self)
             continue;
         const credit_place place =
             make_place(workspace, holders.m_region, group);
--- a/Source/decide/load/home_choice.cpp
+++ b/Source/decide/load/home_choice.cpp
@@ -133,12 +133,17 @@
     return table;
 }
 
+// Load: each process of a large fleet has a few sessions without a workspace,
+// such as those of probes. One home for all of them would hold as many
+// connections as the region has such sessions.
 std::string_view choose_home(std::span<const home_candidate> homes,
-                             std::string_view group, std::string_view workspace,
+                             const home_subject& sessions,
                              const std::set<std::string, std::less<>>& avoided)
 {
-    std::string subject(group);
-    subject.append(1, '\0').append(workspace);
+    std::string subject(sessions.m_group);
+    subject.append(1, '\0').append(sessions.m_workspace);
+    if (sessions.m_workspace.empty())
+        subject.append(1, '\0').append(sessions.m_accepting);
     const double mean = mean_cores(homes);
     std::string_view best;
     double best_score = -1;
--- a/Source/decide/load/home_choice.hpp
+++ b/Source/decide/load/home_choice.hpp
@@ -55,10 +55,19 @@
 home_table choose_homes(std::span<const home_candidate> members,
                         const std::set<std::string, std::less<>>& groups);
 
-/// Returns the process that runs the workspace's sessions on the group, among
-/// the group's homes except those in `avoided`; empty if there is none.
+/// Sessions of one workspace on one group that one process accepts.
+struct home_subject
+{
+    std::string_view m_group;
+    std::string_view m_workspace; ///< Empty: of a route that is open to all.
+    std::string_view m_accepting; ///< Name of the process.
+};
+
+/// Returns the process that runs these sessions, among the group's homes except
+/// those in `avoided`; empty if there is none. It depends on the accepting
+/// process only where there is no workspace.
 std::string_view choose_home(std::span<const home_candidate> homes,
-                             std::string_view group, std::string_view workspace,
+                             const home_subject& sessions,
                              const std::set<std::string, std::less<>>& avoided);
 
 }
--- a/Source/session/session_homes.cpp
+++ b/Source/session/session_homes.cpp
@@ -86,6 +86,9 @@
         if (region == t.m_settings.m_region)
             candidates.push_back({m.m_name, m.m_cores});
     }
+    d.m_regions.clear();
+    for (const auto& [region, members] : members_by_region)
+        d.m_regions.emplace(region);
     const auto groups = group_names(*t.m_config);
     d.m_table = choose_homes(candidates, groups);
     d.m_homes_per_group = 0;
@@ -142,7 +145,8 @@
     const std::string_view home =
         homes == d.m_table.end()
             ? std::string_view()
-            : choose_home(homes->second, service, s.m_workspace,
+            : choose_home(homes->second,
+                          {service, s.m_workspace, t.m_settings.m_name},
                           avoided_homes(d, now));
     if (home.empty())
         return {home_verdict::none_available, {}};
--- a/Source/session/session_tokens.cpp
+++ b/Source/session/session_tokens.cpp
@@ -1,7 +1,6 @@
 #include <session/session_task_state.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -45,17 +44,12 @@
 std::uint32_t own_credit_of(const session_task_state& t,
                             std::string_view workspace, const workspace_rate& r)
 {
-    std::set<std::string_view> regions;
-    for (const session_member& m : t.m_homes.m_members)
-    {
-        const auto region = t.m_settings.m_region_of_zone.find(m.m_zone);
-        if (region != t.m_settings.m_region_of_zone.end())
-            regions.insert(region->second);
-    }
-    const std::vector<std::string_view> names(regions.begin(), regions.end());
-    return own_credit(own_credit_total(excess_of(t, r)), workspace,
-                      {t.m_settings.m_name, t.m_settings.m_region, names,
-                       &t.m_homes.m_table});
+    const home_directory& d = t.m_homes;
+    const std::vector<std::string_view> regions(d.m_regions.begin(),
+                                                d.m_regions.end());
+    return own_credit(
+        own_credit_total(excess_of(t, r)), workspace,
+        {t.m_settings.m_name, t.m_settings.m_region, regions, &d.m_table});
 }
 
 void send_token_request(session_task_state& t, time_point now)
--- a/Tests/clients/home_failure_test.cpp
+++ b/Tests/clients/home_failure_test.cpp
@@ -184,7 +184,8 @@
         const home_table table = choose_homes(
             std::vector<home_candidate>{{"entry-0"}, {"entry-1"}}, {service});
         const bool first_is_home =
-            choose_home(table.at(service), service, workspace, {}) == "entry-0";
+            choose_home(table.at(service), {service, workspace, {}}, {}) ==
+            "entry-0";
         const session_member& home = members[first_is_home ? 0 : 1];
         const session_member& accepting = members[first_is_home ? 1 : 0];
         m_home = std::make_unique<session_process>(home, home_codec(), m_group,
--- a/Tests/decide/load_home_choice_test.cpp
+++ b/Tests/decide/load_home_choice_test.cpp
@@ -49,7 +49,7 @@
         {
             const std::string workspace = "workspace-" + std::to_string(i);
             homes[std::string(group).append(" ").append(workspace)] =
-                choose_home(of_group, group, workspace, avoided);
+                choose_home(of_group, {group, workspace, {}}, avoided);
         }
     return homes;
 }
@@ -166,8 +166,58 @@
 
         THEN("the workspace has no home there")
         {
-            CHECK(
-                choose_home(homes, "group-0", "workspace-1", avoided).empty());
+            CHECK(choose_home(homes, {"group-0", "workspace-1", {}}, avoided)
+                      .empty());
+        }
+    }
+}
+
+namespace
+{
+
+// The homes of sessions without a workspace that each process of a region
+// accepts on each group.
+home_map homes_of_open_sessions(const std::vector<home_candidate>& members)
+{
+    home_map homes;
+    for (const auto& [group, of_group] : choose_homes(members, make_groups()))
+        for (const home_candidate& accepting : members)
+            homes[std::string(group).append(" ").append(accepting.m_name)] =
+                choose_home(of_group, {group, {}, accepting.m_name}, {});
+    return homes;
+}
+
+}
+
+// Guards against one process that takes all sessions without a workspace of its
+// region: in a fleet of 302 it held 3,126 connections.
+SCENARIO("Each process of a region has sessions without a workspace")
+{
+    const std::size_t count = GENERATE(24, 41, 100);
+    std::vector<home_candidate> members;
+    for (std::size_t i = 0; i < count; ++i)
+        members.push_back({"vm-" + std::to_string(i), 0.25});
+    const home_map homes = homes_of_open_sessions(members);
+
+    THEN("they are spread over the homes of their groups")
+    {
+        std::size_t most = 0;
+        for (const auto& [member, sessions] : count_by_member(homes))
+            most = std::max(most, sessions);
+        // The mean is one for each group.
+        CAPTURE(count, most);
+        CHECK(most <= 4 * group_count);
+    }
+    WHEN("a process leaves")
+    {
+        std::vector<home_candidate> left = members;
+        left.erase(left.begin());
+
+        THEN("few of the others' move")
+        {
+            const double part = moved_part(homes_of_open_sessions(left), homes);
+            CAPTURE(count, part);
+            CHECK(part <= 0.3);
         }
     }
 }
--- a/Tests/site/home_process_test.cpp
+++ b/Tests/site/home_process_test.cpp
@@ -99,7 +99,7 @@
     const std::string service = "ledger-db";
     const home_table table = choose_homes(members, {service});
     const std::string_view home =
-        choose_home(table.at(service), service, "ward", {});
+        choose_home(table.at(service), {service, "ward", {}}, {});
     std::size_t number = 0;
     while (name_of(number) != home)
         ++number;
