failover: Decide by the newest term and by the order's own

A commit that callers saw acknowledged could be missing at the promoted endpoint, because

- the term to be ended wasn't updated when the successor was chosen, so that the primary of a term that only the last status showed was taken for the promoted one, and the pauses ended while the order was under way;
- a report, or a status, of an earlier term in which the ordered endpoint had led counted as the effect of the order.

update_old_term is asked before each choice, and the members are fenced again if a newer term shows. The order carries the first term in which it can have taken effect, also in the duty's record. Of the new tests the one with scripted endpoints fails before ("PAUSE 5" is never sent); those of the decision have no counterpart before.

--- a/Source/decide/duty_lease.hpp
+++ b/Source/decide/duty_lease.hpp
@@ -32,6 +32,8 @@
 struct pending_promotion
 {
     std::string m_endpoint;
+    /// The first term in which the endpoint may lead by the order. Earlier
+    /// builds store a later one.
     term_number m_term = 0;
 
     friend bool operator==(const pending_promotion&,
--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -95,6 +95,13 @@
     return newest;
 }
 
+bool update_old_term(std::span<const takeover_member> members,
+                     term_number& old_term, term_number fenced_term) noexcept
+{
+    old_term = std::max(old_term, newest_term(members));
+    return fenced_term > old_term;
+}
+
 void end_old_step_down(takeover_member& m, term_number newest, term_number term,
                        time_point now) noexcept
 {
@@ -201,6 +208,12 @@
     return is_behind ? fence_state::lost : fence_state::unconfirmed;
 }
 
+bool has_taken_effect(const ordered_promotion& o, std::string_view primary,
+                      term_number term) noexcept
+{
+    return o.m_endpoint == primary && term >= o.m_term;
+}
+
 std::string_view pending_endpoint(const ordered_promotion& o,
                                   time_point now) noexcept
 {
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -103,6 +103,12 @@
 /// Returns the newest term that one of the members has led or followed.
 term_number newest_term(std::span<const takeover_member> members) noexcept;
 
+/// Raises `old_term`, the term to be ended, to the newest that the members
+/// know. Returns false if `fenced_term`, for which they are fenced, isn't above
+/// it: then they have to be fenced again before one of them is chosen.
+bool update_old_term(std::span<const takeover_member> members,
+                     term_number& old_term, term_number fenced_term) noexcept;
+
 /// Ends the member's step-down if a term newer than the one that it led is
 /// known: it may follow that term's primary at any time, and take part in
 /// commits. `term` is the one that the members are fenced for.
@@ -146,8 +152,14 @@
 {
     std::string m_endpoint; ///< Empty: none.
     time_point m_expires_at{};
+    term_number m_term = 0; ///< The first in which the endpoint may lead by it.
 };
 
+/// Returns true if an endpoint that leads this term does so by the order. It
+/// may have led an earlier term, too.
+bool has_taken_effect(const ordered_promotion& o, std::string_view primary,
+                      term_number term) noexcept;
+
 /// Returns the endpoint whose promotion may take effect after `now`, or an
 /// empty string.
 std::string_view pending_endpoint(const ordered_promotion& o,
--- a/Source/session/failover_duty.cpp
+++ b/Source/session/failover_duty.cpp
@@ -26,7 +26,8 @@
     // The previous holder sends no order after this process has the duty.
     const time_point expires_at = boot_now() + promotion_order_lifetime;
     for (const auto& [service, ordered] : record.m_pending_promotions)
-        t.m_groups[service].m_ordered = {ordered.m_endpoint, expires_at};
+        t.m_groups[service].m_ordered = {ordered.m_endpoint, expires_at,
+                                         ordered.m_term};
 }
 
 // Sets the pending promotions and group sizes that this process has decided
@@ -37,11 +38,13 @@
     for (const auto& [service, g] : t.m_groups)
     {
         const std::string_view ordered =
-            g.m_successor.empty() ? pending_endpoint(g.m_ordered, boot_now())
-                                  : std::string_view(g.m_successor);
-        if (!ordered.empty())
+            pending_endpoint(g.m_ordered, boot_now());
+        if (!g.m_successor.empty())
+            record.m_pending_promotions[service] = {g.m_successor,
+                                                    g.m_old_term + 1};
+        else if (!ordered.empty())
             record.m_pending_promotions[service] = {std::string(ordered),
-                                                    g.m_term};
+                                                    g.m_ordered.m_term};
         record.m_group_sizes[service] = g.m_size;
     }
 }
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -54,14 +54,6 @@
     return found == g.m_members.end() ? nullptr : &*found;
 }
 
-// Returns the primary that an order which is still pending has promoted.
-const takeover_participant* find_ordered_primary(const failover_group& g,
-                                                 std::string_view ordered)
-{
-    const takeover_participant* const lead = find_primary(g, g.m_old_term);
-    return lead != nullptr && lead->m_endpoint.m_id == ordered ? lead : nullptr;
-}
-
 std::string describe_member(const takeover_participant& m)
 {
     const endpoint_status& s = m.m_member.m_status;
@@ -236,6 +228,20 @@
     return find_primary(g, g.m_old_term + 1);
 }
 
+const takeover_participant* find_ordered_primary(const failover_group& g,
+                                                 time_point now)
+{
+    if (pending_endpoint(g.m_ordered, now).empty())
+        return nullptr;
+    const takeover_participant* const lead =
+        find_primary(g, g.m_ordered.m_term);
+    return lead != nullptr &&
+                   has_taken_effect(g.m_ordered, lead->m_endpoint.m_id,
+                                    lead->m_member.m_status.m_term)
+               ? lead
+               : nullptr;
+}
+
 fence_state check_fence(const failover_task_state& t,
                         const std::string& service, const failover_group& g,
                         time_point now)
@@ -257,7 +263,7 @@
         return fire(t, service, g, takeover_event::given_up);
     const takeover_participant* const live = find_primary(g, g.m_report.m_term);
     const takeover_participant* const lead =
-        may_yield ? live : find_ordered_primary(g, ordered);
+        may_yield ? live : find_ordered_primary(g, now);
     if (lead != nullptr)
     {
         t.m_boxes.m_session.post(primary_promoted{
@@ -280,7 +286,9 @@
     // the takeover yields.
     const bool will_yield =
         yields_to_primary(g) && live != nullptr && !ordered.empty();
-    if (successor && !waits && !will_yield)
+    // A member may have answered in a newer term since it was told to pause.
+    const bool is_current = update_old_term(members, g.m_old_term, g.m_term);
+    if (successor && is_current && !waits && !will_yield)
     {
         g.m_successor = *successor;
         log_fence(event_id::takeover_touched, service, g);
@@ -288,7 +296,7 @@
     }
     if (now - g.m_began_at >= fencing_timeout && ordered.empty())
         return fire(t, service, g, takeover_event::given_up);
-    if (now >= g.m_next_action_at)
+    if (now >= g.m_next_action_at || !is_current)
     {
         g.m_next_action_at = now + order_retry_interval;
         fence_members(t, service, g);
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -57,7 +57,8 @@
     g.m_next_action_at = now + order_retry_interval;
     if (!holds_duty(t.m_duty, now))
         return;
-    g.m_ordered = {g.m_successor, now + promotion_order_lifetime};
+    g.m_ordered = {g.m_successor, now + promotion_order_lifetime,
+                   g.m_old_term + 1};
     const std::uint64_t token = t.m_duty.m_seen->m_record.m_token;
     log_event(event_id::promotion_ordered, {{"service", service},
                                             {"endpoint", g.m_successor},
@@ -123,7 +124,8 @@
     g.m_next_action_at = now + takeover_retry_delay;
     const bool was_recorded = !g.m_successor.empty();
     g.m_successor.clear();
-    if (find_new_primary(g) != nullptr)
+    if (find_new_primary(g) != nullptr ||
+        find_ordered_primary(g, now) != nullptr)
         g.m_ordered = {};
     if (was_recorded && holds_duty(t.m_duty, now))
         record_duty(t.m_duty);
@@ -182,7 +184,8 @@
                   can_hand_over(t, service);
     takeover_reason reason = evaluate_primary(e, now);
     const std::string_view ordered = pending_endpoint(g.m_ordered, now);
-    if (!ordered.empty() && ordered == g.m_report.m_primary)
+    if (!ordered.empty() &&
+        has_taken_effect(g.m_ordered, g.m_report.m_primary, g.m_report.m_term))
         g.m_ordered = {};
     else if (!ordered.empty())
         reason = takeover_reason::order_pending;
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -157,6 +157,9 @@
 void end_old_step_downs(failover_group& g, time_point now);
 /// Returns the member that reports to be the primary of a newer term, or null.
 const takeover_participant* find_new_primary(const failover_group& g);
+/// Returns the primary that leads by an order which is still pending, or null.
+const takeover_participant* find_ordered_primary(const failover_group& g,
+                                                 time_point now);
 /// Logs the state of all members of a takeover.
 void log_fence(event_id id, const std::string& service,
                const failover_group& g);
--- a/Tests/decide/takeover_test.cpp
+++ b/Tests/decide/takeover_test.cpp
@@ -510,3 +510,59 @@
                                    sent_at + milliseconds(800)));
     }
 }
+
+// Guards against LOST: an endpoint that leads a term which the holder learns of
+// only from the last status would be taken for the new primary.
+SCENARIO("A member answers in a newer term just before the choice")
+{
+    constexpr term_number known = 1;
+    constexpr term_number newer = 2;
+    takeover_member old_member;
+    old_member.m_id = "a";
+    old_member.m_reachable = true;
+    old_member.m_status.m_role = endpoint_role::replica;
+    old_member.m_status.m_term = known;
+    old_member.m_status.m_paused_term = newer;
+    takeover_member late = old_member;
+    late.m_id = "b";
+    late.m_status.m_term = newer;
+    const std::vector members{old_member, late};
+
+    GIVEN("members that are fenced for the term after the known one")
+    {
+        REQUIRE(choose_successor(members, known + 1, 1));
+        term_number old_term = known;
+
+        THEN("they are to be fenced again, and only a later term is new")
+        {
+            CHECK_FALSE(update_old_term(members, old_term, known + 1));
+            CHECK(old_term == newer);
+        }
+    }
+    GIVEN("members that are fenced for a later term")
+    {
+        term_number old_term = known;
+
+        THEN("one of them may be chosen")
+        {
+            CHECK(update_old_term(members, old_term, newer + 1));
+            CHECK(old_term == newer);
+        }
+    }
+}
+
+// Guards against LOST: a report on an earlier time as primary would make a
+// holder forget an order that takes effect later.
+SCENARIO("An endpoint that led an earlier term is ordered again")
+{
+    const ordered_promotion o{"a", time_point{std::chrono::hours(1)}, 3};
+
+    THEN("only a term that the order may have begun shows its effect")
+    {
+        CHECK_FALSE(has_taken_effect(o, "a", 1));
+        CHECK_FALSE(has_taken_effect(o, "a", 2));
+        CHECK(has_taken_effect(o, "a", 3));
+        CHECK(has_taken_effect(o, "a", 5));
+        CHECK_FALSE(has_taken_effect(o, "b", 3));
+    }
+}
--- a/Tests/model/takeover.pml
+++ b/Tests/model/takeover.pml
@@ -42,13 +42,12 @@
      LATE_ORDER     an order that its sender has abandoned may still arrive
      STEPPED_DOWN   an endpoint that has stepped down counts as fenced whatever
                     its term is
-   A rule that has held so far:
-     BLIND_WRITE    the duty record is written whatever its revision
-   The code as it is (docs/FINDINGS.md); the variants that hold do without:
      LATE_STATUS    the newest term is taken from the statuses when orders are
                     sent, not when the successor is chosen
      STALE_REPORT   a pending promotion is forgotten on a report that its
                     endpoint led in an earlier term
+   A rule that has held so far:
+     BLIND_WRITE    the duty record is written whatever its revision
    What the platform must rule out, as nothing else does:
      RESTART_IN_ORDER  a replica restarts between the last answer that showed it
                        fenced and the effect of the order
--- a/Tests/site/failover_orders_test.cpp
+++ b/Tests/site/failover_orders_test.cpp
@@ -19,6 +19,7 @@
 const std::string primary_status = "primary 3 3.10 0 0";
 const std::string replica_status = "replica 3 3.10 0 0";
 const std::string paused_status = "replica 3 3.10 4 0";
+const std::string newer_status = "replica 4 4.11 4 0";
 
 }
 
@@ -83,3 +84,31 @@
             }));
     }
 }
+
+// Guards against LOST: the primary of a term that only the last status shows
+// would be taken for the promoted one, and the members resumed.
+SCENARIO("A member answers in a newer term after the others were fenced")
+{
+    const scripted_endpoint fenced({paused_status});
+    scripted_endpoint late({newer_status, 450ms});
+    lone_failover_task t({{"i-1", free_address()},
+                          {"i-2", fenced.local()},
+                          {"i-3", late.local()}});
+    t.report_silent("i-1", 3);
+    REQUIRE(t.await(
+        [&]
+        {
+            return late.has_received("STATUS");
+        }));
+    late.follow({newer_status});
+
+    THEN("all are fenced for a term after that one")
+    {
+        CHECK(t.await(
+            [&]
+            {
+                return late.has_received("PAUSE 5") &&
+                       fenced.has_received("PAUSE 5");
+            }));
+    }
+}
