cells: Elect a leader at once if a whole zone has restarted

After all processes had been killed or lost power, callers were served by own credit only until their process knew a cell leader, 1.08 to 1.31 s after its start: a voter that starts waits for votes that its predecessor may have given.

If all processes of the zone have restarted, no such vote can count. The first in rank asks all members twice, reads the list of members in between, and names the confirmed incarnations in its vote requests (restart_check). A zone in which a member is gone, has asked for votes, has joined or is of an earlier build waits as before.

--- a/Source/decide/cell_vote.cpp
+++ b/Source/decide/cell_vote.cpp
@@ -15,11 +15,13 @@
 
 bool grant_vote(cell_vote& v, std::string_view candidate,
                 std::uint64_t incarnation, time_point started_at,
-                time_point now)
+                time_point now, vote_hold hold)
 {
     const bool renews =
         v.m_candidate == candidate && v.m_incarnation == incarnation;
-    if (now - started_at < vote_hold_time || (!renews && now < v.m_until))
+    const bool is_held =
+        hold == vote_hold::applies && now - started_at < vote_hold_time;
+    if (is_held || (!renews && now < v.m_until))
         return false;
     v = {std::string(candidate), incarnation, now + vote_hold_time};
     return true;
--- a/Source/decide/cell_vote.hpp
+++ b/Source/decide/cell_vote.hpp
@@ -52,13 +52,22 @@
     time_point m_until{}; ///< No other candidate gets the vote earlier.
 };
 
+/// Whether a voter that has just started waits before it grants a vote.
+enum class vote_hold : std::uint8_t
+{
+    /// For vote_hold_time, because it may have voted before its restart and
+    /// lost the record of it.
+    applies,
+    /// The candidate has shown that nobody holds such a vote (restart_check).
+    waived,
+};
+
 /// Grants or renews the vote for `candidate`, unless another candidate or
-/// incarnation holds it. Grants none within vote_hold_time of `started_at`,
-/// because the voter may have voted before its restart and lost the record of
-/// it.
+/// incarnation holds it, or the hold applies to a voter that started at
+/// `started_at`.
 bool grant_vote(cell_vote& v, std::string_view candidate,
                 std::uint64_t incarnation, time_point started_at,
-                time_point now);
+                time_point now, vote_hold hold = vote_hold::applies);
 /// Frees the vote if `candidate` holds it: that process is shutting down and
 /// has given up the role of cell leader.
 void release_vote(cell_vote& v, std::string_view candidate);
--- a/Source/peer/peer_codec.cpp
+++ b/Source/peer/peer_codec.cpp
@@ -140,6 +140,8 @@
         // Earlier builds read the time here, and 0 as none.
         fields.push_back(m.m_true_ms);
         fields.push_back(m.m_members_revision);
+        if (m.m_confirmed_incarnation != 0)
+            fields.push_back(m.m_confirmed_incarnation);
         return fields;
     }
     static peer_vote_request read(const json& j)
@@ -163,6 +165,10 @@
         if (j.size() > size_without_members)
             m.m_members_revision =
                 j.at(size_without_members).get<std::uint64_t>();
+        constexpr std::size_t size_without_restart = size_without_members + 1;
+        if (j.size() > size_without_restart)
+            m.m_confirmed_incarnation =
+                j.at(size_without_restart).get<std::uint64_t>();
         return m;
     }
 };
@@ -189,6 +195,38 @@
     }
 };
 
+template <>
+struct format<peer_restart_request>
+{
+    static constexpr const char* tag = "restart_wanted";
+
+    static json write(const peer_restart_request&)
+    {
+        return json::array();
+    }
+    static peer_restart_request read(const json&)
+    {
+        return {};
+    }
+};
+
+template <>
+struct format<peer_restart>
+{
+    static constexpr const char* tag = "restart";
+
+    static json write(const peer_restart& m)
+    {
+        return json::array(
+            {m.m_name, m.m_incarnation, m.m_is_unused, m.m_was_member});
+    }
+    static peer_restart read(const json& j)
+    {
+        return {j.at(0).get<std::string>(), j.at(1).get<std::uint64_t>(),
+                j.at(2).get<bool>(), j.at(3).get<bool>()};
+    }
+};
+
 template <>
 struct format<peer_referral>
 {
--- a/Source/peer/peer_message.hpp
+++ b/Source/peer/peer_message.hpp
@@ -95,6 +95,10 @@
     /// Revision of the newest change of the members that a cell leader relays.
     /// 0: the sender is of an earlier build, which doesn't relay them.
     std::uint64_t m_members_revision = 0;
+    /// The receiver's incarnation, if the sender has shown that no earlier
+    /// process of the zone has given a vote that still counts. 0, which isn't
+    /// sent: it hasn't.
+    std::uint64_t m_confirmed_incarnation = 0;
 };
 
 /// Grants or refuses a vote, with what the sender knows of the store.
@@ -110,6 +114,20 @@
     std::uint64_t m_wall_ms = 0;
 };
 
+/// Asks a process of the zone about its start.
+struct peer_restart_request
+{
+};
+
+/// What it answers. Earlier builds answer with an error.
+struct peer_restart
+{
+    std::string m_name;
+    std::uint64_t m_incarnation = 0;
+    bool m_is_unused = false;  ///< It has requested no vote since its start.
+    bool m_was_member = false; ///< Its VM was a member before its start.
+};
+
 /// Answer to a digest that the answering process isn't responsible for: the
 /// address of the leader of its cell.
 struct peer_referral
@@ -357,13 +375,12 @@
     usage_summary m_summary;
 };
 
-using peer_message =
-    std::variant<peer_heartbeat, peer_declined, peer_settings_request,
-                 peer_settings, peer_status_request, peer_status,
-                 peer_drain_request, peer_loan_request, peer_loan,
-                 peer_site_digest, peer_vote_request, peer_vote, peer_referral,
-                 peer_token_request, peer_token_grant, peer_group_request,
-                 peer_groups, peer_usage_request, peer_usage>;
+using peer_message = std::variant<
+    peer_heartbeat, peer_declined, peer_settings_request, peer_settings,
+    peer_status_request, peer_status, peer_drain_request, peer_loan_request,
+    peer_loan, peer_site_digest, peer_vote_request, peer_vote, peer_referral,
+    peer_token_request, peer_token_grant, peer_group_request, peer_groups,
+    peer_usage_request, peer_usage, peer_restart_request, peer_restart>;
 
 }
 
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -116,6 +116,9 @@
                 "group_change_refused",
                 "a cell leader sent the changes of a group since an answer "
                 "that this process doesn't have; groups are asked for in full"},
+    event_entry{event_id::restart_checked, event_level::info, "restart_checked",
+                "whether all processes of the zone have restarted, so that a "
+                "cell leader is elected at once"},
     event_entry{event_id::fleet_epoch_followed, event_level::info,
                 "fleet_epoch_followed",
                 "shares are worked out from another list of members"},
@@ -196,13 +199,13 @@
                 "true_time_followed",
                 "what this process takes for true time changed by more than a "
                 "drift"},
-    event_entry{event_id::session_refused, event_level::info, "session_refused",
-                "a session was refused at its start"},
-    event_entry{event_id::statement_failed, event_level::info,
     event_entry{event_id::usage_collected_first, event_level::info,
                 "usage_collected_first",
                 "a new holder of the usage duty passed on the counts that it "
                 "had collected, and why then"},
+    event_entry{event_id::session_refused, event_level::info, "session_refused",
+                "a session was refused at its start"},
+    event_entry{event_id::statement_failed, event_level::info,
                 "statement_failed", "a statement got no ordinary answer"},
     event_entry{event_id::transaction_expired, event_level::info,
                 "transaction_expired",
--- a/Source/session/site_cells.cpp
+++ b/Source/session/site_cells.cpp
@@ -96,6 +96,13 @@
     return m;
 }
 
+vote_hold hold_for(const site_task_state& t,
+                   std::uint64_t confirmed_incarnation)
+{
+    return confirmed_incarnation == t.m_incarnation ? vote_hold::waived
+                                                    : vote_hold::applies;
+}
+
 void update_leadership(site_task_state& t, time_point now)
 {
     const time_point until = leadership_until(t);
@@ -119,7 +126,10 @@
     if (std::exchange(p.m_request_pending, true))
         return;
     p.m_requested_at = boot_now();
-    send_to_peer(t, *p.m_client, make_vote_request(t),
+    peer_vote_request request = make_vote_request(t);
+    request.m_confirmed_incarnation =
+        confirmed_incarnation(t.m_cell.m_restart_check, p.m_name);
+    send_to_peer(t, *p.m_client, request,
                  [&t, &p](std::optional<peer_message>& answer)
                  {
                      p.m_request_pending = false;
@@ -160,9 +170,12 @@
     if (now - t.m_cell.m_votes_requested_at < vote_request_interval)
         return;
     t.m_cell.m_votes_requested_at = now;
+    t.m_cell.m_has_requested_votes = true;
     // This process may have given its own vote to another one.
     if (grant_vote(t.m_cell.m_given_vote, t.m_settings.m_name, t.m_incarnation,
-                   t.m_started_at, now))
+                   t.m_started_at, now,
+                   hold_for(t, confirmed_incarnation(t.m_cell.m_restart_check,
+                                                     t.m_settings.m_name))))
         t.m_cell.m_received_votes[t.m_settings.m_name] = now;
     for_other_members(t,
                       [&](site_peer& p)
@@ -263,6 +276,14 @@
     fire(t, large ? cell_event::joined : cell_event::left);
 }
 
+void stand_for_election(site_task_state& t, time_point now)
+{
+    t.m_cell.m_received_votes.clear();
+    t.m_cell.m_leader_address.clear();
+    fire(t, cell_event::leader_silent);
+    request_votes(t, now);
+}
+
 void advance_cell(site_task_state& t, time_point now)
 {
     if (t.m_ending)
@@ -272,14 +293,12 @@
     case cell_state::no_cell:
         return;
     case cell_state::follower:
-        if (now - t.m_started_at < vote_hold_time ||
-            now - t.m_cell.m_last_vote_request_at <
-                cell_election_timeout + candidacy_delay(t))
-            return;
-        t.m_cell.m_received_votes.clear();
-        t.m_cell.m_leader_address.clear();
-        fire(t, cell_event::leader_silent);
-        return request_votes(t, now);
+        if (now - t.m_started_at < vote_hold_time)
+            return advance_restart_check(t, now);
+        if (now - t.m_cell.m_last_vote_request_at >=
+            cell_election_timeout + candidacy_delay(t))
+            stand_for_election(t, now);
+        return;
     case cell_state::candidate:
         request_votes(t, now);
         // It may have read the members since the last vote arrived.
@@ -317,8 +336,9 @@
         }
         return answer;
     }
-    answer.m_granted = grant_vote(t.m_cell.m_given_vote, m.m_name,
-                                  m.m_incarnation, t.m_started_at, now);
+    answer.m_granted =
+        grant_vote(t.m_cell.m_given_vote, m.m_name, m.m_incarnation,
+                   t.m_started_at, now, hold_for(t, m.m_confirmed_incarnation));
     const bool must_yield = m.m_leads_cell || outranks_self(t, m.m_name);
     if (must_yield)
         t.m_cell.m_last_vote_request_at = now;
--- a/Source/session/site_charts.cpp
+++ b/Source/session/site_charts.cpp
@@ -31,6 +31,12 @@
     "joined", "left", "leader_silent", "outranked", "elected", "votes_lapsed"};
 constexpr std::array<std::string_view, 2> cell_actions{"start_leading",
                                                        "stop_leading"};
+constexpr std::array<std::string_view, 5> restart_check_states{
+    "waiting", "first_round", "reading", "second_round", "over"};
+constexpr std::array<std::string_view, 5> restart_check_events{
+    "due", "complete", "same_members", "unanswered", "refuted"};
+constexpr std::array<std::string_view, 4> restart_check_actions{
+    "ask", "read_members", "ask_again", "stand_for_election"};
 constexpr std::array<std::string_view, 5> usage_report_states{
     "without_duty", "collecting", "recording", "sending", "pausing"};
 constexpr std::array<std::string_view, 8> usage_report_events{
@@ -55,6 +61,8 @@
         {load_chart(folder, {"takeover", takeover_states, takeover_events,
                              takeover_actions})},
         {load_chart(folder, {"cell", cell_states, cell_events, cell_actions})},
+        {load_chart(folder, {"restart_check", restart_check_states,
+                             restart_check_events, restart_check_actions})},
         {load_chart(folder, {"usage_report", usage_report_states,
                              usage_report_events, usage_report_actions})}};
 }
--- a/Source/session/site_charts.hpp
+++ b/Source/session/site_charts.hpp
@@ -102,6 +102,32 @@
     stop_leading,
 };
 
+enum class restart_check_state : std::uint8_t
+{
+    waiting,
+    first_round,
+    reading,
+    second_round,
+    over,
+};
+
+enum class restart_check_event : std::uint8_t
+{
+    due,
+    complete,
+    same_members,
+    unanswered,
+    refuted,
+};
+
+enum class restart_check_action : std::uint8_t
+{
+    ask,
+    read_members,
+    ask_again,
+    stand_for_election,
+};
+
 enum class usage_report_state : std::uint8_t
 {
     without_duty,
@@ -137,6 +163,8 @@
 using takeover_chart =
     typed_chart<takeover_state, takeover_event, takeover_action>;
 using cell_chart = typed_chart<cell_state, cell_event, cell_action>;
+using restart_check_chart =
+    typed_chart<restart_check_state, restart_check_event, restart_check_action>;
 using usage_report_chart =
     typed_chart<usage_report_state, usage_report_event, usage_report_action>;
 
@@ -147,6 +175,7 @@
     watch_chart m_watch;
     takeover_chart m_takeover;
     cell_chart m_cell;
+    restart_check_chart m_restart_check;
     usage_report_chart m_usage_report;
 };
 
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -267,6 +267,8 @@
             t.m_members.insert_or_assign(c.m_object.m_name, *member);
     }
     record_ignored(t, stored_kind::members, ignored);
+    if (complete && !t.m_cell.m_was_member)
+        t.m_cell.m_was_member = t.m_members.contains(t.m_settings.m_name);
     if (complete || !t.m_members.contains(t.m_settings.m_name))
         register_member(t);
     // The followers learn of the change by the next vote requests.
--- a/Source/session/site_peers.cpp
+++ b/Source/session/site_peers.cpp
@@ -133,6 +133,10 @@
             {
                 send_answer(t, exchange, answer_vote_request(t, m));
             },
+            [&](const peer_restart_request&)
+            {
+                send_answer(t, exchange, answer_restart_request(t));
+            },
             [&](const peer_token_request& m)
             {
                 forward_token_request(t, exchange, m);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -15,6 +15,7 @@
 #include <decide/endpoint_list.hpp>
 #include <decide/list_history.hpp>
 #include <decide/member_relay.hpp>
+#include <decide/restart_check.hpp>
 #include <decide/site_clock.hpp>
 #include <decide/usage_ledger.hpp>
 #include <peer/peer_call.hpp>
@@ -85,8 +86,8 @@
     bool m_lists_fetch_pending = false;  ///< Its lists were requested.
     bool m_members_fetch_pending = false;
     bool m_usage_pending = false; ///< Its counts have been requested.
-    bool m_answer_failed = false; ///< An answer of it met an exception.
     time_point m_usage_answered_at{};
+    bool m_answer_failed = false; ///< An answer of it met an exception.
     time_point m_requested_at{};
     std::uint64_t m_announced_version =
         0; ///< Newest weights that it has been sent.
@@ -123,6 +124,11 @@
     time_point m_last_relay_at{};
     member_relay m_member_relay;     ///< Of the members by that leader.
     std::uint64_t m_incarnation = 0; ///< A new one for each time that it leads.
+    bool m_has_requested_votes = false; ///< Since the start of the process.
+    /// The first list of members had this process's VM.
+    std::optional<bool> m_was_member;
+    restart_check_state m_restart_check_state = restart_check_state::waiting;
+    restart_check m_restart_check;
     std::map<std::string, remote_cell, std::less<>> m_other_cells; ///< By zone.
 };
 
@@ -169,6 +175,7 @@
     /// the difference.
     std::deque<stored_object> m_earlier_configs;
     bool m_wants_full_config = false; ///< A difference couldn't be applied.
+    time_point m_last_fetch_at{};     ///< Of settings from a peer.
     site_config_ptr m_config;
     std::map<std::string, stored_object, std::less<>> m_endpoint_objects;
     list_history m_endpoint_history; ///< Of m_endpoint_objects.
@@ -178,7 +185,6 @@
     /// The members as the store lists them, for peers.
     std::map<std::string, stored_object, std::less<>> m_member_objects;
     list_history m_member_history;     ///< Of m_member_objects.
-    time_point m_last_fetch_at{};     ///< Of settings from a peer.
     bool m_wants_full_members = false; ///< A change couldn't be applied.
     bool m_lists_published = false;
     /// Entries, or parts of the configuration, that failed a check.
@@ -220,6 +226,8 @@
 duration time_behind(const site_task_state& t);
 /// Returns true if the last call of every watch succeeded.
 bool is_store_available(const site_task_state& t);
+/// Returns true if the last call of a watch failed.
+bool has_failed_watch(const site_task_state& t);
 /// Returns true if a candidate may count the votes of the members it knows.
 bool may_count_votes(const site_task_state& t);
 /// Returns the store revision up to which this process knows every change of
@@ -229,8 +237,6 @@
 std::uint64_t changed_revision(const site_task_state& t);
 /// Returns the watch of a kind that this process watches.
 store_watch& watch_of(site_task_state& t, stored_kind kind);
-/// Returns true if the last call of a watch failed.
-bool has_failed_watch(const site_task_state& t);
 const store_watch& watch_of(const site_task_state& t, stored_kind kind);
 
 // site_objects.cpp
@@ -323,6 +329,17 @@
 /// if it leads its own.
 void leave_cell(site_task_state& t);
 
+/// Begins to ask the members of the cell for their votes. Called by a follower
+/// only.
+void stand_for_election(site_task_state& t, time_point now);
+
+// site_restart.cpp
+/// Continues the check whether all processes of the zone have restarted. The
+/// first in rank runs it until one of them may vote.
+void advance_restart_check(site_task_state& t, time_point now);
+/// Declines until it is known whether this process's VM was a member before.
+peer_message answer_restart_request(const site_task_state& t);
+
 // site_cell_peers.cpp
 /// Answers a digest of another cell's leader, or refers it to this cell's
 /// leader. A sender that leads no cell is told what this process knows of the
--- a/Tests/peer/peer_codec_test.cpp
+++ b/Tests/peer/peer_codec_test.cpp
@@ -56,6 +56,12 @@
             CHECK(round_trip(m).m_members_revision == 85);
             CHECK(round_trip(m).m_true_ms == 1'800'000'000'000);
         }
+        THEN("the receiver's confirmed incarnation is kept behind it")
+        {
+            m.m_confirmed_incarnation = 77;
+            CHECK(round_trip(m).m_confirmed_incarnation == 77);
+            CHECK(round_trip(m).m_members_revision == 85);
+        }
         THEN("an earlier build reads the time where it expects it")
         {
             const nlohmann::json sent =
@@ -81,6 +87,19 @@
             CHECK(read.m_members_revision == 0);
         }
     }
+    GIVEN("what a process says of its start")
+    {
+        const peer_restart read =
+            round_trip(peer_restart{"vm-1", 7, true, false});
+
+        THEN("all of it is kept")
+        {
+            CHECK(read.m_name == "vm-1");
+            CHECK(read.m_incarnation == 7);
+            CHECK(read.m_is_unused);
+            CHECK_FALSE(read.m_was_member);
+        }
+    }
     GIVEN("the settings that a process knows")
     {
         peer_settings m;
--- a/Tests/site/leader_announcement_test.cpp
+++ b/Tests/site/leader_announcement_test.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <optional>
 #include <string>
 
@@ -13,9 +14,9 @@
 {
 
 // The daemon and the voter are the members of one cell of a large fleet.
-void add_cell(const site& s, const scripted_voter& voter)
+void add_cell(const site& s, const scripted_voter& voter, double cores = 1)
 {
-    s.add_member("voter", voter.local());
+    s.add_member("voter", voter.local(), "zone-1", cores);
     for (std::size_t i = 2; i < min_processes_for_cells; ++i)
         s.add_member("absent-" + std::to_string(i), {"127.0.0.1", 1},
                      "zone-far");
@@ -73,3 +74,64 @@
         }
     }
 }
+
+// Guards against a zone that stays without a leader, and so without tokens, for
+// a second after a restart of all its processes, and against a vote that is
+// granted too early.
+SCENARIO("All processes of a zone restart at once")
+{
+    constexpr std::uint64_t incarnation = 9;
+    constexpr double no_cores = 0; // The daemon ranks above the voter.
+    site s(1);
+    scripted_voter voter("voter");
+    add_cell(s, voter, no_cores);
+    REQUIRE(comes_true(
+        [&]
+        {
+            return s.metric(0, "fleet_members") == min_processes_for_cells;
+        }));
+    s.daemon(0).send_signal(SIGKILL);
+    s.daemon(0).wait();
+    const auto is_asked = [&]
+    {
+        return comes_true(
+            [&]
+            {
+                return voter.confirmed_incarnation().has_value();
+            });
+    };
+
+    WHEN("each says that it hasn't asked for votes")
+    {
+        voter.set_restart(incarnation, true);
+        s.start_daemon(0);
+
+        THEN("the first in rank asks for votes without waiting")
+        {
+            REQUIRE(is_asked());
+            CHECK(voter.confirmed_incarnation() == incarnation);
+        }
+    }
+    WHEN("one of them has asked for votes")
+    {
+        voter.set_restart(incarnation, false);
+        s.start_daemon(0);
+
+        THEN("earlier votes are given the time to lapse")
+        {
+            REQUIRE(is_asked());
+            CHECK(voter.confirmed_incarnation() == 0);
+        }
+    }
+    WHEN("one of them is of an earlier build")
+    {
+        voter.set_restart(0, true);
+        s.start_daemon(0);
+
+        THEN("earlier votes are given the time to lapse")
+        {
+            REQUIRE(is_asked());
+            CHECK(voter.confirmed_incarnation() == 0);
+        }
+    }
+}
--- a/Tests/support/scripted_voter.cpp
+++ b/Tests/support/scripted_voter.cpp
@@ -30,6 +30,7 @@
 
 constexpr std::size_t mailbox_size = 16;
 constexpr std::chrono::milliseconds no_delay{-1};
+constexpr std::uint64_t not_asked = ~std::uint64_t{0};
 
 }
 
@@ -70,6 +71,8 @@
     {
         const auto now = voter_clock::now();
         m_is_asked_by_candidate = !m.m_leads_cell;
+        if (!m.m_leads_cell)
+            m_confirmed = m.m_confirmed_incarnation;
         if (!m.m_leads_cell && m_grants)
             m_voted_at = now;
         if (m.m_leads_cell && m_voted_at &&
@@ -84,6 +87,13 @@
         const auto message = decode_peer_request(*m_server, request);
         if (!message)
             return;
+        if (std::holds_alternative<peer_restart_request>(*message) &&
+            m_incarnation != 0)
+        {
+            answer_peer(*m_server, request.m_exchange,
+                        peer_restart{m_name, m_incarnation, m_is_unused, true});
+            return;
+        }
         const auto* m = std::get_if<peer_vote_request>(&*message);
         if (m == nullptr)
         {
@@ -103,6 +113,9 @@
     std::unique_ptr<http2_server> m_server;
     bool m_grants = false;
     std::atomic<bool> m_is_asked_by_candidate = false;
+    std::atomic<std::uint64_t> m_incarnation = 0;
+    std::atomic<bool> m_is_unused = false;
+    std::atomic<std::uint64_t> m_confirmed = not_asked;
     std::optional<voter_clock::time_point> m_voted_at;
     std::atomic<std::chrono::milliseconds> m_announcement_delay = no_delay;
     std::thread m_thread;
@@ -136,6 +149,19 @@
     done.get_future().wait();
 }
 
+void scripted_voter::set_restart(std::uint64_t incarnation, bool is_unused)
+{
+    m_state->m_is_unused = is_unused;
+    m_state->m_incarnation = incarnation;
+    m_state->m_confirmed = not_asked;
+}
+
+std::optional<std::uint64_t> scripted_voter::confirmed_incarnation() const
+{
+    const std::uint64_t confirmed = m_state->m_confirmed;
+    return confirmed == not_asked ? std::nullopt : std::optional(confirmed);
+}
+
 bool scripted_voter::is_asked_by_candidate() const
 {
     return m_state->m_is_asked_by_candidate;
--- a/Tests/support/scripted_voter.hpp
+++ b/Tests/support/scripted_voter.hpp
@@ -2,6 +2,7 @@
 #define BLUEBELLSPOKE_SUPPORT_SCRIPTED_VOTER_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,12 @@
     address local() const;
     /// Whether it grants its vote from now on. At first it doesn't.
     void set_granting(bool grants);
+    /// What it says of its own start from now on: its incarnation, and whether
+    /// it has asked for no votes. At first it says nothing.
+    void set_restart(std::uint64_t incarnation, bool is_unused);
+    /// The incarnation that the last request of a candidate confirms; nothing
+    /// before one has arrived since set_restart().
+    std::optional<std::uint64_t> confirmed_incarnation() const;
     /// Whether the sender of the last request didn't lead the cell.
     bool is_asked_by_candidate() const;
     /// The time from its last vote before the first request in which the
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -528,10 +528,10 @@
 }
 
 void site::add_member(const std::string& name, const address& peers,
-                      const std::string& zone) const
+                      const std::string& zone, double cores) const
 {
     put_entry("bluebellspoke-members", name,
-              {{"peer", to_string(peers)}, {"place", zone}, {"cores", 1.0}});
+              {{"peer", to_string(peers)}, {"place", zone}, {"cores", cores}});
 }
 
 void site::put_entry(const std::string& kind, const std::string& name,
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -149,7 +149,7 @@
     const address& peers_of(std::size_t daemon) const;
     /// Registers a member of the fleet in the store.
     void add_member(const std::string& name, const address& peers,
-                    const std::string& zone = "zone-1") const;
+                    const std::string& zone = "zone-1", double cores = 1) const;
     /// Writes an entry of this kind into the store, as any process may.
     void put_entry(const std::string& kind, const std::string& name,
                    const nlohmann::json& spec) const;
