--- a/Tests/site/failover_orders_test.cpp
+++ b/Tests/site/failover_orders_test.cpp
@@ -90,7 +90,8 @@
 SCENARIO("A member answers in a newer term after the others were fenced")
 {
     const scripted_endpoint fenced({paused_status});
-    scripted_endpoint late({newer_status, 450ms});
+    // After the last round of orders that comes before the choice.
+    scripted_endpoint late({newer_status, 485ms});
     lone_failover_task t({{"i-1", free_address()},
                           {"i-2", fenced.local()},
                           {"i-3", late.local()}});
