--- a/Source/model/site.cpp
+++ b/Source/model/site.cpp
@@ -30,4 +30,12 @@
            snapshot.m_evacuated_zones.contains(endpoint.m_zone);
 }
 
+std::string_view region_of(const site_settings& settings, std::string_view zone)
+{
+    const auto found = settings.m_region_of_zone.find(std::string(zone));
+    return found == settings.m_region_of_zone.end()
+               ? std::string_view()
+               : std::string_view(found->second);
+}
+
 }
--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -151,6 +151,10 @@
     duration m_lease_duration{};  ///< Holders of a duty don't alternate in it.
 };
 
+/// Returns the region of a zone, or an empty string if it isn't known.
+std::string_view region_of(const site_settings& settings,
+                           std::string_view zone);
+
 }
 
 #endif
--- a/Source/session/session_homes.cpp
+++ b/Source/session/session_homes.cpp
@@ -13,14 +13,6 @@
 namespace
 {
 
-std::string_view region_of(const session_task_state& t, std::string_view zone)
-{
-    const auto found = t.m_settings.m_region_of_zone.find(zone);
-    return found == t.m_settings.m_region_of_zone.end()
-               ? std::string_view()
-               : std::string_view(found->second);
-}
-
 std::set<std::string, std::less<>> group_names(const site_config& config)
 {
     std::set<std::string, std::less<>> names;
@@ -79,7 +71,7 @@
     std::map<std::string_view, std::size_t> members_by_region;
     for (const session_member& m : d.m_members)
     {
-        const std::string_view region = region_of(t, m.m_zone);
+        const std::string_view region = region_of(t.m_settings, m.m_zone);
         if (region.empty())
             continue;
         ++members_by_region[region];
--- a/Source/session/session_rates.cpp
+++ b/Source/session/session_rates.cpp
@@ -99,10 +99,11 @@
 {
     while (has_waiting_work(r) && admit_one(r, now))
         admit_next(t, r, now);
-    for (const work_ptr& w : expired_work(r, now))
-        if (w->m_session && w->m_waits_for_rate)
-            refuse_waiting(t, w,
-                           describe_rate(t, w->m_session->m_workspace, r));
+    refuse_expired(t, r, now,
+                   [&](const work& w)
+                   {
+                       return describe_rate(t, w.m_session->m_workspace, r);
+                   });
 }
 
 // Returns whether a token becomes available within the wait limit of `w`, after
@@ -194,7 +195,8 @@
     dispatch(t, w);
 }
 
-std::vector<work_ptr> expired_work(workspace_rate& r, time_point until)
+void refuse_expired(session_task_state& t, workspace_rate& r, time_point until,
+                    const std::function<std::string(const work&)>& evidence)
 {
     std::vector<work_ptr> expired;
     for_each_item(r.m_waiting,
@@ -204,7 +206,9 @@
                       if (w.m_send_deadline <= until)
                           expired.emplace_back(&w);
                   });
-    return expired;
+    for (const work_ptr& w : expired)
+        if (w->m_session && w->m_waits_for_rate)
+            refuse_waiting(t, w, evidence(*w));
 }
 
 void refuse_waiting(session_task_state& t, const work_ptr& w,
--- a/Source/session/session_relay.cpp
+++ b/Source/session/session_relay.cpp
@@ -72,8 +72,10 @@
                const requested_group& r, service_group& g, time_point now)
 {
     relayed_group m = describe(t, r.m_service, g, now);
-    record_description(g.m_relay_history, m, now, answer.m_version);
-    if (!has_changes_since(g.m_relay_history, r.m_base))
+    const bool tells_changes = uses_relay_changes(t.m_process_count);
+    if (tells_changes)
+        record_description(g.m_relay_history, m, now, answer.m_version);
+    if (!tells_changes || !has_changes_since(g.m_relay_history, r.m_base))
     {
         ++t.m_counts.m_groups_in_full;
         answer.m_groups.push_back(std::move(m));
@@ -214,7 +216,8 @@
         const auto found = t.m_groups.find(query.m_service);
         if (found == t.m_groups.end())
             continue;
-        refresh_relayed_contacts(t, found->second);
+        if (uses_relay_changes(t.m_process_count))
+            refresh_relayed_contacts(t, found->second);
         serve_waiting(t, found->second);
     }
 }
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -490,8 +491,9 @@
 /// Dispatches the work that is next to get a token, if any waits. The token has
 /// been taken.
 void admit_next(session_task_state& t, workspace_rate& r, time_point now);
-/// Returns the work that waits for a token and may not wait beyond `until`.
-std::vector<work_ptr> expired_work(workspace_rate& r, time_point until);
+/// Refuses the work that waits for a token and may not wait beyond `until`.
+void refuse_expired(session_task_state& t, workspace_rate& r, time_point until,
+                    const std::function<std::string(const work&)>& evidence);
 
 /// Resets the known demand and the buckets, as in a process that has just
 /// started.
--- a/Source/session/session_tokens.cpp
+++ b/Source/session/session_tokens.cpp
@@ -68,14 +68,15 @@
     t.m_mailboxes.m_site.post(std::move(m));
 }
 
-// Refuses the waiting operations whose wait limit passes before the next token
-// request at `next_request_at`.
-void refuse_expired(session_task_state& t, workspace_rate& r,
-                    time_point next_request_at, std::string_view answer)
+// Refuses the operations that can't wait for the next token request.
+void refuse_without_leader(session_task_state& t, workspace_rate& r,
+                           time_point next_request_at, std::string_view answer)
 {
-    for (const work_ptr& w : expired_work(r, next_request_at))
-        if (w->m_session && w->m_waits_for_rate)
-            refuse_waiting(t, w, describe_leader_answer(answer, r));
+    refuse_expired(t, r, next_request_at,
+                   [&](const work&)
+                   {
+                       return describe_leader_answer(answer, r);
+                   });
 }
 
 }
@@ -184,8 +185,8 @@
             continue;
         r.m_next_request_at =
             now + std::max<duration>(grant.m_wait, min_request_interval);
-        refuse_expired(t, r, r.m_next_request_at,
-                       "the cell leader has none in time");
+        refuse_without_leader(t, r, r.m_next_request_at,
+                              "the cell leader has none in time");
     }
     if (!m.m_is_answered)
         for (auto& [name, r] : t.m_rates)
@@ -244,7 +245,7 @@
         // Work may have waited since before the members were known.
         while (has_waiting_work(r) && admit_from_own_credit(t, name, r, now))
             admit_next(t, r, now);
-        refuse_expired(t, r, now, "no answer of the cell leader");
+        refuse_without_leader(t, r, now, "no answer of the cell leader");
     }
     send_token_request(t, now);
 }
--- a/Source/session/session_transfers.cpp
+++ b/Source/session/session_transfers.cpp
@@ -19,12 +19,7 @@
 {
     std::vector<cell_place> cells;
     for (const std::string& zone : t.m_demand.m_members)
-    {
-        const auto region = t.m_settings.m_region_of_zone.find(zone);
-        cells.push_back({zone, region != t.m_settings.m_region_of_zone.end()
-                                   ? std::string_view(region->second)
-                                   : std::string_view()});
-    }
+        cells.push_back({zone, region_of(t.m_settings, zone)});
     return donor_cells(t.m_demand.m_self, cells);
 }
 
@@ -32,10 +27,11 @@
 void refuse_without_transfer(session_task_state& t, workspace_rate& r,
                              time_point now)
 {
-    const time_point next_token_at = now + time_until_tokens(r, 1);
-    for (const work_ptr& w : expired_work(r, next_token_at))
-        if (w->m_session && w->m_waits_for_rate)
-            refuse_waiting(t, w, "no cell has a token to spare");
+    refuse_expired(t, r, now + time_until_tokens(r, 1),
+                   [](const work&)
+                   {
+                       return std::string("no cell has a token to spare");
+                   });
 }
 
 void apply_transferred_tokens(session_task_state& t, workspace_rate& r,
@@ -62,14 +58,18 @@
 {
     if (!t.m_has_cell_leaders)
         return;
-    const std::vector<std::string_view> donors = donors_of(t);
+    std::vector<std::string_view> donors;
     std::map<std::string_view, std::vector<workspace_tokens>> by_donor;
     for (auto& [name, r] : t.m_rates)
     {
         const std::uint32_t count =
             tokens_to_request(r.m_transfers, backlog(r.m_waiting), now);
-        if (count == 0 || donors.empty() || !uses_transfers(t, r))
+        if (count == 0 || !uses_transfers(t, r))
             continue;
+        if (donors.empty())
+            donors = donors_of(t);
+        if (donors.empty())
+            return;
         // Cells may have gone meanwhile.
         const std::size_t donor = r.m_transfers.m_next_donor % donors.size();
         begin_transfer(r.m_transfers);
