--- a/Source/decide/usage_ledger.cpp
+++ b/Source/decide/usage_ledger.cpp
@@ -130,6 +130,9 @@
 bool apply_summary(usage_ledger& ledger, const usage_summary& summary)
 {
     usage_source& source = ledger.m_sources[summary.m_source];
+    if (source.m_incarnations.size() >= max_usage_incarnations &&
+        !source.m_incarnations.contains(summary.m_incarnation))
+        return false;
     const auto [entry, is_new] =
         source.m_incarnations.try_emplace(summary.m_incarnation);
     if (is_new)
--- a/Source/decide/usage_ledger.hpp
+++ b/Source/decide/usage_ledger.hpp
@@ -23,6 +23,10 @@
 /// refusal takes a round trip between regions and a turn of its queue.
 inline constexpr std::chrono::seconds usage_settle_time{1};
 
+/// Most incarnations of a source whose counts are kept. A process that restarts
+/// each second has fewer within the retention.
+inline constexpr std::size_t max_usage_incarnations = 64;
+
 window_id window_at(unix_time time, duration window);
 unix_time window_end(window_id id, duration window);
 /// Returns the first window that ended less than `retention` ago.
@@ -74,7 +78,7 @@
 };
 
 /// Returns false, and changes nothing, if the summary is no newer than what is
-/// known of its incarnation.
+/// known of its incarnation, or the source has had too many incarnations.
 bool apply_summary(usage_ledger& ledger, const usage_summary& summary);
 void drop_windows_before(usage_ledger& ledger, window_id id);
 
--- a/Tests/decide/usage_ledger_test.cpp
+++ b/Tests/decide/usage_ledger_test.cpp
@@ -150,3 +150,35 @@
         }
     }
 }
+
+// Guards against a sender that fills the memory: anybody who reaches the peer
+// port may name any incarnation.
+SCENARIO("A source names a new incarnation in each message")
+{
+    usage_ledger ledger;
+    const window_id id = 1000;
+    for (std::uint64_t i = 1; i <= 10'000; ++i)
+        apply_summary(ledger,
+                      said("vm-1", i, 1, id, {{id, {{{"ward", 1}}, 0}}}));
+
+    THEN("only some of them are kept")
+    {
+        CHECK(ledger.m_sources.at("vm-1").m_incarnations.size() ==
+              max_usage_incarnations);
+    }
+    THEN("what is known of one still grows")
+    {
+        CHECK(apply_summary(
+            ledger, said("vm-1", 1, 2, id, {{id, {{{"ward", 2}}, 0}}})));
+    }
+    WHEN("their windows are no longer kept")
+    {
+        drop_windows_before(ledger, id + 1);
+
+        THEN("there is room for others")
+        {
+            CHECK(apply_summary(ledger, said("vm-1", 20'000, 1, id,
+                                             {{id + 1, {{{"ward", 1}}, 0}}})));
+        }
+    }
+}
