--- a/Source/session/home_types.hpp
+++ b/Source/session/home_types.hpp
@@ -58,7 +58,7 @@
 {
     std::vector<session_member> m_members;
     time_point m_members_received_at{};
-    home_table m_table;    ///< Of the own region.
+    home_table m_table; ///< Of the own region.
     /// Homes of each group in all regions together.
     std::size_t m_homes_per_group = 0;
     std::set<std::string, std::less<>> m_own_groups; ///< It is a home of them.
