--- a/Tests/model/restart_check.pml
+++ b/Tests/model/restart_check.pml
@@ -9,8 +9,8 @@
    since their start. A vote may be on its way for any time, and may lapse at
    any time. One process checks, once in an incarnation.
 
-   The list of members doesn't change here; Tests/decide/member_relay_test has
-   lists that do.
+   The list of members doesn't change here. Tests/decide/member_relay_test has
+   lists that do, but not this check.
 
    Claim: at most one process leads.
 
