session: Log what enters and leaves the list of endpoints

Each change of membership, of draining, and each new start under the same id has one line now with the store's revision (3036 to 3038), the first list one line in all (3035); heartbeats have none. An entry that left says whether it was removed or stayed missing after an outage of the store.

--- a/Source/model/site.hpp
+++ b/Source/model/site.hpp
@@ -112,6 +112,10 @@
 {
     std::map<std::string, site_endpoint, std::less<>> m_endpoints; ///< By id.
     std::set<std::string, std::less<>> m_evacuated_zones;
+    std::uint64_t m_revision = 0; ///< Of the store, whose list this reflects.
+    /// When the store or a peer had last confirmed the list as this snapshot
+    /// was published. Later confirmations without a change aren't passed on.
+    time_point m_confirmed_at{};
 };
 
 /// Returns true when the endpoint is draining or its zone is evacuated.
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -182,6 +182,27 @@
     event_entry{event_id::replica_resumed, event_level::info, "replica_resumed",
                 "a replica was paused although no takeover is in progress; it "
                 "is resumed"},
+    event_entry{event_id::endpoint_list_known, event_level::info,
+                "endpoint_list_known",
+                "this process has its first list of endpoints; changes follow "
+                "one by one"},
+    event_entry{event_id::endpoint_listed, event_level::info, "endpoint_listed",
+                "an endpoint entered this process's list, or its process "
+                "started again under the same id"},
+    event_entry{event_id::endpoint_unlisted, event_level::info,
+                "endpoint_unlisted",
+                "an endpoint left this process's list, and why"},
+    event_entry{event_id::endpoint_draining_changed, event_level::info,
+                "endpoint_draining_changed",
+                "a listed endpoint began or ceased to drain"},
+    event_entry{event_id::takeover_member_changed, event_level::warning,
+                "takeover_member_changed",
+                "an endpoint was listed, vanished, started again or began to "
+                "drain while its group's primary was being replaced"},
+    event_entry{event_id::promotion_answered, event_level::info,
+                "promotion_answered",
+                "the result of an order for a new primary, and how long after "
+                "it was sent"},
     event_entry{
         event_id::endpoint_chosen, event_level::detail, "endpoint_chosen",
         "an endpoint was chosen for a statement that others may run too"},
--- a/Source/session/site_objects.cpp
+++ b/Source/session/site_objects.cpp
@@ -334,7 +334,7 @@
                });
 }
 
-void publish_endpoints(site_task_state& t)
+void publish_endpoints(site_task_state& t, std::string_view removal)
 {
     if (!t.m_lists_published || !t.m_config)
         return;
@@ -348,8 +348,14 @@
             add_ignored(unconfigured, id);
     record_unconfigured(t, unconfigured);
     snapshot->m_evacuated_zones = t.m_evacuated_zones;
+    const store_watch& w = watch_of(t, stored_kind::endpoints);
+    // The changes of an answer are applied before its revision is.
+    snapshot->m_revision = std::max(w.m_revision, w.m_changed_revision);
+    snapshot->m_confirmed_at = std::max(w.m_confirmed_at, w.m_adopted_at);
     t.m_boxes.m_session.post(endpoints_changed{snapshot});
     t.m_boxes.m_failover.post(endpoints_changed{snapshot});
+    log_list_change(t, *snapshot, removal);
+    t.m_published_endpoints = snapshot;
 }
 
 void register_member(site_task_state& t)
@@ -550,6 +556,7 @@
     // Changes after a revision say nothing of what happened before it.
     if (known <= w.m_revision || base.m_since > w.m_revision)
         return false;
+    w.m_adopted_at = boot_now();
     const std::vector<stored_change> changes = changes_in(m, prefix, base);
     const bool is_complete = base.m_since == 0;
     if (is_complete || !changes.empty())
--- a/Source/session/site_task.cpp
+++ b/Source/session/site_task.cpp
@@ -22,7 +22,7 @@
     note_tick(t.m_usage, now);
     log_traffic(t.m_traffic, now);
     if (expire_missing(t.m_list, now))
-        publish_endpoints(t);
+        publish_endpoints(t, "missing after an outage or the start");
     advance_cell(t, now);
     update_failover_candidacy(t, now);
     advance_usage(t, now);
--- a/Source/session/site_task_state.hpp
+++ b/Source/session/site_task_state.hpp
@@ -67,6 +67,7 @@
     bool m_is_available = false;
     store_failure m_failure = store_failure::unreachable; ///< The last one.
     time_point m_confirmed_at{}; ///< When its objects were last current.
+    time_point m_adopted_at{};   ///< When a peer last knew a newer revision.
     std::unique_ptr<timer> m_timer;
 };
 
@@ -187,6 +188,7 @@
     list_history m_member_history;     ///< Of m_member_objects.
     bool m_wants_full_members = false; ///< A change couldn't be applied.
     bool m_lists_published = false;
+    endpoint_snapshot_ptr m_published_endpoints; ///< Null: none yet.
     /// Entries, or parts of the configuration, that failed a check.
     std::map<stored_kind, std::uint64_t> m_ignored_entries;
     /// Endpoints whose service the configuration doesn't name.
@@ -218,6 +220,12 @@
     demand_announcement m_weights; ///< Announced to peers for the session task.
 };
 
+// site_log.cpp
+/// Logs the difference between the published list and the next one: one line
+/// for the first list, then one for each change of membership or draining.
+void log_list_change(const site_task_state& t, const endpoint_snapshot& next,
+                     std::string_view removal);
+
 // site_watches.cpp
 void start_watches(site_task_state& t);
 /// Watches the store again when the cell leader no longer passes changes on.
@@ -248,7 +256,10 @@
 /// this process knows from the store.
 bool lists_same_members(const site_task_state& t,
                         std::span<const stored_change> list);
-void publish_endpoints(site_task_state& t);
+/// Passes the list on to the other tasks, and logs what entered or left it.
+/// `removal` says why endpoints left m_list since the last call.
+void publish_endpoints(site_task_state& t,
+                       std::string_view removal = "entry removed");
 void register_member(site_task_state& t);
 /// Returns what this process knows and the peer that asks doesn't: the store
 /// doesn't serve it, or it leaves watching the store to this process.
