--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -256,6 +256,22 @@
                  "groups that other processes asked this one for as a cell "
                  "leader: sent in full (full), as changes since its last "
                  "answer (change), or left out as nothing changed (unchanged)"},
+    metric_entry{metric_id::takeovers_begun, metric_type::counter,
+                 "bluebellspoke_takeovers_begun_total", "reason",
+                 "replacements of a primary that this process began, by reason "
+                 "(silent, starved, leaving, missing or order_pending)"},
+    metric_entry{metric_id::fences_lost, metric_type::counter,
+                 "bluebellspoke_fences_lost_total", "",
+                 "times that endpoints had to be fenced again before a "
+                 "promotion"},
+    metric_entry{metric_id::promotion_orders, metric_type::counter,
+                 "bluebellspoke_promotion_orders_total", "result",
+                 "promotion orders by result: accepted, not_running, refused "
+                 "or unknown (no answer)"},
+    metric_entry{metric_id::takeover_members_joined, metric_type::counter,
+                 "bluebellspoke_takeover_members_joined_total", "",
+                 "endpoints that were listed while their group's primary was "
+                 "being replaced"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -91,6 +91,10 @@
     ignored_entries,
     unconfigured_endpoints,
     relayed_groups,
+    takeovers_begun,
+    fences_lost,
+    promotion_orders,
+    takeover_members_joined,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -178,6 +178,7 @@
 void begin_takeover(failover_task_state& t, const std::string& service,
                     failover_group& g, takeover_reason reason)
 {
+    ++t.m_counts.m_begun[reason];
     g.m_reason = reason;
     g.m_began_at = boot_now();
     g.m_next_action_at = g.m_began_at;
@@ -201,7 +202,10 @@
                {"primary", g.m_old_primary},
                {"term", std::to_string(g.m_term)},
                {"members", std::to_string(g.m_members.size())},
-               {"places", std::to_string(g.m_size)}});
+               {"places", std::to_string(g.m_size)},
+               {"list_revision", std::to_string(t.m_endpoints->m_revision)},
+               {"published_list_confirmed_ms_ago",
+                describe_confirmation(*t.m_endpoints, g.m_began_at)}});
     fire(t, service, g, takeover_event::primary_suspected);
 }
 
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -27,6 +27,7 @@
 void lose_fence(failover_task_state& t, const std::string& service,
                 failover_group& g)
 {
+    ++t.m_counts.m_fences_lost;
     log_fence(event_id::takeover_fence_lost, service, g);
     fire(t, service, g, takeover_event::fence_lost);
 }
@@ -65,10 +66,12 @@
                                             {"term", std::to_string(g.m_term)},
                                             {"token", std::to_string(token)}});
     g.m_next_action_at = now + max_order_delay + order_retry_interval;
+    g.m_last_order = {g.m_successor, now};
     t.m_send_promotion(
         {service, g.m_successor, t.m_settings.m_name, token},
-        [&t, service](promotion_order_result outcome)
+        [&t, service, order = g.m_last_order](promotion_order_result outcome)
         {
+            log_order_answered(t, service, order, outcome);
             failover_group& group = t.m_groups[service];
             if (group.m_state != takeover_state::ordering)
                 return;
@@ -95,7 +98,9 @@
     log_event(event_id::takeover_done,
               {{"service", service},
                {"endpoint", id},
-               {"term", std::to_string(lead->m_member.m_status.m_term)}});
+               {"term", std::to_string(lead->m_member.m_status.m_term)},
+               {"last_order", g.m_last_order.m_endpoint},
+               {"ms_since_last_order", describe_order_age(g, boot_now())}});
     t.m_boxes.m_session.post(primary_promoted{
         service, id, lead->m_member.m_status, lead->m_member.m_asked_at});
     g.m_step_downs.erase(id);
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -30,6 +30,20 @@
     g.m_report = m;
 }
 
+void collect_counts(metric_families& families, const failover_counts& c)
+{
+    for (const auto& [reason, count] : c.m_begun)
+        add_value(families, metric_id::takeovers_begun,
+                  std::array{to_string(reason)}, static_cast<double>(count));
+    add_value(families, metric_id::fences_lost, {},
+              static_cast<double>(c.m_fences_lost));
+    for (const auto& [result, count] : c.m_orders)
+        add_value(families, metric_id::promotion_orders,
+                  std::array{to_string(result)}, static_cast<double>(count));
+    add_value(families, metric_id::takeover_members_joined, {},
+              static_cast<double>(c.m_joined));
+}
+
 metric_families collect_failover(const failover_task_state& t)
 {
     metric_families families;
@@ -39,6 +53,7 @@
               holds_duty(t.m_duty, boot_now()) ? 1 : 0);
     add_value(families, metric_id::duty_calls, std::array{t.m_duty.m_name},
               static_cast<double>(t.m_duty.m_calls));
+    collect_counts(families, t.m_counts);
     collect_usage(families, t.m_usage);
     return families;
 }
@@ -53,6 +68,7 @@
             },
             [&](const endpoints_changed& m)
             {
+                log_members_changed(t, *m.m_snapshot);
                 t.m_endpoints = m.m_snapshot;
                 update_log_locations(t);
             },
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -73,6 +73,13 @@
     bool m_is_done = false; ///< It has answered.
 };
 
+/// A promotion order that this process has sent.
+struct sent_order
+{
+    std::string m_endpoint; ///< Empty: none.
+    time_point m_at{};
+};
+
 /// A group of endpoints, and its current takeover if there is one.
 struct failover_group
 {
@@ -88,6 +95,7 @@
     std::string m_old_primary;
     std::string m_successor;     ///< Chosen by the current takeover.
     ordered_promotion m_ordered; ///< By this or the last duty holder.
+    sent_order m_last_order;     ///< Kept after it has expired, for the log.
     std::vector<takeover_participant> m_members;
     time_point m_next_poll_at{}; ///< When fenced members are polled next.
     std::map<std::string, pending_step_down> m_step_downs; ///< By endpoint.
@@ -96,6 +104,16 @@
     time_point m_next_resume_at{};
 };
 
+/// What the metrics show of all failovers since the start.
+struct failover_counts
+{
+    std::map<takeover_reason, std::uint64_t> m_begun;
+    std::uint64_t m_fences_lost = 0;
+    std::map<promotion_order_result, std::uint64_t> m_orders;
+    /// Endpoints that were listed while their group was being taken over.
+    std::uint64_t m_joined = 0;
+};
+
 /// The state that the failover task owns.
 struct failover_task_state
 {
@@ -121,6 +139,7 @@
     bool m_is_candidate = true;
     bool m_stopping = false;
     std::uint64_t m_promotions = 0;
+    failover_counts m_counts;
     task_usage m_usage{.m_task = "failover", .m_tick = failover_tick};
 };
 
@@ -129,6 +148,20 @@
 /// for their orders to be stored.
 duty_handlers make_duty_handlers(failover_task_state& t);
 
+// failover_log.cpp
+std::string_view to_string(promotion_order_result result) noexcept;
+/// Says how many ms ago the list had last been confirmed when it was published.
+std::string describe_confirmation(const endpoint_snapshot& list,
+                                  time_point now);
+/// Logs each endpoint that is listed, vanishes, starts again or begins to drain
+/// with the next list while its group is being taken over.
+void log_members_changed(failover_task_state& t, const endpoint_snapshot& next);
+/// Logs and counts the result of a promotion order.
+void log_order_answered(failover_task_state& t, const std::string& service,
+                        const sent_order& order, promotion_order_result result);
+/// Says how many ms ago the last promotion order was sent.
+std::string describe_order_age(const failover_group& g, time_point now);
+
 // failover_fencing.cpp
 /// Starts the replacement of a group's primary.
 void begin_takeover(failover_task_state& t, const std::string& service,
--- a/Tests/site/lone_failover_task.cpp
+++ b/Tests/site/lone_failover_task.cpp
@@ -90,7 +90,7 @@
                 m_promoted.push_back(*p);
         });
     m_boxes.m_failover.post(config_changed{make_config()});
-    m_boxes.m_failover.post(endpoints_changed{make_endpoints(group)});
+    list(group);
     m_task = std::make_unique<task_thread>(
         "failover",
         [this]
@@ -126,6 +126,11 @@
     m_task.reset();
 }
 
+void lone_failover_task::list(const std::map<std::string, address>& group)
+{
+    m_boxes.m_failover.post(endpoints_changed{make_endpoints(group)});
+}
+
 void lone_failover_task::report_silent(const std::string& primary,
                                        term_number term)
 {
--- a/Tests/site/lone_failover_task.hpp
+++ b/Tests/site/lone_failover_task.hpp
@@ -27,6 +27,8 @@
     lone_failover_task(const lone_failover_task&) = delete;
     lone_failover_task& operator=(const lone_failover_task&) = delete;
 
+    /// Replaces the list of endpoints.
+    void list(const std::map<std::string, address>& group);
     /// Reports that this primary hasn't answered for longer than
     /// primary_timeout.
     void report_silent(const std::string& primary, term_number term);
