duty: Say how many writes were unanswered when a duty is lost

"not renewed" didn't tell a store that didn't answer from one that refused. duty_lost now has the writes without an answer since the last one that succeeded, and how long ago that one was sent.

--- a/Source/session/duty_client.cpp
+++ b/Source/session/duty_client.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <report/event.hpp>
+#include <session/milliseconds_of.hpp>
 #include <task/boot_clock.hpp>
 
 namespace bluebellspoke
@@ -23,9 +24,12 @@
 {
     if (d.m_renewed_at == time_point{})
         return;
-    d.m_renewed_at = {};
+    const duration age = boot_now() - std::exchange(d.m_renewed_at, {});
     log_event(event_id::duty_lost,
-              {{"duty", std::string(d.m_name)}, {"cause", std::string(cause)}});
+              {{"duty", std::string(d.m_name)},
+               {"cause", std::string(cause)},
+               {"unanswered_writes", std::to_string(d.m_unanswered_writes)},
+               {"renewed_ms_ago", milliseconds_of(age)}});
     d.m_handlers.m_on_lost();
 }
 
@@ -78,16 +82,29 @@
 
 void read_duty(duty_client& d, bool allow_stale);
 
+// A refusal is an answer, too, but renews nothing: the writes before it stay
+// counted.
+void count_answer(duty_client& d, const write_answer& a)
+{
+    if (!a.m_failure)
+        d.m_unanswered_writes = 0;
+    else if (a.m_failure != store_failure::unreachable &&
+             d.m_unanswered_writes > 0)
+        --d.m_unanswered_writes;
+}
+
 void write_duty(duty_client& d, const duty_record& record)
 {
     d.m_call_pending = true;
     ++d.m_calls;
+    ++d.m_unanswered_writes;
     const time_point sent_at = boot_now();
     d.m_store.m_write(d.m_kind, make_object(d, record),
                       [&d, sent_at](write_answer& a)
                       {
                           d.m_call_pending = false;
                           const time_point now = boot_now();
+                          count_answer(d, a);
                           if (a.m_object)
                               observe_record(d, *a.m_object);
                           if (a.m_failure)
--- a/Source/session/duty_client.hpp
+++ b/Source/session/duty_client.hpp
@@ -52,6 +52,8 @@
     bool m_may_hold = true;
     bool m_stopping = false;
     std::uint64_t m_calls = 0; ///< Calls to the store.
+    /// Writes without an answer since the last one that succeeded.
+    std::uint64_t m_unanswered_writes = 0;
 };
 
 /// Returns true if the last record that was seen names this process; it may be
