session: Log position and lease of acknowledged commits

An acknowledged commit that is missing later couldn't be compared with the log that was promoted, nor could it be seen whether a lease was in force when its acknowledgement came. statement_served now has the commit's position, and the lease that was left and its term just before the acknowledgement itself changed the view.

--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -164,6 +164,12 @@
     release_link(t, k);
 }
 
+// Zero if no lease is in force.
+duration lease_left(const group_view& view, time_point now)
+{
+    return std::max(duration::zero(), view.m_lease_until - now);
+}
+
 void finish_served_statement(session_task_state& t, link& k,
                              const expected_reply& e,
                              const endpoint_reply& ready)
@@ -174,7 +180,13 @@
     const bool wrote = w->m_writes || (is_commit && s->m_transaction &&
                                        s->m_transaction->m_has_written);
     endpoint_pool& p = *k.m_endpoint_pool;
-    if (ready.m_position && wrote && (is_commit || !k.m_in_transaction))
+    const bool is_written_commit = wrote && (is_commit || !k.m_in_transaction);
+    // Taken before the acknowledgement itself changes the view.
+    if (is_written_commit)
+        w->m_acknowledged =
+            acknowledged_commit{ready.m_position, p.m_group->m_view.m_term,
+                                lease_left(p.m_group->m_view, boot_now())};
+    if (ready.m_position && is_written_commit)
     {
         record_commit(p.m_group->m_view, p.m_endpoint.m_id, *ready.m_position,
                       e.m_requested_at);
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -27,6 +27,16 @@
                                     : "none";
 }
 
+std::string describe_lease_left(const std::optional<acknowledged_commit>& c)
+{
+    return c ? milliseconds_of(c->m_lease_left) : "none";
+}
+
+std::string describe_lease_term(const std::optional<acknowledged_commit>& c)
+{
+    return c ? std::to_string(c->m_lease_term) : "none";
+}
+
 std::string_view to_string(session_state s)
 {
     switch (s)
@@ -220,6 +230,11 @@
                {"session", std::to_string(s.m_number)},
                {"endpoint", std::string(endpoint)},
                {"own", describe_position(s.m_commit_position)},
+               {"commit", describe_position(w.m_acknowledged
+                                                ? w.m_acknowledged->m_position
+                                                : std::nullopt)},
+               {"commit_lease_ms", describe_lease_left(w.m_acknowledged)},
+               {"commit_lease_term", describe_lease_term(w.m_acknowledged)},
                {"attempts", std::to_string(w.m_attempts)},
                {"age_ms", milliseconds_of(now - w.m_received_at)},
                {"sent_ms_ago", milliseconds_of(now - w.m_sent_at)}});
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -78,6 +78,14 @@
 
 using session_values = std::map<std::string, std::string, std::less<>>;
 
+/// What was known when a commit that wrote was acknowledged.
+struct acknowledged_commit
+{
+    std::optional<log_position> m_position; ///< As the endpoint reported it.
+    term_number m_lease_term = 0;           ///< Known before it arrived.
+    duration m_lease_left{};                ///< Zero: no lease was in force.
+};
+
 /// A caller's statement, from its arrival until it is answered.
 struct work : counted<work>, fair_queue_hook, auto_unlink_hook
 {
@@ -110,6 +118,7 @@
     bool m_waits_for_rate = false;
     std::string m_evidence; ///< State that led to a refusal, for the log.
     std::string m_answer;   ///< Rows and completion as received.
+    std::optional<acknowledged_commit> m_acknowledged;
 };
 
 using work_ptr = boost::intrusive_ptr<work>;
--- a/Tests/site/site_log_test.cpp
+++ b/Tests/site/site_log_test.cpp
@@ -1,9 +1,11 @@
 #include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <decide/endpoint_list.hpp>
 #include <support/site.hpp>
 
 using namespace bluebellspoke;
@@ -88,6 +90,13 @@
         REQUIRE(served.is_object());
         CHECK(served.at("endpoint") == sent.at("endpoint"));
         CHECK(served.at("session") == sent.at("session"));
+        CHECK(served.at("commit") == "none");
+        const json wrote =
+            find_request(events_named(log, "statement_served"), "q1");
+        REQUIRE(wrote.is_object());
+        CHECK(wrote.at("commit") == wrote.at("own"));
+        CHECK(std::stoul(wrote.at("commit_lease_ms").get<std::string>()) > 0);
+        CHECK(wrote.at("commit_lease_term") == "1");
         const json chosen =
             find_request(events_named(log, "endpoint_chosen"), "q2");
         REQUIRE(chosen.is_object());
@@ -108,6 +117,68 @@
     }
 }
 
+// Guards against an endpoint that comes or goes unseen: which endpoints a
+// process knew when decides what it may have sent to them, and passed on.
+SCENARIO("An engineer follows an endpoint through a process's list")
+{
+    site s(1);
+    const auto put = [&](const std::string& state)
+    {
+        s.put_entry("servers", "i-late",
+                    {{"service", "ledger-db"},
+                     {"address", to_string(s.address_of("i-1"))},
+                     {"zone", "zone-1"},
+                     {"version", "v1"},
+                     {"capacity", 4},
+                     {"state", state},
+                     {"db-role", "replica"},
+                     {"sequence", 1},
+                     {"born", 1}});
+    };
+    std::string log;
+    const auto await_event = [&](const std::string& name)
+    {
+        std::string line;
+        do
+        {
+            line = s.daemon(0).read_line();
+            REQUIRE_FALSE(line.empty());
+            log.append(line).append("\n");
+        } while (line.find("\"" + name + "\"") == std::string::npos ||
+                 line.find("\"i-late\"") == std::string::npos);
+        return events_named(line, name).at(0);
+    };
+    put("ready");
+    const json listed = await_event("endpoint_listed");
+    // Until then an entry that is missing may come back, as after an outage.
+    std::this_thread::sleep_for(missing_entry_hold);
+    s.remove_entry("servers", "i-late");
+    const json removed = await_event("endpoint_unlisted");
+    put("draining");
+    const json returned = await_event("endpoint_listed");
+
+    THEN("each change has one line, with the store's revision")
+    {
+        CHECK(listed.at("service") == "ledger-db");
+        CHECK(listed.at("draining") == "no");
+        CHECK(removed.at("cause") == "entry removed");
+        CHECK(returned.at("draining") == "yes");
+        const auto revision = [](const json& line)
+        {
+            return std::stoul(line.at("revision").get<std::string>());
+        };
+        CHECK(revision(listed) > 0);
+        CHECK(revision(removed) > revision(listed));
+        CHECK(revision(returned) > revision(removed));
+    }
+    THEN("heartbeats, and the first list, aren't logged one by one")
+    {
+        CHECK(events_named(log, "endpoint_list_known").size() == 1);
+        CHECK(events_named(log, "endpoint_listed").size() == 2);
+        CHECK(events_named(log, "endpoint_unlisted").size() == 1);
+    }
+}
+
 SCENARIO("Each refusal has its line")
 {
     site s(1);
