--- a/Tests/site/failover_log_test.cpp
+++ b/Tests/site/failover_log_test.cpp
@@ -61,7 +61,7 @@
                 CHECK(line.at("endpoint") == "i-4");
                 CHECK(line.at("change") == "listed");
                 CHECK(line.at("state") == "touching");
-                CHECK(line.at("successor") == "");
+                CHECK(line.at("successor").get<std::string>().empty());
                 CHECK(line.at("list_revision") == "0");
             }
         }
