tests: Let endpoints join, be unlisted and lead late in the stand-in

- A commit enters the primary's log and waits until a replica receives: one that joins, is resumed, starts again, or is no longer deaf.
Commits are answered in the order of the log; reads don't see those that wait.
When the endpoint steps down, or another one is promoted, their connections end without an answer.
- An endpoint that starts copies the log of a running primary.
Without one it is empty, with term 0 and position 0.0.
- An endpoint's entry is removed and restored, or marked as draining, while the endpoint runs.
Tests reach it meanwhile, by the address that it started with.
- Promotions take effect a settable time after their orders, with the log that the endpoint has then.

--- a/Tests/standin/site_group.cpp
+++ b/Tests/standin/site_group.cpp
@@ -1,7 +1,9 @@
 #include <standin/site_group.hpp>
 
 #include <algorithm>
+#include <span>
 #include <sstream>
+#include <utility>
 
 #include <event2/listener.h>
 
@@ -15,7 +17,9 @@
 
 std::string position_of(const line_endpoint& e)
 {
-    const std::uint64_t term = e.m_log.empty() ? 1 : e.m_log.back().m_term;
+    const std::uint64_t first_term = std::min<std::uint64_t>(e.m_term, 1);
+    const std::uint64_t term =
+        e.m_log.empty() ? first_term : e.m_log.back().m_term;
     return std::to_string(term) + "." + std::to_string(e.m_log.size());
 }
 
@@ -24,10 +28,14 @@
     s.m_stream->write(line + "\r\n");
 }
 
+void say_ready(line_session& s, const std::string& position)
+{
+    say(s, std::string("READY ") + s.m_state + " " + position);
+}
+
 void say_ready(line_session& s)
 {
-    say(s,
-        std::string("READY ") + s.m_state + " " + position_of(*s.m_endpoint));
+    say_ready(s, position_of(*s.m_endpoint));
 }
 
 void fail(line_session& s, const std::string& code)
@@ -44,29 +52,98 @@
     say_ready(s);
 }
 
+line_endpoint* find_primary(site_group& g)
+{
+    const auto lead = std::ranges::find_if(g.m_endpoints,
+                                           [](const auto& e)
+                                           {
+                                               return e->m_up && e->m_primary;
+                                           });
+    return lead == g.m_endpoints.end() ? nullptr : lead->get();
+}
+
 bool receives(const line_endpoint& e, const line_endpoint& from)
 {
-    return e.m_up && !e.m_deaf && !e.m_primary && e.m_held == 0 &&
-           e.m_term == from.m_term;
+    const bool follows = e.m_term == from.m_term || e.m_term == 0;
+    return e.m_up && !e.m_deaf && !e.m_primary && e.m_held == 0 && follows;
 }
 
-// A commit needs one replica.
-bool commit(line_endpoint& e, const std::vector<log_entry>& writes)
+void copy_log(line_endpoint& e, const line_endpoint& from)
+{
+    e.m_term = from.m_term;
+    e.m_log = from.m_log;
+    e.m_acknowledged = e.m_log.size();
+}
+
+void read_lines(line_session& s);
+
+void acknowledge(line_session& s)
+{
+    const waiting_commit c = *std::exchange(s.m_waiting, std::nullopt);
+    const std::uint64_t term = s.m_endpoint->m_log[c.m_end - 1].m_term;
+    say(s, "COMPLETE " + c.m_digest);
+    say_ready(s, std::to_string(term) + "." + std::to_string(c.m_end));
+}
+
+// Answers the waiting commits that a replica has received, in the log's order.
+void acknowledge_received(line_endpoint& e)
+{
+    if (e.m_dark)
+        return;
+    std::vector<line_session*> received;
+    for (const auto& s : e.m_sessions)
+        if (s->m_waiting && !s->m_over &&
+            s->m_waiting->m_end <= e.m_acknowledged)
+            received.push_back(s.get());
+    std::ranges::sort(received, {},
+                      [](const line_session* s)
+                      {
+                          return s->m_waiting->m_end;
+                      });
+    for (line_session* s : received)
+        acknowledge(*s);
+    for (line_session* s : received)
+        read_lines(*s);
+}
+
+// Hands the log of a running primary to the replicas that receive. A commit
+// needs one of them.
+void replicate(site_group& g)
+{
+    line_endpoint* const lead = find_primary(g);
+    if (lead == nullptr)
+        return;
+    for (const auto& e : g.m_endpoints)
+        if (receives(*e, *lead))
+        {
+            copy_log(*e, *lead);
+            lead->m_acknowledged = lead->m_log.size();
+        }
+    acknowledge_received(*lead);
+}
+
+// Returns true if a replica has received the commit.
+bool commit(line_endpoint& e, std::span<const log_entry> writes)
 {
-    std::vector<line_endpoint*> receivers;
-    for (const auto& other : e.m_group->m_endpoints)
-        if (other.get() != &e && receives(*other, e))
-            receivers.push_back(other.get());
-    if (receivers.empty())
-        return false;
     for (log_entry entry : writes)
     {
         entry.m_term = e.m_term;
         e.m_log.push_back(entry);
     }
-    for (line_endpoint* r : receivers)
-        r->m_log = e.m_log;
-    return true;
+    replicate(*e.m_group);
+    return e.m_acknowledged == e.m_log.size();
+}
+
+// Its waiting commits get no answer any more.
+void step_down(line_endpoint& e)
+{
+    e.m_primary = false;
+    for (const auto& s : e.m_sessions)
+        if (s->m_waiting && !s->m_over)
+        {
+            s->m_over = true;
+            s->m_stream->finish();
+        }
 }
 
 std::string read_item(const line_session& s, const std::string& item)
@@ -74,7 +151,8 @@
     for (auto w = s.m_writes.rbegin(); w != s.m_writes.rend(); ++w)
         if (w->m_item == item)
             return w->m_data;
-    const auto& log = s.m_endpoint->m_log;
+    const line_endpoint& e = *s.m_endpoint;
+    const auto log = std::span(e.m_log).first(e.m_acknowledged);
     for (auto w = log.rbegin(); w != log.rend(); ++w)
         if (w->m_item == item)
             return w->m_data;
@@ -92,7 +170,18 @@
     complete(s, digest_of(s, id));
 }
 
-// An endpoint that can't commit says nothing, as the real one waits.
+// Commits the session's writes. Without a replica that receives, the answer
+// waits for one.
+void commit_session(line_session& s, const std::string& id)
+{
+    const bool is_received = commit(*s.m_endpoint, s.m_writes);
+    s.m_writes.clear();
+    s.m_state = 'I';
+    if (is_received)
+        return complete(s, digest_of(s, id));
+    s.m_waiting = {s.m_endpoint->m_log.size(), digest_of(s, id)};
+}
+
 void run_write(line_session& s, const std::string& id, const std::string& item,
                const std::string& data)
 {
@@ -100,12 +189,7 @@
         return fail(s, "READONLY");
     s.m_writes.push_back({0, item, data});
     if (s.m_state == 'I')
-    {
-        const bool done = commit(*s.m_endpoint, s.m_writes);
-        s.m_writes.clear();
-        if (!done)
-            return;
-    }
+        return commit_session(s, id);
     complete(s, digest_of(s, id));
 }
 
@@ -117,11 +201,10 @@
         s.m_state = 'I';
         return fail(s, "READONLY");
     }
-    const bool done = s.m_writes.empty() || commit(*s.m_endpoint, s.m_writes);
-    s.m_writes.clear();
+    if (!s.m_writes.empty())
+        return commit_session(s, id);
     s.m_state = 'I';
-    if (done)
-        complete(s, digest_of(s, id));
+    complete(s, digest_of(s, id));
 }
 
 std::size_t open_sessions(const line_endpoint& e)
@@ -201,13 +284,14 @@
     if (verb == "RESUME")
     {
         e.m_held = 0;
+        replicate(*e.m_group);
         return say_status(s);
     }
     if (verb == "STEPDOWN")
     {
         in >> word;
         if (std::stoull(word) > e.m_term)
-            e.m_primary = false;
+            step_down(e);
         return say_status(s);
     }
     if (verb == "READ")
@@ -282,7 +366,7 @@
 
 void read_lines(line_session& s)
 {
-    while (!s.m_over && !s.m_endpoint->m_dark)
+    while (!s.m_over && !s.m_waiting && !s.m_endpoint->m_dark)
     {
         const auto line = s.m_stream->next_line();
         if (!line)
@@ -340,17 +424,58 @@
         throw loop_error();
 }
 
+void promote(site_group& g, line_endpoint& next)
+{
+    if (!next.m_up || next.m_primary)
+        return;
+    std::uint64_t term = 0;
+    for (const auto& e : g.m_endpoints)
+        term = std::max(term, e->m_term);
+    for (const auto& e : g.m_endpoints)
+    {
+        if (!e->m_up)
+            continue;
+        step_down(*e);
+        e->m_held = 0;
+        copy_log(*e, next);
+        e->m_term = term + 1;
+    }
+    next.m_primary = true;
+}
+
+void promote_later(site_group& g, line_endpoint& next)
+{
+    std::erase_if(g.m_promotions,
+                  [](const pending_promotion& p)
+                  {
+                      return p.m_is_done;
+                  });
+    pending_promotion& p = g.m_promotions.emplace_back();
+    p.m_due = std::make_unique<timer>(*g.m_loop,
+                                      [&g, &next, &p]
+                                      {
+                                          p.m_is_done = true;
+                                          promote(g, next);
+                                      });
+    p.m_due->start_once(g.m_promotion_delay);
+}
+
 }
 
-void add_endpoint(site_group& g, const std::string& id, const address& at)
+line_endpoint& add_endpoint(site_group& g, const std::string& id,
+                            const address& at)
 {
-    auto e = std::make_unique<line_endpoint>();
-    e->m_group = &g;
-    e->m_id = id;
-    e->m_address = at;
-    e->m_primary = g.m_endpoints.empty();
-    listen(*e);
-    g.m_endpoints.push_back(std::move(e));
+    auto added = std::make_unique<line_endpoint>();
+    line_endpoint& e = *added;
+    e.m_group = &g;
+    e.m_id = id;
+    e.m_address = at;
+    e.m_primary = g.m_endpoints.empty();
+    e.m_term = e.m_primary ? 1 : 0;
+    listen(e);
+    g.m_endpoints.push_back(std::move(added));
+    replicate(g);
+    return e;
 }
 
 void set_up(line_endpoint& e, bool up)
@@ -368,7 +493,8 @@
                                 });
         e.m_primary = e.m_primary && !replaced;
         e.m_held = 0;
-        return listen(e);
+        listen(e);
+        return replicate(*e.m_group);
     }
     evconnlistener_free(e.m_listener);
     e.m_listener = nullptr;
@@ -378,19 +504,23 @@
 void set_dark(line_endpoint& e, bool dark)
 {
     e.m_dark = dark;
+    acknowledge_received(e);
     for (const auto& s : e.m_sessions)
         read_lines(*s);
 }
 
+void set_deaf(line_endpoint& e, bool deaf)
+{
+    e.m_deaf = deaf;
+    replicate(*e.m_group);
+}
+
 bool write_directly(site_group& g, const std::string& item,
                     const std::string& data)
 {
-    const auto lead = std::ranges::find_if(g.m_endpoints,
-                                           [](const auto& e)
-                                           {
-                                               return e->m_up && e->m_primary;
-                                           });
-    return lead != g.m_endpoints.end() && commit(**lead, {{0, item, data}});
+    line_endpoint* const lead = find_primary(g);
+    const log_entry entry{0, item, data};
+    return lead != nullptr && commit(*lead, {&entry, 1});
 }
 
 line_endpoint* find_endpoint(site_group& g, std::string_view id)
@@ -403,26 +533,25 @@
     return found == g.m_endpoints.end() ? nullptr : found->get();
 }
 
-bool promote(site_group& g, std::string_view id)
+bool order_promotion(site_group& g, std::string_view id)
 {
     line_endpoint* const next = find_endpoint(g, id);
     if (next == nullptr || !next->m_up)
         return false;
-    if (next->m_primary)
-        return true;
-    std::uint64_t term = 0;
-    for (const auto& e : g.m_endpoints)
-        term = std::max(term, e->m_term);
-    for (const auto& e : g.m_endpoints)
-    {
-        if (!e->m_up)
-            continue;
-        e->m_primary = e.get() == next;
-        e->m_term = term + 1;
-        e->m_held = 0;
-        e->m_log = next->m_log;
-    }
+    if (g.m_promotion_delay == g.m_promotion_delay.zero())
+        promote(g, *next);
+    else
+        promote_later(g, *next);
     return true;
 }
 
+bool is_promotion_pending(const site_group& g)
+{
+    return std::ranges::any_of(g.m_promotions,
+                               [](const pending_promotion& p)
+                               {
+                                   return !p.m_is_done;
+                               });
+}
+
 }
--- a/Tests/standin/site_store.cpp
+++ b/Tests/standin/site_store.cpp
@@ -136,12 +136,8 @@
         return reply(request, conflict, found->second);
     }
     count_call(s, request, kind, creates ? "create" : "replace");
-    ++s.m_revision;
-    objects[name] = {{"meta", {{"name", name}, {"revision", s.m_revision}}},
-                     {"spec", body.at("spec")},
-                     {"status", nullptr}};
+    put_object(s, kind, name, body.at("spec"));
     reply(request, ok, objects[name]);
-    note_change(s, kind, objects[name], false);
 }
 
 void remove(site_store& s, evhttp_request* request, const std::string& kind,
@@ -153,10 +149,8 @@
         return reply(request, missing, json::object());
     count_call(s, request, kind, "remove");
     const json object = found->second;
-    objects.erase(found);
-    ++s.m_revision;
+    remove_object(s, kind, name);
     reply(request, ok, object);
-    note_change(s, kind, object, true);
 }
 
 std::string text_of(evhttp_request* request)
@@ -213,6 +207,30 @@
 
 }
 
+void put_object(site_store& s, const std::string& kind, const std::string& name,
+                const json& spec)
+{
+    ++s.m_revision;
+    json& object = s.m_objects[kind][name];
+    object = {{"meta", {{"name", name}, {"revision", s.m_revision}}},
+              {"spec", spec},
+              {"status", nullptr}};
+    note_change(s, kind, object, false);
+}
+
+void remove_object(site_store& s, const std::string& kind,
+                   const std::string& name)
+{
+    auto& objects = s.m_objects[kind];
+    const auto found = objects.find(name);
+    if (found == objects.end())
+        return;
+    const json object = found->second;
+    objects.erase(found);
+    ++s.m_revision;
+    note_change(s, kind, object, true);
+}
+
 void serve_store(site_store& s, const address& at)
 {
     s.m_http = evhttp_new(s.m_loop.m_base.get());
--- a/Tests/standin/site_store.hpp
+++ b/Tests/standin/site_store.hpp
@@ -61,6 +61,12 @@
         m_other;
 };
 
+/// Creates or replaces an object, as a process that isn't one of the daemons
+/// may.
+void put_object(site_store& s, const std::string& kind, const std::string& name,
+                const nlohmann::json& spec);
+void remove_object(site_store& s, const std::string& kind,
+                   const std::string& name);
 /// Throws loop_error.
 void serve_store(site_store& s, const address& at);
 
--- a/Tests/support/site.cpp
+++ b/Tests/support/site.cpp
@@ -193,8 +193,18 @@
 }
 
 std::string line_caller::ask(const std::string& statement)
+{
+    begin(statement);
+    return answer();
+}
+
+void line_caller::begin(const std::string& statement)
 {
     send("QUERY q" + std::to_string(++m_number) + " " + statement);
+}
+
+std::string line_caller::answer()
+{
     std::string all;
     while (const auto next = line())
     {
@@ -258,8 +268,11 @@
 {
     std::vector<std::string> command{
         TEST_SITE, "--listen", to_string(m_platform), "--service", service};
-    for (int i = 0; i < 3; ++i)
-        command.push_back(to_string(free_address()));
+    for (const char* id : {"i-1", "i-2", "i-3"})
+    {
+        m_endpoints[id] = free_address();
+        command.push_back(to_string(m_endpoints[id]));
+    }
     m_standin = std::make_unique<child_process>(command, "");
     if (m_standin->read_line() != "serving")
         throw std::runtime_error("the stand-in doesn't serve");
@@ -372,6 +385,37 @@
               json{{"id", id}, {"up", up}}.dump());
 }
 
+void site::start_endpoint(const std::string& id)
+{
+    start_unlisted_endpoint(id);
+    set_listed(id, true);
+}
+
+void site::start_unlisted_endpoint(const std::string& id)
+{
+    const address& at = m_endpoints[id] = free_address();
+    call_http(m_platform, "POST", "/standin/new-endpoint",
+              json{{"id", id}, {"address", to_string(at)}}.dump());
+}
+
+void site::set_listed(const std::string& id, bool listed) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"listed", listed}}.dump());
+}
+
+void site::drain_endpoint(const std::string& id) const
+{
+    call_http(m_platform, "POST", "/standin/endpoint",
+              json{{"id", id}, {"draining", true}}.dump());
+}
+
+void site::end_endpoint(const std::string& id) const
+{
+    set_endpoint(id, false);
+    set_listed(id, false);
+}
+
 void site::set_mute(const std::string& id, bool mute) const
 {
     call_http(m_platform, "POST", "/standin/endpoint",
@@ -405,14 +449,31 @@
                .m_status == ok;
 }
 
+std::string site::read_directly(const std::string& item) const
+{
+    const std::string id = primary();
+    if (id.empty())
+        return {};
+    const std::string row =
+        send_order(address_of(id), "READ " + item).value_or(std::string());
+    return row.substr(row.find(' ') + 1);
+}
+
+void site::set_promotion_delay(std::chrono::milliseconds delay) const
+{
+    call_http(m_platform, "POST", "/standin/promotion-delay",
+              json{{"ms", delay.count()}}.dump());
+}
+
+bool site::is_promotion_pending() const
+{
+    constexpr int ok = 200;
+    return call_http(m_platform, "GET", "/standin/promotion").m_status == ok;
+}
+
 address site::address_of(const std::string& id) const
 {
-    const json servers = json::parse(
-        call_http(m_platform, "GET", "/api/objects/servers").m_body);
-    for (const json& e : servers.at("items"))
-        if (e.at("meta").at("name") == id)
-            return parse_address(e.at("spec").at("address").get<std::string>());
-    throw std::runtime_error("no endpoint " + id);
+    return m_endpoints.at(id);
 }
 
 void site::pause(const std::string& id) const
@@ -434,14 +495,26 @@
     return role == "replica" && paused_term != "0";
 }
 
+std::string site::position_of(const std::string& id) const
+{
+    std::istringstream status(
+        send_order(address_of(id), "STATUS").value_or(std::string()));
+    std::string word;
+    std::string role;
+    std::string term;
+    std::string position;
+    status >> word >> role >> term >> position;
+    return position;
+}
+
 std::string site::primary() const
 {
     std::string found;
     std::string newest;
-    for (const char* id : {"i-1", "i-2", "i-3"})
+    for (const auto& [id, at] : m_endpoints)
     {
         const std::string status =
-            send_order(address_of(id), "STATUS").value_or(std::string());
+            send_order(at, "STATUS").value_or(std::string());
         if (status.starts_with("ROW primary ") && status > newest)
         {
             newest = status;
--- a/Tests/support/site.hpp
+++ b/Tests/support/site.hpp
@@ -1,6 +1,8 @@
 #ifndef BLUEBELLSPOKE_SUPPORT_SITE_HPP
 #define BLUEBELLSPOKE_SUPPORT_SITE_HPP
 
+#include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -39,6 +41,10 @@
     /// Sends a statement under a new id; its answer's lines joined by " | ",
     /// each up to and without its digest or position.
     std::string ask(const std::string& statement);
+    /// Sends a statement under a new id, without awaiting its answer.
+    void begin(const std::string& statement);
+    /// The answer to a statement that was begun, as from ask.
+    std::string answer();
     /// Starts the session. Returns the first word of the answer, or of an error
     /// the second.
     std::string start(const std::string& database, const std::string& key);
@@ -101,6 +107,18 @@
     /// Puts a configuration into the store, with the next version.
     void configure(const nlohmann::json& change = nlohmann::json::object());
     void set_endpoint(const std::string& id, bool up) const;
+    /// Starts another endpoint, which copies the log of the primary and
+    /// registers itself in the store. Without a primary its log is empty.
+    void start_endpoint(const std::string& id);
+    /// The same, except that its entry isn't in the store.
+    void start_unlisted_endpoint(const std::string& id);
+    /// Removes the endpoint's entry from the store, or restores it, while the
+    /// endpoint runs.
+    void set_listed(const std::string& id, bool listed) const;
+    /// Marks the endpoint's entry as draining.
+    void drain_endpoint(const std::string& id) const;
+    /// Ends the endpoint for good, as after a drain: its entry goes, too.
+    void end_endpoint(const std::string& id) const;
     /// A mute endpoint answers questions for its status only.
     void set_mute(const std::string& id, bool mute) const;
     /// A full endpoint has no room for statements inside transactions.
@@ -112,9 +130,17 @@
     /// Writes to the primary as a caller of a process would that isn't one of
     /// the daemons. Returns true if it was committed.
     bool write_directly(const std::string& item, const std::string& data) const;
+    /// The item's data in the log of the primary; empty: there is no primary.
+    std::string read_directly(const std::string& item) const;
+    /// Promotions take effect this long after their orders were answered.
+    void set_promotion_delay(std::chrono::milliseconds delay) const;
+    /// Has a promotion been ordered that hasn't taken effect yet?
+    bool is_promotion_pending() const;
     /// Pauses a replica as a takeover would.
     void pause(const std::string& id) const;
     bool is_paused(const std::string& id) const;
+    /// The end of the endpoint's log; empty: it doesn't run.
+    std::string position_of(const std::string& id) const;
     /// The endpoint that says it is the primary of the newest term; empty:
     /// none.
     std::string primary() const;
@@ -157,7 +183,7 @@
     nlohmann::json entries(const std::string& kind) const;
     /// Removes an entry from the store, as any process may.
     void remove_entry(const std::string& kind, const std::string& name) const;
-    /// An endpoint's address, by the store.
+    /// An endpoint's address, also while it isn't in the store.
     address address_of(const std::string& id) const;
     /// Evacuates the zone.
     void evacuate(const std::string& zone) const;
@@ -193,6 +219,7 @@
     std::vector<site_bound> m_bounds;
     scratch_folder m_folder;
     address m_platform;
+    std::map<std::string, address> m_endpoints;
     nlohmann::json m_config;
     std::unique_ptr<child_process> m_standin;
     std::vector<node> m_nodes;
