decide: Count only settled replicas as proof of a lease

Callers saw acknowledged commits missing at a promoted endpoint (JOINED-UNSEEN): a replica that joined during a failover proved a lease of the old primary, though the failover neither counted nor fenced it.

A replica now proves a lease only if it was listed for member_settling_time (4 s) when it was asked. One that returns to the list or starts again under its id begins anew, and one that isn't listed proves none by a late answer. The endpoints of the first list with a group are settled, as that list is the same for all processes. Statuses are asked of settled replicas first, so that the lease lasts while endpoints are replaced one after the other.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <decide/takeover.hpp>
+
 namespace bluebellspoke
 {
 
@@ -11,6 +13,9 @@
 /// max_sample_age / min_sample_interval is 300; the rest is a reserve.
 constexpr std::size_t max_samples = 512;
 
+static_assert(member_settling_time >=
+              promotion_order_lifetime + std::chrono::seconds(1));
+
 bool follows_current_term(const group_view& g, const endpoint_observation& s)
 {
     return s.m_status.m_role == endpoint_role::replica &&
@@ -48,9 +53,9 @@
            all_members_in_term(g, s.m_answered_at);
 }
 
-// The lease starts at time t if the primary and m_sync_replicas replicas have
-// confirmed the term in response to requests sent at or after t, the replicas
-// following it and none of them paused for a later term.
+// The lease starts at time t if the primary and m_sync_replicas settled
+// replicas have confirmed the term in response to requests sent at or after t,
+// the replicas following it and none of them paused for a later term.
 void renew_lease(group_view& g)
 {
     const auto primary = g.m_observations.find(g.m_primary);
@@ -64,7 +69,7 @@
     std::vector<time_point> followers;
     for (const auto& [id, seen] : g.m_observations)
         if (id != g.m_primary && follows_current_term(g, seen) &&
-            is_proof(g, seen))
+            is_settled(g, id, seen.m_asked_at) && is_proof(g, seen))
             followers.push_back(seen.m_asked_at);
     if (followers.size() < g.m_sync_replicas)
         return;
@@ -187,6 +192,23 @@
     g.m_observations.erase(std::string(id));
 }
 
+void record_listed(group_view& g, std::string_view id, time_point now)
+{
+    g.m_settles_at.insert_or_assign(std::string(id),
+                                    now + member_settling_time);
+}
+
+void record_unlisted(group_view& g, std::string_view id)
+{
+    g.m_settles_at.insert_or_assign(std::string(id), time_point::max());
+}
+
+bool is_settled(const group_view& g, std::string_view id, time_point at)
+{
+    const auto found = g.m_settles_at.find(id);
+    return found == g.m_settles_at.end() || at >= found->second;
+}
+
 bool may_read_primary(const group_view& g, time_point arrived_at,
                       duration staleness)
 {
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -35,6 +35,10 @@
 /// a promotion didn't involve learns of the new term within about 100 ms, or
 /// its status shows that it doesn't.
 inline constexpr std::chrono::milliseconds min_following_time{1000};
+/// How long a replica must have been listed when it is asked before its status
+/// counts as proof: promotion_order_lifetime and 1 s. A failover that began
+/// before it was listed may not count it, and so not fence it.
+inline constexpr std::chrono::milliseconds member_settling_time{4000};
 /// Position samples closer together than this are merged into one.
 inline constexpr std::chrono::milliseconds min_sample_interval{20};
 /// Samples older than this are dropped. The longest staleness bound of the
@@ -73,6 +77,10 @@
     time_point m_lease_until{};     ///< No later term takes effect earlier.
     std::map<std::string, endpoint_observation, std::less<>>
         m_observations; ///< By id.
+    /// When endpoints that were listed later than the group itself settle, by
+    /// id; time_point::max() for one that isn't listed any more. An endpoint
+    /// without an entry has always been listed.
+    std::map<std::string, time_point, std::less<>> m_settles_at;
     std::size_t m_member_count =
         0;                         ///< Number of endpoints in the group's list.
     term_number m_paused_term = 0; ///< Highest term above m_term for which an
@@ -105,6 +113,14 @@
 /// Removes an endpoint that has left the group or restarted under the same id,
 /// as was found at `now`.
 void forget_endpoint(group_view& g, std::string_view id, time_point now);
+/// Records that an endpoint was added to the group's list, or that it started
+/// again under its id, as was found at `now`.
+void record_listed(group_view& g, std::string_view id, time_point now);
+/// Records that an endpoint isn't listed any more.
+void record_unlisted(group_view& g, std::string_view id);
+/// Returns true if the endpoint had been listed for member_settling_time at
+/// `at`, so that its status counts as proof.
+bool is_settled(const group_view& g, std::string_view id, time_point at);
 
 /// Returns true when a read that arrived at `arrived_at` and tolerates data as
 /// old as `staleness` may run at the primary.
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -1,6 +1,7 @@
 #include <session/session_task_state.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 #include <decide/endpoint_choice.hpp>
 #include <decide/group_relay.hpp>
@@ -34,7 +35,9 @@
     if (p.m_endpoint.m_started_ms == e.m_started_ms &&
         p.m_endpoint.m_address == e.m_address)
         return;
-    forget_endpoint(p.m_group->m_view, e.m_id, boot_now());
+    const time_point now = boot_now();
+    forget_endpoint(p.m_group->m_view, e.m_id, now);
+    record_listed(p.m_group->m_view, e.m_id, now);
     std::vector<link_ptr> old;
     for (link& k : p.m_links)
         old.emplace_back(&k);
@@ -60,6 +63,10 @@
         p.m_group = &g;
     else
         handle_endpoint_restart(t, p, e);
+    // The first list with the group is the same for all processes: whoever
+    // promotes counts its endpoints, too.
+    if ((added || !p.m_is_listed) && !g.m_is_new)
+        record_listed(p.m_group->m_view, e.m_id, boot_now());
     p.m_endpoint = e;
     p.m_load.m_slots = e.m_slots;
     p.m_is_listed = true;
@@ -82,6 +89,8 @@
             continue;
         p.m_is_listed = false;
         forget_endpoint(p.m_group->m_view, id, boot_now());
+        // A reply to an earlier request may still arrive.
+        record_unlisted(p.m_group->m_view, id);
         std::vector<link_ptr> idle;
         for (link& k : p.m_links)
             if (k.m_state == link_state::idle && !k.m_work)
@@ -92,8 +101,12 @@
     std::erase_if(t.m_endpoint_pools,
                   [](const auto& entry)
                   {
-                      return !entry.second.m_is_listed &&
-                             entry.second.m_link_count == 0;
+                      const endpoint_pool& p = entry.second;
+                      const bool is_gone =
+                          !p.m_is_listed && p.m_link_count == 0;
+                      if (is_gone)
+                          p.m_group->m_view.m_settles_at.erase(entry.first);
+                      return is_gone;
                   });
 }
 
@@ -132,7 +145,7 @@
 }
 
 // Requests the status of the primary and of as many replicas as confirm its
-// lease, those of this region and with the lowest latency first.
+// lease, settled ones, those of this region and with the lowest latency first.
 void request_group_status(session_task_state& t, service_group& g,
                           time_point now)
 {
@@ -149,17 +162,19 @@
     }
     if (!known)
         return;
-    std::ranges::sort(replicas,
-                      [&](const endpoint_pool* a, const endpoint_pool* b)
-                      {
-                          const auto rank = [&](const endpoint_pool* p)
-                          {
-                              const bool in_own_region =
-                                  p->m_region == t.m_settings.m_region;
-                              return std::pair(!in_own_region, p->m_latency_ms);
-                          };
-                          return rank(a) < rank(b);
-                      });
+    std::ranges::sort(
+        replicas,
+        [&](const endpoint_pool* a, const endpoint_pool* b)
+        {
+            const auto rank = [&](const endpoint_pool* p)
+            {
+                const bool in_own_region = p->m_region == t.m_settings.m_region;
+                return std::tuple(
+                    !is_settled(g.m_view, p->m_endpoint.m_id, now),
+                    !in_own_region, p->m_latency_ms);
+            };
+            return rank(a) < rank(b);
+        });
     // Without a valid lease, asking all replicas confirms one soonest.
     const std::size_t needed = now < g.m_view.m_lease_until
                                    ? g.m_view.m_sync_replicas
@@ -232,6 +247,7 @@
             if (service != t.m_config->m_services.end())
                 g.m_service = service->second;
         }
+        g.m_is_new = false;
         g.m_view.m_sync_replicas = g.m_service.m_sync_replicas;
         g.m_view.m_member_count = 0;
     }
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -271,6 +271,7 @@
 struct service_group
 {
     site_service m_service;
+    bool m_is_new = true; ///< In the first list that has it.
     group_view m_view;
     turn_queue m_queue;
     time_point m_next_review_at{}; ///< Of the statements that wait.
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -263,6 +263,103 @@
     }
 }
 
+// Guards against a lease that is proved by a replica which a failover in
+// progress neither counts nor fences, since it was listed after its beginning.
+SCENARIO("The replicas of a group are replaced one after the other")
+{
+    constexpr time_point start{std::chrono::hours(1)};
+    group_view g;
+    g.m_sync_replicas = 1;
+    const auto answer = [&](std::string_view id, time_point at)
+    {
+        observe(g, id, id == "a" ? leads(3, 10) : follows(3, 10), at);
+    };
+    g.m_member_count = 2;
+    answer("a", start);
+    answer("b", start);
+    const time_point until = g.m_lease_until;
+    REQUIRE(until == start + leader_lease_duration);
+
+    GIVEN("a replica that was listed later")
+    {
+        const time_point joined = start + milliseconds(200);
+        g.m_member_count = 3;
+        record_listed(g, "c", joined);
+
+        WHEN("it answers under the lease")
+        {
+            answer("a", start + seconds(1));
+            answer("c", start + seconds(1));
+
+            THEN("it doesn't renew it")
+            {
+                REQUIRE(g.m_lease_until == until);
+            }
+        }
+        WHEN("the other replica drains, and answers as before")
+        {
+            time_point now = start;
+            while (now < joined + member_settling_time)
+            {
+                now += milliseconds(900);
+                answer("a", now);
+                answer("b", now);
+                answer("c", now);
+            }
+            REQUIRE(g.m_lease_until == now + leader_lease_duration);
+
+            THEN("the new one renews the lease once the other one has left")
+            {
+                forget_endpoint(g, "b", now);
+                record_unlisted(g, "b");
+                now += milliseconds(900);
+                answer("a", now);
+                answer("c", now);
+                REQUIRE(g.m_lease_until == now + leader_lease_duration);
+            }
+            THEN("the one that has left proves none by a late answer")
+            {
+                forget_endpoint(g, "b", now);
+                record_unlisted(g, "b");
+                const time_point late = now + milliseconds(900);
+                answer("a", late);
+                answer("b", late);
+                REQUIRE(g.m_lease_until == now + leader_lease_duration);
+            }
+            THEN("it begins anew when it starts again under its id")
+            {
+                forget_endpoint(g, "c", now);
+                record_listed(g, "c", now);
+                forget_endpoint(g, "b", now);
+                record_unlisted(g, "b");
+                const time_point later = now + milliseconds(900);
+                answer("a", later);
+                answer("c", later);
+                REQUIRE(g.m_lease_until == now + leader_lease_duration);
+            }
+        }
+        WHEN("nothing else is left after the lease")
+        {
+            forget_endpoint(g, "b", start);
+            record_unlisted(g, "b");
+            g.m_member_count = 2;
+            const time_point settled = joined + member_settling_time;
+            time_point now = settled - milliseconds(1);
+            answer("a", now);
+            answer("c", now);
+
+            THEN("it proves one when it is asked member_settling_time after "
+                 "it was listed")
+            {
+                REQUIRE(g.m_lease_until == until);
+                answer("a", settled);
+                answer("c", settled);
+                REQUIRE(g.m_lease_until == settled + leader_lease_duration);
+            }
+        }
+    }
+}
+
 SCENARIO("Replicas of a group are found paused")
 {
     constexpr time_point start{std::chrono::hours(1)};
