decide: Renew no lease by an acknowledged commit

An acknowledgement shows that the primary and some replica have a commit, and that replica may be one that no failover counts.

Commits still record a sample of the primary's position, and renew no lease. As only statuses do now: - all replicas are asked from the second round on, instead of after the end of the lease; - another connection is opened if an endpoint's are all in use for longer than status_interval (as far as its budget goes); - in fleets with cells a group stays in use while a transaction that may write is open, which may last longer than relayed_use_time.

The two sections of group_view_test on commits stated the old rule. They now state that a commit proves no lease, and fail if it renews one. A variant of read_lease.pml, COMMIT_RENEWS, fails as it must; RIGHT passes.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -140,11 +140,7 @@
 void record_commit(group_view& g, std::string_view id, log_position position,
                    time_point asked_at)
 {
-    if (id != g.m_primary || position.m_term != g.m_term)
-        return;
-    g.m_lease_until =
-        std::max(g.m_lease_until, asked_at + leader_lease_duration);
-    record_sample(g, position, asked_at);
+    record_position(g, id, position, asked_at);
 }
 
 void record_sample(group_view& g, log_position position, time_point asked_at)
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -94,8 +94,8 @@
                    const endpoint_status& status, time_point asked_at,
                    time_point answered_at);
 /// Records a commit that was sent to the endpoint at `asked_at` and
-/// acknowledged by it. It renews the lease, because the synchronous replicas
-/// took part.
+/// acknowledged by it. It renews no lease: the replicas that took part may be
+/// ones that a failover doesn't count.
 void record_commit(group_view& g, std::string_view id, log_position position,
                    time_point asked_at);
 /// Records that the primary's log ended at or before the position when a
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include <decide/endpoint_choice.hpp>
 #include <decide/group_relay.hpp>
@@ -129,21 +130,29 @@
     for (link& k : p.m_links)
         if (k.m_state == link_state::idle && !k.m_work)
             return ask_status(t, k);
-    p.m_status_wanted = true;
     // Connections that are idle in a transaction can't show whether an
-    // endpoint that needs a probe has recovered, so another one is opened.
+    // endpoint that needs a probe has recovered, and a lease ends while all
+    // are in use, so another one is opened.
+    const bool waits_already = std::exchange(p.m_status_wanted, true);
     const bool is_connecting =
         std::ranges::any_of(p.m_links,
                             [](const link& k)
                             {
                                 return k.m_state == link_state::connecting;
                             });
-    const bool should_connect =
-        p.m_is_avoided && !is_connecting && p.m_link_count < p.m_budget.m_limit;
+    const bool should_connect = (p.m_is_avoided || waits_already) &&
+                                !is_connecting &&
+                                p.m_link_count < p.m_budget.m_limit;
     if (p.m_link_count == 0 || should_connect)
         obtain_link(t, p, status_workspace(t, p), nullptr);
 }
 
+duration renewal_margin(const session_task_state& t)
+{
+    return t.m_has_cell_leaders ? relayed_lease_renewal_margin
+                                : leader_lease_renewal_margin;
+}
+
 // Requests the status of the primary and of as many replicas as confirm its
 // lease, settled ones, those of this region and with the lowest latency first.
 void request_group_status(session_task_state& t, service_group& g,
@@ -175,10 +184,12 @@
             };
             return rank(a) < rank(b);
         });
-    // Without a valid lease, asking all replicas confirms one soonest.
-    const std::size_t needed = now < g.m_view.m_lease_until
-                                   ? g.m_view.m_sync_replicas
-                                   : replicas.size();
+    // If the first requests haven't renewed the lease, asking all replicas
+    // confirms it soonest: nothing else renews it, and commits need it.
+    const bool is_first_request =
+        g.m_view.m_lease_until - now > renewal_margin(t) - status_interval;
+    const std::size_t needed =
+        is_first_request ? g.m_view.m_sync_replicas : replicas.size();
     for (std::size_t i = 0; i < std::min(needed, replicas.size()); ++i)
         request_status(t, *replicas[i], now);
     // The other replicas are asked less often, to find a newer term that the
@@ -269,8 +280,7 @@
              now - std::max(p.m_status_requested_at, p.m_avoided_at) >=
                  follower_probe_interval))
             request_status(t, p, now);
-    const duration margin = t.m_has_cell_leaders ? relayed_lease_renewal_margin
-                                                 : leader_lease_renewal_margin;
+    const duration margin = renewal_margin(t);
     for (auto& [name, g] : t.m_groups)
     {
         const bool in_use =
--- a/Source/session/session_relay.cpp
+++ b/Source/session/session_relay.cpp
@@ -58,6 +58,16 @@
     return ids;
 }
 
+// Commits need a lease, and transactions may last longer than what is known of
+// a group is kept current after its last use.
+void note_open_transactions(session_task_state& t, time_point now)
+{
+    for (const session& s : t.m_sessions)
+        if (s.m_transaction && !s.m_transaction->m_is_read_only &&
+            s.m_transaction->m_link)
+            note_use(*s.m_transaction->m_link->m_endpoint_pool->m_group, now);
+}
+
 // A group in another process's request.
 struct requested_group
 {
@@ -172,6 +182,7 @@
         note_starvation(g, now);
     if (!t.m_has_cell_leaders)
         return;
+    note_open_transactions(t, now);
     group_request m;
     const bool leads = asks_endpoints(t, now);
     const duration margin = leads ? duration(unrenewed_lease_margin)
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -76,10 +76,13 @@
         {
             record_commit(g, "a", {3, 11}, start + milliseconds(100));
 
-            THEN("a replica took part, so the lease starts at that request")
+            THEN("it proves no lease, as any replica may have taken part")
             {
-                REQUIRE(g.m_lease_until ==
-                        start + milliseconds(100) + leader_lease_duration);
+                REQUIRE(g.m_lease_until == time_point{});
+            }
+            THEN("it shows how far the primary's log reaches")
+            {
+                REQUIRE(newest_position(g) == log_position{3, 11});
             }
         }
     }
@@ -146,10 +149,11 @@
                 observe(g, "c", follows(3, 9), later);
                 REQUIRE(g.m_lease_until == later + leader_lease_duration);
             }
-            THEN("a commit proves that the old primary still has a replica")
+            THEN("a commit doesn't prove one: a replica that has just joined "
+                 "may have taken part")
             {
                 record_commit(g, "a", {3, 11}, later);
-                REQUIRE(g.m_lease_until == later + leader_lease_duration);
+                REQUIRE(g.m_lease_until == until);
             }
         }
         WHEN("no endpoint was observed for the duration of a pause")
--- a/Tests/model/read_lease.pml
+++ b/Tests/model/read_lease.pml
@@ -19,6 +19,8 @@
      ASKED_IN_LEASE     a replica counts when it was asked under a lease, though
                         it may have answered after it
      RESUME_ORDERED     the promoter ends its pauses while an order is under way
+     COMMIT_RENEWS      an acknowledged commit renews the lease, though a replica
+                        that joined and isn't counted received it
 */
 
 #define LENGTH 2
@@ -150,6 +152,9 @@
   :: answer(0)
   :: answer(1)
   :: answer(2)
+#ifdef COMMIT_RENEWS
+  :: atomic { goes_on(0) -> until = max(until, now + LENGTH); check }
+#endif
   od
 }
 
