session: Pass on acknowledgements of commits under a lease only

The acknowledgement of a COMMIT that wrote, or of a single write, counts only if a lease for its term is in force when it arrives. The lease counts also if the primary has just been lost or left the list. Otherwise the caller is told at once that the outcome is unknown (event 4081, metric acknowledgements_unproven_total). The statement isn't retried, the session goes on outside of a transaction, the connection stays usable, and the session keeps the position as that of its own last commit.

Open: single writes, and transactions on routes with a staleness bound, are still sent without a lease, as judge_endpoint allows it.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -211,6 +211,13 @@
     return !g.m_primary.empty() && g.m_lease_until > arrived_at - staleness;
 }
 
+bool is_commit_proved(const group_view& g,
+                      const std::optional<log_position>& position,
+                      time_point now)
+{
+    return position && position->m_term == g.m_term && now < g.m_lease_until;
+}
+
 std::optional<log_position> newest_position(const group_view& g)
 {
     if (g.m_samples.empty())
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -126,6 +126,12 @@
 /// old as `staleness` may run at the primary.
 bool may_read_primary(const group_view& g, time_point arrived_at,
                       duration staleness);
+/// Returns true when a commit that got this position, and was acknowledged at
+/// `now`, is proved to be in the log of every later primary: a lease for its
+/// term is in force, also if the primary has since been lost.
+bool is_commit_proved(const group_view& g,
+                      const std::optional<log_position>& position,
+                      time_point now);
 /// Returns the newest known position of the primary.
 std::optional<log_position> newest_position(const group_view& g);
 /// Returns the position that a replica must have reached to serve such a read,
--- a/Source/report/event.cpp
+++ b/Source/report/event.cpp
@@ -291,6 +291,10 @@
                 "tokens_transferred",
                 "a cell leader asked another cell for spare rate tokens of a "
                 "workspace, and how many it got"},
+    event_entry{event_id::acknowledgement_unproven, event_level::info,
+                "acknowledgement_unproven",
+                "an endpoint acknowledged a commit while no lease was in "
+                "force; the caller was told that its outcome is unknown"},
     event_entry{event_id::store_entries_ignored, event_level::warning,
                 "store_entries_ignored",
                 "entries of the store, or parts of the configuration, fail a "
--- a/Source/report/event.hpp
+++ b/Source/report/event.hpp
@@ -104,6 +104,7 @@
     own_credit_used = 4060,
     cold_start_over = 4061,
     tokens_transferred = 4080,
+    acknowledgement_unproven = 4081,
     store_entries_ignored = 3055,
     endpoints_unconfigured = 3056,
     usage_counts_ignored = 3057,
--- a/Source/report/metric.cpp
+++ b/Source/report/metric.cpp
@@ -256,6 +256,10 @@
                  "groups that other processes asked this one for as a cell "
                  "leader: sent in full (full), as changes since its last "
                  "answer (change), or left out as nothing changed (unchanged)"},
+    metric_entry{metric_id::acknowledgements_unproven, metric_type::counter,
+                 "bluebellspoke_acknowledgements_unproven_total", "",
+                 "commits that an endpoint acknowledged while no lease was in "
+                 "force; their callers were told that the outcome is unknown"},
 };
 
 const metric_entry& entry_of(metric_id id)
--- a/Source/report/metric.hpp
+++ b/Source/report/metric.hpp
@@ -91,6 +91,7 @@
     ignored_entries,
     unconfigured_endpoints,
     relayed_groups,
+    acknowledgements_unproven,
 };
 
 enum class metric_type : std::uint8_t
--- a/Source/session/session_answers.cpp
+++ b/Source/session/session_answers.cpp
@@ -164,6 +164,20 @@
     release_link(t, k);
 }
 
+// Tells the caller that the outcome of its commit is unknown: another endpoint,
+// which may lack the commit, may have been promoted before it was acknowledged.
+void fail_unproved_commit(session_task_state& t, const work_ptr& w,
+                          const std::optional<log_position>& position)
+{
+    ++t.m_counts.m_unproven_acknowledgements;
+    log_unproven(*w, position);
+    session& s = *w->m_session;
+    // The transaction has ended at the endpoint: there is none to roll back.
+    if (s.m_transaction)
+        s.m_transaction->m_link = nullptr;
+    fail_work(t, w, session_fault::unknown_outcome, "acknowledgement unproven");
+}
+
 void finish_served_statement(session_task_state& t, link& k,
                              const expected_reply& e,
                              const endpoint_reply& ready)
@@ -173,8 +187,9 @@
     const bool is_commit = w->m_kind == statement_kind::commit;
     const bool wrote = w->m_writes || (is_commit && s->m_transaction &&
                                        s->m_transaction->m_has_written);
+    const bool is_written = wrote && (is_commit || !k.m_in_transaction);
     endpoint_pool& p = *k.m_endpoint_pool;
-    if (ready.m_position && wrote && (is_commit || !k.m_in_transaction))
+    if (ready.m_position && is_written)
     {
         record_commit(p.m_group->m_view, p.m_endpoint.m_id, *ready.m_position,
                       e.m_requested_at);
@@ -192,7 +207,11 @@
     k.m_must_close =
         k.m_must_close || ready.m_state != transaction_status::idle;
     apply_link_event(t, k, link_event::answered);
-    complete_work(t, w);
+    if (is_written &&
+        !is_commit_proved(p.m_group->m_view, ready.m_position, boot_now()))
+        fail_unproved_commit(t, w, ready.m_position);
+    else
+        complete_work(t, w);
     if (k.m_state == link_state::idle && !k.m_work)
         release_link(t, k);
 }
--- a/Source/session/session_counts.cpp
+++ b/Source/session/session_counts.cpp
@@ -181,6 +181,8 @@
     add_value(families, metric_id::endpoint_choices,
               std::array{std::string_view("other")},
               static_cast<double>(c.m_other_choices));
+    add_value(families, metric_id::acknowledgements_unproven, {},
+              static_cast<double>(c.m_unproven_acknowledgements));
     add_value(families, metric_id::own_credit_used, {},
               static_cast<double>(c.m_own_credit_used));
     add_value(families, metric_id::tokens_transferred,
--- a/Source/session/session_log.cpp
+++ b/Source/session/session_log.cpp
@@ -225,6 +225,27 @@
                {"sent_ms_ago", milliseconds_of(now - w.m_sent_at)}});
 }
 
+void log_unproven(const work& w, const std::optional<log_position>& position)
+{
+    const endpoint_pool& p = *w.m_link->m_endpoint_pool;
+    const group_view& view = p.m_group->m_view;
+    const time_point now = boot_now();
+    // A lease in force doesn't count for a commit of another term.
+    std::string ended = milliseconds_of(now - view.m_lease_until);
+    if (view.m_lease_until == time_point{})
+        ended = "none in this term";
+    else if (now < view.m_lease_until)
+        ended = "in force";
+    log_event(event_id::acknowledgement_unproven,
+              {{"request", w.m_id},
+               {"session", std::to_string(w.m_session->m_number)},
+               {"endpoint", p.m_endpoint.m_id},
+               {"position", describe_position(position)},
+               {"term", std::to_string(view.m_term)},
+               {"lease_ended_ms_ago", ended},
+               {"sent_ms_ago", milliseconds_of(now - w.m_sent_at)}});
+}
+
 void log_wait_extended(const work& w, std::string_view evidence)
 {
     if (!is_logged(event_id::wait_extended))
--- a/Source/session/session_task_state.hpp
+++ b/Source/session/session_task_state.hpp
@@ -128,7 +128,9 @@
     std::uint64_t m_busy_endpoints = 0;   ///< Statements refused for want of a
                                           ///< free slot.
     std::uint64_t m_best_choices = 0;     ///< Sent to the lowest expected cost.
-    std::uint64_t m_other_choices = 0;   ///< Sent to another one near the best.
+    std::uint64_t m_other_choices = 0; ///< Sent to another one near the best.
+    /// Acknowledgements of commits that no lease proved.
+    std::uint64_t m_unproven_acknowledgements = 0;
     std::uint64_t m_own_credit_used = 0; ///< Admitted without a cell leader.
     std::uint64_t m_tokens_received = 0; ///< From other cells.
     std::uint64_t m_tokens_given = 0;    ///< To other cells.
@@ -361,6 +363,8 @@
 void log_connection(event_id id, const link& k, std::string_view cause,
                     std::string_view request);
 void log_served(const session& s, const work& w, std::string_view endpoint);
+/// Logs that no lease proved the acknowledgement of this commit.
+void log_unproven(const work& w, const std::optional<log_position>& position);
 /// Logs that the work may wait until its answer is no longer useful.
 void log_wait_extended(const work& w, std::string_view evidence);
 
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -267,6 +267,61 @@
     }
 }
 
+// Guards against an acknowledgement that is passed on though another endpoint,
+// without the commit, may have been promoted before it came.
+SCENARIO("An acknowledgement of a commit arrives")
+{
+    constexpr time_point start{std::chrono::hours(1)};
+    constexpr log_position committed{3, 11};
+    group_view g;
+    g.m_sync_replicas = 1;
+    observe(g, "a", leads(3, 10), start);
+
+    GIVEN("a primary that no replica has confirmed")
+    {
+        THEN("the commit isn't proved, also not by itself")
+        {
+            record_commit(g, "a", committed, start);
+            REQUIRE_FALSE(is_commit_proved(g, committed, start));
+        }
+    }
+    GIVEN("a primary with a lease")
+    {
+        observe(g, "b", follows(3, 9), start);
+        const time_point last = g.m_lease_until - milliseconds(1);
+
+        THEN("the commit is proved until the lease ends")
+        {
+            REQUIRE(is_commit_proved(g, committed, last));
+            REQUIRE_FALSE(is_commit_proved(g, committed, g.m_lease_until));
+        }
+        THEN("a commit of another term, or without a position, isn't")
+        {
+            REQUIRE_FALSE(is_commit_proved(g, log_position{2, 11}, last));
+            REQUIRE_FALSE(is_commit_proved(g, log_position{4, 11}, last));
+            REQUIRE_FALSE(is_commit_proved(g, std::nullopt, last));
+        }
+        WHEN("the primary leaves the list or is found not to lead")
+        {
+            forget_endpoint(g, "a", start);
+
+            THEN("the lease still counts for its term")
+            {
+                REQUIRE(is_commit_proved(g, committed, last));
+            }
+        }
+        WHEN("another endpoint leads the next term")
+        {
+            observe(g, "b", leads(4, 10), start + seconds(1));
+
+            THEN("the commit isn't proved")
+            {
+                REQUIRE_FALSE(is_commit_proved(g, committed, last));
+            }
+        }
+    }
+}
+
 // Guards against a lease that is proved by a replica which a failover in
 // progress neither counts nor fences, since it was listed after its beginning.
 SCENARIO("The replicas of a group are replaced one after the other")
