session: Let a duty client take its clock from its owner

The client of a duty read the boot clock in place, so a test of renewals over seconds had to wait for them. The clock is a member now, by default the boot clock. Nothing else changes.

--- a/Source/session/duty_client.cpp
+++ b/Source/session/duty_client.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <report/event.hpp>
-#include <task/boot_clock.hpp>
 
 namespace bluebellspoke
 {
@@ -54,7 +53,7 @@
         record.emplace();
     }
     d.m_seen =
-        observe_duty(d.m_seen, o.m_revision, std::move(*record), boot_now());
+        observe_duty(d.m_seen, o.m_revision, std::move(*record), d.m_now());
     if (is_recorded_holder(d))
         return;
     d.m_has_taken_over = false;
@@ -82,12 +81,12 @@
 {
     d.m_call_pending = true;
     ++d.m_calls;
-    const time_point sent_at = boot_now();
+    const time_point sent_at = d.m_now();
     d.m_store.m_write(d.m_kind, make_object(d, record),
                       [&d, sent_at](write_answer& a)
                       {
                           d.m_call_pending = false;
-                          const time_point now = boot_now();
+                          const time_point now = d.m_now();
                           if (a.m_object)
                               observe_record(d, *a.m_object);
                           if (a.m_failure)
@@ -126,7 +125,7 @@
         [&d, allow_stale](store_answer& a)
         {
             d.m_call_pending = false;
-            const time_point now = boot_now();
+            const time_point now = d.m_now();
             d.m_next_call_at =
                 now + (a.m_failure ? duration(duty_retry)
                                    : duration(duty_renewal_interval));
@@ -169,7 +168,7 @@
                       [&d, done = std::move(done)](write_answer& a)
                       {
                           d.m_call_pending = false;
-                          d.m_next_call_at = boot_now() + duty_retry;
+                          d.m_next_call_at = d.m_now() + duty_retry;
                           if (a.m_object)
                               observe_record(d, *a.m_object);
                           else if (a.m_failure && !d.m_stopping &&
@@ -213,7 +212,7 @@
 {
     d.m_record_is_outdated = true;
     if (!d.m_call_pending)
-        advance_duty(d, boot_now());
+        advance_duty(d, d.m_now());
 }
 
 void release_duty(duty_client& d, std::function<void()> done)
--- a/Source/session/duty_client.hpp
+++ b/Source/session/duty_client.hpp
@@ -10,6 +10,7 @@
 #include <model/clock.hpp>
 #include <model/site.hpp>
 #include <session/object_store.hpp>
+#include <task/boot_clock.hpp>
 
 namespace bluebellspoke
 {
@@ -38,6 +39,7 @@
     duty_handlers m_handlers;
 
     std::uint64_t m_incarnation = 0;
+    std::function<time_point()> m_now = boot_now;
     std::optional<duty_observation> m_seen{}; ///< Empty: not read yet.
     time_point m_renewed_at{}; ///< Zero unless this process holds the duty.
     /// The task has the record of the holder before it. Until then what the
