--- a/Source/decide/duty_lease.hpp
+++ b/Source/decide/duty_lease.hpp
@@ -80,6 +80,24 @@
 duty_record acquire_duty(const duty_record& before, std::string_view self,
                          std::uint64_t incarnation);
 
+/// How fast the store answers.
+struct store_pace
+{
+    duration m_answer_time{}; ///< The longest of late; halved by each answer.
+    unsigned m_unanswered_writes = 0; ///< Since the last answered one.
+};
+
+void note_answer_time(store_pace& pace, duration took) noexcept;
+void note_write(store_pace& pace, bool was_answered) noexcept;
+
+/// Returns how long a holder waits for the answer to a renewal before it sends
+/// another one besides it.
+duration duty_hedge_delay(const store_pace& pace) noexcept;
+
+/// Returns the timeout of a write of a duty's record. The store answers within
+/// 10 ms or, for seconds on end, most writes not at all.
+duration duty_write_timeout(const store_pace& pace) noexcept;
+
 /// Returns true while a renewal sent at `renewed_at` allows the holder to order
 /// promotions, or to send usage reports.
 bool may_order_promotion(time_point renewed_at, time_point now) noexcept;
--- a/Tests/decide/duty_lease_test.cpp
+++ b/Tests/decide/duty_lease_test.cpp
@@ -76,3 +76,63 @@
             may_order_promotion({}, time_point{} + duty_renewal_interval));
     }
 }
+
+// Short timeouts for the time in which writes remain unanswered must not send
+// the writes to a slow store again and again.
+SCENARIO("The timeout of a duty's write follows the answers of the store")
+{
+    using namespace std::chrono_literals;
+    store_pace pace;
+    note_answer_time(pace, 10ms);
+
+    GIVEN("a store that answers within 10 ms")
+    {
+        THEN("several writes fit into the time in which the duty is valid")
+        {
+            CHECK(10 * duty_write_timeout(pace) < duty_validity);
+            CHECK(duty_hedge_delay(pace) >= 2 * 10ms);
+        }
+    }
+    GIVEN("a store that is 50 times slower than usual")
+    {
+        note_answer_time(pace, 200ms);
+
+        THEN("its answers come before the next write")
+        {
+            CHECK(duty_write_timeout(pace) > 2 * 200ms);
+            CHECK(duty_hedge_delay(pace) > 200ms);
+        }
+        AND_WHEN("it is as fast as before")
+        {
+            for (int i = 0; i < 5; ++i)
+                note_answer_time(pace, 10ms);
+
+            THEN("the timeout is, too")
+            {
+                CHECK(10 * duty_write_timeout(pace) < duty_validity);
+            }
+        }
+    }
+    GIVEN("a store that answers reads only")
+    {
+        for (int i = 0; i < 1000; ++i)
+        {
+            note_write(pace, false);
+            note_answer_time(pace, 10ms);
+        }
+
+        THEN("a write gets the time of any other call")
+        {
+            CHECK(duty_write_timeout(pace) == 1200ms);
+        }
+        AND_WHEN("it answers a write")
+        {
+            note_write(pace, true);
+
+            THEN("the timeout is short again")
+            {
+                CHECK(10 * duty_write_timeout(pace) < duty_validity);
+            }
+        }
+    }
+}
