session: Send no commit without a lease

Statements that may commit now wait for a lease, as reads of the primary do.

Two cases get by without waiting for a proof, so that a failover and a flapping entry don't keep commits waiting longer than before: - for one lease's duration after a term was first seen, commits are sent and acknowledgements passed on; a takeover of a term that has just begun is the risk that is taken; - an endpoint whose entry returns within lost_log_retention, and that hasn't restarted, is as settled as it was: failovers count it meanwhile.

--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -113,6 +113,7 @@
     bool changed = false;
     if (status.m_term > g.m_term)
     {
+        g.m_term_seen_at = asked_at;
         start_term(g, status.m_term, leads ? id : std::string_view());
         changed = true;
     }
@@ -211,11 +212,20 @@
     return !g.m_primary.empty() && g.m_lease_until > arrived_at - staleness;
 }
 
+// The lease of a new term is proved up to min_following_time after the primary
+// was found. Without the time after the first status, each failover would keep
+// commits waiting for as long.
+time_point commits_allowed_until(const group_view& g)
+{
+    return std::max(g.m_lease_until, g.m_term_seen_at + leader_lease_duration);
+}
+
 bool is_commit_proved(const group_view& g,
                       const std::optional<log_position>& position,
                       time_point now)
 {
-    return position && position->m_term == g.m_term && now < g.m_lease_until;
+    return position && position->m_term == g.m_term &&
+           now < commits_allowed_until(g);
 }
 
 std::optional<log_position> newest_position(const group_view& g)
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -70,6 +70,7 @@
     std::uint32_t m_sync_replicas = 0;
     term_number m_term = 0;         ///< Highest term observed at any endpoint.
     std::string m_primary;          ///< In m_term; empty: unknown.
+    time_point m_term_seen_at{};    ///< Request by which m_term was first seen.
     time_point m_primary_seen_at{}; ///< Request of the last status by which
                                     ///< m_primary led.
     time_point m_invalidated_at{};  ///< When m_primary was last found not to
@@ -126,9 +127,12 @@
 /// old as `staleness` may run at the primary.
 bool may_read_primary(const group_view& g, time_point arrived_at,
                       duration staleness);
-/// Returns true when a commit that got this position, and was acknowledged at
-/// `now`, is proved to be in the log of every later primary: a lease for its
-/// term is in force, also if the primary has since been lost.
+/// Returns until when the current term's commits may be sent, and their
+/// acknowledgements passed on: while a lease is in force, and for one lease's
+/// duration after the term was first seen.
+time_point commits_allowed_until(const group_view& g);
+/// Returns true when the acknowledgement of a commit that got this position may
+/// be passed on at `now`, also if the primary has since been lost.
 bool is_commit_proved(const group_view& g,
                       const std::optional<log_position>& position,
                       time_point now);
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -27,6 +27,11 @@
 /// How long after an order was sent its promotion may still take effect.
 inline constexpr std::chrono::milliseconds promotion_order_lifetime =
     max_order_delay + promotion_timeout;
+/// How long the log of an endpoint that is gone counts towards the size of its
+/// group, after a drain or without one. Until then that log may be the only one
+/// besides the primary's that holds a commit.
+inline constexpr std::chrono::seconds drained_log_retention{5};
+inline constexpr std::chrono::seconds lost_log_retention{60};
 /// How long ago a member may have been asked for the status that shows that it
 /// is still fenced: three of the intervals at which members are polled.
 inline constexpr std::chrono::milliseconds max_fence_age{300};
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -35,11 +35,6 @@
 inline constexpr std::chrono::milliseconds fence_poll_interval{100};
 /// The delay before the next attempt after a takeover that was given up.
 inline constexpr std::chrono::milliseconds takeover_retry_delay{500};
-/// How long the log of an endpoint that is gone counts towards the size of its
-/// group, after a drain or without one. Until then that log may be the only one
-/// besides the primary's that holds a commit.
-inline constexpr std::chrono::seconds drained_log_retention{5};
-inline constexpr std::chrono::seconds lost_log_retention{60};
 /// How long the task keeps asking a replaced primary that doesn't answer to
 /// step down.
 inline constexpr std::chrono::seconds step_down_timeout{15};
--- a/Source/session/session_dispatch.cpp
+++ b/Source/session/session_dispatch.cpp
@@ -22,9 +22,18 @@
 endpoint_verdict consistency_verdict(const work& w, const endpoint_pool& p)
 {
     const session& s = *w.m_session;
-    return judge_consistency(p.m_group->m_view, p.m_endpoint.m_id,
-                             {w.m_writes && !s.m_transaction, w.m_needs_primary,
-                              w.m_arrived_at, s.m_route->m_staleness});
+    const group_view& view = p.m_group->m_view;
+    const endpoint_verdict verdict =
+        judge_consistency(view, p.m_endpoint.m_id,
+                          {w.m_writes && !s.m_transaction, w.m_needs_primary,
+                           w.m_arrived_at, s.m_route->m_staleness});
+    // A commit that is acknowledged without a lease has an unknown outcome.
+    const bool may_commit =
+        w.m_writes || (s.m_transaction && !s.m_transaction->m_is_read_only);
+    return verdict == endpoint_verdict::usable && may_commit &&
+                   boot_now() >= commits_allowed_until(view)
+               ? endpoint_verdict::no_lease
+               : verdict;
 }
 
 endpoint_pool* choose_pool(session_task_state& t, const work& w, time_point now)
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -6,6 +6,7 @@
 
 #include <decide/endpoint_choice.hpp>
 #include <decide/group_relay.hpp>
+#include <decide/takeover.hpp>
 #include <report/event.hpp>
 #include <task/boot_clock.hpp>
 
@@ -50,6 +51,22 @@
     p.m_load = {};
 }
 
+// A failover counts the logs of endpoints whose entries have expired, so one
+// that returns is as settled as it was.
+void record_return(service_group& g, const site_endpoint& e, time_point now)
+{
+    const auto before = g.m_unlisted.find(e.m_id);
+    const bool was_settled = before != g.m_unlisted.end() &&
+                             before->second.m_started_ms == e.m_started_ms &&
+                             now - before->second.m_at < lost_log_retention;
+    if (before != g.m_unlisted.end())
+        g.m_unlisted.erase(before);
+    if (was_settled)
+        g.m_view.m_settles_at.erase(e.m_id);
+    else
+        record_listed(g.m_view, e.m_id, now);
+}
+
 void update_pool(session_task_state& t, const site_endpoint& e)
 {
     service_group& g = t.m_groups[e.m_service];
@@ -67,7 +84,7 @@
     // The first list with the group is the same for all processes: whoever
     // promotes counts its endpoints, too.
     if ((added || !p.m_is_listed) && !g.m_is_new)
-        record_listed(p.m_group->m_view, e.m_id, boot_now());
+        record_return(g, e, boot_now());
     p.m_endpoint = e;
     p.m_load.m_slots = e.m_slots;
     p.m_is_listed = true;
@@ -88,8 +105,11 @@
     {
         if (t.m_endpoints->m_endpoints.contains(id))
             continue;
+        const time_point now = boot_now();
+        if (p.m_is_listed && is_settled(p.m_group->m_view, id, now))
+            p.m_group->m_unlisted[id] = {p.m_endpoint.m_started_ms, now};
         p.m_is_listed = false;
-        forget_endpoint(p.m_group->m_view, id, boot_now());
+        forget_endpoint(p.m_group->m_view, id, now);
         // A reply to an earlier request may still arrive.
         record_unlisted(p.m_group->m_view, id);
         std::vector<link_ptr> idle;
@@ -259,6 +279,11 @@
                 g.m_service = service->second;
         }
         g.m_is_new = false;
+        std::erase_if(g.m_unlisted,
+                      [now = boot_now()](const auto& entry)
+                      {
+                          return now - entry.second.m_at >= lost_log_retention;
+                      });
         g.m_view.m_sync_replicas = g.m_service.m_sync_replicas;
         g.m_view.m_member_count = 0;
     }
--- a/Source/session/session_types.hpp
+++ b/Source/session/session_types.hpp
@@ -276,11 +276,20 @@
     bool m_status_wanted = false;
 };
 
+/// A settled endpoint that isn't listed any more.
+struct unlisted_endpoint
+{
+    std::uint64_t m_started_ms = 0;
+    time_point m_at{};
+};
+
 /// A service: its primary and replicas, and the work that waits for them.
 struct service_group
 {
     site_service m_service;
     bool m_is_new = true; ///< In the first list that has it.
+    /// Settled endpoints whose entries were removed, by id.
+    std::map<std::string, unlisted_endpoint, std::less<>> m_unlisted;
     group_view m_view;
     turn_queue m_queue;
     time_point m_next_review_at{}; ///< Of the statements that wait.
