failover: Let the members of a failover follow the list

Cause: a failover took its members from the list once, when it began. A primary whose entry had expired for a moment wasn't among them, was neither asked nor told to step down, and went on when its entry returned. Ruled out by the log: a list that was behind (all processes, the holder's too, had the primary back at 25.90, the order left at 27.37), and an order later than its lifetime (1.1 s).

Change: members follow the list while a failover is in progress. An endpoint that is known but not listed is a member, too, is told to step down, and isn't yielded to. A primary that answers only after the others were fenced is told to step down. Before each order the store's list is read (new state "reviewing"); an endpoint that takes part in commits of the old term means a new fence.

--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -166,13 +166,14 @@
         return std::nullopt;
     // Any `needed` logs together hold every acknowledged commit, so leaving
     // members are ignored as long as enough others remain.
-    std::vector<const takeover_member*> staying;
-    std::ranges::copy_if(fenced, std::back_inserter(staying),
+    std::vector<const takeover_member*> eligible;
+    std::ranges::copy_if(fenced, std::back_inserter(eligible),
                          [](const takeover_member* m)
                          {
                              return !m->m_leaving;
                          });
-    const auto& eligible = staying.size() >= needed ? staying : fenced;
+    if (eligible.size() < needed)
+        eligible = fenced;
     if (!ordered.empty())
         return choose_ordered(fenced, eligible, ordered);
     const auto best = std::ranges::max_element(
@@ -185,6 +186,19 @@
     return (*best)->m_id;
 }
 
+namespace
+{
+
+// Returns true if a member that was listed after the others were fenced takes
+// part in commits of an earlier term than the one that they are fenced for.
+bool takes_part(const takeover_member& m, term_number term)
+{
+    return m.m_joined_late && m.m_reachable && !is_fenced(m, term) &&
+           m.m_status.m_term < term;
+}
+
+}
+
 fence_state evaluate_fence(std::span<const takeover_member> members,
                            term_number term, std::uint32_t sync_replicas,
                            std::string_view successor, time_point since)
@@ -192,9 +206,9 @@
     std::vector<takeover_member> recent(members.begin(), members.end());
     for (takeover_member& m : recent)
     {
-        if (m.m_fence_lost)
-            return fence_state::lost;
         m.m_reachable = m.m_reachable && m.m_asked_at >= since;
+        if (m.m_fence_lost || takes_part(m, term))
+            return fence_state::lost;
     }
     if (choose_successor(recent, term, sync_replicas, successor))
         return fence_state::confirmed;
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -27,9 +27,9 @@
 /// How long after an order was sent its promotion may still take effect.
 inline constexpr std::chrono::milliseconds promotion_order_lifetime =
     max_order_delay + promotion_timeout;
-/// How long the log of an endpoint that is gone counts towards the size of its
-/// group, after a drain or without one. Until then that log may be the only one
-/// besides the primary's that holds a commit.
+/// How long an endpoint that is no longer listed may go on receiving commits,
+/// after a drain or without one. Its log counts towards the size of its group
+/// until others have everything that the primary had after that time.
 inline constexpr std::chrono::seconds drained_log_retention{5};
 inline constexpr std::chrono::seconds lost_log_retention{60};
 /// How long ago a member may have been asked for the status that shows that it
@@ -40,7 +40,11 @@
 struct takeover_member
 {
     std::string m_id;
-    bool m_leaving = false;      ///< Draining, or in an evacuated zone.
+    bool m_leaving = false;      ///< Draining, in an evacuated zone, or not
+                                 ///< listed.
+    bool m_listed = true;        ///< Its entry is in the list of endpoints.
+    bool m_joined_late = false;  ///< It was listed after the others were
+                                 ///< fenced.
     bool m_reachable = false;    ///< It responded in this round.
     bool m_stepped_down = false; ///< It led its term, the newest known, and
                                  ///< obeyed a step-down order.
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -20,18 +20,6 @@
                : found->second.m_sync_replicas;
 }
 
-// The members that the decision is made on. Log locations whose endpoint is
-// gone count as unreachable members.
-std::vector<takeover_member> decision_members(const failover_group& g)
-{
-    std::vector<takeover_member> members;
-    for (const takeover_participant& m : g.m_members)
-        members.push_back(m.m_member);
-    while (members.size() < g.m_size)
-        members.emplace_back();
-    return members;
-}
-
 // Returns true if the takeover is needless as soon as the primary answers.
 bool yields_to_primary(const failover_group& g)
 {
@@ -148,11 +136,12 @@
 {
 
 // A primary that a takeover yields to isn't told to step down.
-group_order fencing_order(const failover_group& g, endpoint_role role)
+group_order fencing_order(const failover_group& g, const takeover_member& m)
 {
-    if (role == endpoint_role::replica)
+    if (m.m_status.m_role == endpoint_role::replica)
         return group_order::pause;
-    return yields_to_primary(g) ? group_order::status : group_order::step_down;
+    return yields_to_primary(g) && m.m_listed ? group_order::status
+                                              : group_order::step_down;
 }
 
 }
@@ -170,7 +159,7 @@
             g.m_old_term = std::max(g.m_old_term, seen.m_status.m_term);
         group_order order = group_order::status;
         if (seen.m_reachable && !is_fenced(seen, g.m_term))
-            order = fencing_order(g, seen.m_status.m_role);
+            order = fencing_order(g, seen);
         send_group_order(t, service, g, m, order);
     }
 }
@@ -185,17 +174,10 @@
     g.m_old_term = g.m_report.m_term;
     g.m_term = g.m_old_term + 1;
     g.m_old_primary = g.m_report.m_primary;
-    g.m_members.clear();
+    if (g.m_old_primary.empty() && g.m_last_primary_term == g.m_old_term)
+        g.m_old_primary = g.m_last_primary;
     g.m_resumed.clear();
-    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
-        if (e.m_service == service)
-        {
-            takeover_participant m;
-            m.m_endpoint = e;
-            m.m_member.m_id = id;
-            m.m_member.m_leaving = is_leaving(*t.m_endpoints, e);
-            g.m_members.push_back(std::move(m));
-        }
+    collect_members(t, service, g);
     log_event(event_id::takeover_begun,
               {{"service", service},
                {"reason", std::string(to_string(reason))},
@@ -216,7 +198,16 @@
         return;
     g.m_next_poll_at = now + fence_poll_interval;
     for (takeover_participant& m : g.m_members)
-        send_group_order(t, service, g, m, group_order::status);
+    {
+        const endpoint_status& seen = m.m_member.m_status;
+        // It has answered only after the others were fenced.
+        const bool leads_old_term = m.m_member.m_reachable &&
+                                    seen.m_role == endpoint_role::primary &&
+                                    seen.m_term <= g.m_old_term;
+        send_group_order(t, service, g, m,
+                         leads_old_term ? group_order::step_down
+                                        : group_order::status);
+    }
 }
 
 void end_old_step_downs(failover_group& g, time_point now)
@@ -265,7 +256,10 @@
     const primary_evidence& e = g.m_report.m_evidence;
     if (may_yield && e.m_known && e.m_last_contact_at > g.m_began_at)
         return fire(t, service, g, takeover_event::given_up);
-    const takeover_participant* const live = find_primary(g, g.m_report.m_term);
+    const takeover_participant* live = find_primary(g, g.m_report.m_term);
+    // Sessions don't use an endpoint that isn't listed.
+    if (live != nullptr && !live->m_member.m_listed)
+        live = nullptr;
     const takeover_participant* const lead =
         may_yield ? live : find_ordered_primary(g, now);
     if (lead != nullptr)
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -159,6 +159,8 @@
         return;
     case takeover_action::renew_fence:
         return renew_fence(t, service, g);
+    case takeover_action::list_members:
+        return list_members(t, service, g);
     case takeover_action::announce:
         return announce(t, service, g);
     case takeover_action::end_takeover:
@@ -240,9 +242,39 @@
     }
 }
 
+// A replica that joined after the members were fenced may take part in commits
+// that none of them has received.
+void advance_reviewing(failover_task_state& t, const std::string& service,
+                       failover_group& g, time_point now)
+{
+    if (find_new_primary(g) != nullptr)
+        return fire(t, service, g, takeover_event::primary_confirmed);
+    poll_members(t, service, g, now);
+    end_old_step_downs(g, now);
+    const fence_state fence = check_fence(t, service, g, now);
+    if (fence == fence_state::confirmed)
+        g.m_unconfirmed_since = {};
+    else if (g.m_unconfirmed_since == time_point{})
+        g.m_unconfirmed_since = now;
+    const bool is_overdue = g.m_unconfirmed_since != time_point{} &&
+                            now - g.m_unconfirmed_since >= fencing_timeout;
+    if (fence == fence_state::lost || is_overdue)
+    {
+        g.m_unconfirmed_since = {};
+        return lose_fence(t, service, g);
+    }
+    if (g.m_members_listed && fence == fence_state::confirmed &&
+        holds_duty(t.m_duty, now))
+        return fire(t, service, g, takeover_event::members_confirmed);
+    if (now >= g.m_next_action_at)
+        fire(t, service, g, takeover_event::timed_out);
+}
+
 void advance_group(failover_task_state& t, const std::string& service,
                    failover_group& g, time_point now)
 {
+    if (g.m_state != takeover_state::led)
+        update_members(t, service, g);
     switch (g.m_state)
     {
     case takeover_state::led:
@@ -258,6 +290,8 @@
     case takeover_state::waiting:
         return advance_fenced(t, service, g, takeover_event::leases_expired,
                               leases_expire_at(g), now);
+    case takeover_state::reviewing:
+        return advance_reviewing(t, service, g, now);
     case takeover_state::ordering:
         return advance_fenced(t, service, g, takeover_event::timed_out,
                               g.m_next_action_at, now);
@@ -279,34 +313,6 @@
                                });
 }
 
-void update_log_locations(failover_task_state& t)
-{
-    const time_point now = boot_now();
-    for (const auto& [id, e] : t.m_endpoints->m_endpoints)
-    {
-        group_log_location& location =
-            t.m_groups[e.m_service].m_log_locations[e.m_address];
-        location.m_seen_at = now;
-        location.m_drained = e.m_draining;
-    }
-    for (auto& [service, g] : t.m_groups)
-    {
-        g.m_size = std::max(
-            g.m_size, static_cast<std::uint32_t>(g.m_log_locations.size()));
-        std::erase_if(g.m_log_locations,
-                      [&g = g, now](const auto& entry)
-                      {
-                          const group_log_location& p = entry.second;
-                          const duration age =
-                              p.m_drained ? duration(drained_log_retention)
-                                          : duration(lost_log_retention);
-                          const bool over = now - p.m_seen_at >= age;
-                          g.m_size -= over ? 1U : 0U;
-                          return over;
-                      });
-    }
-}
-
 void advance_groups(failover_task_state& t, time_point now)
 {
     if (!t.m_config || !t.m_endpoints || t.m_stopping ||
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -28,6 +28,10 @@
     if (m.m_term < g.m_report.m_term)
         return;
     g.m_report = m;
+    if (m.m_primary.empty())
+        return;
+    g.m_last_primary = m.m_primary;
+    g.m_last_primary_term = m.m_term;
 }
 
 void collect_counts(metric_families& families, const failover_counts& c)
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -33,6 +33,9 @@
 inline constexpr std::chrono::seconds fencing_timeout{3};
 /// The interval at which fenced members are polled until one of them leads.
 inline constexpr std::chrono::milliseconds fence_poll_interval{100};
+/// How long a holder waits for the store's list of endpoints before it asks
+/// again. A call to the store takes 1.2 s at most.
+inline constexpr std::chrono::milliseconds member_list_timeout{1300};
 /// The delay before the next attempt after a takeover that was given up.
 inline constexpr std::chrono::milliseconds takeover_retry_delay{500};
 /// How long the task keeps asking a replaced primary that doesn't answer to
@@ -55,6 +58,7 @@
 {
     time_point m_seen_at{};
     bool m_drained = false; ///< Its endpoint was draining when last seen.
+    site_endpoint m_endpoint; ///< As last listed.
 };
 
 /// A replaced primary that is asked to step down until it answers. A later
@@ -81,7 +85,9 @@
     takeover_state m_state = takeover_state::led;
     primary_report m_report;
     std::map<address, group_log_location> m_log_locations;
-    std::uint32_t m_size = 0; ///< Log locations, with those not seen lately.
+    std::uint32_t m_size = 0;   ///< Log locations, with those not seen lately.
+    std::string m_last_primary; ///< The last one that was reported.
+    term_number m_last_primary_term = 0;
     takeover_reason m_reason = takeover_reason::none;
     time_point m_began_at{};
     time_point m_next_action_at{}; ///< When the current state acts next.
@@ -92,7 +98,9 @@
     ordered_promotion m_ordered; ///< By this or the last duty holder.
     sent_order m_last_order;     ///< Kept after it has expired, for the log.
     std::vector<takeover_participant> m_members;
-    time_point m_next_poll_at{}; ///< When fenced members are polled next.
+    time_point m_next_poll_at{};      ///< When fenced members are polled next.
+    bool m_members_listed = false;    ///< The store's list was just read.
+    time_point m_unconfirmed_since{}; ///< Of the fence, before an order.
     std::map<std::string, pending_step_down> m_step_downs; ///< By endpoint.
     /// Replicas that stayed paused without a takeover, and are resumed.
     std::map<std::string, std::unique_ptr<order_connection>> m_resumed;
@@ -176,7 +184,7 @@
                       failover_group& g, takeover_participant& m,
                       group_order order);
 /// Asks all members for their statuses, at most once each
-/// fence_poll_interval.
+/// fence_poll_interval. A primary of the old term is told to step down.
 void poll_members(failover_task_state& t, const std::string& service,
                   failover_group& g, time_point now);
 /// Ends the step-downs of members whose term isn't the newest that the members
@@ -196,6 +204,24 @@
                         const std::string& service, const failover_group& g,
                         time_point now);
 
+// failover_members.cpp
+/// Starts the list of members of a takeover: all endpoints of the group that
+/// are listed, and those that were until a while ago.
+void collect_members(const failover_task_state& t, const std::string& service,
+                     failover_group& g);
+/// Applies changes of the list of endpoints to the members of a takeover.
+void update_members(const failover_task_state& t, const std::string& service,
+                    failover_group& g);
+/// Asks the store for the list of endpoints, whose answer sets
+/// m_members_listed for max_fence_age, and adds members that it has beside the
+/// known ones.
+void list_members(failover_task_state& t, const std::string& service,
+                  failover_group& g);
+/// Returns the members that the decision is made on. Logs whose endpoint is
+/// unknown count as unreachable members; empty ones don't count.
+std::vector<takeover_member> decision_members(const failover_group& g);
+void update_log_locations(failover_task_state& t);
+
 // failover_pauses.cpp
 /// Resumes the members that a takeover paused before it was given up.
 void resume_members(failover_task_state& t, const std::string& service,
@@ -209,7 +235,6 @@
 /// Fires an event on the group's takeover chart.
 void fire(failover_task_state& t, const std::string& service, failover_group& g,
           takeover_event event);
-void update_log_locations(failover_task_state& t);
 void advance_groups(failover_task_state& t, time_point now);
 /// Continues the takeovers that waited for their orders to be stored.
 void handle_orders_recorded(failover_task_state& t);
--- a/Source/session/site_charts.cpp
+++ b/Source/session/site_charts.cpp
@@ -15,16 +15,17 @@
     "failed", "timer_expired", "relayed",          "relay_lost"};
 constexpr std::array<std::string_view, 4> watch_actions{"read_all", "watch",
                                                         "pause", "back_off"};
-constexpr std::array<std::string_view, 6> takeover_states{
-    "led", "touching", "recording", "waiting", "ordering", "confirming"};
-constexpr std::array<std::string_view, 11> takeover_events{
+constexpr std::array<std::string_view, 7> takeover_states{
+    "led",       "touching", "recording", "waiting",
+    "reviewing", "ordering", "confirming"};
+constexpr std::array<std::string_view, 12> takeover_events{
     "duty_lost",         "primary_suspected", "fenced",
     "given_up",          "recorded",          "leases_expired",
     "ordered",           "timed_out",         "successor_not_running",
-    "primary_confirmed", "fence_lost"};
-constexpr std::array<std::string_view, 9> takeover_actions{
-    "fence",   "record",   "resume",       "wait",       "order",
-    "confirm", "announce", "end_takeover", "renew_fence"};
+    "primary_confirmed", "fence_lost",        "members_confirmed"};
+constexpr std::array<std::string_view, 10> takeover_actions{
+    "fence",   "record",   "resume",       "wait",        "order",
+    "confirm", "announce", "end_takeover", "renew_fence", "list_members"};
 constexpr std::array<std::string_view, 4> cell_states{"no_cell", "follower",
                                                       "candidate", "leader"};
 constexpr std::array<std::string_view, 6> cell_events{
--- a/Source/session/site_charts.hpp
+++ b/Source/session/site_charts.hpp
@@ -46,6 +46,7 @@
     touching,
     recording,
     waiting,
+    reviewing,
     ordering,
     confirming,
 };
@@ -63,6 +64,7 @@
     successor_not_running,
     primary_confirmed,
     fence_lost,
+    members_confirmed,
 };
 
 enum class takeover_action : std::uint8_t
@@ -76,6 +78,7 @@
     announce,
     end_takeover,
     renew_fence,
+    list_members,
 };
 
 enum class cell_state : std::uint8_t
--- a/Tests/site/lone_failover_task.cpp
+++ b/Tests/site/lone_failover_task.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include <decide/takeover.hpp>
+#include <nlohmann/json.hpp>
 #include <platform/line_codec.hpp>
 #include <platform/store_value_codec.hpp>
 #include <task/boot_clock.hpp>
@@ -29,7 +30,8 @@
 }
 
 endpoint_snapshot_ptr
-make_endpoints(const std::map<std::string, address>& group)
+make_endpoints(const std::map<std::string, address>& group,
+               const std::set<std::string>& draining)
 {
     auto* endpoints = new endpoint_snapshot;
     endpoint_snapshot_ptr owned(endpoints);
@@ -40,18 +42,39 @@
         e.m_service = service;
         e.m_address = at;
         e.m_zone = "zone-1";
+        e.m_draining = draining.contains(id);
     }
     return owned;
 }
 
-// A store with the record of the duty only.
-object_store make_store(stored_object& duty)
+std::vector<stored_change>
+to_entries(const std::map<std::string, address>& group)
+{
+    std::vector<stored_change> entries;
+    for (const auto& [id, at] : group)
+    {
+        const nlohmann::json value{{"service", service},
+                                   {"address", to_string(at)},
+                                   {"zone", "zone-1"},
+                                   {"state", "ready"}};
+        entries.push_back({{id, 1, value.dump()}, false});
+    }
+    return entries;
+}
+
+// A store with the record of the duty, and a list of endpoints.
+object_store
+make_store(stored_object& duty,
+           const std::function<std::vector<stored_change>()>& list_endpoints)
 {
     object_store s;
-    s.m_list = [&duty](stored_kind, bool, const store_callback& done)
+    s.m_list = [&duty, list_endpoints](stored_kind kind, bool,
+                                       const store_callback& done)
     {
         store_answer a;
-        if (duty.m_revision > 0)
+        if (kind == stored_kind::endpoints)
+            a.m_changes = list_endpoints();
+        else if (duty.m_revision > 0)
             a.m_changes = {{duty, false}};
         a.m_revision = duty.m_revision;
         done(a);
@@ -95,21 +118,31 @@
         "failover",
         [this]
         {
-            run_failover_task(m_settings,
-                              {line_codec(), store_value_codec(),
-                               [this](loop&)
-                               {
-                                   return make_store(m_duty);
-                               },
-                               [](loop&) -> send_promotion_function
-                               {
-                                   return [](const promotion_order&,
-                                             const promotion_callback& done)
-                                   {
-                                       done(promotion_order_result::refused);
-                                   };
-                               }},
-                              m_charts, m_boxes);
+            run_failover_task(
+                m_settings,
+                {line_codec(), store_value_codec(),
+                 [this](loop&)
+                 {
+                     return make_store(m_duty,
+                                       [this]
+                                       {
+                                           const std::lock_guard held(m_lock);
+                                           return m_stored_endpoints;
+                                       });
+                 },
+                 [this](loop&) -> send_promotion_function
+                 {
+                     return [this](const promotion_order& order,
+                                   const promotion_callback& done)
+                     {
+                         {
+                             const std::lock_guard held(m_lock);
+                             m_ordered.push_back(order.m_endpoint);
+                         }
+                         done(promotion_order_result::refused);
+                     };
+                 }},
+                m_charts, m_boxes);
         });
     // Reports from before the duty was acquired don't count.
     if (!await(
@@ -126,20 +159,47 @@
     m_task.reset();
 }
 
-void lone_failover_task::list(const std::map<std::string, address>& group)
-{
-    m_boxes.m_failover.post(endpoints_changed{make_endpoints(group)});
-}
-
 void lone_failover_task::report_silent(const std::string& primary,
                                        term_number term)
 {
-    primary_report r{service, primary, term, {}, {}};
+    primary_report r;
+    r.m_service = service;
+    r.m_primary = primary;
+    r.m_term = term;
     r.m_evidence.m_known = true;
     r.m_evidence.m_last_contact_at = boot_now() - 2 * primary_timeout;
     m_boxes.m_failover.post(std::move(r));
 }
 
+void lone_failover_task::report_missing(term_number term)
+{
+    primary_report r;
+    r.m_service = service;
+    r.m_term = term;
+    r.m_evidence.m_last_contact_at = boot_now() - 2 * primary_timeout;
+    m_boxes.m_failover.post(std::move(r));
+}
+
+void lone_failover_task::list(const std::map<std::string, address>& group,
+                              const std::set<std::string>& draining)
+{
+    list_in_store(group);
+    m_boxes.m_failover.post(endpoints_changed{make_endpoints(group, draining)});
+}
+
+void lone_failover_task::list_in_store(
+    const std::map<std::string, address>& group)
+{
+    const std::lock_guard held(m_lock);
+    m_stored_endpoints = to_entries(group);
+}
+
+std::vector<std::string> lone_failover_task::ordered() const
+{
+    const std::lock_guard held(m_lock);
+    return m_ordered;
+}
+
 bool lone_failover_task::await(const std::function<bool()>& check)
 {
     const time_point begin = boot_now();
--- a/Tests/site/lone_failover_task.hpp
+++ b/Tests/site/lone_failover_task.hpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,11 +29,20 @@
     lone_failover_task(const lone_failover_task&) = delete;
     lone_failover_task& operator=(const lone_failover_task&) = delete;
 
-    /// Replaces the list of endpoints.
-    void list(const std::map<std::string, address>& group);
     /// Reports that this primary hasn't answered for longer than
     /// primary_timeout.
     void report_silent(const std::string& primary, term_number term);
+    /// Reports that no primary is known, for longer than primary_timeout.
+    void report_missing(term_number term);
+    /// Replaces the list of endpoints that the task is told of, and the
+    /// store's.
+    void list(const std::map<std::string, address>& group,
+              const std::set<std::string>& draining = {});
+    /// Replaces the list of endpoints in the store, as if the change hadn't
+    /// reached the process.
+    void list_in_store(const std::map<std::string, address>& group);
+    /// The endpoints that were ordered to lead; each order is refused.
+    std::vector<std::string> ordered() const;
     /// Takes messages until the check holds. False after 10 s.
     bool await(const std::function<bool()>& check);
     /// What the session task was told of new primaries.
@@ -39,6 +50,9 @@
 
 private:
     loop m_loop = make_loop(); ///< Of the test; the mailbox's event uses it.
+    mutable std::mutex m_lock; ///< Of what the task's thread uses, too.
+    std::vector<stored_change> m_stored_endpoints;
+    std::vector<std::string> m_ordered;
     timer m_pause;
     site_settings m_settings;
     site_charts m_charts;
