failover: Count no empty log, and forget none by time alone

Cause: endpoints that joined while nobody led, with nothing to copy, filled the quorum; the logs of endpoints that had drained stopped counting after 5 s, others after 60 s, whether or not anybody else had what they held; and a size that another holder had stored never shrank.

Change: a log at term 0 is neither counted nor chosen once the group has had a primary. A log that is gone counts until a primary leads and its synchronous replicas are seen to have all that it had after the log was gone; the record of the duty says which logs are gone, in place of their number alone, and the newest term that may have begun. So that groups don't wait for logs that never return, the end of a term is used and recorded: once its primary has stepped down, who isn't behind that position may lead, whatever the quorum. An order that has expired, and whose endpoint answers in the old term, is forgotten.

--- a/Source/decide/duty_lease.hpp
+++ b/Source/decide/duty_lease.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include <decide/usage_report.hpp>
+#include <model/address.hpp>
 #include <model/clock.hpp>
 #include <model/log_position.hpp>
 
@@ -40,6 +41,30 @@
                            const pending_promotion&) = default;
 };
 
+/// The log of an endpoint that is gone, as it may have held commits that no
+/// other endpoint has received since.
+struct gone_log
+{
+    bool m_drained = false; ///< Its endpoint was draining when last seen.
+    duration m_ago{};       ///< Since it was last seen, when it was stored.
+
+    friend bool operator==(const gone_log&, const gone_log&) = default;
+};
+
+/// The logs of one group that are gone, by address.
+using gone_logs = std::map<address, gone_log>;
+
+/// The end of a term: its primary was fenced with this log, so that no commit
+/// beyond it was acknowledged.
+struct final_position
+{
+    term_number m_term = 0; ///< Led by that primary.
+    log_position m_position;
+
+    friend bool operator==(const final_position&,
+                           const final_position&) = default;
+};
+
 /// The stored object that records which process holds a duty, and what a
 /// successor has to know of the holder's acts.
 struct duty_record
@@ -54,6 +79,13 @@
     /// By service: number of logs that may hold its commits. Stored because a
     /// holder that has just started doesn't see unreachable endpoints.
     std::map<std::string, std::uint32_t, std::less<>> m_group_sizes;
+    /// By service: which of these logs are gone. Absent in records of earlier
+    /// builds.
+    std::optional<std::map<std::string, gone_logs, std::less<>>> m_gone_logs;
+    /// By service: the end of the newest term that has ended.
+    std::map<std::string, final_position, std::less<>> m_final_positions;
+    /// By service: the newest term that may have begun.
+    std::map<std::string, term_number, std::less<>> m_newest_terms;
     std::optional<usage_report> m_report; ///< The last one; may be in transit.
 };
 
--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -259,6 +259,29 @@
     return std::max(*floor, *own);
 }
 
+time_point replicated_until(const group_view& g)
+{
+    if (g.m_primary.empty())
+        return {};
+    std::vector<log_position> received;
+    for (const auto& [id, seen] : g.m_observations)
+        if (id != g.m_primary &&
+            seen.m_status.m_role == endpoint_role::replica &&
+            seen.m_status.m_term == g.m_term)
+            received.push_back(seen.m_status.m_position);
+    if (received.size() < g.m_sync_replicas)
+        return {};
+    std::ranges::sort(received, std::greater());
+    const auto sample = std::ranges::find_if(
+        g.m_samples.rbegin(), g.m_samples.rend(),
+        [&](const position_sample& s)
+        {
+            return g.m_sync_replicas == 0 ||
+                   s.m_position <= received[g.m_sync_replicas - 1];
+        });
+    return sample == g.m_samples.rend() ? time_point{} : sample->m_asked_at;
+}
+
 std::vector<std::string> paused_replicas(const group_view& g)
 {
     std::vector<std::string> paused;
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -147,6 +147,9 @@
 std::optional<log_position>
 session_floor(const group_view& g, const std::optional<log_position>& floor,
               const std::optional<log_position>& own);
+/// Returns the latest time for which m_sync_replicas listed replicas are known
+/// to have everything that the primary's log held then, or zero.
+time_point replicated_until(const group_view& g);
 /// Returns the replicas whose last status showed them paused, by id.
 std::vector<std::string> paused_replicas(const group_view& g);
 /// Returns true when the primary is unknown or the lease ends within `margin`.
--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -123,6 +123,30 @@
     return wanted;
 }
 
+bool may_hold_commits(const takeover_member& m, term_number newest) noexcept
+{
+    const bool is_empty = m.m_reachable && m.m_status.m_term == 0 &&
+                          m.m_status.m_position == log_position{};
+    return !is_empty || newest == 0;
+}
+
+std::optional<log_position>
+find_end_of_term(std::span<const takeover_member> members, term_number newest,
+                 term_number term) noexcept
+{
+    const auto primary =
+        std::ranges::find_if(members,
+                             [&](const takeover_member& m)
+                             {
+                                 return m.m_stepped_down &&
+                                        is_fenced(m, term) &&
+                                        m.m_status.m_term >= newest;
+                             });
+    if (primary == members.end())
+        return std::nullopt;
+    return primary->m_status.m_position;
+}
+
 namespace
 {
 
@@ -155,14 +179,15 @@
 
 std::optional<std::string>
 choose_successor(std::span<const takeover_member> members, term_number term,
-                 std::uint32_t sync_replicas, std::string_view ordered)
+                 std::uint32_t sync_replicas, std::string_view ordered,
+                 std::optional<log_position> end)
 {
     const std::size_t needed = fence_quorum(members.size(), sync_replicas);
     std::vector<const takeover_member*> fenced;
     for (const takeover_member& m : members)
         if (is_fenced(m, term))
             fenced.push_back(&m);
-    if (fenced.size() < needed)
+    if (fenced.size() < needed && !end)
         return std::nullopt;
     // Any `needed` logs together hold every acknowledged commit, so leaving
     // members are ignored as long as enough others remain.
@@ -173,7 +198,17 @@
                              return !m->m_leaving;
                          });
     if (eligible.size() < needed)
+    {
         eligible = fenced;
+        if (end)
+            std::erase_if(eligible,
+                          [&](const takeover_member* m)
+                          {
+                              return m->m_status.m_position < *end;
+                          });
+    }
+    if (eligible.empty())
+        return std::nullopt;
     if (!ordered.empty())
         return choose_ordered(fenced, eligible, ordered);
     const auto best = std::ranges::max_element(
@@ -201,7 +236,8 @@
 
 fence_state evaluate_fence(std::span<const takeover_member> members,
                            term_number term, std::uint32_t sync_replicas,
-                           std::string_view successor, time_point since)
+                           std::string_view successor, time_point since,
+                           std::optional<log_position> end)
 {
     std::vector<takeover_member> recent(members.begin(), members.end());
     for (takeover_member& m : recent)
@@ -210,15 +246,16 @@
         if (m.m_fence_lost || takes_part(m, term))
             return fence_state::lost;
     }
-    if (choose_successor(recent, term, sync_replicas, successor))
+    if (choose_successor(recent, term, sync_replicas, successor, end))
         return fence_state::confirmed;
-    const bool is_behind = choose_successor(recent, term, sync_replicas) &&
-                           std::ranges::any_of(recent,
-                                               [&](const takeover_member& m)
-                                               {
-                                                   return m.m_id == successor &&
-                                                          is_fenced(m, term);
-                                               });
+    const bool is_behind =
+        choose_successor(recent, term, sync_replicas, {}, end) &&
+        std::ranges::any_of(recent,
+                            [&](const takeover_member& m)
+                            {
+                                return m.m_id == successor &&
+                                       is_fenced(m, term);
+                            });
     return is_behind ? fence_state::lost : fence_state::unconfirmed;
 }
 
@@ -228,6 +265,13 @@
     return o.m_endpoint == primary && term >= o.m_term;
 }
 
+bool had_no_effect(const ordered_promotion& o,
+                   const takeover_member& m) noexcept
+{
+    return o.m_endpoint == m.m_id && m.m_reachable &&
+           m.m_asked_at >= o.m_expires_at && m.m_status.m_term < o.m_term;
+}
+
 std::string_view pending_endpoint(const ordered_promotion& o,
                                   time_point now) noexcept
 {
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -130,17 +130,34 @@
 term_number next_term(std::span<const takeover_member> members,
                       term_number wanted) noexcept;
 
+/// Returns false if the member's log can't hold a commit of a group whose
+/// newest term is `newest`: it joined while nobody led, and had nothing to
+/// copy.
+bool may_hold_commits(const takeover_member& m, term_number newest) noexcept;
+
+/// Returns the end of the term `newest`, the newest that may have begun, if its
+/// primary is one of the members and is fenced for `term`: its log has every
+/// acknowledged commit.
+std::optional<log_position>
+find_end_of_term(std::span<const takeover_member> members, term_number newest,
+                 term_number term) noexcept;
+
 /// Returns the id of the member to promote, or nullopt when too few members are
 /// fenced for `term`. Chooses the most advanced log, and prefers members that
 /// stay over members that leave.
 ///
+/// `end` is the position at which the newest term that may have begun has
+/// ended, if that is known. Then who isn't behind it may be chosen, whatever
+/// the number of members.
+///
 /// While the promotion of `ordered` may still take effect, only that endpoint
 /// is chosen, and only if it's fenced and no eligible member's log is more
 /// advanced: an order for another one could be followed by the earlier
 /// promotion. Empty: no promotion is under way.
 std::optional<std::string>
 choose_successor(std::span<const takeover_member> members, term_number term,
-                 std::uint32_t sync_replicas, std::string_view ordered = {});
+                 std::uint32_t sync_replicas, std::string_view ordered = {},
+                 std::optional<log_position> end = {});
 
 /// What the responses of the members show about the fence of a takeover.
 enum class fence_state : std::uint8_t
@@ -154,7 +171,8 @@
 /// Evaluates the fence by the members that were asked at `since` or later.
 fence_state evaluate_fence(std::span<const takeover_member> members,
                            term_number term, std::uint32_t sync_replicas,
-                           std::string_view successor, time_point since);
+                           std::string_view successor, time_point since,
+                           std::optional<log_position> end = {});
 
 /// A promotion that was ordered and may still take effect.
 struct ordered_promotion
@@ -169,6 +187,11 @@
 bool has_taken_effect(const ordered_promotion& o, std::string_view primary,
                       term_number term) noexcept;
 
+/// Returns true if the ordered endpoint has answered, after the order expired,
+/// in a term before the one that the order would have begun.
+bool had_no_effect(const ordered_promotion& o,
+                   const takeover_member& m) noexcept;
+
 /// Returns the endpoint whose promotion may take effect after `now`, or an
 /// empty string.
 std::string_view pending_endpoint(const ordered_promotion& o,
--- a/Source/session/duty_client.cpp
+++ b/Source/session/duty_client.cpp
@@ -314,6 +314,7 @@
     // The duty is acquired only on a current answer.
     if (allow_stale)
         return read_duty(d, false);
+    d.m_predecessor_seen_at = d.m_seen->m_first_seen_at;
     acquire(d, acquire_duty(d.m_seen->m_record, d.m_settings.m_name,
                             d.m_incarnation));
 }
--- a/Source/session/duty_client.hpp
+++ b/Source/session/duty_client.hpp
@@ -57,6 +57,8 @@
     /// The task has the record of the holder before it. Until then what the
     /// task itself would store must not replace that.
     bool m_has_taken_over = false;
+    /// When this process first saw the record that it acquired the duty by.
+    time_point m_predecessor_seen_at{};
     std::size_t m_writes_in_flight = 0;
     bool m_read_pending = false;
     time_point m_read_sent_at{};
--- a/Source/session/failover_duty.cpp
+++ b/Source/session/failover_duty.cpp
@@ -18,11 +18,7 @@
     request_reports(t, true);
     for (auto& [service, g] : t.m_groups)
         g.m_report = {};
-    for (const auto& [service, size] : record.m_group_sizes)
-    {
-        failover_group& g = t.m_groups[service];
-        g.m_size = std::max(g.m_size, size);
-    }
+    adopt_recorded_logs(t, record, t.m_duty.m_predecessor_seen_at);
     // The previous holder sends no order after this process has the duty.
     const time_point expires_at = boot_now() + promotion_order_lifetime;
     for (const auto& [service, ordered] : record.m_pending_promotions)
@@ -35,6 +31,7 @@
 void fill_record(const failover_task_state& t, duty_record& record)
 {
     record.m_pending_promotions.clear();
+    record.m_gone_logs.emplace();
     for (const auto& [service, g] : t.m_groups)
     {
         const std::string_view ordered =
@@ -45,7 +42,7 @@
         else if (!ordered.empty())
             record.m_pending_promotions[service] = {std::string(ordered),
                                                     g.m_ordered.m_term};
-        record.m_group_sizes[service] = g.m_size;
+        record_logs(g, service, record);
     }
 }
 
--- a/Source/session/failover_fencing.cpp
+++ b/Source/session/failover_fencing.cpp
@@ -212,8 +212,7 @@
 
 void end_old_step_downs(failover_group& g, time_point now)
 {
-    const term_number newest = std::max(
-        {g.m_old_term, g.m_report.m_term, newest_term(decision_members(g))});
+    const term_number newest = newest_known_term(g);
     for (takeover_participant& m : g.m_members)
         end_old_step_down(m.m_member, newest, g.m_term, now);
 }
@@ -243,7 +242,7 @@
 {
     return evaluate_fence(decision_members(g), g.m_term,
                           sync_replicas(t, service), g.m_successor,
-                          now - max_fence_age);
+                          now - max_fence_age, end_of_newest_term(g, now));
 }
 
 void advance_fencing(failover_task_state& t, const std::string& service,
@@ -271,7 +270,8 @@
     }
     const std::vector<takeover_member> members = decision_members(g);
     const auto successor =
-        choose_successor(members, g.m_term, sync_replicas(t, service), ordered);
+        choose_successor(members, g.m_term, sync_replicas(t, service), ordered,
+                         end_of_newest_term(g, now));
     // A member that hasn't answered yet may have the longer log.
     const bool waits =
         now - g.m_began_at < group_order_timeout &&
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -333,7 +333,10 @@
 void handle_duty_lost(failover_task_state& t)
 {
     for (auto& [service, g] : t.m_groups)
+    {
         fire(t, service, g, takeover_event::duty_lost);
+        g.m_report = {};
+    }
 }
 
 }
--- a/Source/session/failover_members.cpp
+++ b/Source/session/failover_members.cpp
@@ -43,6 +43,95 @@
     m.m_reply_pending = false;
 }
 
+bool is_known_empty(const takeover_participant& m, term_number newest)
+{
+    return !may_hold_commits(m.m_member, newest);
+}
+
+void note_empty_logs(failover_group& g)
+{
+    const term_number newest = newest_known_term(g);
+    for (const takeover_participant& m : g.m_members)
+    {
+        const auto at = g.m_log_locations.find(m.m_endpoint.m_address);
+        if (m.m_member.m_reachable && at != g.m_log_locations.end())
+            at->second.m_empty = is_known_empty(m, newest);
+    }
+}
+
+// The time from which on the endpoint of a log that is gone receives nothing
+// any more.
+time_point ended_at(const group_log_location& l)
+{
+    return l.m_seen_at + (l.m_drained ? duration(drained_log_retention)
+                                      : duration(lost_log_retention));
+}
+
+void update_location(failover_group& g, const site_endpoint& e, time_point now)
+{
+    group_log_location& l = g.m_log_locations[e.m_address];
+    // A restart without a drain before loses the log, which a new endpoint at
+    // the address of a drained one takes over.
+    const bool has_restarted = !l.m_endpoint.m_id.empty() && !l.m_drained &&
+                               !l.m_empty &&
+                               l.m_endpoint.m_started_ms != e.m_started_ms;
+    if (has_restarted)
+        g.m_lost_logs.push_back(now);
+    l.m_seen_at = now;
+    l.m_drained = e.m_draining;
+    l.m_empty = l.m_empty && l.m_endpoint.m_started_ms == e.m_started_ms;
+    l.m_endpoint = e;
+}
+
+// How long a process without the duty remembers a log that is gone. When it
+// acquires the duty, the record says which of them still count, so only those
+// matter that have gone since its last renewal.
+constexpr std::chrono::minutes unreported_log_retention{10};
+
+// A log that is gone is forgotten once others have everything that it had.
+void forget_replaced_logs(failover_group& g, time_point now)
+{
+    const time_point replicated = g.m_report.m_replicated_until;
+    const bool has_reports = !g.m_report.m_service.empty();
+    std::erase_if(g.m_log_locations,
+                  [&](const auto& entry)
+                  {
+                      const group_log_location& l = entry.second;
+                      const bool is_old =
+                          !has_reports &&
+                          now - l.m_seen_at >= unreported_log_retention;
+                      return l.m_seen_at != now &&
+                             (l.m_empty || is_old || replicated >= ended_at(l));
+                  });
+    std::erase_if(g.m_lost_logs,
+                  [&](time_point ended_at)
+                  {
+                      return replicated >= ended_at;
+                  });
+    g.m_size = static_cast<std::uint32_t>(g.m_log_locations.size() +
+                                          g.m_lost_logs.size());
+}
+
+// Remembers where the newest term has ended once its primary is fenced, and
+// forgets an order that had no effect.
+void update_end_of_term(failover_group& g)
+{
+    for (const takeover_participant& m : g.m_members)
+    {
+        if (had_no_effect(g.m_ordered, m.m_member))
+            g.m_ordered = {};
+        // A restart may have ended its step-down.
+        if (m.m_member.m_reachable &&
+            m.m_member.m_status.m_role == endpoint_role::primary &&
+            m.m_member.m_status.m_term >= g.m_end.m_term)
+            g.m_end = {};
+    }
+    const term_number newest = newest_known_term(g);
+    const auto end = find_end_of_term(decision_members(g), newest, g.m_term);
+    if (end)
+        g.m_end = {newest, *end};
+}
+
 }
 
 void collect_members(const failover_task_state& t, const std::string& service,
@@ -63,8 +152,14 @@
 void update_members(const failover_task_state& t, const std::string& service,
                     failover_group& g)
 {
+    const term_number newest = newest_known_term(g);
     for (takeover_participant& m : g.m_members)
         update_listing(t, m);
+    std::erase_if(g.m_members,
+                  [&](const takeover_participant& m)
+                  {
+                      return !m.m_member.m_listed && is_known_empty(m, newest);
+                  });
     for (const auto& [id, e] : t.m_endpoints->m_endpoints)
     {
         if (e.m_service != service || find_member(g, id) != nullptr)
@@ -74,6 +169,21 @@
         update_listing(t, m);
         g.m_members.push_back(std::move(m));
     }
+    note_empty_logs(g);
+    update_end_of_term(g);
+}
+
+std::optional<log_position> end_of_newest_term(const failover_group& g,
+                                               time_point now)
+{
+    // An order that has expired may have begun a term without an answer that
+    // shows it.
+    const bool is_expired = !g.m_ordered.m_endpoint.empty() &&
+                            pending_endpoint(g.m_ordered, now).empty();
+    if (is_expired || g.m_end.m_term == 0 ||
+        g.m_end.m_term < newest_known_term(g))
+        return std::nullopt;
+    return g.m_end.m_position;
 }
 
 namespace
@@ -122,36 +232,113 @@
 
 std::vector<takeover_member> decision_members(const failover_group& g)
 {
+    const term_number newest = newest_known_term(g);
     std::vector<takeover_member> members;
+    std::size_t empty = 0;
     for (const takeover_participant& m : g.m_members)
-        members.push_back(m.m_member);
-    while (members.size() < g.m_size)
+        if (is_known_empty(m, newest))
+            ++empty;
+        else
+            members.push_back(m.m_member);
+    while (members.size() + empty < g.m_size)
         members.emplace_back();
     return members;
 }
 
+term_number newest_known_term(const failover_group& g)
+{
+    term_number newest =
+        std::max({g.m_old_term, g.m_report.m_term, g.m_newest_term});
+    for (const takeover_participant& m : g.m_members)
+        newest = std::max({newest, m.m_member.m_status.m_term,
+                           m.m_member.m_status.m_position.m_term});
+    return newest;
+}
+
 void update_log_locations(failover_task_state& t)
 {
     const time_point now = boot_now();
     for (const auto& [id, e] : t.m_endpoints->m_endpoints)
-        t.m_groups[e.m_service].m_log_locations[e.m_address] = {
-            now, e.m_draining, e};
+        update_location(t.m_groups[e.m_service], e, now);
     for (auto& [service, g] : t.m_groups)
+        forget_replaced_logs(g, now);
+}
+
+namespace
+{
+
+void adopt_gone_logs(failover_group& g, const gone_logs& recorded,
+                     time_point recorded_at, time_point now)
+{
+    // The holder before has found that the others are replaced.
+    std::erase_if(g.m_log_locations,
+                  [&](const auto& entry)
+                  {
+                      return entry.second.m_seen_at <
+                                 recorded_at - drained_log_retention &&
+                             !recorded.contains(entry.first);
+                  });
+    for (const auto& [at, log] : recorded)
+        g.m_log_locations.try_emplace(
+            at, group_log_location{now - log.m_ago, log.m_drained, false, {}});
+}
+
+// Earlier builds record how many logs there are, without their addresses.
+void adopt_size(failover_group& g, std::uint32_t size, time_point now)
+{
+    if (size > g.m_size)
+        g.m_lost_logs.resize(g.m_lost_logs.size() + size - g.m_size,
+                             now + lost_log_retention);
+}
+
+}
+
+void adopt_recorded_logs(failover_task_state& t, const duty_record& record,
+                         time_point recorded_at)
+{
+    const time_point now = boot_now();
+    for (const auto& [service, end] : record.m_final_positions)
+    {
+        failover_group& g = t.m_groups[service];
+        if (end.m_term > g.m_end.m_term)
+            g.m_end = end;
+    }
+    for (const auto& [service, term] : record.m_newest_terms)
+    {
+        failover_group& g = t.m_groups[service];
+        g.m_newest_term = std::max(g.m_newest_term, term);
+    }
+    if (t.m_endpoints)
+        update_log_locations(t);
+    for (const auto& [service, size] : record.m_group_sizes)
     {
-        g.m_size = std::max(
-            g.m_size, static_cast<std::uint32_t>(g.m_log_locations.size()));
-        std::erase_if(g.m_log_locations,
-                      [&g = g, now](const auto& entry)
-                      {
-                          const group_log_location& p = entry.second;
-                          const duration age =
-                              p.m_drained ? duration(drained_log_retention)
-                                          : duration(lost_log_retention);
-                          const bool over = now - p.m_seen_at >= age;
-                          g.m_size -= over ? 1U : 0U;
-                          return over;
-                      });
+        if (!record.m_gone_logs)
+        {
+            adopt_size(t.m_groups[service], size, now);
+            continue;
+        }
+        const auto logs = record.m_gone_logs->find(service);
+        adopt_gone_logs(t.m_groups[service],
+                        logs == record.m_gone_logs->end() ? gone_logs{}
+                                                          : logs->second,
+                        recorded_at, now);
     }
 }
 
+void record_logs(const failover_group& g, const std::string& service,
+                 duty_record& record)
+{
+    const time_point now = boot_now();
+    record.m_group_sizes[service] = g.m_size;
+    record.m_newest_terms[service] =
+        std::max({record.m_newest_terms[service], g.m_newest_term,
+                  g.m_report.m_term, g.m_ordered.m_term});
+    if (g.m_end.m_term != 0)
+        record.m_final_positions[service] = g.m_end;
+    for (const auto& [at, l] : g.m_log_locations)
+        if (!l.m_empty && now - l.m_seen_at > failover_tick)
+            (*record.m_gone_logs)[service][at] = {l.m_drained,
+                                                  now - l.m_seen_at};
+}
+
 }
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -30,6 +30,8 @@
     g.m_report = m;
     if (m.m_primary.empty())
         return;
+    if (g.m_state == takeover_state::led && m.m_term >= g.m_end.m_term)
+        g.m_end = {};
     g.m_last_primary = m.m_primary;
     g.m_last_primary_term = m.m_term;
 }
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,7 +59,9 @@
 {
     time_point m_seen_at{};
     bool m_drained = false; ///< Its endpoint was draining when last seen.
-    site_endpoint m_endpoint; ///< As last listed.
+    bool m_empty = false; ///< It held nothing when its endpoint last answered.
+    /// As last listed; without an id if only an earlier holder has seen it.
+    site_endpoint m_endpoint;
 };
 
 /// A replaced primary that is asked to step down until it answers. A later
@@ -85,8 +88,13 @@
     takeover_state m_state = takeover_state::led;
     primary_report m_report;
     std::map<address, group_log_location> m_log_locations;
-    std::uint32_t m_size = 0;   ///< Log locations, with those not seen lately.
-    std::string m_last_primary; ///< The last one that was reported.
+    /// When those endpoints ended at the latest that restarted under their ids,
+    /// or that an earlier build counted without their addresses.
+    std::vector<time_point> m_lost_logs;
+    std::uint32_t m_size = 0;      ///< Logs that are listed or gone.
+    term_number m_newest_term = 0; ///< That an earlier takeover may have begun.
+    final_position m_end;          ///< Of the newest term that has ended.
+    std::string m_last_primary;    ///< The last one that was reported.
     term_number m_last_primary_term = 0;
     takeover_reason m_reason = takeover_reason::none;
     time_point m_began_at{};
@@ -220,7 +228,21 @@
 /// Returns the members that the decision is made on. Logs whose endpoint is
 /// unknown count as unreachable members; empty ones don't count.
 std::vector<takeover_member> decision_members(const failover_group& g);
+/// Returns the newest term of the group that has begun, or may have by an
+/// earlier holder's order.
+term_number newest_known_term(const failover_group& g);
+/// Returns where the newest term has ended, if that is known and no order may
+/// have begun another one.
+std::optional<log_position> end_of_newest_term(const failover_group& g,
+                                               time_point now);
 void update_log_locations(failover_task_state& t);
+/// Takes over which logs are gone from an earlier holder's record, which this
+/// process first saw at `recorded_at`.
+void adopt_recorded_logs(failover_task_state& t, const duty_record& record,
+                         time_point recorded_at);
+/// Sets what a later holder has to know of the groups' logs and terms.
+void record_logs(const failover_group& g, const std::string& service,
+                 duty_record& record);
 
 // failover_pauses.cpp
 /// Resumes the members that a takeover paused before it was given up.
--- a/Source/session/session_groups.cpp
+++ b/Source/session/session_groups.cpp
@@ -391,7 +391,7 @@
     for (const auto& [name, g] : t.m_groups)
     {
         const group_view& view = g.m_view;
-        primary_report r{name, view.m_primary, view.m_term, {}, {}};
+        primary_report r{name, view.m_primary, view.m_term, {}, {}, {}};
         r.m_evidence.m_known = !view.m_primary.empty();
         r.m_evidence.m_last_contact_at = r.m_evidence.m_known
                                              ? g.m_primary_contact_at
@@ -399,6 +399,7 @@
         r.m_evidence.m_takeover_interrupted = view.m_paused_term > view.m_term;
         r.m_evidence.m_commits_stalled_since = oldest_pending_commit(t, g);
         r.m_paused_replicas = paused_replicas(view);
+        r.m_replicated_until = replicated_until(view);
         t.m_mailboxes.m_failover.post(std::move(r));
     }
 }
--- a/Source/session/session_messages.hpp
+++ b/Source/session/session_messages.hpp
@@ -195,6 +195,9 @@
     primary_evidence m_evidence;
     /// Replicas whose last status showed them paused.
     std::vector<std::string> m_paused_replicas;
+    /// The synchronous replicas have all that the primary had then; zero: not
+    /// known.
+    time_point m_replicated_until{};
 };
 
 /// site → session: the process of a peer has ended.
--- a/Tests/site/failover_members_test.cpp
+++ b/Tests/site/failover_members_test.cpp
@@ -22,6 +22,7 @@
 const std::string ahead_paused_status = "replica 3 3.11 4 0";
 const std::string stepped_down_status = "replica 3 3.10 0 0";
 const std::string paused_status = "replica 3 3.10 4 0";
+const std::string empty_status = "replica 0 0.0 4 0";
 
 using group = std::map<std::string, address>;
 
@@ -158,4 +159,52 @@
             CHECK_FALSE(is_ordered(t));
         }
     }
+    WHEN("it had nobody to copy from")
+    {
+        joining.follow({empty_status});
+        t.list(after);
+
+        THEN("the order doesn't wait for it")
+        {
+            REQUIRE(t.await(
+                [&]
+                {
+                    return is_ordered(t);
+                }));
+            CHECK(t.ordered().front() != "i-4");
+        }
+    }
+}
+
+// Guards against LOST: empty endpoints would stand in for those whose logs had
+// the commits.
+SCENARIO("Endpoints join while nobody leads")
+{
+    scripted_endpoint replica({paused_status});
+    scripted_endpoint first({empty_status});
+    scripted_endpoint second({empty_status});
+    const group before{{"i-1", free_address()},
+                       {"i-2", free_address()},
+                       {"i-3", replica.local()}};
+    lone_failover_task t(before);
+    t.list(before, {"i-1", "i-2"});
+    t.list({{"i-3", replica.local()},
+            {"i-4", first.local()},
+            {"i-5", second.local()}});
+    t.report_missing(3);
+
+    THEN("the one that is left of the group isn't ordered to lead")
+    {
+        REQUIRE(t.await(
+            [&]
+            {
+                return first.has_received("STATUS") &&
+                       second.has_received("STATUS");
+            }));
+        CHECK_FALSE(t.await(
+            [&]
+            {
+                return is_ordered(t);
+            }));
+    }
 }
