failover: Mend what the review of the change found

- An endpoint that restarted empty under its id was taken for one that had joined empty, and its lost log wasn't counted: it counts as out of reach unless it was listed after the last contact with a primary.
- An empty endpoint counted for nothing also while it wasn't paused, and stayed marked as empty after the failover, when it could copy a primary's log.
- The record of the duty could miss a term that had just begun, and keep the end of a term that was no longer known; an order to another endpoint was forgotten though it might have taken effect.
- Logs that vanished shortly before the duty changed hands could be forgotten (the margin was 5 s; a record's content may be 15 s old), or by what an old primary and its replica showed.
- Placeholders for logs that are gone were too few beside members without one.
- A member that moved or restarted kept what it had answered before.
- A term counted as new for each process that first saw it, also long after it had begun.
It does only shortly after the last lease of the term before.
- A member that joined late, and couldn't be paused, kept the fence lost for good.

Tests/decide covers the term that is seen late.

--- a/Source/decide/group_relay.cpp
+++ b/Source/decide/group_relay.cpp
@@ -36,7 +36,7 @@
         return false;
     const bool is_new_term = m.m_term > g.m_term;
     if (is_new_term)
-        g.m_term_seen_at = requested_at - m.m_primary_seen_ago;
+        note_new_term(g, requested_at - m.m_primary_seen_ago);
     if (m.m_primary.empty())
     {
         if (is_new_term)
--- a/Source/decide/group_view.cpp
+++ b/Source/decide/group_view.cpp
@@ -83,6 +83,14 @@
 
 }
 
+void note_new_term(group_view& g, time_point seen_at)
+{
+    const bool has_just_begun = g.m_lease_until != time_point{} &&
+                                seen_at - g.m_lease_until < max_lease_gap;
+    g.m_term_grace_until =
+        has_just_begun ? seen_at + leader_lease_duration : time_point{};
+}
+
 void start_term(group_view& g, term_number term, std::string_view primary)
 {
     g.m_term = term;
@@ -113,7 +121,7 @@
     bool changed = false;
     if (status.m_term > g.m_term)
     {
-        g.m_term_seen_at = asked_at;
+        note_new_term(g, asked_at);
         start_term(g, status.m_term, leads ? id : std::string_view());
         changed = true;
     }
@@ -217,7 +225,7 @@
 // commits waiting for as long.
 time_point commits_allowed_until(const group_view& g)
 {
-    return std::max(g.m_lease_until, g.m_term_seen_at + leader_lease_duration);
+    return std::max(g.m_lease_until, g.m_term_grace_until);
 }
 
 bool is_commit_proved(const group_view& g,
--- a/Source/decide/group_view.hpp
+++ b/Source/decide/group_view.hpp
@@ -38,7 +38,11 @@
 /// How long a replica must have been listed when it is asked before its status
 /// counts as proof: promotion_order_lifetime and 1 s. A failover that began
 /// before it was listed may not count it, and so not fence it.
-inline constexpr std::chrono::milliseconds member_settling_time{4000};
+inline constexpr std::chrono::milliseconds member_settling_time{5000};
+/// How long after the last lease of a term the next one may be seen first, and
+/// count as one that has just begun: a failover that takes longer may be
+/// followed by another one before this process sees its result.
+inline constexpr std::chrono::milliseconds max_lease_gap{4000};
 /// Position samples closer together than this are merged into one.
 inline constexpr std::chrono::milliseconds min_sample_interval{20};
 /// Samples older than this are dropped. The longest staleness bound of the
@@ -68,14 +72,14 @@
 struct group_view
 {
     std::uint32_t m_sync_replicas = 0;
-    term_number m_term = 0;         ///< Highest term observed at any endpoint.
-    std::string m_primary;          ///< In m_term; empty: unknown.
-    time_point m_term_seen_at{};    ///< Request by which m_term was first seen.
-    time_point m_primary_seen_at{}; ///< Request of the last status by which
-                                    ///< m_primary led.
-    time_point m_invalidated_at{};  ///< When m_primary was last found not to
-                                    ///< lead, or gone.
-    time_point m_lease_until{};     ///< No later term takes effect earlier.
+    term_number m_term = 0;          ///< Highest term observed at any endpoint.
+    std::string m_primary;           ///< In m_term; empty: unknown.
+    time_point m_term_grace_until{}; ///< See commits_allowed_until.
+    time_point m_primary_seen_at{};  ///< Request of the last status by which
+                                     ///< m_primary led.
+    time_point m_invalidated_at{};   ///< When m_primary was last found not to
+                                     ///< lead, or gone.
+    time_point m_lease_until{};      ///< No later term takes effect earlier.
     std::map<std::string, endpoint_observation, std::less<>>
         m_observations; ///< By id.
     /// When endpoints that were listed later than the group itself settle, by
@@ -105,6 +109,9 @@
 /// Records the position that an endpoint reported in any response.
 void record_position(group_view& g, std::string_view id, log_position position,
                      time_point asked_at);
+/// Records that a term above m_term was first seen by a request at `seen_at`,
+/// before start_term.
+void note_new_term(group_view& g, time_point seen_at);
 /// Starts a term under this primary; what was known of an earlier one doesn't
 /// count any more. An empty primary is unknown.
 void start_term(group_view& g, term_number term, std::string_view primary);
@@ -129,7 +136,8 @@
                       duration staleness);
 /// Returns until when the current term's commits may be sent, and their
 /// acknowledgements passed on: while a lease is in force, and for one lease's
-/// duration after the term was first seen.
+/// duration after the term was first seen, if a lease of the term before ended
+/// within max_lease_gap.
 time_point commits_allowed_until(const group_view& g);
 /// Returns true when the acknowledgement of a commit that got this position may
 /// be passed on at `now`, also if the primary has since been lost.
--- a/Source/decide/takeover.cpp
+++ b/Source/decide/takeover.cpp
@@ -269,7 +269,8 @@
                    const takeover_member& m) noexcept
 {
     return o.m_endpoint == m.m_id && m.m_reachable &&
-           m.m_asked_at >= o.m_expires_at && m.m_status.m_term < o.m_term;
+           m.m_asked_at >= o.m_expires_at && m.m_status.m_term != 0 &&
+           m.m_status.m_term < o.m_term;
 }
 
 std::string_view pending_endpoint(const ordered_promotion& o,
--- a/Source/decide/takeover.hpp
+++ b/Source/decide/takeover.hpp
@@ -188,7 +188,8 @@
                       term_number term) noexcept;
 
 /// Returns true if the ordered endpoint has answered, after the order expired,
-/// in a term before the one that the order would have begun.
+/// in a term before the one that the order would have begun. One that has
+/// restarted, and follows nobody yet, shows nothing.
 bool had_no_effect(const ordered_promotion& o,
                    const takeover_member& m) noexcept;
 
--- a/Source/session/failover_groups.cpp
+++ b/Source/session/failover_groups.cpp
@@ -58,6 +58,10 @@
     g.m_next_action_at = now + order_retry_interval;
     if (!holds_duty(t.m_duty, now))
         return;
+    // The earlier order may have begun a term without an answer that shows it.
+    if (!g.m_ordered.m_endpoint.empty() &&
+        g.m_ordered.m_endpoint != g.m_successor)
+        g.m_newest_term = std::max(g.m_newest_term, g.m_ordered.m_term);
     g.m_ordered = {g.m_successor, now + promotion_order_lifetime,
                    g.m_old_term + 1};
     const std::uint64_t token = t.m_duty.m_seen->m_record.m_token;
@@ -94,6 +98,7 @@
     if (lead == nullptr)
         return;
     const std::string& id = lead->m_endpoint.m_id;
+    g.m_newest_term = std::max(g.m_newest_term, lead->m_member.m_status.m_term);
     ++t.m_promotions;
     log_event(event_id::takeover_done,
               {{"service", service},
@@ -120,6 +125,8 @@
 {
     g.m_began_at = boot_now();
     g.m_next_action_at = g.m_began_at + order_retry_interval;
+    for (takeover_participant& m : g.m_members)
+        m.m_member.m_joined_late = false;
     fence_members(t, service, g);
 }
 
@@ -134,6 +141,9 @@
         g.m_ordered = {};
     if (was_recorded && holds_duty(t.m_duty, now))
         record_duty(t.m_duty);
+    // From now on they may copy the log of a primary.
+    for (auto& [at, l] : g.m_log_locations)
+        l.m_empty = false;
     // The session task may not have reported the result yet. Counting this as a
     // contact keeps the old report from starting another takeover at once.
     g.m_report.m_evidence.m_last_contact_at = now;
--- a/Source/session/failover_members.cpp
+++ b/Source/session/failover_members.cpp
@@ -28,6 +28,27 @@
            g.m_state != takeover_state::touching;
 }
 
+// An endpoint that has moved, or started again under its id, holds and knows
+// nothing of before.
+void update_endpoint(takeover_participant& m, const site_endpoint& e)
+{
+    const bool is_same = e.m_address == m.m_endpoint.m_address &&
+                         e.m_started_ms == m.m_endpoint.m_started_ms;
+    m.m_endpoint = e;
+    if (is_same)
+        return;
+    const takeover_member before = m.m_member;
+    m.m_member = {};
+    m.m_member.m_id = before.m_id;
+    m.m_member.m_leaving = before.m_leaving;
+    m.m_member.m_listed = before.m_listed;
+    m.m_member.m_joined_late = before.m_joined_late;
+    m.m_member.m_fence_lost =
+        before.m_fence_lost || before.m_fenced_at != time_point{};
+    m.m_connection.reset();
+    m.m_reply_pending = false;
+}
+
 void update_listing(const failover_task_state& t, takeover_participant& m)
 {
     const auto& listed = t.m_endpoints->m_endpoints;
@@ -36,16 +57,30 @@
         e != listed.end() && e->second.m_service == m.m_endpoint.m_service;
     m.m_member.m_leaving =
         !m.m_member.m_listed || is_leaving(*t.m_endpoints, e->second);
-    if (!m.m_member.m_listed || e->second.m_address == m.m_endpoint.m_address)
-        return;
-    m.m_endpoint = e->second;
-    m.m_connection.reset();
-    m.m_reply_pending = false;
+    if (m.m_member.m_listed)
+        update_endpoint(m, e->second);
+}
+
+// How long after its entry is seen an endpoint may still have nothing, although
+// a primary leads.
+constexpr std::chrono::seconds max_copy_time{1};
+
+// An endpoint that was listed while a primary led has copied its log; if it
+// holds nothing now, it has restarted, and what it held counts.
+bool is_known_empty(const failover_group& g, const takeover_participant& m,
+                    term_number newest)
+{
+    const auto at = g.m_log_locations.find(m.m_endpoint.m_address);
+    return at != g.m_log_locations.end() &&
+           at->second.m_listed_at + max_copy_time > g.m_primary_contact_at &&
+           !may_hold_commits(m.m_member, newest);
 }
 
-bool is_known_empty(const takeover_participant& m, term_number newest)
+// It can't come to hold anything before the promotion.
+bool is_fenced_empty(const failover_group& g, const takeover_participant& m,
+                     term_number newest)
 {
-    return !may_hold_commits(m.m_member, newest);
+    return is_known_empty(g, m, newest) && is_fenced(m.m_member, g.m_term);
 }
 
 void note_empty_logs(failover_group& g)
@@ -55,7 +90,7 @@
     {
         const auto at = g.m_log_locations.find(m.m_endpoint.m_address);
         if (m.m_member.m_reachable && at != g.m_log_locations.end())
-            at->second.m_empty = is_known_empty(m, newest);
+            at->second.m_empty = is_fenced_empty(g, m, newest);
     }
 }
 
@@ -77,6 +112,9 @@
                                l.m_endpoint.m_started_ms != e.m_started_ms;
     if (has_restarted)
         g.m_lost_logs.push_back(now);
+    if (l.m_endpoint.m_id.empty() ||
+        l.m_endpoint.m_started_ms != e.m_started_ms)
+        l.m_listed_at = now;
     l.m_seen_at = now;
     l.m_drained = e.m_draining;
     l.m_empty = l.m_empty && l.m_endpoint.m_started_ms == e.m_started_ms;
@@ -91,7 +129,10 @@
 // A log that is gone is forgotten once others have everything that it had.
 void forget_replaced_logs(failover_group& g, time_point now)
 {
-    const time_point replicated = g.m_report.m_replicated_until;
+    // A primary that doesn't know of a newer term shows nothing about its log.
+    const time_point replicated = g.m_report.m_term >= newest_known_term(g)
+                                      ? g.m_report.m_replicated_until
+                                      : time_point{};
     const bool has_reports = !g.m_report.m_service.empty();
     std::erase_if(g.m_log_locations,
                   [&](const auto& entry)
@@ -128,8 +169,10 @@
     }
     const term_number newest = newest_known_term(g);
     const auto end = find_end_of_term(decision_members(g), newest, g.m_term);
-    if (end)
-        g.m_end = {newest, *end};
+    if (!end)
+        return;
+    g.m_end = {newest, *end};
+    g.m_end_found_at = boot_now();
 }
 
 }
@@ -152,14 +195,8 @@
 void update_members(const failover_task_state& t, const std::string& service,
                     failover_group& g)
 {
-    const term_number newest = newest_known_term(g);
     for (takeover_participant& m : g.m_members)
         update_listing(t, m);
-    std::erase_if(g.m_members,
-                  [&](const takeover_participant& m)
-                  {
-                      return !m.m_member.m_listed && is_known_empty(m, newest);
-                  });
     for (const auto& [id, e] : t.m_endpoints->m_endpoints)
     {
         if (e.m_service != service || find_member(g, id) != nullptr)
@@ -197,8 +234,13 @@
     {
         const std::string& id = c.m_object.m_name;
         const auto e = t.m_site_codec.m_read_endpoint(id, c.m_object.m_value);
-        if (!e || e->m_service != service || find_member(g, id) != nullptr)
+        if (!e || e->m_service != service)
+            continue;
+        if (takeover_participant* const known = find_member(g, id))
+        {
+            update_endpoint(*known, *e);
             continue;
+        }
         takeover_participant m = make_participant(*e);
         m.m_member.m_joined_late = true;
         g.m_members.push_back(std::move(m));
@@ -213,10 +255,11 @@
     g.m_members_listed = false;
     g.m_next_action_at = boot_now() + member_list_timeout;
     t.m_store.m_list(stored_kind::endpoints, false,
-                     [&t, service](store_answer& a)
+                     [&t, service, review = ++g.m_review](store_answer& a)
                      {
                          failover_group& group = t.m_groups[service];
-                         if (group.m_state != takeover_state::reviewing)
+                         if (group.m_state != takeover_state::reviewing ||
+                             group.m_review != review)
                              return;
                          if (a.m_failure)
                          {
@@ -234,14 +277,29 @@
 {
     const term_number newest = newest_known_term(g);
     std::vector<takeover_member> members;
-    std::size_t empty = 0;
     for (const takeover_participant& m : g.m_members)
-        if (is_known_empty(m, newest))
-            ++empty;
-        else
-            members.push_back(m.m_member);
-    while (members.size() + empty < g.m_size)
-        members.emplace_back();
+    {
+        if (is_fenced_empty(g, m, newest))
+            continue;
+        members.push_back(m.m_member);
+        // What it held before it restarted is unknown.
+        if (!is_known_empty(g, m, newest) &&
+            !may_hold_commits(m.m_member, newest))
+            members.back().m_reachable = false;
+    }
+    const auto unknown = std::ranges::count_if(
+        g.m_log_locations,
+        [&](const auto& entry)
+        {
+            return std::ranges::none_of(g.m_members,
+                                        [&](const takeover_participant& m)
+                                        {
+                                            return m.m_endpoint.m_address ==
+                                                   entry.first;
+                                        });
+        });
+    members.resize(members.size() + static_cast<std::size_t>(unknown) +
+                   g.m_lost_logs.size());
     return members;
 }
 
@@ -267,6 +325,10 @@
 namespace
 {
 
+// How much older than the first look at a record its content may be: a write
+// may be carried out 6 s late, and is read within some seconds.
+constexpr std::chrono::seconds max_record_age{15};
+
 void adopt_gone_logs(failover_group& g, const gone_logs& recorded,
                      time_point recorded_at, time_point now)
 {
@@ -275,12 +337,13 @@
                   [&](const auto& entry)
                   {
                       return entry.second.m_seen_at <
-                                 recorded_at - drained_log_retention &&
+                                 recorded_at - max_record_age &&
                              !recorded.contains(entry.first);
                   });
     for (const auto& [at, log] : recorded)
         g.m_log_locations.try_emplace(
-            at, group_log_location{now - log.m_ago, log.m_drained, false, {}});
+            at,
+            group_log_location{now - log.m_ago, log.m_drained, {}, false, {}});
 }
 
 // Earlier builds record how many logs there are, without their addresses.
@@ -333,6 +396,7 @@
     record.m_newest_terms[service] =
         std::max({record.m_newest_terms[service], g.m_newest_term,
                   g.m_report.m_term, g.m_ordered.m_term});
+    record.m_final_positions.erase(service);
     if (g.m_end.m_term != 0)
         record.m_final_positions[service] = g.m_end;
     for (const auto& [at, l] : g.m_log_locations)
--- a/Source/session/failover_task.cpp
+++ b/Source/session/failover_task.cpp
@@ -28,9 +28,12 @@
     if (m.m_term < g.m_report.m_term)
         return;
     g.m_report = m;
+    g.m_newest_term = std::max(g.m_newest_term, m.m_term);
     if (m.m_primary.empty())
         return;
-    if (g.m_state == takeover_state::led && m.m_term >= g.m_end.m_term)
+    g.m_primary_contact_at = m.m_evidence.m_last_contact_at;
+    if (m.m_term >= g.m_end.m_term &&
+        m.m_evidence.m_last_contact_at > g.m_end_found_at)
         g.m_end = {};
     g.m_last_primary = m.m_primary;
     g.m_last_primary_term = m.m_term;
--- a/Source/session/failover_task_state.hpp
+++ b/Source/session/failover_task_state.hpp
@@ -58,8 +58,10 @@
 struct group_log_location
 {
     time_point m_seen_at{};
-    bool m_drained = false; ///< Its endpoint was draining when last seen.
-    bool m_empty = false; ///< It held nothing when its endpoint last answered.
+    bool m_drained = false;   ///< Its endpoint was draining when last seen.
+    time_point m_listed_at{}; ///< When this start of it was first listed.
+    bool m_empty = false;     ///< It held nothing when its endpoint last
+                              ///< answered in the current takeover.
     /// As last listed; without an id if only an earlier holder has seen it.
     site_endpoint m_endpoint;
 };
@@ -94,7 +96,9 @@
     std::uint32_t m_size = 0;      ///< Logs that are listed or gone.
     term_number m_newest_term = 0; ///< That an earlier takeover may have begun.
     final_position m_end;          ///< Of the newest term that has ended.
-    std::string m_last_primary;    ///< The last one that was reported.
+    time_point m_end_found_at{};
+    time_point m_primary_contact_at{}; ///< The last time that one answered.
+    std::string m_last_primary;        ///< The last one that was reported.
     term_number m_last_primary_term = 0;
     takeover_reason m_reason = takeover_reason::none;
     time_point m_began_at{};
@@ -106,8 +110,9 @@
     ordered_promotion m_ordered; ///< By this or the last duty holder.
     sent_order m_last_order;     ///< Kept after it has expired, for the log.
     std::vector<takeover_participant> m_members;
-    time_point m_next_poll_at{};      ///< When fenced members are polled next.
-    bool m_members_listed = false;    ///< The store's list was just read.
+    time_point m_next_poll_at{};   ///< When fenced members are polled next.
+    std::uint64_t m_review = 0;    ///< Number of the last request for the list.
+    bool m_members_listed = false; ///< The store's list was just read.
     time_point m_unconfirmed_since{}; ///< Of the fence, before an order.
     std::map<std::string, pending_step_down> m_step_downs; ///< By endpoint.
     /// Replicas that stayed paused without a takeover, and are resumed.
--- a/Tests/decide/group_view_test.cpp
+++ b/Tests/decide/group_view_test.cpp
@@ -279,24 +279,46 @@
 
     GIVEN("a primary that no replica has confirmed")
     {
-        record_commit(g, "a", committed, start);
-        const time_point later = start + leader_lease_duration;
+        THEN("the commit isn't proved, also not by itself")
+        {
+            record_commit(g, "a", committed, start);
+            REQUIRE_FALSE(is_commit_proved(g, committed, start));
+        }
+    }
+    GIVEN("a failover after the lease of the term before")
+    {
+        constexpr log_position next{4, 11};
+        observe(g, "b", follows(3, 9), start);
+        const time_point ended = g.m_lease_until;
+        const time_point seen = ended + seconds(1);
 
-        THEN("the commit is proved only while the term is new, and renews that "
-             "by nothing")
+        WHEN("the new term is seen shortly after")
         {
-            REQUIRE(is_commit_proved(g, committed, later - milliseconds(1)));
-            REQUIRE_FALSE(is_commit_proved(g, committed, later));
-            REQUIRE(g.m_lease_until == time_point{});
+            observe(g, "b", leads(4, 10), seen);
+
+            THEN("its commits are proved for as long as a lease would last")
+            {
+                const time_point last = seen + leader_lease_duration;
+                REQUIRE(is_commit_proved(g, next, last - milliseconds(1)));
+                REQUIRE_FALSE(is_commit_proved(g, next, last));
+                REQUIRE(g.m_lease_until == time_point{});
+            }
+            THEN("they aren't again when its primary returns to the list")
+            {
+                const time_point later = seen + leader_lease_duration;
+                forget_endpoint(g, "b", later);
+                observe(g, "b", leads(4, 11), later);
+                REQUIRE_FALSE(is_commit_proved(g, next, later));
+            }
         }
-        WHEN("the same primary is found again in the same term")
+        WHEN("the new term is seen late")
         {
-            forget_endpoint(g, "a", later);
-            observe(g, "a", leads(3, 11), later);
+            const time_point late = ended + max_lease_gap;
+            observe(g, "b", leads(4, 10), late);
 
-            THEN("the term isn't new")
+            THEN("it may be about to end: its commits need a lease")
             {
-                REQUIRE_FALSE(is_commit_proved(g, committed, later));
+                REQUIRE_FALSE(is_commit_proved(g, next, late));
             }
         }
     }
